--- /dev/null
+++ b/src/dandelionbay/app/main.cpp
@@ -0,0 +1,6 @@
+#include <iostream>
+
+int main() {
+    std::cerr << "usage: dandelionbay COMMAND [--help]\n";
+    return 2;
+}
--- /dev/null
+++ b/src/dandelionbay/base/fwd.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+namespace dandelionbay {
+
+template<typename Tag>
+struct named_id;
+struct request_id;
+struct grant_id;
+class clock;
+class manual_clock;
+class monotonic_clock;
+class counters;
+enum class result_code : unsigned short;
+enum class executed : unsigned char;
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/kernel/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace dandelionbay {
+
+class service;
+class kernel;
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/label/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace dandelionbay {
+
+class selector;
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/node/fwd.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace dandelionbay {
+
+struct router_node_options;
+struct agent_node_options;
+class router_node;
+class agent_node;
+class endpoint_client;
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/store/fwd.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace dandelionbay {
+
+struct table_row;
+class table_store;
+struct socket_address;
+struct host_entry;
+class host_list;
+
+} // namespace dandelionbay
