--- /dev/null
+++ b/src/dandelionbay/fair/cost_model.cpp
@@ -0,0 +1,86 @@
+#include "dandelionbay/fair/cost_model.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionbay {
+
+double cost_model::expected_output(const team_key& key, std::uint32_t max_output) const {
+    const auto it = averages_.find(key);
+    const double expected = it != averages_.end() ? it->second.output : first_estimate;
+    return max_output > 0 ? std::min(expected, static_cast<double>(max_output)) : expected;
+}
+
+void cost_model::observe(const team_key& key, std::uint32_t tokens) {
+    auto& it = averages_[key];
+    const auto value = static_cast<double>(tokens);
+    it.output = it.known ? it.output + newest_share * (value - it.output) : value;
+    it.known = true;
+}
+
+void cost_model::refund(const team_key& key, double cost) {
+    averages_[key].refund += cost;
+}
+
+double cost_model::set_off(const team_key& key, double cost) {
+    const auto it = averages_.find(key);
+    if (it == averages_.end()) {
+        return cost;
+    }
+    const double part = std::min(cost, it->second.refund);
+    it->second.refund -= part;
+    return cost - part;
+}
+
+double cost_model::tokens(double input, double output) const noexcept {
+    return weights_.input_token * input + weights_.output_token * output;
+}
+
+double cost_model::plain(std::uint64_t body_bytes) const noexcept {
+    constexpr double kib = 1024.0;
+    return weights_.plain_call + weights_.plain_kib * static_cast<double>(body_bytes) / kib;
+}
+
+cost_account::cost_account(team_key key, double weight, double input, double output, ledger& book, time_point now)
+    : key_{std::move(key)}, weight_{weight}, input_{input}, reserved_{input + output} {
+    book.reserve(key_, reserved_ / weight_, now);
+}
+
+void cost_account::release(double cost, ledger& book, time_point now) {
+    const double part = std::min(cost, reserved_);
+    if (part > 0.0) {
+        reserved_ -= part;
+        book.reserve(key_, -part / weight_, now);
+    }
+}
+
+void cost_account::charge(double cost, ledger& book, time_point now) {
+    if (cost > 0.0) {
+        charged_ += cost;
+        // Charged first: the counter with reservations never falls between the two steps.
+        book.charge(key_, cost / weight_, now);
+        release(cost, book, now);
+    }
+}
+
+void cost_account::start(ledger& book, time_point now) {
+    if (!std::exchange(started_, true)) {
+        charge(input_, book, now);
+    }
+}
+
+void cost_account::stream(double cost, ledger& book, time_point now) {
+    start(book, now);
+    charge(cost, book, now);
+}
+
+double cost_account::settle(double exact, ledger& book, time_point now) {
+    if (exact > charged_) {
+        started_ = true;
+        charge(exact - charged_, book, now);
+    }
+    release(reserved_, book, now);
+    return started_ ? std::max(0.0, charged_ - exact) : 0.0;
+}
+
+} // namespace dandelionbay
--- a/src/dandelionbay/fair/ledger_row.hpp
+++ b/src/dandelionbay/fair/ledger_row.hpp
@@ -13,9 +13,9 @@
     team_id team{};
     host_id router{};
     incarnation_type incarnation{};
-    std::uint64_t version{}; //!< Grows with each change; the higher version of a row wins.
-    double charged{};        //!< Cost units of work done; never falls.
-    double reserved{};       //!< Cost units estimated for running work and not yet charged.
+    std::uint64_t version{}; //!< From 1, grows with each change; the higher version of a row wins.
+    double charged{};        //!< Cost units per weight of work done; never falls.
+    double reserved{};       //!< Cost units per weight estimated for running work and not yet charged.
     std::uint32_t queued{};  //!< Waiting requests.
 
     friend bool operator==(const ledger_row&, const ledger_row&) = default;
