--- a/src/dandelionbay/config/fleet_config.hpp
+++ b/src/dandelionbay/config/fleet_config.hpp
@@ -91,7 +91,8 @@
 /**
  * @brief Whole configuration of a fleet at one revision.
  *
- * Objects get implicit labels that selectors may use: every object "name"; endpoints "zone", "region".
+ * Objects get implicit labels that selectors may use: every object "name"; endpoints "zone" and
+ * "region"; zones "region". A selector that is given for zones_out or endpoints_leaving must not be empty.
  */
 struct fleet_config {
     std::uint64_t revision{};
@@ -104,6 +105,11 @@
     selector zones_out{selector::none()};         //!< Zones out of service.
     selector endpoints_leaving{selector::none()}; //!< Endpoints that take no new work.
 
+    /*! @brief Set by the parser: objects are ordered by name. Lookups scan when it is false. */
+    bool ordered{};
+    /*! @brief Set by the parser: positions of teams ordered by token. Lookups scan when its size differs. */
+    std::vector<std::uint32_t> token_order{};
+
     /*! @brief Finds a team by its token. @param token Bearer token. @return The team, or null. */
     [[nodiscard]] const team_config* team_by_token(std::string_view token) const noexcept;
 
--- a/src/dandelionbay/label/selector.hpp
+++ b/src/dandelionbay/label/selector.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "absl/status/statusor.h"
@@ -13,6 +15,16 @@
 /*! @brief Labels of an object: key to value. */
 using label_set = std::map<std::string, std::string, std::less<>>;
 
+/*! @brief Labels that an object has besides its own; they take precedence over a label of the same key. */
+using implicit_labels = std::span<const std::pair<std::string_view, std::string_view>>;
+
+/*! @brief Checks a label's key. @param key The key. @return True for 1 to 100 of letters, digits, "-", "_", ".", "/".
+ */
+[[nodiscard]] bool valid_label_key(std::string_view key) noexcept;
+
+/*! @brief Checks a label's value. @param value The value. @return As valid_label_key. */
+[[nodiscard]] bool valid_label_value(std::string_view value) noexcept;
+
 /**
  * @brief Condition over labels.
  *
@@ -33,7 +45,7 @@
 
     class parser;
 
-    [[nodiscard]] static bool holds(const requirement& it, const label_set& labels);
+    [[nodiscard]] static bool holds(const requirement& it, const label_set& labels, implicit_labels implicit);
 
 public:
     /*! @brief Selects everything. */
@@ -50,7 +62,15 @@
     [[nodiscard]] static absl::StatusOr<selector> parse(std::string_view text);
 
     /*! @brief Evaluates the selector. @param labels Labels of an object. @return True if they match. */
-    [[nodiscard]] bool matches(const label_set& labels) const;
+    [[nodiscard]] bool matches(const label_set& labels) const { return matches(labels, {}); }
+
+    /**
+     * @brief Evaluates the selector without copying labels.
+     * @param labels Labels of an object.
+     * @param implicit Labels it has besides.
+     * @return True if they match.
+     */
+    [[nodiscard]] bool matches(const label_set& labels, implicit_labels implicit) const;
 
     /*! @brief Text that parses to an equal selector. @return The normalised text. */
     [[nodiscard]] std::string text() const;
