--- a/src/dandelionbay/fair/ledger.cpp
+++ b/src/dandelionbay/fair/ledger.cpp
@@ -62,6 +62,8 @@
         remote_load = remote_load || (!own && (state.row.reserved > 0.0 || state.row.queued > 0));
     }
     it.base = std::max(it.floor, it.lift + charged);
+    pool.service += charged - it.service;
+    it.service = charged;
     pool.highest = std::max(pool.highest, it.base);
 
     const auto rank = std::pair<double, const entry*>{it.base + it.reserved, &it};
@@ -204,11 +206,7 @@
         const double target = pool.backlogged.empty() ? pool.highest : pool.backlogged.begin()->first;
         const double missing = target - (it.base + it.reserved);
         if (missing > 0.0) {
-            double charged = 0.0;
-            for (const auto& [id, state] : it.rows) {
-                charged += state.row.charged;
-            }
-            it.lift = std::max(it.lift, target - it.reserved - charged);
+            it.lift = std::max(it.lift, target - it.reserved - it.service);
             mark(item{&it, nullptr}, self_);
         }
     }
@@ -351,6 +349,11 @@
     return it != entries_.end() ? it->second.base : 0.0;
 }
 
+double ledger::service(const pool_id& pool) const {
+    const auto it = pools_.find(pool);
+    return it != pools_.end() ? it->second.service : 0.0;
+}
+
 std::uint64_t ledger::queued(const team_key& key) const {
     const auto it = entries_.find(key);
     return it != entries_.end() ? it->second.queued : 0;
--- a/src/dandelionbay/fair/ledger.hpp
+++ b/src/dandelionbay/fair/ledger.hpp
@@ -49,6 +49,7 @@
         std::map<row_key, row_state> rows{};
         double lift{};
         double floor{};
+        double service{};  // sum of charged
         double base{};     // max(floor, lift + sum of charged)
         double reserved{}; // sum over routers that are not gone
         std::uint64_t queued{};
@@ -61,6 +62,7 @@
     struct pool_index {
         ranking backlogged{};
         ranking backlogged_elsewhere{};
+        double service{}; // sum of charged over all rows
         double highest{}; // highest charged counter seen; a busy period that ends leaves all teams equal there
     };
 
@@ -156,6 +158,9 @@
     /*! @brief Virtual counter without reservations. @return Cost units per weight; never falls. */
     [[nodiscard]] double charged(const team_key& key) const;
 
+    /*! @brief Work done for all teams of a pool. @return Cost units per weight. */
+    [[nodiscard]] double service(const pool_id& pool) const;
+
     /*! @brief Requests waiting at all routers. */
     [[nodiscard]] std::uint64_t queued(const team_key& key) const;
 
--- a/src/dandelionbay/fair/team_queues.cpp
+++ b/src/dandelionbay/fair/team_queues.cpp
@@ -148,6 +148,15 @@
     return out;
 }
 
+std::vector<std::pair<double, team_id>> team_queues::first_of_all(size_type count) const {
+    std::vector<group_type> groups;
+    groups.reserve(groups_.size());
+    for (const auto& [id, teams] : groups_) {
+        groups.push_back(id);
+    }
+    return first(groups, count);
+}
+
 team_queues::size_type team_queues::size(const team_id& team) const {
     const auto it = teams_.find(team);
     return it != teams_.end() ? it->second.waiting.size() : 0;
--- a/src/dandelionbay/fair/team_queues.hpp
+++ b/src/dandelionbay/fair/team_queues.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -84,6 +85,33 @@
     /*! @brief Takes the request at the head of a team's queue, which must not be empty. */
     request_id pop(const team_id& team);
 
+    /**
+     * @brief Takes the first request of a team that satisfies a condition.
+     * @param allowed Predicate over request ids.
+     * @return The request; nothing if none satisfies it.
+     */
+    template<typename Predicate>
+    [[nodiscard]] std::optional<request_id> take_first(const team_id& team, Predicate allowed) {
+        auto& it = teams_.at(team);
+        const auto pos = std::ranges::find_if(it.waiting, allowed);
+        if (pos == it.waiting.end()) {
+            return std::nullopt;
+        }
+        unrank(team, it);
+        const auto id = *pos;
+        it.waiting.erase(pos);
+        --total_;
+        rank(team, it);
+        return id;
+    }
+
+    /*! @brief Tells whether any request of a team satisfies a condition. @param allowed Predicate over ids. */
+    template<typename Predicate>
+    [[nodiscard]] bool any(const team_id& team, Predicate allowed) const {
+        const auto it = teams_.find(team);
+        return it != teams_.end() && std::ranges::any_of(it->second.waiting, allowed);
+    }
+
     /*! @brief Request at the head of a team's queue, or null. */
     [[nodiscard]] const request_id* front(const team_id& team) const;
 
@@ -98,6 +126,9 @@
     [[nodiscard]] std::vector<std::pair<double, team_id>> first(std::span<const group_type> groups,
                                                                 size_type count) const;
 
+    /*! @brief As first(), for all groups. */
+    [[nodiscard]] std::vector<std::pair<double, team_id>> first_of_all(size_type count) const;
+
     /*! @brief Waiting requests of a team. */
     [[nodiscard]] size_type size(const team_id& team) const;
 
--- /dev/null
+++ b/src/dandelionbay/limit/retry_budget.cpp
@@ -0,0 +1,30 @@
+#include "dandelionbay/limit/retry_budget.hpp"
+
+#include <algorithm>
+
+namespace dandelionbay {
+
+void retry_budget::request(const team_id& team) {
+    auto& own = teams_.try_emplace(team, team_start).first->second;
+    own = std::min(own + share, team_bound);
+    fleet_ = std::min(fleet_ + share, fleet_bound);
+}
+
+bool retry_budget::take(const team_id& team) {
+    auto& own = teams_.try_emplace(team, team_start).first->second;
+    if (own < 1.0 || fleet_ < 1.0) {
+        return false;
+    }
+    own -= 1.0;
+    fleet_ -= 1.0;
+    return true;
+}
+
+duration retry_budget::backoff(std::uint32_t attempt, std::mt19937_64& random) {
+    constexpr std::uint32_t largest_shift = 10;
+    const auto shift = std::min(std::max(attempt, 1U) - 1U, largest_shift);
+    const auto high = std::min(first_backoff.count() << shift, longest_backoff.count());
+    return duration{std::uniform_int_distribution<duration::rep>{high / 2, high}(random)};
+}
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/router/internal/limits.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include "dandelionbay/base/clock.hpp"
+
+namespace dandelionbay::internal {
+
+/*! Shortest distance between two demands to one agent. */
+inline constexpr duration demand_interval = std::chrono::milliseconds{20};
+/*! Longest age of a demand while work waits; repairs a demand that an agent lost. */
+inline constexpr duration demand_refresh = std::chrono::seconds{1};
+/*! Waiting time after which agents of other regions are asked too; their own routers and the link come first. */
+inline constexpr duration spill_delay = std::chrono::milliseconds{200};
+/*! Teams named in a demand. */
+inline constexpr std::size_t demand_teams = 8;
+/*! Demand bytes per second; with the same amount for ledger rows it stays under the 9 KB/s of a node. */
+inline constexpr double demand_bytes_per_second = 4'000.0;
+inline constexpr double demand_burst = 16'000.0;
+
+/*! Interval of the ledger exchange. */
+inline constexpr duration exchange_interval = std::chrono::milliseconds{200};
+inline constexpr double exchange_bytes_per_second = 4'000.0;
+inline constexpr double exchange_burst = 16'000.0;
+/*! Rows of one exchange message; keeps a first full exchange from blocking the link. */
+inline constexpr std::size_t exchange_rows = 64;
+/*! Unchanged rows appended to an exchange. */
+inline constexpr std::size_t repair_rows = 2;
+/*! Size of an encoded row or of a team in a demand, names of usual length included. */
+inline constexpr double row_bytes = 80.0;
+inline constexpr double team_bytes = 45.0;
+
+/*! A grant is not used in its last part, which covers a round trip of 40 ms between regions and scheduling delays. */
+inline constexpr duration grant_margin = std::chrono::milliseconds{250};
+/*! Time for which ids of grants that were used or given back are remembered; longer than a grant's lifetime. */
+inline constexpr duration spent_grant_memory = std::chrono::seconds{10};
+
+/*! Time a broken link may take to come back before the runs on it are given up; silent links take 3 s to be noticed. */
+inline constexpr duration link_return_time = std::chrono::seconds{6};
+/*! Time an agent may take to fill a gap in an answer. */
+inline constexpr duration gap_time = std::chrono::seconds{5};
+/*! Distance of two requests to fill the same gap. */
+inline constexpr duration gap_repeat = std::chrono::milliseconds{500};
+/*! The agent ends a run at its time limit; the router does so later by this margin if the agent's end is lost. */
+inline constexpr duration run_margin = std::chrono::seconds{2};
+/*! Runs of one request, the first included. */
+inline constexpr std::uint32_t most_attempts = 3;
+/*! Time for which an agent that rejected a suspect is not offered another one. */
+inline constexpr duration suspect_hold = std::chrono::milliseconds{500};
+
+/*! Exchange delay in the fairness bound: own interval, two hops of the exchange tree, network and scheduling. */
+inline constexpr duration exchange_delay = 4 * exchange_interval;
+/*! Interval of slow work: refresh of rows, rates, expiry. */
+inline constexpr duration slow_interval = std::chrono::seconds{1};
+
+/*! Limits of the time named in Retry-After. */
+inline constexpr duration shortest_retry_after = std::chrono::seconds{1};
+inline constexpr duration longest_retry_after = std::chrono::seconds{30};
+
+} // namespace dandelionbay::internal
--- /dev/null
+++ b/src/dandelionbay/router/internal/records.hpp
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "dandelionbay/base/clock.hpp"
+#include "dandelionbay/base/ids.hpp"
+#include "dandelionbay/fair/cost_model.hpp"
+#include "dandelionbay/fair/repayment.hpp"
+#include "dandelionbay/fair/team_queues.hpp"
+#include "dandelionbay/router/internal/answer_progress.hpp"
+#include "dandelionbay/router/internal/grant_shelf.hpp"
+#include "dandelionbay/router/router_action.hpp"
+
+namespace dandelionbay::internal {
+
+/*! @brief Where a request is. */
+enum class request_phase : std::uint8_t {
+    queued,  //!< In its team's queue.
+    backoff, //!< Waits to be queued again after a failed run.
+    running, //!< Submitted to an agent.
+};
+
+/*! @brief One run of a request at an agent. */
+struct attempt {
+    request_id wire_id{}; //!< A further run has its own id, so messages of an earlier one are recognised as late.
+    host_id agent{};
+    grant_id grant{};
+    time_point run_deadline{time_point::max()};
+    time_point link_deadline{time_point::max()}; //!< Set while the agent's link is down.
+    time_point gap_deadline{time_point::max()};  //!< Set while bytes are missing.
+    time_point gap_request{time_point::max()};   //!< When the missing bytes are requested again.
+    answer_progress progress{};
+    cost_account account{};
+};
+
+/*! @brief A request from its acceptance to its last event. */
+struct request_record {
+    request_id id{};
+    accepted_request order{};
+    pool_id pool{};
+    bool model_call{};
+    bool caller_left{};       //!< A run that may not be repeated goes on without its caller.
+    std::uint32_t attempts{}; //!< Runs that were not rejected.
+    bool resubmitted{};       //!< Its own id has been used on the wire.
+    request_phase phase{request_phase::queued};
+    executed ran{executed::no}; //!< Outcome of the runs that have ended.
+    time_point accepted_at{};
+    time_point queue_deadline{};
+    time_point backoff_until{};
+    attempt run{};
+    time_point wake{time_point::max()}; //!< Position in the timer index.
+
+    /*! @brief Time of the next event that the clock causes. */
+    [[nodiscard]] time_point next_event() const noexcept {
+        switch (phase) {
+        case request_phase::queued:
+            return queue_deadline;
+        case request_phase::backoff:
+            return backoff_until;
+        case request_phase::running:
+            break;
+        }
+        return std::min({run.run_deadline, run.link_deadline, run.gap_deadline, run.gap_request});
+    }
+};
+
+/*! @brief Combines the outcomes of two runs of a request. */
+[[nodiscard]] constexpr executed combine(executed a, executed b) noexcept {
+    if (a == executed::yes || b == executed::yes) {
+        return executed::yes;
+    }
+    return a == executed::unknown || b == executed::unknown ? executed::unknown : executed::no;
+}
+
+/*! @brief What an agent was last told about a pool. */
+struct told_demand {
+    std::vector<team_demand> teams{};
+    time_point at{};
+    bool known{}; //!< False after a new link: the agent knows nothing.
+};
+
+/*! @brief An agent that has had a link. */
+struct agent_record {
+    host_id host{};
+    incarnation_type incarnation{};
+    endpoint_id endpoint{};
+    std::uint32_t distance{};
+    bool up{};
+    time_point suspects_from{}; //!< No suspect is submitted before this time.
+    std::map<pool_id, told_demand> told{};
+};
+
+/*! @brief Waiting work and grants of a pool. */
+struct pool_record {
+    pool_id id{};
+    team_queues queues{};
+    repayment turn{};
+    grant_shelf grants{};
+    std::set<std::pair<time_point, request_id>> waiting_since{};
+    double largest{};      //!< Largest cost of a request over the weight of its team.
+    double rate{};         //!< Cost units per weight and second at all routers.
+    double last_service{}; //!< Sum of charges at the last measurement of the rate.
+    bool dirty{};          //!< Queues or counters changed since the last demand.
+
+    /*! @brief Distance of counters up to which the lowest is served; at least the bound U of docs/fairness.md. */
+    [[nodiscard]] double gap(duration exchange) const noexcept {
+        const double seconds = std::chrono::duration<double>{exchange}.count();
+        // The error of an estimate is at most the cost of the largest request, so L + E is at most twice L.
+        return 2.0 * (largest + largest) + 2.0 * rate * seconds;
+    }
+};
+
+/*! @brief Token bucket for bytes of control messages. */
+class byte_pace {
+public:
+    byte_pace(double per_second, double burst) : per_second_{per_second}, burst_{burst}, level_{burst} {}
+
+    /*! @brief Takes bytes if any are left; the level may become negative once. @return False if none are left. */
+    [[nodiscard]] bool take(double bytes, time_point now) noexcept {
+        if (now > last_) {
+            level_ = std::min(burst_, level_ + per_second_ * std::chrono::duration<double>{now - last_}.count());
+            last_ = now;
+        }
+        if (level_ <= 0.0) {
+            return false;
+        }
+        level_ -= bytes;
+        return true;
+    }
+
+private:
+    double per_second_;
+    double burst_;
+    double level_;
+    time_point last_{};
+};
+
+} // namespace dandelionbay::internal
--- /dev/null
+++ b/src/dandelionbay/router/internal/state.hpp
@@ -0,0 +1,145 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "dandelionbay/base/counters.hpp"
+#include "dandelionbay/fair/cost_model.hpp"
+#include "dandelionbay/fair/ledger.hpp"
+#include "dandelionbay/limit/crash_register.hpp"
+#include "dandelionbay/limit/retry_budget.hpp"
+#include "dandelionbay/router/internal/access_groups.hpp"
+#include "dandelionbay/router/internal/limits.hpp"
+#include "dandelionbay/router/internal/records.hpp"
+#include "dandelionbay/router/router_core.hpp"
+
+namespace dandelionbay {
+
+/*! @brief State of a router_core; its parts are in state_*.cpp by subject. */
+class router_core::state {
+    using agent_record = internal::agent_record;
+    using attempt = internal::attempt;
+    using held_grant = internal::held_grant;
+    using pool_record = internal::pool_record;
+    using request_phase = internal::request_phase;
+    using request_record = internal::request_record;
+    using group_type = team_queues::group_type;
+
+    // state_request.cpp: life of a request
+    [[nodiscard]] request_record* find_run(const host_id& from, const request_id& wire_id, std::string_view kind);
+    [[nodiscard]] double weight_of(const team_id& team) const;
+    [[nodiscard]] duration retry_after(const request_record& it, result_code code, time_point now) const;
+    void reschedule(request_record& it);
+    void enqueue(request_record& it, bool at_head, time_point now);
+    void leave_queue(request_record& it, time_point now);
+    void queue_changed(pool_record& pool, const team_id& team, time_point now);
+    void end(request_record& it, result_code code, executed outcome, time_point now);
+    void close_run(request_record& it, double exact, time_point now);
+    void run_failed(request_record& it, result_code code, executed outcome, time_point now);
+    void requeue(request_record& it, time_point now);
+    void timed_out(request_record& it, time_point now);
+    [[nodiscard]] result_code admit(const request_record& it, const service_config& service, time_point now);
+
+    // state_dispatch.cpp: use of grants
+    [[nodiscard]] pool_record& pool_of(const pool_id& id);
+    void sync_counters();
+    void serve(pool_record& pool, time_point now);
+    [[nodiscard]] bool serve_one(pool_record& pool, time_point now);
+    [[nodiscard]] std::optional<team_id> choose_team(pool_record& pool, const agent_record& agent, time_point now);
+    [[nodiscard]] bool may_run(const request_id& id, const agent_record& agent, time_point now) const;
+    [[nodiscard]] bool has_runnable(const pool_record& pool, const agent_record& agent, time_point now) const;
+    [[nodiscard]] bool owed_elsewhere(const pool_record& pool, const agent_record& agent, const team_id& team) const;
+    void submit_to(pool_record& pool, request_record& it, const held_grant& grant, time_point now);
+    void give_back(pool_record& pool, const std::vector<held_grant>& grants, std::string_view reason, time_point now);
+    void give_back_idle(pool_record& pool, time_point now);
+    void take_grant(agent_record& agent, const grant& in, time_point now);
+    void take_recall(agent_record& agent, const recall& in, time_point now);
+
+    // state_answer.cpp: answers
+    void take_rejected(const host_id& from, const rejected& in, time_point now);
+    void end_rejected(request_record& it, result_code code, time_point now);
+    void take_head(const host_id& from, const head& in, time_point now);
+    void take_chunk(const host_id& from, const chunk& in, time_point now);
+    void take_finish(const host_id& from, const finish& in, time_point now);
+    void finish_complete(request_record& it, time_point now);
+    void ask_for_gap(request_record& it, time_point now);
+    void answer_broken(request_record& it, std::string_view reason, time_point now);
+    [[nodiscard]] double exact_cost(const request_record& it) const;
+
+    // state_link.cpp: links and demand
+    void agent_up(const hello& peer, time_point now);
+    void lose_runs(const host_id& agent, time_point now);
+    void send_demand(time_point now);
+    [[nodiscard]] std::vector<team_demand> demand_for(pool_record& pool, const agent_record& agent, time_point now);
+    [[nodiscard]] bool asks_far(const pool_record& pool, time_point now) const;
+    [[nodiscard]] static bool differs(const pool_record& pool, const internal::told_demand& told,
+                                      const std::vector<team_demand>& teams, bool exactly);
+    void tell(pool_record& pool, agent_record& agent, std::vector<team_demand> teams, time_point now);
+    void piggyback(pool_record& pool, agent_record& agent, time_point now);
+
+    // state_event.cpp: events, exchange, clock
+    void exchange(time_point now);
+    void take_suspicion(const host_id& from, const suspicion& in, time_point now);
+    void announce(const suspicion& in, const host_id& except);
+    void slow_work(time_point now);
+    void forget_agents();
+    void check_invariants();
+
+    void send(const host_id& to, message body);
+    void check(bool holds, std::string_view reason);
+    [[nodiscard]] actions finish_event(time_point now);
+
+public:
+    state(router_settings settings, counters& metrics);
+
+    [[nodiscard]] actions apply(std::shared_ptr<const fleet_config> config, time_point now);
+    [[nodiscard]] actions accept(accepted_request request, time_point now, request_id& id);
+    [[nodiscard]] actions caller_gone(const request_id& id, time_point now);
+    [[nodiscard]] actions link_up(const hello& peer, time_point now);
+    [[nodiscard]] actions link_down(const host_id& peer, time_point now);
+    [[nodiscard]] actions receive(const host_id& from, const message& body, time_point now);
+    [[nodiscard]] actions tick(time_point now);
+    [[nodiscard]] actions begin_stop(time_point now);
+    [[nodiscard]] actions set_exchange_peers(const std::vector<host_id>& peers, time_point now);
+    [[nodiscard]] bool idle() const noexcept { return requests_.empty(); }
+    [[nodiscard]] time_point next_deadline() const noexcept;
+
+private:
+    router_settings settings_;
+    counters* metrics_;
+    std::mt19937_64 random_;
+    std::shared_ptr<const fleet_config> config_;
+    internal::access_groups access_;
+    ledger ledger_;
+    cost_model costs_;
+    retry_budget retries_;
+    crash_register crashes_;
+    std::uint64_t next_sequence_{1};
+    std::uint64_t demand_version_{};
+    std::map<request_id, request_record> requests_;
+    std::map<request_id, request_id> runs_; // id on the wire to id at the caller
+    std::set<std::pair<time_point, request_id>> timers_;
+    std::map<pool_id, pool_record> pools_;
+    std::map<host_id, agent_record> agents_;
+    std::set<host_id> routers_up_;
+    std::set<host_id> exchange_peers_;
+    std::set<pool_id> to_serve_;
+    internal::byte_pace demand_pace_;
+    internal::byte_pace exchange_pace_;
+    time_point next_demand_{};
+    time_point next_exchange_{};
+    time_point next_slow_{};
+    host_id demand_turn_; // agent from which the next round of demands starts, when the pace runs out
+    bool stopping_{};
+    actions out_;
+};
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/router/internal/state_answer.cpp
@@ -0,0 +1,171 @@
+#include "dandelionbay/router/internal/state.hpp"
+
+namespace dandelionbay {
+
+using namespace internal;
+
+void router_core::state::take_rejected(const host_id& from, const rejected& in, time_point now) {
+    auto* const it = find_run(from, in.id, "rejected");
+    if (it == nullptr) {
+        return;
+    }
+    if (in.code == result_code::duplicate_request) {
+        // The agent has admitted the request once; this answers a repeated submission, and the run goes on.
+        metrics_->add("duplicate_messages_total", "submit");
+        return;
+    }
+    if (in.grant != it->run.grant || it->run.progress.has_head()) {
+        metrics_->add("late_messages_total", "rejected");
+        return;
+    }
+    metrics_->add("rejected_total", describe(in.code).name);
+    --it->attempts;
+    if (crashes_.crashes(it->order.fingerprint) > 0) {
+        agents_.at(from).suspects_from = now + suspect_hold;
+    }
+    if (it->caller_left) {
+        end_rejected(*it, result_code::caller_gone, now);
+    } else if (in.code == result_code::crashes_endpoints) {
+        end_rejected(*it, in.code, now);
+    } else {
+        requeue(*it, now);
+    }
+}
+
+void router_core::state::end_rejected(request_record& it, result_code code, time_point now) {
+    close_run(it, it.run.account.charged(), now);
+    it.phase = request_phase::backoff; // no run any more, so its outcome is that of the runs before
+    end(it, code, it.ran, now);
+}
+
+void router_core::state::take_head(const host_id& from, const head& in, time_point now) {
+    auto* const it = find_run(from, in.id, "head");
+    if (it == nullptr) {
+        return;
+    }
+    if (!it->run.progress.take_head()) {
+        metrics_->add("duplicate_messages_total", "head");
+        return;
+    }
+    it->run.account.start(ledger_, now);
+    out_.emplace_back(answer_head{it->id, in.status, in.headers});
+    finish_complete(*it, now);
+}
+
+void router_core::state::take_chunk(const host_id& from, const chunk& in, time_point now) {
+    auto* const it = find_run(from, in.id, "chunk");
+    if (it == nullptr) {
+        return;
+    }
+    std::string fresh;
+    switch (it->run.progress.take(in, fresh)) {
+    case answer_progress::verdict::duplicate:
+        metrics_->add("duplicate_messages_total", "chunk");
+        return;
+    case answer_progress::verdict::beyond:
+        answer_broken(*it, "overlong", now);
+        return;
+    case answer_progress::verdict::gap:
+        metrics_->add("answer_gaps_total");
+        ask_for_gap(*it, now);
+        return;
+    case answer_progress::verdict::deliver:
+        break;
+    }
+    if (it->model_call) {
+        it->run.account.stream(costs_.tokens(0.0, in.output_tokens), ledger_, now);
+    }
+    if (it->run.gap_deadline != time_point::max()) {
+        // Bytes flow again; if the end is known, the rest is still missing.
+        const bool missing = it->run.progress.end().has_value();
+        it->run.gap_deadline = missing ? now + gap_time : time_point::max();
+        it->run.gap_request = missing ? now + gap_repeat : time_point::max();
+        reschedule(*it);
+    }
+    out_.emplace_back(answer_data{it->id, std::move(fresh)});
+    finish_complete(*it, now);
+}
+
+void router_core::state::take_finish(const host_id& from, const finish& in, time_point now) {
+    using enum result_code;
+    auto* const it = find_run(from, in.id, "finish");
+    if (it == nullptr) {
+        return;
+    }
+    auto& run = it->run;
+    if (in.code != ok) {
+        if (in.state == executed::no && !run.progress.has_head()) {
+            // The agent rejects the run after it had admitted it, for example because it could not reach the endpoint.
+            take_rejected(from, rejected{in.id, run.grant, in.code}, now);
+            return;
+        }
+        const auto outcome = in.state == executed::no ? executed::unknown : in.state;
+        check(in.state != executed::no, "agent_denies_a_started_run");
+        run_failed(*it, in.code, outcome, now);
+        return;
+    }
+    if (run.progress.end()) {
+        metrics_->add("duplicate_messages_total", "finish");
+    }
+    if (!run.progress.take_end(in) || run.progress.overlong()) {
+        answer_broken(*it, "total", now);
+        return;
+    }
+    if (!run.progress.complete()) {
+        metrics_->add("answer_gaps_total");
+        ask_for_gap(*it, now);
+        return;
+    }
+    finish_complete(*it, now);
+}
+
+double router_core::state::exact_cost(const request_record& it) const {
+    const auto& end = it.run.progress.end();
+    if (!it.model_call || !end) {
+        return it.run.account.charged();
+    }
+    const double input = end->input_tokens > 0 ? end->input_tokens : it.order.input_tokens;
+    const double output = end->output_tokens;
+    return costs_.tokens(input, output);
+}
+
+void router_core::state::finish_complete(request_record& it, time_point now) {
+    auto& run = it.run;
+    if (!run.progress.complete()) {
+        return;
+    }
+    check(run.progress.offset() == run.progress.end()->total_bytes, "answer_length");
+    const team_key key{it.pool, it.order.team};
+    if (it.model_call) {
+        costs_.observe(key, run.progress.end()->output_tokens);
+    }
+    for (const auto& cleared : crashes_.finished(it.order.fingerprint, now)) {
+        announce(cleared, host_id{});
+    }
+    close_run(it, exact_cost(it), now);
+    it.phase = request_phase::backoff; // the run is closed
+    it.ran = executed::yes;
+    end(it, result_code::ok, executed::yes, now);
+}
+
+void router_core::state::ask_for_gap(request_record& it, time_point now) {
+    auto& run = it.run;
+    if (run.gap_deadline == time_point::max()) {
+        run.gap_deadline = now + gap_time;
+    } else if (now < run.gap_request) {
+        return;
+    }
+    run.gap_request = now + gap_repeat;
+    reschedule(it);
+    metrics_->add("resumes_total", "gap");
+    send(run.agent, resume{run.wire_id, run.progress.offset(), !run.progress.has_head()});
+}
+
+void router_core::state::answer_broken(request_record& it, std::string_view reason, time_point now) {
+    metrics_->add("answers_broken_total", reason);
+    send(it.run.agent, cancel{it.run.wire_id});
+    // The endpoint has answered, so the request ran, whatever the answer was.
+    run_failed(it, result_code::answer_incomplete, executed::yes, now);
+}
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/router/internal/state_dispatch.cpp
@@ -0,0 +1,219 @@
+#include <algorithm>
+
+#include "dandelionbay/router/internal/state.hpp"
+
+namespace dandelionbay {
+
+using namespace internal;
+
+router_core::state::pool_record& router_core::state::pool_of(const pool_id& id) {
+    auto& it = pools_[id];
+    it.id = id;
+    return it;
+}
+
+void router_core::state::sync_counters() {
+    for (const auto& key : ledger_.take_touched()) {
+        const auto pool = pools_.find(key.pool);
+        if (pool != pools_.end()) {
+            pool->second.queues.set_counter(key.team, ledger_.counter(key));
+            pool->second.dirty = pool->second.dirty || pool->second.queues.size(key.team) > 0;
+        }
+    }
+}
+
+bool router_core::state::may_run(const request_id& id, const agent_record& agent, time_point now) const {
+    return now >= agent.suspects_from || crashes_.crashes(requests_.at(id).order.fingerprint) == 0;
+}
+
+std::optional<team_id> router_core::state::choose_team(pool_record& pool, const agent_record& agent, time_point now) {
+    const auto& groups = access_.allowed(agent.endpoint);
+    const auto next = pool.turn.choose(pool.queues, groups, pool.gap(exchange_delay));
+    if (!next) {
+        return std::nullopt;
+    }
+    if (now >= agent.suspects_from) {
+        return next->second;
+    }
+    // The agent has just rejected a suspect: teams whose waiting requests are all suspects have to wait for others.
+    const auto runnable = [&](const request_id& id) { return may_run(id, agent, now); };
+    if (pool.queues.any(next->second, runnable)) {
+        return next->second;
+    }
+    for (const auto& [counter, team] : pool.queues.first(groups, pool.queues.backlogged())) {
+        if (pool.queues.any(team, runnable)) {
+            return team;
+        }
+    }
+    return std::nullopt;
+}
+
+bool router_core::state::has_runnable(const pool_record& pool, const agent_record& agent, time_point now) const {
+    if (now >= agent.suspects_from) {
+        return true;
+    }
+    const auto teams = pool.queues.first(access_.allowed(agent.endpoint), pool.queues.backlogged());
+    return std::ranges::any_of(teams, [&](const auto& it) {
+        return pool.queues.any(it.second, [&](const request_id& id) { return may_run(id, agent, now); });
+    });
+}
+
+bool router_core::state::owed_elsewhere(const pool_record& pool, const agent_record& agent, const team_id& team) const {
+    const auto other = ledger_.lowest_elsewhere(pool.id);
+    if (!other || other->second == team) {
+        return false;
+    }
+    // Counters closer than the largest request are equal for this purpose; a smaller distance makes grants bounce.
+    if (other->first + pool.largest >= ledger_.counter(team_key{pool.id, team})) {
+        return false;
+    }
+    return std::ranges::find(access_.allowed(agent.endpoint), access_.group_of(other->second)) !=
+           access_.allowed(agent.endpoint).end();
+}
+
+bool router_core::state::serve_one(pool_record& pool, time_point now) {
+    std::vector<held_grant> unfair;
+    bool served = false;
+    for (const auto& grant : pool.grants.held()) {
+        const auto& agent = agents_.at(grant.agent);
+        const auto team = choose_team(pool, agent, now);
+        if (!team) {
+            continue;
+        }
+        if (grant.spare && owed_elsewhere(pool, agent, *team)) {
+            unfair.push_back(grant);
+            continue;
+        }
+        const auto id = pool.queues.take_first(*team, [&](const request_id& it) { return may_run(it, agent, now); });
+        check(id.has_value(), "chosen_team_has_no_request");
+        if (id) {
+            submit_to(pool, requests_.at(*id), held_grant{grant}, now);
+            served = true;
+        }
+        break;
+    }
+    give_back(pool, unfair, "owed_elsewhere", now);
+    return served;
+}
+
+void router_core::state::serve(pool_record& pool, time_point now) {
+    pool.grants.expire(now);
+    while (pool.queues.total() > 0 && !pool.grants.held().empty() && serve_one(pool, now)) {
+        sync_counters();
+    }
+    give_back_idle(pool, now);
+}
+
+void router_core::state::submit_to(pool_record& pool, request_record& it, const held_grant& grant, time_point now) {
+    const auto* const service = config_->find(it.order.service);
+    const auto timeout_ms = service != nullptr ? service->run_timeout_ms : 0U;
+    const team_key key{pool.id, it.order.team};
+    auto& agent = agents_.at(grant.agent);
+
+    pool.waiting_since.erase(std::pair{it.accepted_at, it.id});
+    queue_changed(pool, it.order.team, now);
+    pool.grants.take(grant, true, now);
+    check(grant.usable_until > now, "expired_grant_used");
+    check(it.order.idempotent || it.attempts == 0, "second_run_of_non_idempotent_request");
+
+    double input = costs_.plain(it.order.request.body.size());
+    double output = 0.0;
+    if (it.model_call) {
+        input = costs_.tokens(it.order.input_tokens, 0.0);
+        output = costs_.tokens(0.0, costs_.expected_output(key, it.order.max_output_tokens));
+    }
+    pool.largest = std::max(pool.largest, (input + output) / weight_of(it.order.team));
+    it.run = attempt{};
+    it.run.wire_id = it.id;
+    if (it.attempts > 0 || it.resubmitted) {
+        it.run.wire_id.sequence = next_sequence_++;
+    }
+    it.resubmitted = true;
+    ++it.attempts;
+    it.phase = request_phase::running;
+    it.run.agent = grant.agent;
+    it.run.grant = grant.id;
+    it.run.run_deadline = now + std::chrono::milliseconds{timeout_ms} + run_margin;
+    it.run.account = cost_account{key, weight_of(it.order.team), costs_.set_off(key, input), output, ledger_, now};
+    runs_.emplace(it.run.wire_id, it.id);
+    reschedule(it);
+
+    submit work;
+    work.id = it.run.wire_id;
+    work.grant = grant.id;
+    work.team = it.order.team;
+    work.service = it.order.service;
+    work.model_call = it.model_call;
+    work.idempotent = it.order.idempotent;
+    work.fingerprint = it.order.fingerprint;
+    work.suspicion = crashes_.crashes(it.order.fingerprint);
+    work.timeout_ms = timeout_ms;
+    work.request = it.order.request;
+    metrics_->add("submitted_total", grant.spare ? "spare" : "granted");
+    send(grant.agent, std::move(work));
+    piggyback(pool, agent, now);
+}
+
+void router_core::state::give_back(pool_record& pool, const std::vector<held_grant>& grants, std::string_view reason,
+                                   time_point now) {
+    std::map<host_id, returned> messages;
+    for (const auto& it : grants) {
+        pool.grants.take(it, false, now);
+        messages[it.agent].ids.push_back(it.id);
+        metrics_->add("grants_returned_total", reason);
+    }
+    for (auto& [host, body] : messages) {
+        send(host, std::move(body));
+    }
+}
+
+void router_core::state::give_back_idle(pool_record& pool, time_point now) {
+    std::vector<held_grant> idle;
+    for (const auto& it : pool.grants.held()) {
+        if (it.spare && !stopping_) {
+            continue;
+        }
+        // A grant that was asked for and is not needed blocks a slot; so does a spare one at a router that stops.
+        const auto& agent = agents_.at(it.agent);
+        if (!pool.queues.lowest(access_.allowed(agent.endpoint)) || !has_runnable(pool, agent, now)) {
+            idle.push_back(it);
+        }
+    }
+    give_back(pool, idle, stopping_ ? "stopping" : "not_needed", now);
+}
+
+void router_core::state::take_grant(agent_record& agent, const grant& in, time_point now) {
+    for (const auto& floor : in.floors) {
+        ledger_.merge_floor(floor, now);
+    }
+    sync_counters();
+    auto& pool = pool_of(in.pool);
+    const duration lifetime = std::chrono::milliseconds{in.lifetime_ms};
+    const auto usable = lifetime - std::min(grant_margin, lifetime / 3);
+    for (const auto& id : in.ids) {
+        const held_grant fresh{agent.distance, now + usable, agent.host, id, in.spare};
+        if (!agent.up || !pool.grants.add(fresh)) {
+            metrics_->add("duplicate_messages_total", "grant");
+        }
+    }
+    to_serve_.insert(pool.id);
+}
+
+void router_core::state::take_recall(agent_record& agent, const recall& in, time_point now) {
+    returned out;
+    for (const auto& id : in.ids) {
+        bool unused = true;
+        for (auto& [name, pool] : pools_) {
+            unused = pool.grants.recall(agent.host, id, now) && unused;
+        }
+        if (unused) {
+            out.ids.push_back(id);
+        }
+    }
+    metrics_->add("grants_recalled_total", {}, static_cast<counters::value_type>(in.ids.size()));
+    if (!out.ids.empty()) {
+        send(agent.host, std::move(out));
+    }
+}
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/router/internal/state_event.cpp
@@ -0,0 +1,228 @@
+#include <algorithm>
+#include <cassert>
+
+#include "dandelionbay/router/internal/state.hpp"
+
+namespace dandelionbay {
+
+using namespace internal;
+
+router_core::state::state(router_settings settings, counters& metrics)
+    : settings_{std::move(settings)}, metrics_{&metrics}, random_{settings_.seed}, ledger_{settings_.host,
+                                                                                           settings_.incarnation},
+      demand_pace_{demand_bytes_per_second, demand_burst}, exchange_pace_{exchange_bytes_per_second, exchange_burst} {}
+
+void router_core::state::send(const host_id& to, message body) {
+    out_.emplace_back(send_message{to, std::move(body)});
+}
+
+void router_core::state::check(bool holds, std::string_view reason) {
+    if (!holds) {
+        metrics_->add("invariant_violations_total", reason);
+        assert(false && "an invariant of the router does not hold; see the counter's reason");
+    }
+}
+
+router_core::actions router_core::state::finish_event(time_point now) {
+    sync_counters();
+    while (!to_serve_.empty()) {
+        const auto id = *to_serve_.begin();
+        to_serve_.erase(to_serve_.begin());
+        serve(pool_of(id), now);
+        // A submission marks its own pool again; all it could use has just been used.
+        to_serve_.erase(id);
+    }
+    sync_counters();
+    send_demand(now);
+    return std::exchange(out_, {});
+}
+
+router_core::actions router_core::state::apply(std::shared_ptr<const fleet_config> config, time_point now) {
+    assert(config != nullptr && "a configuration is given");
+    config_ = std::move(config);
+    access_ = access_groups{*config_};
+    for (auto& [id, pool] : pools_) {
+        for (const auto& [counter, team] : pool.queues.first_of_all(pool.queues.backlogged())) {
+            pool.queues.set_team(team, access_.group_of(team), counter);
+        }
+    }
+    for (auto& [host, agent] : agents_) {
+        std::map<pool_id, told_demand> told;
+        for (const auto& id : access_.pools_of(agent.endpoint)) {
+            told[id] = agent.told.contains(id) ? agent.told[id] : told_demand{};
+        }
+        agent.told = std::move(told);
+    }
+    for (auto& [id, pool] : pools_) {
+        pool.dirty = true;
+        to_serve_.insert(id);
+    }
+    return finish_event(now);
+}
+
+router_core::actions router_core::state::receive(const host_id& from, const message& body, time_point now) {
+    const auto agent = agents_.find(from);
+    if (const auto* const rows = std::get_if<ledger_rows>(&body)) {
+        const auto refused = ledger_.merge(from, *rows, now);
+        metrics_->add("ledger_rows_refused_total", {}, static_cast<counters::value_type>(refused));
+    } else if (const auto* const suspect = std::get_if<suspicion>(&body)) {
+        take_suspicion(from, *suspect, now);
+    } else if (agent == agents_.end()) {
+        metrics_->add("foreign_messages_total", "unknown_sender");
+    } else if (const auto* const granted = std::get_if<grant>(&body)) {
+        take_grant(agent->second, *granted, now);
+    } else if (const auto* const recalled = std::get_if<recall>(&body)) {
+        take_recall(agent->second, *recalled, now);
+    } else if (const auto* const refused = std::get_if<rejected>(&body)) {
+        take_rejected(from, *refused, now);
+    } else if (const auto* const start = std::get_if<head>(&body)) {
+        take_head(from, *start, now);
+    } else if (const auto* const piece = std::get_if<chunk>(&body)) {
+        take_chunk(from, *piece, now);
+    } else if (const auto* const last = std::get_if<finish>(&body)) {
+        take_finish(from, *last, now);
+    } else {
+        metrics_->add("foreign_messages_total", "type");
+    }
+    return finish_event(now);
+}
+
+void router_core::state::announce(const suspicion& in, const host_id& except) {
+    for (const auto& host : exchange_peers_) {
+        if (host != except && routers_up_.contains(host)) {
+            send(host, in);
+        }
+    }
+}
+
+void router_core::state::take_suspicion(const host_id& from, const suspicion& in, time_point now) {
+    if (!crashes_.merge(in, now)) {
+        return;
+    }
+    metrics_->add("suspicions_total", in.cleared ? "cleared" : "crash");
+    announce(in, from);
+    if (!crashes_.refused(in.fingerprint)) {
+        return;
+    }
+    std::vector<request_id> refused;
+    for (const auto& [id, it] : requests_) {
+        if (it.order.fingerprint == in.fingerprint && it.phase != request_phase::running) {
+            refused.push_back(id);
+        }
+    }
+    for (const auto& id : refused) {
+        auto& it = requests_.at(id);
+        end(it, result_code::crashes_endpoints, it.ran, now);
+    }
+}
+
+void router_core::state::exchange(time_point now) {
+    if (now < next_exchange_) {
+        return;
+    }
+    next_exchange_ = now + exchange_interval;
+    for (const auto& host : exchange_peers_) {
+        if (!routers_up_.contains(host) || !exchange_pace_.take(0.0, now)) {
+            continue;
+        }
+        auto rows = ledger_.take_changes(host, exchange_rows, repair_rows);
+        const auto count = rows.rows.size() + rows.lifts.size();
+        if (count > 0) {
+            std::ignore = exchange_pace_.take(row_bytes * static_cast<double>(count), now);
+            metrics_->add("ledger_rows_sent_total", {}, static_cast<counters::value_type>(count));
+            send(host, std::move(rows));
+        }
+    }
+}
+
+void router_core::state::slow_work(time_point now) {
+    if (now < next_slow_) {
+        return;
+    }
+    const double seconds = std::chrono::duration<double>{now - (next_slow_ - slow_interval)}.count();
+    const bool first = next_slow_ == time_point{};
+    next_slow_ = now + slow_interval;
+    ledger_.tick(now);
+    crashes_.expire(now);
+    forget_agents();
+    for (auto& [id, pool] : pools_) {
+        constexpr double newest_share = 0.2;
+        const double service = ledger_.service(id);
+        if (!first) {
+            pool.rate += newest_share * ((service - pool.last_service) / seconds - pool.rate);
+        }
+        pool.last_service = service;
+
+        double all = 0.0;
+        double ahead = 0.0;
+        const auto teams = pool.queues.first_of_all(pool.queues.backlogged());
+        for (const auto& [counter, team] : teams) {
+            const double weight = weight_of(team);
+            all += weight;
+            ahead += counter > teams.front().first + pool.gap(exchange_delay) ? weight : 0.0;
+        }
+        pool.turn.set_share_ahead(all > 0.0 ? ahead / all : 0.0);
+        to_serve_.insert(id);
+    }
+    check_invariants();
+}
+
+void router_core::state::forget_agents() {
+    std::set<host_id> used;
+    for (const auto& [id, it] : requests_) {
+        if (it.phase == request_phase::running) {
+            used.insert(it.run.agent);
+        }
+    }
+    std::erase_if(agents_, [&](const auto& it) { return !it.second.up && !used.contains(it.first); });
+}
+
+void router_core::state::check_invariants() {
+    std::size_t waiting = 0;
+    std::size_t running = 0;
+    for (const auto& [id, it] : requests_) {
+        waiting += it.phase == request_phase::queued ? 1 : 0;
+        running += it.phase == request_phase::running ? 1 : 0;
+    }
+    std::size_t queued = 0;
+    std::size_t listed = 0;
+    for (const auto& [id, pool] : pools_) {
+        queued += pool.queues.total();
+        listed += pool.waiting_since.size();
+    }
+    check(waiting == queued && waiting == listed, "queue_content");
+    check(timers_.size() == requests_.size(), "request_timers");
+    check(running == runs_.size(), "run_index");
+}
+
+router_core::actions router_core::state::tick(time_point now) {
+    while (!timers_.empty() && timers_.begin()->first <= now) {
+        timed_out(requests_.at(timers_.begin()->second), now);
+    }
+    slow_work(now);
+    exchange(now);
+    return finish_event(now);
+}
+
+router_core::actions router_core::state::begin_stop(time_point now) {
+    stopping_ = true;
+    for (const auto& [id, pool] : pools_) {
+        to_serve_.insert(id);
+    }
+    return finish_event(now);
+}
+
+time_point router_core::state::next_deadline() const noexcept {
+    auto next = std::min(next_slow_, next_exchange_);
+    if (!timers_.empty()) {
+        next = std::min(next, timers_.begin()->first);
+    }
+    for (const auto& [id, pool] : pools_) {
+        if (pool.dirty || pool.queues.total() > 0) {
+            next = std::min(next, next_demand_);
+        }
+    }
+    return next;
+}
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/router/internal/state_link.cpp
@@ -0,0 +1,233 @@
+#include <algorithm>
+#include <cmath>
+
+#include "dandelionbay/router/internal/state.hpp"
+
+namespace dandelionbay {
+
+using namespace internal;
+
+namespace {
+
+std::uint32_t distance_of(const router_settings& self, const hello& peer) {
+    if (peer.region != self.region) {
+        return 2;
+    }
+    return peer.zone == self.zone ? 0 : 1;
+}
+
+} // namespace
+
+void router_core::state::lose_runs(const host_id& agent, time_point now) {
+    std::vector<request_id> lost;
+    for (const auto& [id, it] : requests_) {
+        if (it.phase == request_phase::running && it.run.agent == agent) {
+            lost.push_back(id);
+        }
+    }
+    for (const auto& id : lost) {
+        auto& it = requests_.at(id);
+        metrics_->add("runs_lost_total", "agent");
+        const bool started = it.run.progress.has_head();
+        run_failed(it, started ? result_code::answer_incomplete : result_code::outcome_unknown,
+                   started ? executed::yes : executed::unknown, now);
+    }
+}
+
+void router_core::state::agent_up(const hello& peer, time_point now) {
+    auto& agent = agents_[peer.host];
+    if (agent.incarnation != peer.incarnation) {
+        // The runs ended with the process that held them.
+        lose_runs(peer.host, now);
+        for (auto& [id, pool] : pools_) {
+            pool.grants.drop(peer.host, now);
+        }
+    }
+    agent.host = peer.host;
+    agent.incarnation = peer.incarnation;
+    agent.endpoint = peer.endpoint;
+    agent.distance = distance_of(settings_, peer);
+    agent.up = true;
+    agent.told.clear();
+    for (const auto& pool : access_.pools_of(agent.endpoint)) {
+        agent.told[pool] = told_demand{};
+        pool_of(pool).dirty = true;
+    }
+    for (auto& [id, it] : requests_) {
+        if (it.phase == request_phase::running && it.run.agent == peer.host) {
+            it.run.link_deadline = time_point::max();
+            metrics_->add("resumes_total", "link");
+            send(peer.host, resume{it.run.wire_id, it.run.progress.offset(), !it.run.progress.has_head()});
+            reschedule(it);
+        }
+    }
+    next_demand_ = std::min(next_demand_, now);
+}
+
+router_core::actions router_core::state::link_up(const hello& peer, time_point now) {
+    if (peer.role == host_role::agent) {
+        agent_up(peer, now);
+    } else if (peer.host != settings_.host) {
+        routers_up_.insert(peer.host);
+        if (exchange_peers_.contains(peer.host)) {
+            ledger_.add_peer(peer.host);
+            for (const auto& it : crashes_.all()) {
+                send(peer.host, it);
+            }
+        }
+    }
+    return finish_event(now);
+}
+
+router_core::actions router_core::state::link_down(const host_id& peer, time_point now) {
+    if (routers_up_.erase(peer) > 0) {
+        ledger_.remove_peer(peer);
+    }
+    const auto found = agents_.find(peer);
+    if (found != agents_.end() && found->second.up) {
+        found->second.up = false;
+        for (auto& [id, pool] : pools_) {
+            pool.grants.drop(peer, now);
+        }
+        for (auto& [id, it] : requests_) {
+            if (it.phase == request_phase::running && it.run.agent == peer) {
+                it.run.link_deadline = now + link_return_time;
+                reschedule(it);
+            }
+        }
+    }
+    return finish_event(now);
+}
+
+router_core::actions router_core::state::set_exchange_peers(const std::vector<host_id>& peers, time_point now) {
+    std::set<host_id> next{peers.begin(), peers.end()};
+    next.erase(settings_.host);
+    for (const auto& host : exchange_peers_) {
+        if (!next.contains(host)) {
+            ledger_.remove_peer(host);
+        }
+    }
+    for (const auto& host : next) {
+        if (!exchange_peers_.contains(host) && routers_up_.contains(host)) {
+            ledger_.add_peer(host);
+            for (const auto& it : crashes_.all()) {
+                send(host, it);
+            }
+        }
+    }
+    exchange_peers_ = std::move(next);
+    return finish_event(now);
+}
+
+std::vector<team_demand> router_core::state::demand_for(pool_record& pool, const agent_record& agent, time_point now) {
+    std::vector<team_demand> teams;
+    if (agent.distance == 2 && !asks_far(pool, now)) {
+        return teams;
+    }
+    const bool suspects = crashes_.size() > 0;
+    for (const auto& [counter, team] : pool.queues.first(access_.allowed(agent.endpoint), demand_teams)) {
+        const team_key key{pool.id, team};
+        const bool only = suspects && !pool.queues.any(team, [&](const request_id& id) {
+            return crashes_.crashes(requests_.at(id).order.fingerprint) == 0;
+        });
+        if (only && now < agent.suspects_from) {
+            continue;
+        }
+        teams.push_back(
+            team_demand{team, static_cast<std::uint32_t>(pool.queues.size(team)), counter, ledger_.charged(key), only});
+    }
+    return teams;
+}
+
+bool router_core::state::asks_far(const pool_record& pool, time_point now) const {
+    if (pool.waiting_since.empty()) {
+        return false;
+    }
+    const bool near = std::ranges::any_of(agents_, [&](const auto& it) {
+        return it.second.up && it.second.distance < 2 && it.second.told.contains(pool.id);
+    });
+    return !near || now - pool.waiting_since.begin()->first >= spill_delay;
+}
+
+bool router_core::state::differs(const pool_record& pool, const told_demand& told,
+                                 const std::vector<team_demand>& teams, bool exactly) {
+    if (exactly || told.teams.size() != teams.size()) {
+        return told.teams != teams;
+    }
+    // Drift of counters within half of the largest request does not change an agent's choice by more than that.
+    return !std::ranges::equal(told.teams, teams, [&](const team_demand& a, const team_demand& b) {
+        const auto low = std::min(a.queued, b.queued);
+        const auto high = std::max(a.queued, b.queued);
+        return a.team == b.team && a.suspects_only == b.suspects_only && high <= 2 * low &&
+               std::abs(a.counter - b.counter) <= pool.largest / 2.0;
+    });
+}
+
+void router_core::state::tell(pool_record& pool, agent_record& agent, std::vector<team_demand> teams, time_point now) {
+    auto& told = agent.told[pool.id];
+    told.teams = teams;
+    told.at = now;
+    told.known = true;
+    metrics_->add("demands_sent_total");
+    send(agent.host, demand{pool.id, ++demand_version_, std::move(teams)});
+}
+
+void router_core::state::piggyback(pool_record& pool, agent_record& agent, time_point now) {
+    const auto told = agent.told.find(pool.id);
+    if (!agent.up || told == agent.told.end() || (told->second.known && now - told->second.at < demand_interval)) {
+        return;
+    }
+    auto teams = demand_for(pool, agent, now);
+    if (differs(pool, told->second, teams, true) &&
+        demand_pace_.take(team_bytes * static_cast<double>(teams.size() + 1), now)) {
+        tell(pool, agent, std::move(teams), now);
+    }
+}
+
+void router_core::state::send_demand(time_point now) {
+    if (now < next_demand_) {
+        return;
+    }
+    next_demand_ = now + demand_interval;
+    bool paced = false;
+    const auto visit = [&](agent_record& agent) {
+        if (!agent.up) {
+            return;
+        }
+        for (auto& [id, told] : agent.told) {
+            auto& pool = pool_of(id);
+            const bool refresh = !told.teams.empty() && now - told.at >= demand_refresh;
+            if (told.teams.empty() && pool.queues.total() == 0) {
+                continue;
+            }
+            const bool spill = agent.distance == 2 && pool.queues.total() > 0;
+            if ((!pool.dirty && !refresh && !spill) || (told.known && now - told.at < demand_interval)) {
+                continue;
+            }
+            auto teams = demand_for(pool, agent, now);
+            const bool first = !told.known && !teams.empty();
+            if (!first && !refresh && !differs(pool, told, teams, false)) {
+                continue;
+            }
+            if (!demand_pace_.take(team_bytes * static_cast<double>(teams.size() + 1), now)) {
+                paced = true;
+                return;
+            }
+            tell(pool, agent, std::move(teams), now);
+            demand_turn_ = agent.host;
+        }
+    };
+    // Starts behind the agent that was told last, so that a lack of bytes does not hit the same agents each time.
+    const auto begin = agents_.upper_bound(demand_turn_);
+    std::for_each(begin, agents_.end(), [&](auto& it) { visit(it.second); });
+    std::for_each(agents_.begin(), begin, [&](auto& it) { visit(it.second); });
+    if (paced) {
+        metrics_->add("demands_delayed_total");
+        return;
+    }
+    for (auto& [id, pool] : pools_) {
+        pool.dirty = false;
+    }
+}
+
+} // namespace dandelionbay
--- a/src/dandelionbay/router/router_core.hpp
+++ b/src/dandelionbay/router/router_core.hpp
@@ -79,6 +79,13 @@
     /*! @brief Begins the graceful stop: grants go back when nothing waits. @param now Current time. */
     [[nodiscard]] actions begin_stop(time_point now);
 
+    /**
+     * @brief Sets the routers with which service counters and suspicions are exchanged.
+     * @param peers Hosts chosen by the exchange tree; messages go only to those that have a link.
+     * @param now Current time.
+     */
+    [[nodiscard]] actions set_exchange_peers(const std::vector<host_id>& peers, time_point now);
+
     /*! @brief Tells whether no request is left. @return True if none waits or runs. */
     [[nodiscard]] bool idle() const noexcept;
 
