Test the router's failures and the fairness bound, and keep bytes for urgent demands

Cause: the first path was tested with one agent that behaves well. Three routers with fake agents on manual time showed that demands piggybacked on submissions used up all demand bytes, so a change between no work and first work waited for the pace, and that a demand took a list of teams for each of up to 340 agents.

Ruled out: a fake agent that keeps the demand of a router behind a partition (its slots went to grants that were lost; the links now break as they do in a partition); the least share of a single interval of 2 s as a measure of the repayment (about 70 random requests, 0.19 to 0.25), replaced by the share over the whole repayment with a narrower range.

Change: the demand pace has reserves for refreshes and for first and ended work; a round computes one demand for all agents that may serve the same teams.

--- a/src/dandelionbay/router/internal/state_link.cpp
+++ b/src/dandelionbay/router/internal/state_link.cpp
@@ -179,7 +179,7 @@
     }
     auto teams = demand_for(pool, agent, now);
     if (differs(pool, told->second, teams, true) &&
-        demand_pace_.take(team_bytes * static_cast<double>(teams.size() + 1), now)) {
+        demand_pace_.take(team_bytes * static_cast<double>(teams.size() + 1), piggyback_reserve, now)) {
         tell(pool, agent, std::move(teams), now);
     }
 }
@@ -190,6 +190,18 @@
     }
     next_demand_ = now + demand_interval;
     bool paced = false;
+    // Most agents may serve the same teams, so a round computes few different demands for many agents.
+    std::map<std::pair<pool_id, std::vector<group_type>>, std::vector<team_demand>> known;
+    const auto demand_of = [&](pool_record& pool, const agent_record& agent) {
+        if (agent.distance == 2 || now < agent.suspects_from) {
+            return demand_for(pool, agent, now);
+        }
+        const auto [it, fresh] = known.try_emplace(std::pair{pool.id, access_.allowed(agent.endpoint)});
+        if (fresh) {
+            it->second = demand_for(pool, agent, now);
+        }
+        return it->second;
+    };
     const auto visit = [&](agent_record& agent) {
         if (!agent.up) {
             return;
@@ -204,14 +216,15 @@
             if ((!pool.dirty && !refresh && !spill) || (told.known && now - told.at < demand_interval)) {
                 continue;
             }
-            auto teams = demand_for(pool, agent, now);
+            auto teams = demand_of(pool, agent);
             const bool first = !told.known && !teams.empty();
             if (!first && !refresh && !differs(pool, told, teams, false)) {
                 continue;
             }
-            if (!demand_pace_.take(team_bytes * static_cast<double>(teams.size() + 1), now)) {
+            const double reserve = teams.empty() != told.teams.empty() ? 0.0 : refresh_reserve;
+            if (!demand_pace_.take(team_bytes * static_cast<double>(teams.size() + 1), reserve, now)) {
                 paced = true;
-                return;
+                continue;
             }
             tell(pool, agent, std::move(teams), now);
             demand_turn_ = agent.host;
--- a/test/dandelionbay/router/fake_fleet.hpp
+++ b/test/dandelionbay/router/fake_fleet.hpp
@@ -272,6 +272,27 @@
         perform(n, cores[n]->set_exchange_peers(peers, now));
     }
 
+    /*! Breaks the links between hosts that the predicate tells apart. */
+    void split(std::function<bool(const host_id&, const host_id&)> apart) {
+        cut = std::move(apart);
+        each_link([&](std::size_t n, const hello& peer) {
+            perform(n, cores[n]->link_down(peer.host, now));
+            if (peer.role == host_role::agent) {
+                fakes[index_of(peer.host)].drop(host("router", n));
+            }
+        });
+    }
+
+    /*! Restores the links that split() broke. */
+    void join() {
+        std::vector<std::pair<std::size_t, hello>> links;
+        each_link([&](std::size_t n, const hello& peer) { links.emplace_back(n, peer); });
+        cut = nullptr;
+        for (const auto& [n, peer] : links) {
+            perform(n, cores[n]->link_up(peer, now));
+        }
+    }
+
     void run(duration time) {
         const auto until = now + time;
         while (now < until) {
@@ -324,7 +345,30 @@
     std::function<bool(const host_id&, const host_id&)> cut{};
 
 private:
+    [[nodiscard]] static std::size_t index_of(const host_id& name) {
+        return static_cast<std::size_t>(std::stoul(name.value.substr(name.value.find_first_of("0123456789"))));
+    }
+
+    template<typename Visit>
+    void each_link(Visit visit) {
+        for (std::size_t n = 0; n < cores.size(); ++n) {
+            for (std::size_t agent = 0; agent < fakes.size(); ++agent) {
+                if (cut(host("router", n), host("agent", agent))) {
+                    visit(n, agent_hello(agent));
+                }
+            }
+            for (std::size_t other = 0; other < cores.size(); ++other) {
+                if (cut(host("router", n), host("router", other))) {
+                    visit(n, router_hello(other));
+                }
+            }
+        }
+    }
+
     void deliver(const flying& it) {
+        if (cut && cut(it.from, it.to)) {
+            return;
+        }
         for (std::size_t n = 0; n < cores.size(); ++n) {
             if (host("router", n) == it.to) {
                 perform(n, cores[n]->receive(it.from, it.body, now));
@@ -332,6 +376,11 @@
         }
         for (std::size_t n = 0; n < fakes.size(); ++n) {
             if (host("agent", n) == it.to) {
+                const auto* const again = std::get_if<resume>(&it.body);
+                if (again != nullptr &&
+                    std::ranges::none_of(fakes[n].runs, [&](const auto& run) { return run.work.id == again->id; })) {
+                    send(it.to, it.from, finish{again->id, result_code::resume_failed, executed::unknown, 0, 0, 0});
+                }
                 fakes[n].receive(it.from, it.body, random, now);
             }
         }
