--- a/src/dandelionbay/wire/fwd.hpp
+++ b/src/dandelionbay/wire/fwd.hpp
@@ -20,5 +20,7 @@
 struct config_query;
 struct config_document;
 struct envelope;
+struct decoded_frame;
+class frame_decoder;
 
 } // namespace dandelionbay
