--- a/src/dandelionbay/base/ids.hpp
+++ b/src/dandelionbay/base/ids.hpp
@@ -26,6 +26,7 @@
     /*! @brief Tells whether the name is empty. @return True for an empty name. */
     [[nodiscard]] bool empty() const noexcept { return value.empty(); }
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads a defaulted <=>.
     friend auto operator<=>(const named_id&, const named_id&) = default;
     friend bool operator==(const named_id&, const named_id&) = default;
 
@@ -59,6 +60,7 @@
     incarnation_type incarnation{};
     std::uint64_t sequence{};
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads a defaulted <=>.
     friend auto operator<=>(const request_id&, const request_id&) = default;
     friend bool operator==(const request_id&, const request_id&) = default;
 };
@@ -68,6 +70,7 @@
     incarnation_type incarnation{};
     std::uint64_t sequence{};
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads a defaulted <=>.
     friend auto operator<=>(const grant_id&, const grant_id&) = default;
     friend bool operator==(const grant_id&, const grant_id&) = default;
 };
--- /dev/null
+++ b/src/dandelionbay/net/fwd.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace dandelionbay {
+
+class link_events;
+struct link_options;
+class link_server;
+
+namespace internal {
+class link;
+class link_owner;
+} // namespace internal
+
+} // namespace dandelionbay
--- a/src/dandelionbay/store/host_list.hpp
+++ b/src/dandelionbay/store/host_list.hpp
@@ -16,6 +16,7 @@
     std::string ip{};
     std::uint16_t port{};
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads a defaulted <=>.
     friend auto operator<=>(const socket_address&, const socket_address&) = default;
     friend bool operator==(const socket_address&, const socket_address&) = default;
 };
