--- a/src/dandelionbay/store/fwd.hpp
+++ b/src/dandelionbay/store/fwd.hpp
@@ -7,5 +7,6 @@
 struct socket_address;
 struct host_entry;
 class host_list;
+class table_map;
 
 } // namespace dandelionbay
