--- a/src/dandelionbay/store/fwd.hpp
+++ b/src/dandelionbay/store/fwd.hpp
@@ -8,5 +8,9 @@
 struct host_entry;
 class host_list;
 class table_map;
+class http_table_store;
+class http_host_list;
+struct store_call;
+class memory_table_store;
 
 } // namespace dandelionbay
--- a/src/dandelionbay/store/host_json.cpp
+++ b/src/dandelionbay/store/host_json.cpp
@@ -1,6 +1,9 @@
 #include "dandelionbay/store/host_json.hpp"
 
+#include <exception>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
 
 #include "absl/strings/str_cat.h"
 
@@ -10,11 +13,18 @@
 
 using nlohmann::json;
 
-// Throws json::exception if a member is missing or has the wrong type.
+host_role role_from(const std::string& name) {
+    if (name != "agent" && name != "router") {
+        throw std::invalid_argument{"unknown role " + name};
+    }
+    return name == "agent" ? host_role::agent : host_role::router;
+}
+
+// Throws json::exception or invalid_argument if a member is missing or has the wrong type.
 host_entry entry_from(const json& item) {
     host_entry entry;
     entry.host = host_id{item.at("host").get<std::string>()};
-    entry.role = item.at("role").get<std::string>() == "agent" ? host_role::agent : host_role::router;
+    entry.role = role_from(item.at("role").get<std::string>());
     entry.region = region_id{item.at("region").get<std::string>()};
     entry.zone = zone_id{item.at("zone").get<std::string>()};
     entry.peer = {item.at("ip").get<std::string>(), item.at("port").get<std::uint16_t>()};
@@ -48,7 +58,7 @@
     for (const auto& it : list) {
         try {
             hosts.push_back(entry_from(it));
-        } catch (const json::exception& ec) {
+        } catch (const std::exception& ec) {
             return absl::InvalidArgumentError(absl::StrCat("host list entry ", hosts.size(), ": ", ec.what()));
         }
     }
