Add process settings and their check

Change: one JSON file for each process; every unknown key, wrong type, missing or out-of-range value is named by its JSON path. Addresses are IP numbers with a port; which keys are known depends on the role.

--- /dev/null
+++ b/src/dandelionbay/settings/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace dandelionbay {
+
+struct log_settings;
+struct standin_settings;
+struct process_settings;
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/settings/process_settings.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+#include "dandelionbay/node/node_options.hpp"
+#include "dandelionbay/settings/fwd.hpp"
+
+namespace dandelionbay {
+
+/*! @brief What a process does. The last three are stand-ins for systems of the platform. */
+enum class process_role : std::uint8_t { router, agent, platform, engine, service };
+
+/*! @brief Name of a role. @param role The role. @return The text used in settings. */
+[[nodiscard]] std::string_view to_string(process_role role) noexcept;
+
+/*! @brief Where and how much a process logs. */
+struct log_settings {
+    std::string level{"info"};    //!< "debug", "info", "warn" or "error".
+    std::string output{"stderr"}; //!< "stderr" or "stdout".
+
+    friend bool operator==(const log_settings&, const log_settings&) = default;
+};
+
+/*! @brief Settings of a stand-in. */
+struct standin_settings {
+    socket_address listen{};
+    std::uint32_t slots{8};                          //!< Engine and service: requests run at once when warm.
+    std::uint32_t output_tokens{16};                 //!< Engine: tokens of an answer if the call sets no limit.
+    std::chrono::milliseconds first_token_delay{50}; //!< Engine: time to the first token when warm.
+    std::chrono::milliseconds token_interval{10};    //!< Engine: time between tokens.
+    std::chrono::milliseconds warm_up{2'000};        //!< Engine: length of a cold start.
+    std::chrono::milliseconds run_time{20};          //!< Service: time of a call.
+    std::string fleet_config{};                      //!< Platform: file with the first fleet configuration.
+    std::vector<host_entry> hosts{};                 //!< Platform: the host list.
+
+    friend bool operator==(const standin_settings&, const standin_settings&) = default;
+};
+
+/*! @brief Settings of one process. */
+struct process_settings {
+    process_role role{process_role::router};
+    router_node_options router{}; //!< Meaningful for routers.
+    agent_node_options agent{};   //!< Meaningful for agents.
+    standin_settings standin{};   //!< Meaningful for stand-ins.
+    log_settings log{};
+
+    friend bool operator==(const process_settings&, const process_settings&) = default;
+};
+
+/**
+ * @brief Parses an address.
+ * @param text IP address and port: "10.0.0.1:80" or "[::1]:80"; no host names.
+ * @return The address, or InvalidArgument.
+ */
+[[nodiscard]] absl::StatusOr<socket_address> parse_address(std::string_view text);
+
+/*! @brief Writes an address. @param address The address. @return Text that parse_address() takes. */
+[[nodiscard]] std::string to_string(const socket_address& address);
+
+/**
+ * @brief Parses and checks settings.
+ * @param text JSON text.
+ * @return The settings, or InvalidArgument with one line "JSON path: fault" for each fault.
+ */
+[[nodiscard]] absl::StatusOr<process_settings> check_settings(std::string_view text);
+
+/**
+ * @brief Reads a settings file and checks it.
+ * @param path File name.
+ * @return As check_settings(); NotFound if the file can't be read.
+ */
+[[nodiscard]] absl::StatusOr<process_settings> load_settings(const std::string& path);
+
+/*! @brief Reads a whole file. @param path File name. @return Its bytes, or NotFound. */
+[[nodiscard]] absl::StatusOr<std::string> read_file(const std::string& path);
+
+} // namespace dandelionbay
