--- a/src/dandelionbay/base/result_code.hpp
+++ b/src/dandelionbay/base/result_code.hpp
@@ -52,6 +52,7 @@
     no_majority = 5003,
     object_not_found = 5004,
     fencing_token_old = 5005,
+    precondition_missing = 5006,
     // Faults of the system itself.
     internal_error = 9001,
     protocol_error = 9002,
--- a/src/dandelionbay/settings/fwd.hpp
+++ b/src/dandelionbay/settings/fwd.hpp
@@ -3,7 +3,6 @@
 namespace dandelionbay {
 
 struct log_settings;
-struct standin_settings;
 struct process_settings;
 
 } // namespace dandelionbay
--- a/src/dandelionbay/settings/process_settings.cpp
+++ b/src/dandelionbay/settings/process_settings.cpp
@@ -25,6 +25,8 @@
 constexpr std::int64_t max_limit_ms = 3'600'000;
 /*! Each caller connection holds one thread; more threads than this would not fit the 128 MB of a node. */
 constexpr std::int64_t max_caller_threads = 4'096;
+constexpr std::int64_t max_standin_slots = 100'000;
+constexpr std::int64_t max_standin_tokens = 1'000'000;
 
 template<typename Enum>
 struct choice {
@@ -163,22 +165,29 @@
         read_limits(root, [&](object_reader& limits) { read_node_limits(limits, out.common); });
     }
 
-    void read_standin(object_reader& root, process_role role, standin_settings& out) {
+    void read_platform(object_reader& root, standin_platform_options& out) {
         read_address(root, "listen", out.listen);
-        if (role == process_role::platform) {
-            root.text("fleet_config", presence::optional, out.fleet_config);
-            read_hosts(root, out.hosts);
-            return;
-        }
-        root.integer("slots", presence::optional, out.slots, 1, 100'000);
-        if (role == process_role::service) {
-            read_ms(root, "run_time_ms", 0, out.run_time);
-            return;
-        }
-        root.integer("output_tokens", presence::optional, out.output_tokens, 1, 1'000'000);
-        read_ms(root, "first_token_delay_ms", 0, out.first_token_delay);
-        read_ms(root, "token_interval_ms", 0, out.token_interval);
-        read_ms(root, "warm_up_ms", 0, out.warm_up);
+        root.text("fleet_config", presence::optional, settings_.fleet_config);
+        read_hosts(root, out.hosts);
+        read_ms(root, "host_list_lag_ms", 0, out.host_list_lag);
+    }
+
+    void read_engine(object_reader& root, standin_engine_options& out) {
+        read_address(root, "listen", out.listen);
+        root.integer("slots", presence::optional, out.slots, 1, max_standin_slots);
+        root.integer("cold_slots", presence::optional, out.cold_slots, 1, max_standin_slots);
+        root.integer("default_tokens", presence::optional, out.default_tokens, 1, max_standin_tokens);
+        read_ms(root, "cold_time_ms", 0, out.cold_time);
+        read_ms(root, "first_token_ms", 0, out.first_token);
+        read_ms(root, "state_lag_ms", 0, out.state_lag);
+        auto interval = out.token_interval.count();
+        root.integer("token_interval_us", presence::optional, interval, 0, max_limit_ms * 1'000);
+        out.token_interval = std::chrono::microseconds{interval};
+    }
+
+    void read_service(object_reader& root, standin_service_options& out) {
+        read_address(root, "listen", out.listen);
+        read_ms(root, "run_time_ms", 0, out.run_time);
     }
 
     void read_root(object_reader& root) {
@@ -186,12 +195,22 @@
             return; // Which other keys are known depends on the role.
         }
         read_log(root);
-        if (settings_.role == process_role::router) {
+        switch (settings_.role) {
+        case process_role::router:
             read_router(root, settings_.router);
-        } else if (settings_.role == process_role::agent) {
+            break;
+        case process_role::agent:
             read_agent(root, settings_.agent);
-        } else {
-            read_standin(root, settings_.role, settings_.standin);
+            break;
+        case process_role::platform:
+            read_platform(root, settings_.platform);
+            break;
+        case process_role::engine:
+            read_engine(root, settings_.engine);
+            break;
+        case process_role::service:
+            read_service(root, settings_.service);
+            break;
         }
         root.finish();
     }
--- a/src/dandelionbay/settings/process_settings.hpp
+++ b/src/dandelionbay/settings/process_settings.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -8,6 +7,9 @@
 #include "absl/status/statusor.h"
 #include "dandelionbay/node/node_options.hpp"
 #include "dandelionbay/settings/fwd.hpp"
+#include "dandelionbay/standin/standin_engine.hpp"
+#include "dandelionbay/standin/standin_platform.hpp"
+#include "dandelionbay/standin/standin_service.hpp"
 
 namespace dandelionbay {
 
@@ -25,27 +27,15 @@
     friend bool operator==(const log_settings&, const log_settings&) = default;
 };
 
-/*! @brief Settings of a stand-in. */
-struct standin_settings {
-    socket_address listen{};
-    std::uint32_t slots{8};                          //!< Engine and service: requests run at once when warm.
-    std::uint32_t output_tokens{16};                 //!< Engine: tokens of an answer if the call sets no limit.
-    std::chrono::milliseconds first_token_delay{50}; //!< Engine: time to the first token when warm.
-    std::chrono::milliseconds token_interval{10};    //!< Engine: time between tokens.
-    std::chrono::milliseconds warm_up{2'000};        //!< Engine: length of a cold start.
-    std::chrono::milliseconds run_time{20};          //!< Service: time of a call.
-    std::string fleet_config{};                      //!< Platform: file with the first fleet configuration.
-    std::vector<host_entry> hosts{};                 //!< Platform: the host list.
-
-    friend bool operator==(const standin_settings&, const standin_settings&) = default;
-};
-
-/*! @brief Settings of one process. */
+/*! @brief Settings of one process; only the part of its role has a meaning. */
 struct process_settings {
     process_role role{process_role::router};
-    router_node_options router{}; //!< Meaningful for routers.
-    agent_node_options agent{};   //!< Meaningful for agents.
-    standin_settings standin{};   //!< Meaningful for stand-ins.
+    router_node_options router{};
+    agent_node_options agent{};
+    standin_platform_options platform{};
+    standin_engine_options engine{};
+    standin_service_options service{};
+    std::string fleet_config{}; //!< Platform: file with a fleet configuration to store at the start; empty for none.
     log_settings log{};
 
     friend bool operator==(const process_settings&, const process_settings&) = default;
--- a/test/dandelionbay/settings/process_settings_test.cpp
+++ b/test/dandelionbay/settings/process_settings_test.cpp
@@ -46,6 +46,13 @@
     ASSERT_TRUE(agent.ok()) << agent.status();
     EXPECT_EQ(agent->agent.endpoint_address, (socket_address{"127.0.0.1", 9000}));
     EXPECT_EQ(agent->agent.endpoint, endpoint_id{"e"});
+    const auto engine = check_settings(R"({"role": "engine", "listen": "127.0.0.1:9000", "slots": 3, "cold_slots": 2,
+        "default_tokens": 9, "cold_time_ms": 1, "first_token_ms": 2, "state_lag_ms": 3, "token_interval_us": 4})");
+    ASSERT_TRUE(engine.ok()) << engine.status();
+    EXPECT_EQ(engine->engine.slots + engine->engine.cold_slots + engine->engine.default_tokens, 14U);
+    EXPECT_EQ(engine->engine.cold_time + engine->engine.first_token + engine->engine.state_lag,
+              std::chrono::milliseconds{6});
+    EXPECT_EQ(engine->engine.token_interval, std::chrono::microseconds{4});
 }
 
 // Guards against a fault that is accepted or reported without its place.
