Add the agent's decision core, the cold-start ramp and the byte budget

Cause: agents had an interface but no decisions.

Change: agent_core with grants, spare grants, floors, admission, runs, resume, crash suspicion and load reports; ramp_limiter; byte_budget. Grants carry a lifetime 250 ms shorter than the agent's own, so that a grant used at the last moment is not rejected for the time its submission travels.

--- /dev/null
+++ b/src/dandelionbay/agent/admission_memory.cpp
@@ -0,0 +1,23 @@
+#include "dandelionbay/agent/admission_memory.hpp"
+
+namespace dandelionbay::internal {
+
+void admission_memory::insert(const request_id& id, const grant_id& grant, time_point now) {
+    while (!order_.empty() && (order_.front().admitted + retention <= now || order_.size() >= capacity)) {
+        grants_.erase(order_.front().id);
+        order_.pop_front();
+    }
+    grants_.insert_or_assign(id, grant);
+    order_.push_back(entry{id, now});
+}
+
+void admission_memory::erase(const request_id& id) {
+    grants_.erase(id);
+}
+
+std::optional<grant_id> admission_memory::find(const request_id& id) const {
+    const auto it = grants_.find(id);
+    return it != grants_.end() ? std::optional{it->second} : std::nullopt;
+}
+
+} // namespace dandelionbay::internal
--- /dev/null
+++ b/src/dandelionbay/agent/agent_admission.cpp
@@ -0,0 +1,101 @@
+#include <algorithm>
+
+#include "dandelionbay/agent/agent_state.hpp"
+
+namespace dandelionbay {
+
+result_code agent_core::state::check(const submit& it, const std::optional<internal::outstanding_grant>& held,
+                                     std::uint32_t crashes, time_point now) const {
+    if (const auto code = refusal(now); code.has_value()) {
+        return *code;
+    }
+    if (!held.has_value() || held->expiry <= now) {
+        return result_code::grant_unknown;
+    }
+    if (it.timeout_ms == 0) {
+        return result_code::deadline_exceeded;
+    }
+    // A service or team that this configuration does not have may exist in a newer one at the router.
+    const auto* const service = config_->find(it.service);
+    if (service == nullptr || !teams_.contains(it.team)) {
+        return result_code::configuration_stale;
+    }
+    if (service->pool != held->pool || !pools_.contains(held->pool)) {
+        return result_code::grant_unknown;
+    }
+    if (!allowed(it.team)) {
+        return result_code::not_permitted;
+    }
+    if (crashes >= internal::suspicion_memory::refusal) {
+        return result_code::crashes_endpoints;
+    }
+    const bool suspect_runs = std::ranges::any_of(runs_, [](const auto& run) { return run.second.crashes > 0; });
+    if (crashes > 0 && suspect_runs) {
+        return result_code::endpoint_unavailable;
+    }
+    // The limit may have fallen since the grant was issued.
+    if (running() + foreign_ >= ramp_.limit()) {
+        return result_code::endpoint_cold;
+    }
+    return result_code::ok;
+}
+
+void agent_core::state::reject(const host_id& to, const submit& it, result_code code, actions& out) {
+    metrics_.add("refused_total", describe(code).name);
+    out.emplace_back(send_message{to, rejected{.id = it.id, .grant = it.grant, .code = code}});
+}
+
+void agent_core::state::on_submit(const host_id& from, const submit& it, time_point now, actions& out) {
+    const auto held = grants_.take(it.grant, from);
+    if (held.has_value()) {
+        demands_.submitted(from, held->pool, it.team);
+    }
+    const auto link = links_.find(from);
+    if (link == links_.end() || !link->second.up || it.id.router != from ||
+        it.id.incarnation != link->second.peer.incarnation) {
+        reject(from, it, result_code::protocol_error, out);
+        return;
+    }
+    if (const auto used_grant = admitted_.find(it.id); used_grant.has_value()) {
+        if (*used_grant == it.grant) {
+            // A repeated message. An answer "rejected" would be taken for the admitted run's result.
+            metrics_.add("duplicate_submissions_total");
+            return;
+        }
+        reject(from, it, result_code::duplicate_request, out);
+        return;
+    }
+    const auto crashes = std::max(it.suspicion, suspicions_.crashes(it.fingerprint, now));
+    if (const auto code = check(it, held, crashes, now); code != result_code::ok) {
+        if (held.has_value()) {
+            release({*held}, now);
+        }
+        reject(from, it, code, out);
+        return;
+    }
+
+    admitted_.insert(it.id, it.grant, now);
+    forget(it.id);
+
+    run_state run{};
+    run.work = it;
+    run.work.request = call{};
+    run.request_bytes = it.request.body.size();
+    run.started = now;
+    run.deadline = now + std::chrono::milliseconds{it.timeout_ms};
+    run.crashes = crashes;
+    run.remote = held->remote;
+    run.remote_bytes = held->bytes;
+    runs_.emplace(it.id, std::move(run));
+
+    if (running() + foreign_ > ramp_.limit()) {
+        violation("admission_over_limit");
+    }
+    if (refusal(now).has_value()) {
+        violation("admission_while_refusing");
+    }
+    metrics_.add("admitted_total");
+    out.emplace_back(start_run{it});
+}
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/agent/agent_grants.cpp
@@ -0,0 +1,307 @@
+#include <algorithm>
+#include <cassert>
+#include <tuple>
+
+#include "dandelionbay/agent/agent_state.hpp"
+#include "xxhash.h"
+
+namespace dandelionbay {
+
+namespace {
+
+// A router of another region is served before waiting work of the own region only if its team lags by more than this
+// many mean requests; a smaller difference isn't worth traffic between regions.
+constexpr double remote_lead = 2.0;
+
+// A router is told of a floor again when it grew by this many mean requests; routers also tell each other.
+constexpr double floor_step = 4.0;
+
+// Grants ahead of need: at least this many per endpoint, or this part of its slots. At 340 agents and 3 s lifetime two
+// of them are about 23 messages per second at each of 10 routers.
+constexpr std::uint32_t least_spares = 2;
+constexpr std::uint32_t spare_part = 4;
+
+std::uint64_t spread(const host_id& agent, const host_id& router) {
+    const auto text = agent.value + '\0' + router.value;
+    return XXH3_64bits(text.data(), text.size());
+}
+
+} // namespace
+
+bool agent_core::state::allowed(const team_id& team) const {
+    const auto it = teams_.find(team);
+    return it != teams_.end() && it->second.allowed;
+}
+
+double agent_core::state::weight(const team_id& team) const {
+    const auto it = teams_.find(team);
+    return it != teams_.end() && it->second.weight > 0 ? it->second.weight : 1.0;
+}
+
+bool agent_core::state::suspect_present() const {
+    return std::ranges::any_of(runs_, [](const auto& it) { return it.second.crashes > 0; }) ||
+           std::ranges::any_of(grants_.all(), [](const auto& it) { return it.suspects; });
+}
+
+double agent_core::state::counter(const pool_id& pool, const internal::waiting_team& team) const {
+    // Grants and submissions that the reported counter does not yet reflect are added at the mean cost; otherwise all
+    // free slots would go to one team.
+    const auto unreported = grants_.pending(pool, team.reported.team) + team.submitted;
+    return std::max(team.reported.counter, floors_.floor(pool, team.reported.team)) +
+           unreported * mean_cost_ / weight(team.reported.team);
+}
+
+std::uint32_t agent_core::state::unmet(const host_id& router, const pool_id& pool, const internal::waiting_work& work,
+                                       bool suspects_allowed) const {
+    std::uint32_t sum = 0;
+    for (const auto& team : work.teams) {
+        if (!allowed(team.reported.team) || (team.reported.suspects_only && !suspects_allowed)) {
+            continue;
+        }
+        const auto held = grants_.held(router, pool, team.reported.team);
+        const auto waiting = team.reported.suspects_only ? std::min(1U, team.waiting()) : team.waiting();
+        sum += waiting > held ? waiting - held : 0;
+    }
+    const auto spares = grants_.spares(router, pool);
+    return sum > spares ? sum - spares : 0;
+}
+
+bool agent_core::state::reachable(const host_id& router, const internal::waiting_work& work, time_point now) const {
+    const auto it = links_.find(router);
+    if (it == links_.end() || !it->second.up) {
+        return false;
+    }
+    // Work that waits for longer than an exchange shows that the agents of the router's own region have no capacity.
+    return !it->second.remote ||
+           (now - work.since >= internal::exchange_time && remote_budget_.ready_at(mean_bytes_, now) <= now);
+}
+
+void agent_core::state::consider(
+    const internal::demand_board::key_type& key, const internal::waiting_work& work, time_point now,
+    std::map<pool_id, std::pair<std::optional<candidate>, std::optional<candidate>>>& best) const {
+    const auto& [router, pool] = key;
+    const bool suspects_allowed = !suspect_present();
+    if (!pools_.contains(pool) || !reachable(router, work, now) || unmet(router, pool, work, suspects_allowed) == 0) {
+        return;
+    }
+    const auto& link = links_.at(router);
+    for (const auto& team : work.teams) {
+        const auto& it = team.reported;
+        if (!allowed(it.team) || (it.suspects_only && !suspects_allowed) ||
+            team.waiting() <= grants_.held(router, pool, it.team)) {
+            continue;
+        }
+        const candidate option{.router = router,
+                               .pool = pool,
+                               .team = it.team,
+                               .counter = counter(pool, team),
+                               .suspects = it.suspects_only,
+                               .remote = link.remote,
+                               .other_zone = link.other_zone,
+                               .last_grant = link.last_grant};
+        auto& pair = best[pool];
+        auto& place = link.remote ? pair.second : pair.first;
+        const auto order = [](const candidate& n) { return std::tie(n.counter, n.other_zone, n.last_grant, n.router); };
+        if (!place.has_value() || order(option) < order(*place)) {
+            place = option;
+        }
+    }
+}
+
+std::optional<agent_core::state::candidate> agent_core::state::choose(time_point now) const {
+    std::map<pool_id, std::pair<std::optional<candidate>, std::optional<candidate>>> best;
+    for (const auto& [key, work] : demands_.all()) {
+        consider(key, work, now, best);
+    }
+    // Counters of different pools can't be compared; pools take turns.
+    const auto turn = [this](const pool_id& pool) {
+        const auto it = pool_turns_.find(pool);
+        return it != pool_turns_.end() ? it->second : 0;
+    };
+    const auto it = std::ranges::min_element(best, {}, [&](const auto& entry) { return turn(entry.first); });
+    if (it == best.end()) {
+        return std::nullopt;
+    }
+    const auto& [local, remote] = it->second;
+    const bool take_remote =
+        remote.has_value() && (!local.has_value() || remote->counter + remote_lead * mean_cost_ < local->counter);
+    return take_remote ? remote : local;
+}
+
+std::optional<agent_core::state::candidate> agent_core::state::choose_spare(time_point now) const {
+    std::optional<candidate> best;
+    std::uint32_t fewest = 0;
+    for (const auto& [router, link] : links_) {
+        if (!link.up || link.leaving || link.remote || now < link.no_spares_until) {
+            continue;
+        }
+        for (const auto& pool : pools_) {
+            const auto held = grants_.spares(router, pool);
+            // The order of the routers differs from agent to agent, so that the spare grants of all agents spread.
+            const auto order = std::tuple{held, spread(settings_.host, router)};
+            if (!best.has_value() || order < std::tuple{fewest, spread(settings_.host, best->router)}) {
+                best = candidate{.router = router, .pool = pool};
+                fewest = held;
+            }
+        }
+    }
+    return best;
+}
+
+void agent_core::state::issue(const candidate& to, bool spare, time_point now) {
+    if (used() >= ramp_.limit()) {
+        violation("grant_over_limit");
+        return;
+    }
+    internal::outstanding_grant it{.router = to.router,
+                                   .pool = to.pool,
+                                   .team = to.team,
+                                   .spare = spare,
+                                   .suspects = to.suspects,
+                                   .remote = to.remote};
+    if (to.remote) {
+        it.bytes = mean_bytes_;
+        remote_budget_.charge(it.bytes, now);
+    }
+    links_.at(to.router).last_grant = ++grant_order_;
+    if (!spare) {
+        pool_turns_[to.pool] = grant_order_;
+    }
+    metrics_.add("grants_total", spare ? "spare" : to.remote ? "other_region" : "demand");
+    auto& note = new_grants_[{to.router, {to.pool, spare}}];
+    note.pool = to.pool;
+    note.spare = spare;
+    note.ids.push_back(grants_.issue(std::move(it), now));
+}
+
+void agent_core::state::release(const std::vector<internal::outstanding_grant>& unused, time_point now) {
+    for (const auto& it : unused) {
+        if (it.remote) {
+            remote_budget_.charge(-it.bytes, now);
+        }
+    }
+}
+
+void agent_core::state::flush_grants(actions& out) {
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    constexpr auto told = internal::grant_book::lifetime - internal::grant_book::margin;
+    for (auto& [key, note] : new_grants_) {
+        note.lifetime_ms = static_cast<std::uint32_t>(duration_cast<milliseconds>(told).count());
+        note.floors = floors_.news(key.first, note.pool, floor_step * mean_cost_);
+        out.emplace_back(send_message{key.first, std::move(note)});
+    }
+    new_grants_.clear();
+}
+
+void agent_core::state::recall_where(const std::set<grant_id>& ids, std::string_view reason, actions& out) {
+    std::map<host_id, recall> messages;
+    for (auto& it : grants_.all()) {
+        if (!it.recalled && ids.contains(it.id)) {
+            it.recalled = true;
+            messages[it.router].ids.push_back(it.id);
+        }
+    }
+    for (auto& [router, note] : messages) {
+        metrics_.add("recalls_total", reason, static_cast<counters::value_type>(note.ids.size()));
+        out.emplace_back(send_message{router, std::move(note)});
+    }
+}
+
+void agent_core::state::recall_all(std::string_view reason, actions& out) {
+    std::set<grant_id> ids;
+    for (const auto& it : grants_.all()) {
+        ids.insert(it.id);
+    }
+    recall_where(ids, reason, out);
+}
+
+void agent_core::state::recall_excess(actions& out) {
+    const auto recalled = std::ranges::count_if(grants_.all(), [](const auto& it) { return it.recalled; });
+    auto excess = static_cast<std::int64_t>(used()) - recalled - static_cast<std::int64_t>(ramp_.limit());
+    std::set<grant_id> ids;
+    for (const bool spare : {true, false}) {
+        for (auto it = grants_.all().rbegin(); it != grants_.all().rend() && excess > 0; ++it) {
+            if (!it->recalled && it->spare == spare) {
+                ids.insert(it->id);
+                --excess;
+            }
+        }
+    }
+    recall_where(ids, "limit", out);
+}
+
+void agent_core::state::recall_for_demand(time_point now, actions& out) {
+    std::int64_t need = 0;
+    std::set<internal::demand_board::key_type> waiting;
+    const bool suspects_allowed = !suspect_present();
+    for (const auto& [key, work] : demands_.all()) {
+        if (pools_.contains(key.second) && reachable(key.first, work, now)) {
+            if (const auto n = unmet(key.first, key.second, work, suspects_allowed); n > 0) {
+                need += n;
+                waiting.insert(key);
+            }
+        }
+    }
+    need -= std::ranges::count_if(grants_.all(), [](const auto& it) { return it.recalled; });
+    std::set<grant_id> ids;
+    for (const auto& it : grants_.all()) {
+        if (need > 0 && it.spare && !it.recalled && !waiting.contains({it.router, it.pool})) {
+            ids.insert(it.id);
+            --need;
+        }
+    }
+    recall_where(ids, "demand", out);
+}
+
+void agent_core::state::check_idle(time_point now) {
+    // A spare grant that another router holds while work waits leaves its slot idle; it counts as free here.
+    const auto busy =
+        running() + foreign_ +
+        static_cast<std::uint32_t>(std::ranges::count_if(grants_.all(), [](const auto& it) { return !it.spare; }));
+    const auto free = busy < ramp_.limit() ? ramp_.limit() - busy : 0;
+    const bool idles = free > 0 && granting(now) && choose(now).has_value();
+    metrics_.set("slots_free_while_waiting", idles ? free : 0);
+    if (!idles) {
+        idle_since_.reset();
+    } else if (!idle_since_.has_value()) {
+        idle_since_ = now;
+    } else if (now - *idle_since_ > internal::exchange_time) {
+        metrics_.add("idle_while_waiting_total");
+        idle_since_ = now;
+    }
+}
+
+void agent_core::state::settle(time_point now, actions& out) {
+    seen_ = std::max(seen_, now);
+    most_running_ = std::max(most_running_, running());
+    if (const auto expired = grants_.expire(now); !expired.empty()) {
+        metrics_.add("grants_expired_total", {}, static_cast<counters::value_type>(expired.size()));
+        release(expired, now);
+    }
+    if (granting(now)) {
+        recall_excess(out);
+        while (used() < ramp_.limit()) {
+            const auto to = choose(now);
+            if (!to.has_value()) {
+                break;
+            }
+            issue(*to, false, now);
+        }
+        recall_for_demand(now, out);
+        const auto most = std::max(least_spares, ramp_.limit() / spare_part);
+        auto spares = std::ranges::count_if(grants_.all(), [](const auto& it) { return it.spare; });
+        while (used() < ramp_.limit() && spares < most) {
+            const auto to = choose_spare(now);
+            if (!to.has_value()) {
+                break;
+            }
+            issue(*to, true, now);
+            ++spares;
+        }
+    }
+    flush_grants(out);
+    check_idle(now);
+}
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/agent/agent_state.cpp
@@ -0,0 +1,227 @@
+#include "dandelionbay/agent/agent_state.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace dandelionbay {
+
+namespace {
+
+// Bytes per second of the link between regions, each way, and the part of it that requests and answers may use; the
+// rest is for control messages, answers sent again and the store.
+constexpr double region_link_rate = 30e6 / 8;
+constexpr double region_link_share = 0.5;
+
+// Smallest burst of the budget between regions, so that one large answer doesn't block it for long.
+constexpr double least_remote_burst = 256.0 * 1024;
+
+} // namespace
+
+agent_core::state::state(agent_settings settings, counters& metrics)
+    : settings_{std::move(settings)}, metrics_{metrics}, grants_{settings_.incarnation},
+      remote_budget_{region_link_rate * region_link_share, least_remote_burst, time_point{}} {}
+
+void agent_core::state::configure(time_point now) {
+    const auto* const endpoint = config_->find(settings_.endpoint);
+    zone_out_ = config_->zone_out(settings_.zone) || (endpoint != nullptr && config_->zone_out(endpoint->zone));
+    label_leaving_ = endpoint == nullptr || config_->leaving(settings_.endpoint);
+    pools_.clear();
+    teams_.clear();
+    if (endpoint == nullptr) {
+        return;
+    }
+    for (const auto& pool : config_->pools) {
+        if (config_->in_pool(*endpoint, pool)) {
+            pools_.insert(pool.id);
+        }
+    }
+    for (const auto& team : config_->teams) {
+        teams_.emplace(team.id, team_state{.allowed = config_->may_use(team, *endpoint), .weight = team.weight});
+    }
+    std::erase_if(pool_turns_, [&](const auto& it) { return !pools_.contains(it.first); });
+    floors_.retain([&](const auto& key) { return pools_.contains(key.first) && teams_.contains(key.second); });
+    ramp_.configure(endpoint->slots, endpoint->cold_slots,
+                    std::chrono::milliseconds{endpoint->expected_first_token_ms});
+
+    const auto neighbours = std::ranges::count_if(config_->endpoints, [&](const endpoint_config& it) {
+        const auto* const zone = config_->find(it.zone);
+        return zone != nullptr && zone->region == settings_.region;
+    });
+    const auto rate =
+        region_link_rate * region_link_share / static_cast<double>(std::max<std::ptrdiff_t>(1, neighbours));
+    remote_budget_.configure(rate, std::max(least_remote_burst, 2 * rate), now);
+}
+
+void agent_core::state::lose_endpoint(time_point now, actions& out) {
+    ramp_.reset(now);
+    lost_ = true;
+    paused_until_ = now + internal::lost_pause;
+    recall_all("endpoint_lost", out);
+}
+
+void agent_core::state::leave_or_return(bool was_leaving, actions& out) {
+    const bool leaves = zone_out_ || label_leaving_ || host_leaving_;
+    if (leaves) {
+        recall_all(zone_out_ ? "zone_out" : "leaving", out);
+    } else if (was_leaving) {
+        ramp_.lower_to_quarter();
+    }
+}
+
+std::optional<result_code> agent_core::state::refusal(time_point /*now*/) const {
+    if (stopping_) {
+        return result_code::stopping;
+    }
+    if (config_ == nullptr) {
+        return result_code::configuration_stale;
+    }
+    if (zone_out_) {
+        return result_code::zone_out_of_service;
+    }
+    if (label_leaving_ || host_leaving_) {
+        return result_code::endpoint_leaving;
+    }
+    if (!fresh_) {
+        return result_code::configuration_stale;
+    }
+    if (lost_) {
+        return result_code::endpoint_unavailable;
+    }
+    return std::nullopt;
+}
+
+bool agent_core::state::granting(time_point now) const {
+    return !refusal(now).has_value() && reported_ && (!paused_until_.has_value() || now >= *paused_until_);
+}
+
+std::uint32_t agent_core::state::used() const noexcept {
+    return running() + foreign_ + grants_.size();
+}
+
+void agent_core::state::violation(std::string_view reason) {
+    metrics_.add("invariant_violations_total", reason);
+    assert(false && "an invariant of the agent is violated");
+}
+
+void agent_core::state::apply(std::shared_ptr<const fleet_config> config, time_point now, actions& out) {
+    if (config == nullptr || (config_ != nullptr && config->revision < config_->revision)) {
+        return;
+    }
+    const bool was_leaving = config_ != nullptr && (zone_out_ || label_leaving_ || host_leaving_);
+    if (config_ == nullptr) {
+        waiting_since_ = now;
+    }
+    config_ = std::move(config);
+    configure(now);
+    leave_or_return(was_leaving, out);
+}
+
+void agent_core::state::set_fresh(bool fresh, time_point /*now*/, actions& out) {
+    fresh_ = fresh;
+    if (!fresh) {
+        recall_all("stale", out);
+    }
+}
+
+void agent_core::state::set_host_leaving(bool leaving, time_point /*now*/, actions& out) {
+    const bool was_leaving = zone_out_ || label_leaving_ || host_leaving_;
+    host_leaving_ = leaving;
+    leave_or_return(config_ != nullptr && was_leaving, out);
+}
+
+void agent_core::state::report(const load_report& report, time_point now, actions& out) {
+    const bool first = process_.empty();
+    const auto most = std::max(most_running_, running());
+    const auto unknown_runs = report.running > most ? report.running - most : 0;
+    // Only runs of an earlier life of this agent are foreign; the reports lag, so the number only falls.
+    foreign_ = first ? unknown_runs : std::min(foreign_, unknown_runs);
+    most_running_ = running();
+    if (!first && report.process != process_) {
+        foreign_ = 0;
+        ramp_.reset(now);
+        recall_excess(out);
+    }
+    process_ = report.process;
+    ramp_.set_reported_cold(report.cold, now);
+    if (first && !report.cold && !lost_) {
+        ramp_.raise_to_quarter();
+    }
+    reported_ = true;
+    if (lost_ && report.process != crashed_process_) {
+        lost_ = false;
+        paused_until_.reset();
+    }
+}
+
+void agent_core::state::endpoint_lost(time_point now, actions& out) {
+    metrics_.add("endpoint_lost_total");
+    reported_ = true;
+    lose_endpoint(now, out);
+}
+
+void agent_core::state::tick(time_point now, actions& out) {
+    if (!reported_ && waiting_since_.has_value() && now - *waiting_since_ >= internal::first_report_limit) {
+        reported_ = true;
+    }
+    if (paused_until_.has_value() && now >= *paused_until_) {
+        paused_until_.reset();
+        lost_ = false;
+    }
+    sweep_runs(now, out);
+    sweep_answers(now);
+}
+
+void agent_core::state::begin_stop(time_point /*now*/, actions& out) {
+    stopping_ = true;
+    recall_all("stopping", out);
+}
+
+bool agent_core::state::idle() const noexcept {
+    return runs_.empty() && std::ranges::all_of(ended_, [](const auto& it) { return it.second.end_sent; });
+}
+
+time_point agent_core::state::next_deadline() const noexcept {
+    auto next = time_point::max();
+    const auto consider = [&next](time_point at) { next = std::min(next, at); };
+    if (!reported_ && waiting_since_.has_value()) {
+        consider(*waiting_since_ + internal::first_report_limit);
+    }
+    if (paused_until_.has_value()) {
+        consider(*paused_until_);
+    }
+    if (idle_since_.has_value()) {
+        consider(*idle_since_ + internal::exchange_time + duration{1});
+    }
+    for (const auto& it : grants_.all()) {
+        consider(it.expiry);
+    }
+    if (!ended_order_.empty()) {
+        consider(ended_order_.begin()->first + internal::answer_retention);
+    }
+    for (const auto& [id, run] : runs_) {
+
+        if (run.cancelled == result_code::ok) {
+            consider(run.deadline);
+        }
+        if (run.work.model_call && !run.answered && !run.overdue) {
+            consider(ramp_.overdue_at(run.started) + duration{1});
+        }
+        const auto link = links_.find(id.router);
+        if (link != links_.end() && !link->second.up && run.work.idempotent && run.cancelled == result_code::ok) {
+            consider(link->second.down_since + internal::return_limit);
+        }
+    }
+    for (const auto& [key, work] : demands_.all()) {
+        const auto link = links_.find(key.first);
+        if (link == links_.end() || !link->second.remote || work.teams.empty()) {
+            continue;
+        }
+        const auto ready = std::max(work.since + internal::exchange_time, remote_budget_.ready_at(mean_bytes_, seen_));
+        if (ready > seen_) {
+            consider(ready);
+        }
+    }
+    return next;
+}
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/agent/agent_state.hpp
@@ -0,0 +1,246 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "dandelionbay/agent/admission_memory.hpp"
+#include "dandelionbay/agent/agent_core.hpp"
+#include "dandelionbay/agent/answer_buffer.hpp"
+#include "dandelionbay/agent/demand_board.hpp"
+#include "dandelionbay/agent/floor_book.hpp"
+#include "dandelionbay/agent/grant_book.hpp"
+#include "dandelionbay/agent/suspicion_memory.hpp"
+#include "dandelionbay/limit/byte_budget.hpp"
+#include "dandelionbay/limit/ramp_limiter.hpp"
+
+namespace dandelionbay {
+
+namespace internal {
+
+/*! @brief Longest one exchange between router and agent takes in normal operation. */
+inline constexpr duration exchange_time = std::chrono::milliseconds{100};
+
+/*! @brief A router whose link broke may resume its answers within this time. */
+inline constexpr duration return_limit = std::chrono::seconds{5};
+
+/*! @brief How long a finished answer is kept for a router to resume. */
+inline constexpr duration answer_retention = std::chrono::seconds{10};
+
+/*! @brief Bytes of finished answers that are kept in total. */
+inline constexpr std::size_t retained_bytes = 16U << 20U;
+
+/*! @brief After the start, grants wait this long for the endpoint's first load report. */
+inline constexpr duration first_report_limit = std::chrono::seconds{1};
+
+/*! @brief Pause before work is tried at an endpoint that did not answer and sends no reports. */
+inline constexpr duration lost_pause = std::chrono::seconds{2};
+
+/*! @brief Pause of grants after the endpoint refused a request, so that requests don't circulate. */
+inline constexpr duration refusal_pause = std::chrono::milliseconds{200};
+
+/*! @brief Runs that broke off this shortly before a crash was noticed count as present at the crash. */
+inline constexpr duration crash_window = std::chrono::seconds{1};
+
+} // namespace internal
+
+/*! @brief State and decisions of an agent; each event function appends to the actions given to it. */
+class agent_core::state {
+    struct link_state {
+        hello peer{};
+        bool up{};
+        bool leaving{};
+        bool remote{};
+        bool other_zone{};
+        time_point down_since{};
+        std::uint64_t last_grant{};   //!< Position of its last grant in the order of all grants.
+        time_point no_spares_until{}; //!< It returned grants unasked and gets none ahead of need until then.
+    };
+
+    struct run_state {
+        submit work{}; //!< Without the body.
+        time_point started{};
+        time_point deadline{};
+        std::uint64_t request_bytes{};
+        std::uint32_t input_tokens{};
+        std::uint32_t crashes{}; //!< Highest known suspicion at the start.
+        bool remote{};
+        double remote_bytes{}; //!< Bytes taken from the budget between regions.
+        bool attached{true};   //!< The router's link carries the answer.
+        bool abandoned{};      //!< Nobody wants the answer.
+        bool answered{};       //!< The first byte or token came.
+        bool overdue{};        //!< The late first token was noticed.
+        bool head_known{};
+        result_code cancelled{result_code::ok}; //!< Why it was cancelled.
+        head first{};
+        internal::answer_buffer answer{};
+        std::optional<finish> end{}; //!< Set when the run is over.
+        bool end_sent{};
+        time_point ended{};
+    };
+
+    struct team_state {
+        bool allowed{};
+        double weight{1.0};
+    };
+
+    struct candidate {
+        host_id router{};
+        pool_id pool{};
+        team_id team{};
+        double counter{};
+        bool suspects{};
+        bool remote{};
+        bool other_zone{};
+        std::uint64_t last_grant{};
+    };
+
+    struct broken_run {
+        std::uint64_t fingerprint{};
+        std::uint32_t crashes{};
+        time_point ended{};
+    };
+
+    using run_map = std::map<request_id, run_state>;
+
+    // agent_state.cpp: configuration and state of the endpoint.
+    void configure(time_point now);
+    void lose_endpoint(time_point now, actions& out);
+    void leave_or_return(bool was_leaving, actions& out);
+    [[nodiscard]] std::optional<result_code> refusal(time_point now) const;
+    [[nodiscard]] bool granting(time_point now) const;
+    [[nodiscard]] std::uint32_t used() const noexcept;
+    void violation(std::string_view reason);
+
+    // agent_grants.cpp: grants.
+    [[nodiscard]] std::optional<candidate> choose(time_point now) const;
+    [[nodiscard]] bool reachable(const host_id& router, const internal::waiting_work& work, time_point now) const;
+    void consider(const internal::demand_board::key_type& key, const internal::waiting_work& work, time_point now,
+                  std::map<pool_id, std::pair<std::optional<candidate>, std::optional<candidate>>>& best) const;
+    [[nodiscard]] std::uint32_t unmet(const host_id& router, const pool_id& pool, const internal::waiting_work& work,
+                                      bool suspects_allowed) const;
+    [[nodiscard]] double counter(const pool_id& pool, const internal::waiting_team& team) const;
+    [[nodiscard]] bool allowed(const team_id& team) const;
+    [[nodiscard]] double weight(const team_id& team) const;
+    [[nodiscard]] bool suspect_present() const;
+    [[nodiscard]] std::optional<candidate> choose_spare(time_point now) const;
+    void issue(const candidate& to, bool spare, time_point now);
+    void release(const std::vector<internal::outstanding_grant>& unused, time_point now);
+    void flush_grants(actions& out);
+    void recall_all(std::string_view reason, actions& out);
+    void recall_for_demand(time_point now, actions& out);
+    void recall_excess(actions& out);
+    void recall_where(const std::set<grant_id>& ids, std::string_view reason, actions& out);
+    void check_idle(time_point now);
+
+    // agent_admission.cpp: submissions.
+    [[nodiscard]] result_code check(const submit& it, const std::optional<internal::outstanding_grant>& held,
+                                    std::uint32_t crashes, time_point now) const;
+    void reject(const host_id& to, const submit& it, result_code code, actions& out);
+    void on_submit(const host_id& from, const submit& it, time_point now, actions& out);
+
+    // agent_runs.cpp: runs and answers.
+    void end_run(run_map::iterator it, result_code code, executed outcome, time_point now, actions& out);
+    [[nodiscard]] run_state* find_run(const request_id& id);
+    void end_unstarted(run_map::iterator it, time_point now, actions& out);
+    void crash(time_point now, actions& out);
+    void suspect(std::uint64_t fingerprint, std::uint32_t crashes, time_point now, actions& out);
+    void stop_run(run_state& run, result_code why, actions& out);
+    void resume_answer(const host_id& from, const resume& it, actions& out);
+    void sweep_runs(time_point now, actions& out);
+    void sweep_answers(time_point now);
+    void forget(const request_id& id);
+    void broadcast(const message& body, actions& out) const;
+    [[nodiscard]] bool linked(const host_id& router) const;
+
+    // agent_links.cpp: links and messages.
+    void on_message(const host_id& from, const heartbeat& it, time_point now, actions& out);
+    void on_message(const host_id& from, const demand& it, time_point now, actions& out);
+    void on_message(const host_id& from, const returned& it, time_point now, actions& out);
+    void on_message(const host_id& from, const submit& it, time_point now, actions& out);
+    void on_message(const host_id& from, const cancel& it, time_point now, actions& out);
+    void on_message(const host_id& from, const resume& it, time_point now, actions& out);
+    void on_message(const host_id& from, const suspicion& it, time_point now, actions& out);
+    void abandon_runs(const host_id& router, actions& out);
+
+public:
+    state(agent_settings settings, counters& metrics);
+
+    void apply(std::shared_ptr<const fleet_config> config, time_point now, actions& out);
+    void set_fresh(bool fresh, time_point now, actions& out);
+    void set_host_leaving(bool leaving, time_point now, actions& out);
+    void link_up(const hello& peer, time_point now, actions& out);
+    void link_down(const host_id& peer, time_point now, actions& out);
+    void receive(const host_id& from, const message& body, time_point now, actions& out);
+    void run_head(const request_id& id, std::int32_t status, std::vector<header_field> headers, time_point now,
+                  actions& out);
+    /*! @brief As agent_core::run_data. @return True if the limit changed, so that settle() has to follow. */
+    [[nodiscard]] bool run_data(const request_id& id, std::string data, std::uint32_t tokens, time_point now,
+                                actions& out);
+    void run_ended(const request_id& id, run_end end, std::uint32_t input_tokens, time_point now, actions& out);
+    void report(const load_report& report, time_point now, actions& out);
+    void endpoint_lost(time_point now, actions& out);
+    void tick(time_point now, actions& out);
+    void begin_stop(time_point now, actions& out);
+
+    /*! @brief Issues and recalls grants after an event; to be called once after each. */
+    void settle(time_point now, actions& out);
+
+    [[nodiscard]] bool idle() const noexcept;
+    [[nodiscard]] std::uint32_t limit() const noexcept { return ramp_.limit(); }
+    [[nodiscard]] std::uint32_t running() const noexcept { return static_cast<std::uint32_t>(runs_.size()); }
+    [[nodiscard]] time_point next_deadline() const noexcept;
+
+private:
+    agent_settings settings_;
+    counters& metrics_;
+
+    std::shared_ptr<const fleet_config> config_{};
+    std::set<pool_id> pools_{}; //!< Pools this endpoint belongs to.
+    std::map<team_id, team_state> teams_{};
+    bool zone_out_{true};
+    bool label_leaving_{true};
+    bool host_leaving_{};
+    bool fresh_{true};
+    bool stopping_{};
+
+    ramp_limiter ramp_{};
+    std::string process_{};                     //!< Identity of the endpoint's process; empty before the first report.
+    std::optional<time_point> waiting_since_{}; //!< When the wait for the first report began.
+    bool reported_{};                           //!< A report came, or the wait for it is over.
+    std::uint32_t foreign_{};                   //!< Runs at the endpoint that an earlier life of this agent started.
+    std::uint32_t most_running_{};              //!< Most own runs since the last report.
+    std::optional<time_point> paused_until_{};  //!< The endpoint did not answer or refused work.
+    bool lost_{};
+    std::string crashed_process_{}; //!< Late reports of this process don't end the loss.
+    time_point seen_{};             //!< Time of the last event.
+
+    std::map<host_id, link_state> links_{};
+    internal::demand_board demands_{};
+    internal::floor_book floors_{};
+    internal::grant_book grants_;
+    std::map<pool_id, std::uint64_t> pool_turns_{}; //!< Position of each pool's last grant in the order of all grants.
+    std::uint64_t grant_order_{};
+    std::map<std::pair<host_id, std::pair<pool_id, bool>>, grant> new_grants_{}; //!< To be sent after the event.
+    byte_budget remote_budget_;
+    double mean_cost_{1.0};       //!< Moving average of a request's cost, in cost units.
+    double mean_bytes_{16'384.0}; //!< Moving average of a request's bytes in both directions.
+    std::optional<time_point> idle_since_{};
+
+    internal::admission_memory admitted_{};
+    run_map runs_{};  //!< Runs at the endpoint.
+    run_map ended_{}; //!< Ended runs whose answer is kept.
+    std::set<std::pair<time_point, request_id>> ended_order_{};
+    std::size_t ended_bytes_{};
+    internal::suspicion_memory suspicions_{};
+    std::deque<broken_run> broken_{};
+};
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/limit/ramp_limiter.cpp
@@ -0,0 +1,81 @@
+#include "dandelionbay/limit/ramp_limiter.hpp"
+
+#include <algorithm>
+
+namespace dandelionbay {
+
+void ramp_limiter::raise(time_point now) {
+    while (!raises_.empty() && raises_.front() + doubling_time <= now) {
+        raises_.pop_front();
+    }
+    const auto before = position_ - std::min<std::size_t>(raises_.size(), position_);
+    if (reported_cold_ || position_ >= slots_ || position_ + 1 > 2 * before) {
+        return;
+    }
+    ++position_;
+    raises_.push_back(now);
+}
+
+void ramp_limiter::configure(std::uint32_t slots, std::uint32_t cold_slots, duration expected_first_token) noexcept {
+    const auto old_bound = cold_slots_;
+    slots_ = slots;
+    cold_slots_ = std::max(1U, cold_slots);
+    expected_ = expected_first_token;
+    // More slots than before have to be reached by the ramp; the position never stays above the slots.
+    position_ = position_ <= old_bound ? cold_slots_ : std::max(position_, cold_slots_);
+    position_ = std::min(position_, std::max(1U, slots_));
+}
+
+void ramp_limiter::reset(time_point now) {
+    position_ = std::min(cold_slots_, std::max(1U, slots_));
+    reset_at_ = now;
+    raises_.clear();
+}
+
+void ramp_limiter::set_reported_cold(bool cold, time_point now) {
+    reported_cold_ = cold;
+    if (cold) {
+        reset(now);
+    }
+}
+
+void ramp_limiter::lower_to_quarter() {
+    position_ = std::min(position_, std::max(cold_slots_, slots_ / 4));
+    raises_.clear();
+}
+
+void ramp_limiter::raise_to_quarter() {
+    position_ = std::max(position_, slots_ / 4);
+    raises_.clear();
+}
+
+void ramp_limiter::first_token(time_point started, time_point now) {
+    if (started <= reset_at_) {
+        return;
+    }
+    if (overdue(started, now)) {
+        reset(now);
+    } else if (now - started <= expected_) {
+        raise(now);
+    }
+}
+
+void ramp_limiter::completed(time_point started, time_point now) {
+    if (started > reset_at_) {
+        raise(now);
+    }
+}
+
+bool ramp_limiter::overdue(time_point started, time_point now) const noexcept {
+    return started > reset_at_ && now > overdue_at(started);
+}
+
+time_point ramp_limiter::overdue_at(time_point started) const noexcept {
+    return started + slow_factor * expected_;
+}
+
+std::uint32_t ramp_limiter::limit() const noexcept {
+    return std::min(slots_, position_);
+}
+
+} // namespace dandelionbay
