--- a/src/dandelionbay/base/result_code.cpp
+++ b/src/dandelionbay/base/result_code.cpp
@@ -42,6 +42,7 @@
     result_info{deadline_exceeded, "deadline_exceeded", 504, "the deadline has passed"},
     result_info{duplicate_request, "duplicate_request", 409, "the agent has already admitted this request"},
     result_info{resume_failed, "resume_failed", 502, "the answer can't be resumed at the requested offset"},
+    result_info{answer_not_kept, "answer_not_kept", 410, "the request ran; its answer was too large to be kept"},
     result_info{revision_mismatch, "revision_mismatch", 412, "the configuration has changed meanwhile"},
     result_info{invalid_configuration, "invalid_configuration", 422, "the configuration is not valid"},
     result_info{no_majority, "no_majority", 503, "this router reaches less than half of the known hosts"},
--- a/src/dandelionbay/base/result_code.hpp
+++ b/src/dandelionbay/base/result_code.hpp
@@ -46,6 +46,7 @@
     deadline_exceeded = 4005,
     duplicate_request = 4006,
     resume_failed = 4007,
+    answer_not_kept = 4008,
     // Administration.
     revision_mismatch = 5001,
     invalid_configuration = 5002,
--- a/src/dandelionbay/store/memory_table_store.cpp
+++ b/src/dandelionbay/store/memory_table_store.cpp
@@ -20,7 +20,7 @@
 
 void memory_table_store::set_faults(fault_function faults) {
     const std::lock_guard lock{mutex_};
-    faults_ = std::move(faults);
+    faults_ = faults ? std::make_shared<const fault_function>(std::move(faults)) : nullptr;
 }
 
 std::uint64_t memory_table_store::calls() const {
@@ -29,14 +29,14 @@
 }
 
 store_fault memory_table_store::next_fault(store_operation operation, std::string_view table, std::string_view key) {
-    fault_function faults;
+    std::shared_ptr<const fault_function> faults;
     store_call call{operation, std::string{table}, std::string{key}, 0};
     {
         const std::lock_guard lock{mutex_};
         call.index = calls_++;
         faults = faults_;
     }
-    return faults ? faults(call) : store_fault::none;
+    return faults != nullptr ? (*faults)(call) : store_fault::none;
 }
 
 absl::StatusOr<table_row> memory_table_store::get(std::string_view table, std::string_view key) {
--- a/src/dandelionbay/store/memory_table_store.hpp
+++ b/src/dandelionbay/store/memory_table_store.hpp
@@ -56,7 +56,7 @@
 private:
     std::shared_ptr<table_map> rows_;
     mutable std::mutex mutex_;
-    fault_function faults_;
+    std::shared_ptr<const fault_function> faults_; // Shared, so that a callback keeps its state between calls.
     std::uint64_t calls_{0};
 };
 
