--- a/src/dandelionbay/limit/fwd.hpp
+++ b/src/dandelionbay/limit/fwd.hpp
@@ -4,5 +4,7 @@
 
 class ramp_limiter;
 class byte_budget;
+class retry_budget;
+class crash_register;
 
 } // namespace dandelionbay
