Test the agent's cold start, admission, answers and grants under failures

Cause: the first path of the agent was tested only where nothing fails.

Conclusion: no fault of the agent was found by these tests; the failures on the way were in the test's stand-in for a router, which kept expired grants.

--- /dev/null
+++ b/test/dandelionbay/agent/agent_cold_test.cpp
@@ -0,0 +1,146 @@
+#include "dandelionbay/agent/agent_harness.hpp"
+
+namespace dandelionbay {
+namespace {
+
+class agent_cold : public agent_harness {};
+
+// Guards against a cold endpoint that gets one request from each router, or one more after each restart (R3).
+TEST_F(agent_cold, a_cold_endpoint_runs_one_request_through_restarts_of_routers_and_agent) {
+    start_agent();
+    for (const char* const router : {"r1", "r2", "r3", "r4"}) {
+        link(router);
+        ask(router, "team", 5);
+    }
+    take(core->report({.process = "p1", .cold = true}, now));
+    const auto outstanding = [&] { return grants("r1") + grants("r2") + grants("r3") + grants("r4"); };
+    EXPECT_EQ(outstanding(), 1);
+    {
+        SCOPED_TRACE("the router with the grant restarts; only one other router gets a grant");
+        link("r1", 2);
+        EXPECT_EQ(outstanding(), 1);
+        link("r2", 2);
+        link("r3", 2);
+        EXPECT_EQ(outstanding(), 1);
+    }
+    request_id id;
+    for (const char* const router : {"r1", "r2", "r3", "r4"}) {
+        if (grants(router) > 0) {
+            id = submit_one(router);
+        }
+    }
+    ask("r1", "team", 5);
+    {
+        SCOPED_TRACE("the agent restarts while the endpoint still runs the request");
+        start_agent(2);
+        for (const char* const router : {"r1", "r2", "r3", "r4"}) {
+            link(router, 3);
+            ask(router, "team", 5);
+        }
+        EXPECT_EQ(outstanding(), 0) << "before the first report the agent can't know what runs";
+        take(core->report({.process = "p1", .cold = true, .running = 1}, now));
+        EXPECT_EQ(outstanding(), 0);
+        take(core->report({.process = "p1", .cold = true, .running = 0}, now));
+        EXPECT_EQ(outstanding(), 1);
+    }
+}
+
+// Guards against an agent that never grants because its endpoint sends no load reports.
+TEST_F(agent_cold, an_endpoint_without_reports_gets_its_cold_bound_after_a_second) {
+    start_agent();
+    link("r1");
+    ask("r1", "team", 5);
+    advance(milliseconds{980});
+    EXPECT_EQ(grants("r1"), 0);
+    EXPECT_LE(core->next_deadline(), now + milliseconds{20});
+    advance(milliseconds{40});
+    EXPECT_EQ(grants("r1"), 1);
+}
+
+// Guards against an endpoint that became cold without saying so and is given its full load again.
+TEST_F(agent_cold, late_first_tokens_and_new_processes_bring_the_ramp_back) {
+    start_agent();
+    warm_fully();
+    ASSERT_EQ(core->limit(), 8);
+    link("r1");
+    ask("r1", "team", 8);
+    ASSERT_EQ(grants("r1"), 8);
+    const auto id = submit_one("r1");
+    advance(milliseconds{2'000});
+    EXPECT_EQ(core->limit(), 8);
+    advance(milliseconds{20});
+    {
+        SCOPED_TRACE("no first token for four times the expected time");
+        EXPECT_EQ(core->limit(), 1);
+        EXPECT_EQ(recalled[host_id{"r1"}].size(), 7);
+        submit_one("r1");
+        EXPECT_EQ(last_rejection("r1"), result_code::endpoint_cold) << "a grant from before the reset";
+        EXPECT_EQ(started.size(), 1 + sequence - 2) << "it did not reach the endpoint";
+    }
+    {
+        SCOPED_TRACE("answers from before the reset do not raise the limit");
+        complete(id);
+        EXPECT_EQ(core->limit(), 1);
+    }
+    warm_fully();
+    ASSERT_EQ(core->limit(), 8);
+    {
+        SCOPED_TRACE("an unannounced restart");
+        warm("p2");
+        EXPECT_EQ(core->limit(), 1);
+    }
+    warm_fully();
+    {
+        SCOPED_TRACE("a report that says cold");
+        take(core->report({.process = "p1", .cold = true}, now));
+        EXPECT_EQ(core->limit(), 1);
+    }
+    {
+        SCOPED_TRACE("an endpoint that does not answer gets nothing until it reports or the pause is over");
+        warm_fully();
+        ask("r1", "team", 8);
+        take(core->endpoint_lost(now));
+        EXPECT_EQ(core->limit(), 1);
+        submit_one("r1");
+        EXPECT_EQ(last_rejection("r1"), result_code::endpoint_unavailable);
+        unlink("r1");
+        link("r1");
+        ask("r1", "team", 8);
+        advance(milliseconds{1'980});
+        EXPECT_EQ(grants("r1"), 0);
+        advance(milliseconds{20});
+        EXPECT_EQ(grants("r1"), 1);
+    }
+}
+
+// Guards against a request that a dead endpoint can't take and that circulates between router and agent, and against
+// one that is lost because its id counts as admitted though it did not run.
+TEST_F(agent_cold, a_request_that_did_not_start_is_rejected_as_not_run_and_may_come_again) {
+    start_agent();
+    warm();
+    link("r1");
+    ask("r1", "team", 2);
+    const auto it = make("r1", pop("r1"));
+    receive("r1", it);
+    take(core->run_ended(it.id, run_end::not_started, 0, now));
+    EXPECT_EQ(last_rejection("r1"), result_code::endpoint_unavailable);
+    EXPECT_TRUE(messages<finish>("r1").empty());
+    EXPECT_EQ(core->running(), 0);
+    advance(seconds{4});
+    auto again = it;
+    again.grant = held[host_id{"r1"}].back();
+    receive("r1", again);
+    ASSERT_EQ(started.size(), 2);
+    {
+        SCOPED_TRACE("an endpoint that refuses gets a pause");
+        take(core->run_ended(it.id, run_end::refused, 0, now));
+        give_back("r1");
+        ask("r1", "team", 1);
+        EXPECT_EQ(grants("r1"), 0);
+        advance(milliseconds{200});
+        EXPECT_EQ(grants("r1"), 1);
+    }
+}
+
+} // namespace
+} // namespace dandelionbay
--- a/test/dandelionbay/agent/agent_harness.hpp
+++ b/test/dandelionbay/agent/agent_harness.hpp
@@ -30,6 +30,7 @@
                 if (const auto* const leave = std::get_if<grant>(&sent->body)) {
                     for (const auto& id : leave->ids) {
                         held[sent->to].push_back(id);
+                        expiry[id] = now + milliseconds{leave->lifetime_ms};
                     }
                 }
                 if (const auto* const back = std::get_if<recall>(&sent->body)) {
@@ -58,14 +59,30 @@
 
     void warm(const std::string& process = "p1") { take(core->report({.process = process}, now)); }
 
+    void give_back(const std::string& router) { receive(router, returned{std::exchange(held[host_id{router}], {})}); }
+
+    // Nothing waits at any router and none holds a grant.
+    void calm() {
+        for (const auto& [router, incarnation] : incarnations) {
+            ask(router, "team", 0);
+            give_back(router);
+        }
+    }
+
     // Brings the ramp to all slots with answers in time.
-    void warm_fully() {
-        warm();
+    void warm_fully(const std::string& process = "p1") {
+        warm(process);
+        calm();
         for (int i = 0; core->limit() < config.endpoints[0].slots && i < 100; ++i) {
             link("warm-up");
             ask("warm-up", "team", 1);
+            for (const auto& [router, ids] : std::exchange(recalled, {})) {
+                receive(router.value, returned{ids});
+            }
             advance(milliseconds{20});
-            complete(submit_one("warm-up"));
+            if (grants("warm-up") > 0) {
+                complete(submit_one("warm-up"));
+            }
             ask("warm-up", "team", 0);
             advance(seconds{1});
         }
@@ -73,13 +90,13 @@
     }
 
     void link(const std::string& router, incarnation_type incarnation = 1, const std::string& region = "west") {
+        incarnations[router] = incarnation;
+        held[host_id{router}].clear();
         take(core->link_up(hello{.host = host_id{router},
                                  .region = region_id{region},
                                  .zone = zone_id{"z1"},
                                  .incarnation = incarnation},
                            now));
-        incarnations[router] = incarnation;
-        held[host_id{router}].clear();
     }
 
     void unlink(const std::string& router) {
@@ -109,13 +126,13 @@
     }
 
     grant_id pop(const std::string& router) {
-        auto& grants = held[host_id{router}];
-        EXPECT_FALSE(grants.empty()) << router << " holds no grant";
-        if (grants.empty()) {
+        EXPECT_GT(grants(router), 0) << router << " holds no grant";
+        auto& ids = held[host_id{router}];
+        if (ids.empty()) {
             return {};
         }
-        const auto id = grants.front();
-        grants.erase(grants.begin());
+        const auto id = ids.front();
+        ids.erase(ids.begin());
         return id;
     }
 
@@ -160,7 +177,11 @@
         return all.empty() ? result_code::ok : all.back().code;
     }
 
-    std::size_t grants(const std::string& router) { return held[host_id{router}].size(); }
+    std::size_t grants(const std::string& router) {
+        auto& ids = held[host_id{router}];
+        std::erase_if(ids, [&](const grant_id& id) { return expiry[id] <= now; });
+        return ids.size();
+    }
 
     void TearDown() override { check_limit(); }
 
@@ -177,6 +198,7 @@
     };
     std::unique_ptr<agent_core> core;
     std::map<host_id, std::vector<grant_id>> held;
+    std::map<grant_id, time_point> expiry;
     std::map<host_id, std::vector<grant_id>> recalled;
     std::map<host_id, std::vector<message>> sent_to;
     std::map<std::string, incarnation_type> incarnations;
