Add the randomised fault runs of the decision cores

Cause: the promises of the request path have to hold under combinations of faults, which unit tests of one core can't show. Ruled out: timing tests on sockets (not repeatable); a checker by request body instead of request id, which reported resends of crashing requests as broken promises.

--- /dev/null
+++ b/test/dandelionbay/soak/checker.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dandelionbay/base/clock.hpp"
+#include "dandelionbay/base/ids.hpp"
+#include "dandelionbay/base/result_code.hpp"
+#include "dandelionbay/router/router_action.hpp"
+#include "soak/fairness_meter.hpp"
+
+namespace dandelionbay::soak {
+
+/*! @brief What the callers and endpoints of a run see; finds broken promises. */
+class checker {
+    struct request_state {
+        team_id team;
+        std::string key;
+        std::uint32_t tokens{};
+        bool idempotent{true};
+        time_point accepted_at{};
+        std::string received;
+        bool waiting{true};
+        bool ended{};
+        bool abandoned{}; //!< The caller left or its router ended without a graceful stop.
+        executed state{executed::unknown};
+        result_code code{result_code::ok};
+    };
+
+    void stop_waiting(request_state& state);
+
+public:
+    using size_type = std::size_t;
+
+    void accepted(const request_id& id, const team_id& team, std::string key, std::uint32_t tokens, bool idempotent,
+                  time_point now);
+    void abandoned(const request_id& id);
+    void data(const request_id& id, const std::string& bytes);
+    void ended(const answer_end& end);
+
+    /*! @brief An endpoint received a request. */
+    void engine_started(const submit& work, const endpoint_id& endpoint, bool bearable, bool out_too_long);
+
+    /*! @brief An endpoint did work for a team. @param cost Cost units. */
+    void served(const team_id& team, double cost) { fairness_.served(team, cost); }
+    [[nodiscard]] fairness_meter& fairness() noexcept { return fairness_; }
+    void violation(std::string text);
+
+    /*! @brief Checks that every request has ended. */
+    void finish();
+
+    [[nodiscard]] const std::vector<std::string>& violations() const noexcept { return violations_; }
+    [[nodiscard]] size_type complete() const;
+    [[nodiscard]] size_type with_state(executed state) const;
+    [[nodiscard]] size_type starts() const noexcept { return starts_; }
+    [[nodiscard]] size_type requests() const noexcept { return requests_.size(); }
+
+private:
+    std::map<request_id, request_state> requests_;
+    std::map<std::string, std::uint32_t> starts_by_key_;
+    std::map<std::string, std::set<endpoint_id>> crashes_by_key_;
+    std::set<request_id> started_;
+    std::vector<std::string> violations_;
+    fairness_meter fairness_;
+    size_type starts_{};
+};
+
+} // namespace dandelionbay::soak
--- /dev/null
+++ b/test/dandelionbay/soak/run.cpp
@@ -0,0 +1,411 @@
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "dandelionbay/config/fleet_config.hpp"
+#include "soak/options.hpp"
+#include "soak/sim_node.hpp"
+
+namespace dandelionbay::soak {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::array zones{zone_id{"north"}, zone_id{"east"}, zone_id{"south"}};
+const std::array regions{region_id{"west"}, region_id{"west"}, region_id{"far"}};
+const pool_id model_pool{"models"};
+const pool_id plain_pool{"desks"};
+const service_id model_service{"chat"};
+const service_id plain_service{"orders"};
+
+constexpr std::uint32_t most_tokens = 60;
+constexpr std::uint32_t plain_percent = 15;
+constexpr std::uint32_t crash_permille = 4;
+constexpr std::uint32_t run_timeout_ms = 30'000;
+constexpr duration config_spread = 4s;
+constexpr double output_token_cost = 2;
+constexpr double longest_key = 12;
+constexpr double token_interval_s = 0.02;
+// One exchange interval of 1 s and three hops between regions.
+constexpr double exchange_delay_s = 1.12;
+
+team_id team_name(std::uint32_t n) {
+    return team_id{"team-" + std::to_string(n)};
+}
+
+/*! @brief One run: a fleet, its callers and its faults. */
+class fleet_run {
+    using generator = std::mt19937_64;
+
+    std::uint64_t draw(std::uint64_t low, std::uint64_t high) {
+        return std::uniform_int_distribution<std::uint64_t>{low, high}(random_);
+    }
+
+    duration draw_time(duration low, duration high) {
+        return duration{std::uniform_int_distribution<duration::rep>{low.count(), high.count()}(random_)};
+    }
+
+    [[nodiscard]] std::shared_ptr<const fleet_config> make_config(std::uint64_t revision,
+                                                                  const std::string& out) const {
+        fleet_config config{};
+        config.revision = revision;
+        for (std::uint32_t n = 0; n < chosen_.teams; ++n) {
+            config.teams.push_back({team_name(n), "token-" + std::to_string(n), {}, 1.0});
+        }
+        service_config chat{};
+        chat.id = model_service;
+        chat.model = "m";
+        chat.pool = model_pool;
+        service_config orders{};
+        orders.id = plain_service;
+        orders.kind = service_kind::plain;
+        orders.pool = plain_pool;
+        for (auto* const it : {&chat, &orders}) {
+            it->run_timeout_ms = run_timeout_ms;
+        }
+        config.services = {chat, orders};
+        config.pools = {{model_pool, *selector::parse("kind=model"), {}},
+                        {plain_pool, *selector::parse("kind=plain"), {}}};
+        for (std::size_t n = 0; n < zones.size(); ++n) {
+            const label_set labels = zones.at(n).value == out ? label_set{{"service", "out"}} : label_set{};
+            config.zones.push_back({zones.at(n), regions.at(n), labels});
+        }
+        config.zones_out = *selector::parse("service=out");
+        for (const auto& it : agents_) {
+            add_endpoint(config, it->settings());
+        }
+        for (const auto& it : planned_) {
+            add_endpoint(config, it);
+        }
+        return std::make_shared<const fleet_config>(std::move(config));
+    }
+
+    void add_endpoint(fleet_config& config, const agent_settings& settings) const {
+        const bool plain = settings.endpoint.value.starts_with("plain");
+        endpoint_config endpoint{};
+        endpoint.id = settings.endpoint;
+        endpoint.zone = settings.zone;
+        endpoint.labels = {{"kind", plain ? "plain" : "model"}};
+        endpoint.slots = chosen_.slots;
+        config.endpoints.push_back(endpoint);
+    }
+
+    void plan_agents() {
+        for (std::uint32_t n = 0; n < chosen_.model_endpoints + chosen_.plain_endpoints; ++n) {
+            const bool plain = n >= chosen_.model_endpoints;
+            const auto zone = n % zones.size();
+            agent_settings settings{};
+            settings.host = host_id{"agent-" + std::to_string(n)};
+            settings.region = regions.at(zone);
+            settings.zone = zones.at(zone);
+            settings.endpoint = endpoint_id{(plain ? "plain-" : "model-") + std::to_string(n)};
+            settings.incarnation = 1;
+            settings.seed = random_();
+            planned_.push_back(settings);
+        }
+    }
+
+    void build() {
+        for (std::uint32_t n = 0; n < chosen_.teams; ++n) {
+            checks_.fairness().add_team(team_name(n), 1.0);
+        }
+        plan_agents();
+        config_ = make_config(1, "");
+        for (const auto& settings : std::exchange(planned_, {})) {
+            agents_.push_back(std::make_unique<sim_agent>(shared_, settings, chosen_.slots, config_));
+            links_.add(settings.host, *agents_.back(), settings.region);
+        }
+        std::vector<host_id> names;
+        for (std::uint32_t n = 0; n < chosen_.routers; ++n) {
+            router_settings settings{};
+            settings.host = host_id{"router-" + std::to_string(n)};
+            settings.region = regions.at(n % zones.size());
+            settings.zone = zones.at(n % zones.size());
+            settings.incarnation = 1;
+            settings.seed = random_();
+            routers_.push_back(std::make_unique<sim_router>(shared_, settings, config_));
+            links_.add(settings.host, *routers_.back(), settings.region);
+            names.push_back(settings.host);
+        }
+        for (const auto& router : routers_) {
+            std::vector<host_id> peers = names;
+            std::erase(peers, router->host());
+            router->set_peers(peers);
+            for (const auto& agent : agents_) {
+                links_.join(router->host(), agent->settings().host);
+            }
+        }
+        for (std::size_t a = 0; a < names.size(); ++a) {
+            for (std::size_t b = a + 1; b < names.size(); ++b) {
+                links_.join(names.at(a), names.at(b));
+            }
+        }
+    }
+
+    /*! @brief A request of a team that spreads unevenly: most go to the router of the team's number. */
+    void one_request() {
+        const bool large = std::uniform_real_distribution{}(random_) < chosen_.large_team_share;
+        const auto team = large ? 0 : static_cast<std::uint32_t>(draw(1, chosen_.teams - 1));
+        const auto home = draw(0, 9) < 7 ? team % chosen_.routers : draw(0, chosen_.routers - 1);
+        auto& router = *routers_.at(home);
+        if (router.stopping() || links_.paused_until(router.host()) > events_.now()) {
+            return;
+        }
+        const bool plain = draw(1, 100) <= plain_percent;
+        const bool crash = chosen_.crashing_requests && !plain && draw(1, 1000) <= crash_permille;
+        const auto tokens = static_cast<std::uint32_t>(plain ? draw(1, 3) : draw(5, most_tokens));
+        const auto key = (crash ? "crash-" : "r") + std::to_string(++sequence_);
+        accepted_request request{};
+        request.team = team_name(team);
+        request.service = plain ? plain_service : model_service;
+        request.idempotent = !plain;
+        request.fingerprint = std::hash<std::string>{}(key);
+        request.input_tokens = plain ? 0 : static_cast<std::uint32_t>(key.size());
+        request.max_output_tokens = plain ? 0 : most_tokens;
+        request.request = {"POST", plain ? "/orders" : "/v1/chat/completions", {}, key + " " + std::to_string(tokens)};
+        router.submit_request(std::move(request), key, tokens);
+        if (crash) {
+            resend_crash(key, tokens, team);
+        }
+        if (chosen_.callers_leave && draw(1, 100) <= 5) {
+            const auto open = router.open();
+            if (!open.empty()) {
+                const auto id = *std::next(open.begin(), static_cast<long>(draw(0, open.size() - 1)));
+                events_.after(draw_time(1ms, 2s), [&router, id] { router.caller_leaves(id); });
+            }
+        }
+    }
+
+    /*! @brief The caller of a crashing request sends it again, through another router. */
+    void resend_crash(const std::string& key, std::uint32_t tokens, std::uint32_t team) {
+        for (int n = 1; n <= 3; ++n) {
+            events_.after(n * 6s, [this, key, tokens, team, n] {
+                auto& router = *routers_.at((team + static_cast<std::uint32_t>(n)) % chosen_.routers);
+                if (router.stopping() || links_.paused_until(router.host()) > events_.now()) {
+                    return;
+                }
+                accepted_request request{};
+                request.team = team_name(team);
+                request.service = model_service;
+                request.fingerprint = std::hash<std::string>{}(key);
+                request.max_output_tokens = most_tokens;
+                request.request = {"POST", "/v1/chat/completions", {}, key + " " + std::to_string(tokens)};
+                router.submit_request(std::move(request), key, tokens);
+            });
+        }
+    }
+
+    void arrivals() {
+        if (events_.now() >= load_end_) {
+            return;
+        }
+        one_request();
+        const double gap_s = std::exponential_distribution{chosen_.requests_per_second}(random_);
+        events_.after(duration{static_cast<duration::rep>(gap_s * 1e6) + 1}, [this] { arrivals(); });
+    }
+
+    sim_agent& any_agent() { return *agents_.at(draw(0, agents_.size() - 1)); }
+    sim_router& any_router() { return *routers_.at(draw(0, routers_.size() - 1)); }
+
+    void repeat(bool wanted, duration shortest, duration longest, std::function<void()> fault) {
+        if (!wanted) {
+            return;
+        }
+        events_.after(draw_time(shortest, longest), [this, shortest, longest, fault = std::move(fault)] {
+            if (events_.now() < load_end_) {
+                fault();
+                repeat(true, shortest, longest, fault);
+            }
+        });
+    }
+
+    void schedule_faults() {
+        links_.set_message_faults(chosen_.message_faults);
+        repeat(chosen_.link_breaks, 200ms, 2s,
+               [this] { links_.break_link(any_router().host(), any_agent().settings().host); });
+        repeat(chosen_.link_breaks, 2s, 8s, [this] { block_link(); });
+        repeat(chosen_.router_restarts, 3s, 12s, [this] {
+            if (auto& router = any_router(); !router.stopping()) {
+                router.restart();
+            }
+        });
+        repeat(chosen_.agent_restarts, 3s, 10s, [this] { restart_agent(); });
+        repeat(chosen_.cold_endpoints, 2s, 9s, [this] { any_agent().endpoint().restart(); });
+        repeat(chosen_.pauses, 3s, 10s, [this] { pause(); });
+        repeat(chosen_.zone_moves, 8s, 14s, [this] { move_zone(); });
+        repeat(chosen_.graceful_stops, 6s, 15s, [this] { stop_router(); });
+        repeat(chosen_.graceful_stops, 6s, 15s, [this] { stop_agent(); });
+    }
+
+    void restart_agent() {
+        if (auto& agent = any_agent(); !agent.stopping()) {
+            agent.restart();
+        }
+    }
+
+    void block_link() {
+        const auto a = any_router().host();
+        const auto b = any_agent().settings().host;
+        links_.block(a, b, true);
+        events_.after(draw_time(1s, 8s), [this, a, b] { links_.block(a, b, false); });
+    }
+
+    void pause() {
+        const auto host = draw(0, 1) == 0 ? any_router().host() : any_agent().settings().host;
+        const auto length = draw_time(100ms, 6s);
+        links_.pause(host, events_.now() + length);
+        // The other side closes a link that is silent for 3 s.
+        if (length > 3s) {
+            events_.after(3s, [this, host] { links_.break_links(host); });
+        }
+    }
+
+    /*! @brief Takes a zone out and back; each node learns of the change within the limit. */
+    void move_zone() {
+        if (zone_moving_) {
+            return;
+        }
+        zone_moving_ = true;
+        const auto zone = zones.at(draw(0, zones.size() - 1));
+        change(zone.value, zone);
+        events_.after(draw_time(6s, 10s), [this] {
+            change("", zone_id{});
+            zone_moving_ = false;
+        });
+    }
+
+    void change(const std::string& out, const zone_id& zone) {
+        config_ = make_config(config_->revision + 1, out);
+        for (const auto& it : agents_) {
+            it->zone_out_since(it->settings().zone == zone ? std::optional{events_.now()} : std::nullopt);
+            events_.after(draw_time(0ms, config_spread), [&agent = *it, config = config_] { agent.apply(config); });
+        }
+        for (const auto& it : routers_) {
+            events_.after(draw_time(0ms, config_spread), [&router = *it, config = config_] { router.apply(config); });
+        }
+    }
+
+    void stop_router() {
+        auto& router = any_router();
+        const auto stopping = std::ranges::count_if(routers_, [](const auto& it) { return it->stopping(); });
+        if (router.stopping() || stopping + 1 >= static_cast<long>(routers_.size())) {
+            return;
+        }
+        router.begin_stop();
+        await_idle(router, events_.now() + 120s);
+    }
+
+    void stop_agent() {
+        auto& agent = any_agent();
+        const auto stopping = std::ranges::count_if(agents_, [](const auto& it) { return it->stopping(); });
+        if (agent.stopping() || stopping > 0) {
+            return;
+        }
+        agent.begin_stop();
+        await_idle(agent, events_.now() + 120s);
+    }
+
+    template<typename Node>
+    void await_idle(Node& node, time_point limit) {
+        if (node.idle() || events_.now() >= limit) {
+            if (!node.idle()) {
+                checks_.violation("a graceful stop did not end within its limit");
+            }
+            node.restart();
+            return;
+        }
+        events_.after(50ms, [this, &node, limit] { await_idle(node, limit); });
+    }
+
+    /*! @brief 2(L + E) + 2RD: largest request, largest estimate error, pool rate and exchange delay. */
+    [[nodiscard]] double fairness_bound() const {
+        const double largest = output_token_cost * most_tokens + longest_key;
+        const double rate = chosen_.model_endpoints * chosen_.slots * output_token_cost / token_interval_s;
+        return 2 * (largest + largest) + 2 * rate * exchange_delay_s;
+    }
+
+public:
+    explicit fleet_run(const options& chosen) : chosen_{chosen}, random_{chosen.seed}, links_{events_, random_()} {}
+
+    report run() {
+        build();
+        events_.run_until(events_.now() + 2s);
+        load_end_ = events_.now() + chosen_.load;
+        schedule_faults();
+        arrivals();
+        duration busy{};
+        for (const auto& it : agents_) {
+            busy -= it->busy();
+        }
+        events_.run_until(load_end_);
+        for (const auto& it : agents_) {
+            busy += it->busy();
+        }
+        events_.run_until(load_end_ + chosen_.settle);
+        checks_.finish();
+        if (const auto n = metrics_.total("invariant_violations_total"); n > 0) {
+            checks_.violation("invariants inside the program failed " + std::to_string(n) + " times:\n" +
+                              metrics_.render());
+        }
+        report result{};
+        result.violations = checks_.violations();
+        result.requests = checks_.requests();
+        result.complete = checks_.complete();
+        result.not_run = checks_.with_state(executed::no);
+        result.unknown = checks_.with_state(executed::unknown);
+        result.engine_starts = checks_.starts();
+        result.fairness_gap = checks_.fairness().gap();
+        result.fairness_bound = fairness_bound();
+        const auto slot_time = chosen_.load * static_cast<duration::rep>(agents_.size() * chosen_.slots);
+        result.utilisation = static_cast<double>(busy.count()) / static_cast<double>(slot_time.count());
+        return result;
+    }
+
+private:
+    options chosen_;
+    generator random_;
+    event_queue events_;
+    counters metrics_;
+    checker checks_;
+    sim_links links_;
+    world shared_{events_, links_, checks_, metrics_};
+    std::vector<agent_settings> planned_;
+    std::vector<std::unique_ptr<sim_agent>> agents_;
+    std::vector<std::unique_ptr<sim_router>> routers_;
+    std::shared_ptr<const fleet_config> config_;
+    time_point load_end_{};
+    std::uint64_t sequence_{};
+    bool zone_moving_{};
+};
+
+} // namespace
+
+options options_for_seed(std::uint64_t seed) {
+    std::mt19937_64 random{seed * 0x9E3779B97F4A7C15ULL + 1};
+    const auto sometimes = [&random] { return std::uniform_int_distribution{0, 2}(random) == 0; };
+    options chosen{};
+    chosen.seed = seed;
+    chosen.requests_per_second = std::uniform_real_distribution{10.0, 120.0}(random);
+    chosen.large_team_share = std::uniform_real_distribution{0.1, 0.95}(random);
+    chosen.link_breaks = sometimes();
+    chosen.message_faults = sometimes();
+    chosen.router_restarts = sometimes();
+    chosen.agent_restarts = sometimes();
+    chosen.cold_endpoints = sometimes();
+    chosen.crashing_requests = sometimes();
+    chosen.pauses = sometimes();
+    chosen.zone_moves = sometimes();
+    chosen.callers_leave = sometimes();
+    chosen.graceful_stops = sometimes();
+    return chosen;
+}
+
+report run(const options& chosen) {
+    return fleet_run{chosen}.run();
+}
+
+} // namespace dandelionbay::soak
