--- a/src/dandelionbay/limit/fwd.hpp
+++ b/src/dandelionbay/limit/fwd.hpp
@@ -2,6 +2,8 @@
 
 namespace dandelionbay {
 
+class ramp_limiter;
+class byte_budget;
 class retry_budget;
 class crash_register;
 
