--- /dev/null
+++ b/src/dandelionbay/member/fwd.hpp
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace dandelionbay {
+
+enum class member_state : unsigned char;
+struct member;
+class membership;
+class exchange_tree;
+
+} // namespace dandelionbay
--- /dev/null
+++ b/test/dandelionbay/member/membership_test.cpp
@@ -0,0 +1,222 @@
+#include "dandelionbay/member/membership.hpp"
+
+#include <random>
+#include <set>
+
+#include <gtest/gtest.h>
+
+#include "dandelionbay/member/exchange_tree.hpp"
+
+namespace dandelionbay {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+host_entry router(const std::string& name, const std::string& region = "west") {
+    return {.host = host_id{name}, .region = region_id{region}, .zone = zone_id{region + "-1"}};
+}
+
+std::vector<host_entry> routers(std::size_t n) {
+    std::vector<host_entry> result;
+    for (std::size_t i = 0; i < n; ++i) {
+        result.push_back(router("h" + std::to_string(i)));
+    }
+    return result;
+}
+
+hello hello_of(const host_entry& it, incarnation_type incarnation = 1) {
+    return {.host = it.host, .role = it.role, .region = it.region, .zone = it.zone, .incarnation = incarnation};
+}
+
+class hosts : public ::testing::Test {
+public:
+    counters metrics;
+    time_point now{seconds{100}};
+    membership view{router("h0"), routers(5), metrics, now};
+
+    bool beat(const std::string& host, incarnation_type incarnation = 1, bool leaving = false) {
+        return view.heard(host_id{host}, heartbeat{.incarnation = incarnation, .leaving = leaving}, now);
+    }
+
+    member_state state(const std::string& host) const { return view.state(host_id{host}, now); }
+};
+
+// Guards against work sent to hosts that are gone, and against a former life of a host that speaks for the present one.
+TEST_F(hosts, states_follow_what_is_heard) {
+    EXPECT_EQ(state("h0"), member_state::live);
+    EXPECT_EQ(state("h1"), member_state::suspect) << "only listed so far";
+    EXPECT_EQ(state("nobody"), member_state::gone);
+    EXPECT_TRUE(beat("h1", 2));
+    EXPECT_EQ(state("h1"), member_state::live);
+    now += milliseconds{2'999};
+    EXPECT_EQ(state("h1"), member_state::live);
+    now += milliseconds{1};
+    EXPECT_EQ(state("h1"), member_state::suspect);
+    now += seconds{7};
+    EXPECT_EQ(state("h1"), member_state::gone);
+    {
+        SCOPED_TRACE("a message of an older incarnation does not bring it back");
+        EXPECT_FALSE(beat("h1", 1));
+        EXPECT_FALSE(view.heard(hello_of(router("h1"), 1), now));
+        EXPECT_FALSE(view.heard(host_id{"h1"}, 1, now));
+        EXPECT_EQ(state("h1"), member_state::gone);
+        EXPECT_EQ(metrics.get("old_incarnation_total"), 3);
+    }
+    {
+        SCOPED_TRACE("leaving is not taken back, except by a new life");
+        EXPECT_TRUE(beat("h1", 2, true));
+        EXPECT_TRUE(beat("h1", 2, false));
+        EXPECT_EQ(state("h1"), member_state::leaving);
+        EXPECT_TRUE(view.heard(hello_of(router("h1"), 3), now));
+        EXPECT_EQ(state("h1"), member_state::live);
+        EXPECT_EQ(view.incarnation(host_id{"h1"}), 3);
+        beat("h1", 3, true);
+        now += seconds{3};
+        EXPECT_EQ(state("h1"), member_state::gone) << "it stopped as announced";
+    }
+}
+
+// Guards against a host list that lags: it must neither hide a host that is heard nor keep one alive that is silent.
+TEST_F(hosts, what_is_heard_takes_precedence_over_the_list) {
+    EXPECT_TRUE(view.heard(hello_of(router("new")), now));
+    beat("h1");
+    view.host_list_read(routers(1), now);
+    EXPECT_EQ(state("new"), member_state::live);
+    EXPECT_EQ(state("h1"), member_state::live) << "no longer listed, but heard";
+    view.host_list_read(routers(5), now);
+    now += seconds{10};
+    EXPECT_EQ(state("h1"), member_state::gone) << "listed, but silent";
+    EXPECT_EQ(view.members(now).size(), 6);
+    {
+        SCOPED_TRACE("a silent host leaves when the list drops it; a new one stays until the list had time to have it");
+        view.host_list_read(routers(1), now);
+        EXPECT_EQ(view.members(now).size(), 2);
+        now += seconds{50};
+        view.host_list_read(routers(1), now);
+        EXPECT_EQ(view.members(now).size(), 1);
+    }
+    {
+        SCOPED_TRACE("the list says that a host leaves");
+        auto list = routers(2);
+        list[1].leaving = true;
+        view.host_list_read(list, now);
+        beat("h1");
+        EXPECT_EQ(state("h1"), member_state::leaving);
+    }
+}
+
+// Guards against a part of a partition that shrinks its set of hosts until it is the majority of it.
+TEST_F(hosts, the_majority_is_of_all_known_hosts) {
+    EXPECT_FALSE(view.hears_majority(now));
+    EXPECT_EQ(view.majority_heard(now), std::nullopt);
+    beat("h1");
+    now += seconds{1};
+    EXPECT_FALSE(view.hears_majority(now));
+    beat("h2");
+    EXPECT_TRUE(view.hears_majority(now)) << "three of five, this one included";
+    EXPECT_EQ(view.majority_heard(now), now - seconds{1}) << "the oldest of the newest three";
+    now += seconds{2};
+    EXPECT_FALSE(view.hears_majority(now)) << "a rack failed at once";
+    now += seconds{3'600};
+    beat("h1");
+    EXPECT_EQ(view.known(now), 5) << "silent hosts still count";
+    EXPECT_FALSE(view.hears_majority(now));
+    {
+        SCOPED_TRACE("hosts that announced their stop, or that the list dropped, no longer count");
+        beat("h2", 1, true);
+        now += seconds{3};
+        beat("h1");
+        EXPECT_EQ(view.known(now), 4);
+        view.host_list_read(routers(2), now);
+        EXPECT_EQ(view.known(now), 2);
+        EXPECT_TRUE(view.hears_majority(now));
+    }
+}
+
+// Guards against two parts that both accept changes, whichever hosts the settings and the lagging list have (R10).
+TEST(partition, at_most_one_part_hears_a_majority) {
+    for (unsigned seed = 0; seed < 300; ++seed) {
+        SCOPED_TRACE(seed);
+        std::mt19937 random{seed};
+        const auto pick = [&](std::size_t n) { return std::uniform_int_distribution<std::size_t>{0, n - 1}(random); };
+        const auto all = routers(3 + pick(9));
+        const auto listed = routers(1 + pick(all.size()));
+        counters metrics;
+        time_point now{seconds{100}};
+        std::vector<membership> views;
+        for (const auto& it : all) {
+            views.emplace_back(it, listed, metrics, now);
+        }
+        const auto exchange = [&](const auto& connected) {
+            for (std::size_t to = 0; to < all.size(); ++to) {
+                for (std::size_t from = 0; from < all.size(); ++from) {
+                    if (from != to && connected(from, to)) {
+                        EXPECT_TRUE(views[to].heard(hello_of(all[from]), now));
+                    }
+                }
+            }
+        };
+        exchange([](auto, auto) { return true; });
+        const auto cut = 1 + pick(all.size() - 1);
+        for (int i = 0; i < 20; ++i) {
+            now += seconds{1};
+            exchange([&](auto from, auto to) { return (from < cut) == (to < cut); });
+            if (pick(4) == 0) {
+                views[pick(all.size())].host_list_read(listed, now);
+            }
+            const auto hears = [&](std::size_t n) { return views[n].hears_majority(now); };
+            EXPECT_FALSE(i >= 3 && hears(0) && hears(all.size() - 1)) << i;
+        }
+    }
+}
+
+// Guards against an exchange that misses a router, or that is rebuilt everywhere when one router comes or goes.
+TEST(exchange_tree, routers_exchange_with_their_aggregator_and_aggregators_with_each_other) {
+    std::vector<member> members;
+    for (const char* const region : {"west", "east"}) {
+        for (int i = 0; i < 5; ++i) {
+            members.push_back({.entry = router(region + std::to_string(i), region), .state = member_state::live});
+        }
+    }
+    members.push_back({.entry = {.host = host_id{"agent"}, .role = host_role::agent, .region = region_id{"west"}},
+                       .state = member_state::live});
+    const auto tree = [&](const host_id& self) { return exchange_tree{self, members}; };
+    const auto top = *tree(host_id{"west0"}).aggregator(region_id{"west"});
+    const auto far_top = *tree(host_id{"west0"}).aggregator(region_id{"east"});
+    for (std::size_t i = 0; i < 10; ++i) {
+        const auto& self = members[i].entry.host;
+        const auto peers = tree(self).peers();
+        const std::set<host_id> seen{peers.begin(), peers.end()};
+        EXPECT_EQ(tree(self).aggregates(), self == top || self == far_top);
+        EXPECT_EQ(peers.size(), self == top || self == far_top ? 5 : 1) << "four leaves and the other aggregator";
+        EXPECT_FALSE(seen.contains(self) || seen.contains(host_id{"agent"}));
+    }
+    {
+        SCOPED_TRACE("without the aggregator another takes over; the other region keeps its own");
+        for (auto& it : members) {
+            if (it.entry.host == top) {
+                it.state = member_state::suspect;
+            }
+        }
+        const auto next = *tree(host_id{"east0"}).aggregator(region_id{"west"});
+        EXPECT_NE(next, top);
+        EXPECT_EQ(tree(host_id{"east0"}).aggregator(region_id{"east"}), far_top);
+        EXPECT_TRUE(tree(top).aggregates()) << "the cut-off one still sees itself; two aggregators are harmless";
+    }
+    {
+        SCOPED_TRACE("a leaving router aggregates only where it is alone");
+        for (auto& it : members) {
+            it.state = it.entry.host == far_top ? member_state::leaving : it.state;
+        }
+        EXPECT_NE(tree(far_top).aggregator(region_id{"east"}), far_top);
+        for (auto& it : members) {
+            it.state = it.entry.host == far_top ? member_state::leaving : member_state::gone;
+        }
+        EXPECT_TRUE(tree(far_top).aggregates());
+        EXPECT_TRUE(tree(far_top).peers().empty());
+    }
+}
+
+} // namespace
+} // namespace dandelionbay
