--- /dev/null
+++ b/src/dandelionbay/app/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace dandelionbay::app {
+
+struct command;
+
+} // namespace dandelionbay::app
--- a/src/dandelionbay/app/main.cpp
+++ b/src/dandelionbay/app/main.cpp
@@ -1,6 +1,14 @@
-#include <iostream>
+#include <array>
+#include <span>
+#include <string>
+#include <vector>
 
-int main() {
-    std::cerr << "usage: dandelionbay COMMAND [--help]\n";
-    return 2;
+#include "dandelionbay/app/command.hpp"
+
+int main(int argc, char** argv) {
+    const std::span<char*> words{argv, static_cast<std::size_t>(argc)};
+    const std::vector<std::string> args{words.begin() + 1, words.end()};
+    using namespace dandelionbay::app;
+    const std::array commands{check_command(), ctl_command()};
+    return run_command(commands, args);
 }
--- a/src/dandelionbay/config/document_edit.cpp
+++ b/src/dandelionbay/config/document_edit.cpp
@@ -35,6 +35,25 @@
     return absl::NotFoundError(concat(collection, " has no object named \"", name, "\""));
 }
 
+/*! Sets or removes the label of a selector "key=value" and puts the selector in force. */
+[[nodiscard]] absl::Status set_selected(json& document, std::string_view collection, std::string_view name,
+                                        std::string_view member, std::string_view condition, bool selected) {
+    const auto current = member_of(document, member);
+    if (current != "!*" && current != std::string{condition}) {
+        return absl::FailedPreconditionError(
+            concat(member, " is ", current.dump(), "; this command needs it to be \"", condition, "\" or \"!*\""));
+    }
+    const auto equals = condition.find('=');
+    json patch;
+    patch[std::string{condition.substr(0, equals)}] =
+        selected ? json(std::string{condition.substr(equals + 1)}) : json(nullptr);
+    auto status = patch_labels(document, collection, name, patch);
+    if (status.ok()) {
+        document[std::string{member}] = condition;
+    }
+    return status;
+}
+
 } // namespace
 
 json member_of(const json& document, std::string_view key) {
@@ -92,4 +111,12 @@
     return absl::OkStatus();
 }
 
+absl::Status set_zone_out(json& document, std::string_view name, bool out) {
+    return set_selected(document, "zones", name, "zones_out", zone_out_selector, out);
+}
+
+absl::Status set_leaving(json& document, std::string_view name, bool leaving) {
+    return set_selected(document, "endpoints", name, "endpoints_leaving", leaving_selector, leaving);
+}
+
 } // namespace dandelionbay
--- a/src/dandelionbay/config/document_edit.hpp
+++ b/src/dandelionbay/config/document_edit.hpp
@@ -53,4 +53,29 @@
 [[nodiscard]] absl::Status patch_labels(nlohmann::json& document, std::string_view collection, std::string_view name,
                                         const nlohmann::json& patch);
 
+/*! @brief Convention of the command line: zones_out is "service=out", and zones out of service have this label. */
+inline constexpr std::string_view zone_out_selector = "service=out";
+
+/*! @brief Convention of the command line: endpoints_leaving is "state=leaving", and leaving endpoints have this label.
+ */
+inline constexpr std::string_view leaving_selector = "state=leaving";
+
+/**
+ * @brief Takes a zone out of service or back.
+ * @param document Changed in place: the zone's label and, where it selects nothing yet, zones_out.
+ * @param name Name of the zone.
+ * @param out True to take it out.
+ * @return NotFound; FailedPrecondition if zones_out has another selector than the convention's.
+ */
+[[nodiscard]] absl::Status set_zone_out(nlohmann::json& document, std::string_view name, bool out);
+
+/**
+ * @brief Marks an endpoint as leaving or not.
+ * @param document Changed in place: the endpoint's label and, where it selects nothing yet, endpoints_leaving.
+ * @param name Name of the endpoint.
+ * @param leaving True to stop new work.
+ * @return NotFound; FailedPrecondition if endpoints_leaving has another selector than the convention's.
+ */
+[[nodiscard]] absl::Status set_leaving(nlohmann::json& document, std::string_view name, bool leaving);
+
 } // namespace dandelionbay
--- a/src/dandelionbay/settings/process_settings.cpp
+++ b/src/dandelionbay/settings/process_settings.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <filesystem>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -278,7 +279,11 @@
     if (!text.ok()) {
         return text.status();
     }
-    return check_settings(*text);
+    auto settings = check_settings(*text);
+    if (settings.ok() && !settings->fleet_config.empty()) {
+        settings->fleet_config = (std::filesystem::path{path}.parent_path() / settings->fleet_config).string();
+    }
+    return settings;
 }
 
 } // namespace dandelionbay
--- a/src/dandelionbay/settings/process_settings.hpp
+++ b/src/dandelionbay/settings/process_settings.hpp
@@ -61,7 +61,7 @@
 /**
  * @brief Reads a settings file and checks it.
  * @param path File name.
- * @return As check_settings(); NotFound if the file can't be read.
+ * @return As check_settings(), with fleet_config relative to the file's directory; NotFound if it can't be read.
  */
 [[nodiscard]] absl::StatusOr<process_settings> load_settings(const std::string& path);
 
