--- a/src/dandelionbay/config/fwd.hpp
+++ b/src/dandelionbay/config/fwd.hpp
@@ -11,6 +11,8 @@
 struct access_rule;
 struct fleet_config;
 class config_adopter;
+class config_editor;
+struct stored_config;
 class freshness;
 
 } // namespace dandelionbay
