--- a/test/dandelionbay/soak/sim_node.cpp
+++ b/test/dandelionbay/soak/sim_node.cpp
@@ -81,6 +81,10 @@
 }
 
 void sim_router::apply(std::shared_ptr<const fleet_config> config) {
+    // The adopter of a node never passes a lower revision on.
+    if (config->revision <= config_->revision) {
+        return;
+    }
     config_ = std::move(config);
     perform(core_->apply(config_, shared_->events.now()));
 }
@@ -188,6 +192,10 @@
 }
 
 void sim_agent::apply(std::shared_ptr<const fleet_config> config) {
+    // The adopter of a node never passes a lower revision on.
+    if (config->revision <= config_->revision) {
+        return;
+    }
     config_ = std::move(config);
     perform(core_->apply(config_, shared_->events.now()));
 }
