--- a/src/dandelionbay/router/internal/state_dispatch.cpp
+++ b/src/dandelionbay/router/internal/state_dispatch.cpp
@@ -148,7 +148,8 @@
     work.model_call = it.model_call;
     work.idempotent = it.order.idempotent;
     work.fingerprint = it.order.fingerprint;
-    work.suspicion = crashes_.crashes(it.order.fingerprint);
+    it.run.suspicion = crashes_.crashes(it.order.fingerprint);
+    work.suspicion = it.run.suspicion;
     work.timeout_ms = timeout_ms;
     work.request = it.order.request;
     metrics_->add("submitted_total", grant.spare ? "spare" : "granted");
--- a/test/dandelionbay/router/router_failure_test.cpp
+++ b/test/dandelionbay/router/router_failure_test.cpp
@@ -314,6 +314,26 @@
     }
 }
 
+// Guards against a request that crashes endpoint and agent together, so that no agent reports the crash, and against
+// one crash that counts twice.
+TEST(router_failure, the_loss_of_an_agent_counts_as_a_crash_of_its_runs) {
+    one_router it;
+    it.take(it.core.set_exchange_peers({host("router", 1)}, it.now));
+    it.take(it.core.link_up(router_hello(1), it.now));
+    const auto work = it.started(chat(team(0), 10), 1);
+    it.receive(suspicion{work.fingerprint, 1, false});
+    it.take(it.core.link_up(agent_hello(0, 2), it.now));
+    it.pass(milliseconds{200});
+    it.give(2);
+    ASSERT_EQ(it.sent<submit>().size(), 2U) << "one crash, reported and seen, counts once";
+    EXPECT_EQ(it.sent<submit>()[1].suspicion, 1U);
+    it.take(it.core.link_up(agent_hello(0, 3), it.now));
+    ASSERT_EQ(it.ends().size(), 1U);
+    EXPECT_EQ(it.ends()[0].code, result_code::crashes_endpoints);
+    EXPECT_EQ(it.ends()[0].state, executed::unknown);
+    EXPECT_EQ(it.sent<suspicion>().back(), (suspicion{work.fingerprint, 2, false}));
+}
+
 // Guards against refusals of other teams while one team sends a thousand times its share.
 TEST(router_failure, a_flood_is_refused_with_the_time_to_come_back) {
     auto config = make_config(4, 1);
--- a/test/dandelionbay/router/router_fairness_test.cpp
+++ b/test/dandelionbay/router/router_fairness_test.cpp
@@ -153,6 +153,7 @@
     EXPECT_LT(rounds, 60) << "the deficit is repaid";
     EXPECT_EQ(fleet.metrics.total("invariant_violations_total"), 0) << fleet.metrics.render();
     RecordProperty("owed", std::to_string(owed));
+    RecordProperty("bound", std::to_string(bound));
     RecordProperty("rounds", std::to_string(rounds));
     RecordProperty("share_ahead", std::to_string(ahead / all));
 }
