--- a/src/dandelionbay/limit/crash_register.cpp
+++ b/src/dandelionbay/limit/crash_register.cpp
@@ -23,6 +23,12 @@
 }
 
 bool crash_register::merge(const suspicion& in, time_point now) {
+    if (in.cleared && in.crashes == 0) {
+        // An agent that saw the request finish names no number. It covers a single crash only: a request that is
+        // refused does not run, so it can't have finished since.
+        const auto known = crashes(in.fingerprint);
+        return known > 0 && known < refused_at && !finished(in.fingerprint, now).empty();
+    }
     return in.crashes > 0 && raise(in.fingerprint, in.crashes, in.cleared ? in.crashes : 0, now);
 }
 
--- a/src/dandelionbay/router/internal/state.hpp
+++ b/src/dandelionbay/router/internal/state.hpp
@@ -78,6 +78,7 @@
 
     // state_link.cpp: links and demand
     void agent_up(const hello& peer, time_point now);
+    void suspect_lost(const request_record& it, time_point now);
     void lose_runs(const host_id& agent, time_point now);
     void send_demand(time_point now);
     [[nodiscard]] std::vector<team_demand> demand_for(pool_record& pool, const agent_record& agent, time_point now);
--- a/src/dandelionbay/router/internal/state_link.cpp
+++ b/src/dandelionbay/router/internal/state_link.cpp
@@ -18,6 +18,15 @@
 
 } // namespace
 
+void router_core::state::suspect_lost(const request_record& it, time_point now) {
+    // An endpoint that takes its agent down with it leaves nobody to report the crash. A crash that was reported since
+    // the submission is not counted again, so equal requests that are lost together count once.
+    if (crashes_.crashes(it.order.fingerprint) <= it.run.suspicion) {
+        metrics_->add("suspicions_total", "agent_lost");
+        announce(crashes_.crashed(it.order.fingerprint, now), host_id{});
+    }
+}
+
 void router_core::state::lose_runs(const host_id& agent, time_point now) {
     std::vector<sequence_type> lost;
     for (const auto& [id, it] : requests_) {
@@ -28,12 +37,7 @@
     for (const auto& id : lost) {
         auto& it = requests_.at(id);
         metrics_->add("runs_lost_total", "agent");
-        // An endpoint that takes its agent down with it leaves nobody to report the crash. A crash that was reported
-        // since the submission is not counted again.
-        if (crashes_.crashes(it.order.fingerprint) <= it.run.suspicion) {
-            metrics_->add("suspicions_total", "agent_lost");
-            announce(crashes_.crashed(it.order.fingerprint, now), host_id{});
-        }
+        suspect_lost(it, now);
         const bool started = it.run.progress.has_head();
         run_failed(it, started ? result_code::answer_incomplete : result_code::outcome_unknown,
                    started ? executed::yes : executed::unknown, now);
--- a/src/dandelionbay/router/internal/state_request.cpp
+++ b/src/dandelionbay/router/internal/state_request.cpp
@@ -165,6 +165,7 @@
         end(it, deadline_exceeded, run.progress.has_head() ? executed::yes : executed::unknown, now);
     } else if (run.link_deadline <= now) {
         metrics_->add("runs_lost_total", "link");
+        suspect_lost(it, now);
         run_failed(it, run.progress.has_head() ? answer_incomplete : outcome_unknown,
                    run.progress.has_head() ? executed::yes : executed::unknown, now);
     } else if (run.gap_deadline <= now) {
--- a/test/dandelionbay/limit/retry_and_crash_test.cpp
+++ b/test/dandelionbay/limit/retry_and_crash_test.cpp
@@ -63,6 +63,17 @@
         EXPECT_FALSE(here.merge(first, start));
         EXPECT_TRUE(there.finished(42, start).empty());
     }
+    {
+        SCOPED_TRACE("an agent's clearance without a number covers one crash, not a refusal");
+        crash_register other;
+        EXPECT_FALSE(other.merge(suspicion{42, 0, true}, start));
+        std::ignore = other.crashed(42, start);
+        EXPECT_TRUE(other.merge(suspicion{42, 0, true}, start));
+        EXPECT_EQ(other.crashes(42), 0U);
+        other.merge(suspicion{42, 3, false}, start);
+        EXPECT_FALSE(other.merge(suspicion{42, 0, true}, start));
+        EXPECT_TRUE(other.refused(42));
+    }
     {
         SCOPED_TRACE("a later crash counts from one, two refuse");
         std::ignore = here.crashed(42, start);
--- a/test/dandelionbay/router/router_failure_test.cpp
+++ b/test/dandelionbay/router/router_failure_test.cpp
@@ -332,6 +332,16 @@
     EXPECT_EQ(it.ends()[0].code, result_code::crashes_endpoints);
     EXPECT_EQ(it.ends()[0].state, executed::unknown);
     EXPECT_EQ(it.sent<suspicion>().back(), (suspicion{work.fingerprint, 2, false}));
+    {
+        SCOPED_TRACE("the agent does not come back; equal requests that are lost together count once");
+        auto other = chat(team(0), 10);
+        other.fingerprint = 8;
+        std::ignore = it.started(other, 3);
+        std::ignore = it.started(other, 4);
+        it.take(it.core.link_down(host("agent", 0), it.now));
+        it.pass(seconds{7});
+        EXPECT_EQ(it.sent<suspicion>().back(), (suspicion{8, 1, false}));
+    }
 }
 
 // Guards against refusals of other teams while one team sends a thousand times its share.
