--- /dev/null
+++ b/src/dandelionbay/node/node_driver.cpp
@@ -0,0 +1,225 @@
+#include "dandelionbay/node/node_driver.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+namespace dandelionbay {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto tick_interval = 20ms;
+constexpr auto publish_interval = 100ms;
+constexpr double poll_jitter = 0.2;
+
+// Different for each host, so that hosts that start together do not poll together.
+std::uint64_t seed_of(const host_id& host, incarnation_type incarnation) {
+    return XXH64(host.value.data(), host.value.size(), incarnation);
+}
+
+link_options link_settings(const node_options& options, incarnation_type incarnation) {
+    link_options links;
+    links.listen = options.peer_listen;
+    links.seed = seed_of(options.host, incarnation);
+    return links;
+}
+
+} // namespace
+
+incarnation_type new_incarnation() {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<incarnation_type>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+node_driver::node_driver(node_options options, host_role role, endpoint_id endpoint, const clock& time,
+                         counters& metrics, table_store& store, host_list& hosts)
+    : options_{std::move(options)}, role_{role}, incarnation_{new_incarnation()}, clock_{&time}, counters_{&metrics},
+      store_{&store}, hosts_{&hosts}, fleet_{options_, role, incarnation_, metrics, time.now()},
+      links_{std::make_unique<link_server>(
+          link_settings(options_, incarnation_),
+          hello{options_.host, role, options_.region, options_.zone, incarnation_, std::move(endpoint), 0}, time,
+          metrics, *this)},
+      config_poller_{options_.poll_interval, poll_jitter, [this] { poll_config(); }},
+      host_poller_{options_.poll_interval, poll_jitter, [this] { poll_hosts(); }}, tasks_{tick_interval,
+                                                                                          [this] { tick(); }} {}
+
+node_driver::~node_driver() = default;
+
+absl::Status node_driver::start(kernel& /*host*/) {
+    refresh_peers();
+    tasks_.start();
+    return absl::OkStatus();
+}
+
+void node_driver::stop() noexcept {
+    tasks_.stop();
+}
+
+void node_driver::start_polling() {
+    config_poller_.start(seed_of(options_.host, incarnation_));
+    host_poller_.start(seed_of(options_.host, incarnation_ + 1));
+}
+
+void node_driver::stop_polling() noexcept {
+    config_poller_.stop();
+    host_poller_.stop();
+}
+
+void node_driver::begin_stop() {
+    stopping_ = true;
+    tasks_.post([this] {
+        const auto now = clock_->now();
+        links_->announce(fleet_.make_heartbeat(true, now));
+        on_begin_stop(now);
+    });
+}
+
+void node_driver::apply(fleet_change change, time_point now) {
+    for (auto& [to, body] : change.messages) {
+        links_->send(to, std::move(body));
+    }
+    if (change.config != nullptr) {
+        counters_->set("config_revision", static_cast<std::int64_t>(fleet_.revision()));
+        on_config(change.config, now);
+        links_->announce(fleet_.make_heartbeat(stopping_, now));
+    }
+}
+
+void node_driver::poll_config() {
+    const auto started = clock_->now();
+    const auto row = store_->get("config", "fleet");
+    if (!row.ok()) {
+        const bool empty = absl::IsNotFound(row.status());
+        counters_->add("store_reads_total", empty ? "not_found" : "failed");
+        tasks_.post([this, empty] {
+            const auto now = clock_->now();
+            apply(empty ? fleet_.store_empty(now) : fleet_.store_failed(now), now);
+        });
+        return;
+    }
+    counters_->add("store_reads_total", "ok");
+    const auto value = nlohmann::json::parse(row->value, nullptr, false);
+    const auto document = value.is_object() ? value.find("document") : value.end();
+    if (!value.is_object() || document == value.end()) {
+        counters_->add("store_rows_malformed_total");
+        return;
+    }
+    tasks_.post([this, started, revision = row->version, text = document->dump()] {
+        const auto now = clock_->now();
+        apply(fleet_.store_read(revision, text, started, now), now);
+    });
+}
+
+void node_driver::poll_hosts() {
+    auto list = hosts_->read();
+    counters_->add("host_list_reads_total", list.ok() ? "ok" : "failed");
+    if (!list.ok()) {
+        return;
+    }
+    tasks_.post([this, hosts = std::move(*list)] {
+        const auto now = clock_->now();
+        fleet_.host_list_read(hosts, now);
+        refresh_peers();
+        on_host_list(std::ranges::any_of(hosts, [&](const auto& it) { return it.host == options_.host && it.leaving; }),
+                     now);
+    });
+}
+
+void node_driver::refresh_peers() {
+    auto peers = fleet_.peers();
+    if (peers != dialled_) {
+        dialled_ = std::move(peers);
+        links_->set_peers(dialled_);
+    }
+}
+
+void node_driver::publish(time_point now) {
+    snapshot next{fleet_.members().members(now), fleet_.members().hears_majority(now), fleet_.listed()};
+    const std::lock_guard lock{snapshot_mutex_};
+    snapshot_ = std::move(next);
+}
+
+void node_driver::tick() {
+    const auto now = clock_->now();
+    apply(fleet_.tick(now), now);
+    const bool fresh = fleet_.fresh(now);
+    if (now >= next_publish_) {
+        next_publish_ = now + publish_interval;
+        publish(now);
+        links_->announce(fleet_.make_heartbeat(stopping_, now));
+    }
+    on_tick(fresh, now);
+}
+
+bool node_driver::may_be_alive(const host_id& host, incarnation_type life) const {
+    if (host == options_.host) {
+        return life == incarnation_;
+    }
+    const std::lock_guard lock{snapshot_mutex_};
+    const auto it = std::ranges::find(snapshot_.members, host, [](const member& m) { return m.entry.host; });
+    if (it == snapshot_.members.end()) {
+        return !snapshot_.listed;
+    }
+    return it->state != member_state::gone && it->incarnation <= life;
+}
+
+std::vector<node_state> node_driver::nodes() const {
+    const std::lock_guard lock{snapshot_mutex_};
+    std::vector<node_state> states;
+    for (const auto& it : snapshot_.members) {
+        states.push_back(
+            {it.entry.host, it.entry.role, it.entry.zone, std::string{to_string(it.state)}, it.config_revision});
+    }
+    return states;
+}
+
+bool node_driver::hears_majority() const {
+    const std::lock_guard lock{snapshot_mutex_};
+    return snapshot_.majority;
+}
+
+void node_driver::adopt(std::uint64_t revision, const std::string& document) {
+    // The change was just written, so that the row held it when this call began.
+    const auto started = clock_->now();
+    tasks_.call([this, revision, document, started] {
+        const auto now = clock_->now();
+        apply(fleet_.store_read(revision, document, started, now), now);
+    });
+}
+
+void node_driver::link_up(const hello& peer) {
+    tasks_.post([this, peer] {
+        const auto now = clock_->now();
+        auto change = fleet_.link_up(peer, now);
+        const bool known = change.handled;
+        apply(std::move(change), now);
+        if (known) {
+            on_link_up(peer, now);
+        }
+    });
+}
+
+void node_driver::link_down(const host_id& peer) {
+    tasks_.post([this, peer] {
+        fleet_.link_down(peer);
+        on_link_down(peer, clock_->now());
+    });
+}
+
+void node_driver::message_received(const host_id& from, message body) {
+    tasks_.post([this, from, body = std::move(body)] {
+        const auto now = clock_->now();
+        auto change = fleet_.receive(from, body, now);
+        const bool handled = change.handled;
+        apply(std::move(change), now);
+        if (!handled) {
+            on_message(from, body, now);
+        }
+    });
+}
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/node/router_node.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <memory>
+
+#include "absl/status/status.h"
+#include "dandelionbay/base/counters.hpp"
+#include "dandelionbay/claim/claim_service.hpp"
+#include "dandelionbay/http/caller_front.hpp"
+#include "dandelionbay/kernel/kernel.hpp"
+#include "dandelionbay/node/node_environment.hpp"
+#include "dandelionbay/node/node_options.hpp"
+#include "dandelionbay/node/router_driver.hpp"
+
+namespace dandelionbay {
+
+/**
+ * @brief An entry router.
+ *
+ * Services in its kernel: "clock", "counters", "store", "router", "links", "polling", "claims", "callers".
+ */
+class router_node {
+public:
+    /*! @brief Creates a router that does not run yet. @param options Settings. @param environment What it uses. */
+    explicit router_node(router_node_options options, node_environment environment = {});
+    router_node(const router_node&) = delete;
+    router_node(router_node&&) = delete;
+    router_node& operator=(const router_node&) = delete;
+    router_node& operator=(router_node&&) = delete;
+
+    /*! @brief Stops at once, without the graceful stop. */
+    ~router_node();
+
+    /*! @brief Starts all services. @return The first error. */
+    [[nodiscard]] absl::Status start();
+
+    /*! @brief Graceful stop; blocks for at most the balancer's delay and the stop limit, then ends all services. */
+    void stop() noexcept;
+
+    /*! @brief Where callers connect; valid after start(). */
+    [[nodiscard]] std::uint16_t caller_port() const noexcept { return callers_->port(); }
+
+    /*! @brief Where other hosts connect; valid after start(). */
+    [[nodiscard]] std::uint16_t peer_port() noexcept { return driver_->links().port(); }
+
+    /*! @brief The router's view of the fleet. */
+    [[nodiscard]] fleet_view& view() noexcept { return *driver_; }
+
+    /*! @brief The table service that the router uses. */
+    [[nodiscard]] table_store& store() noexcept { return *environment_.store; }
+
+    /*! @brief The router's counters. */
+    [[nodiscard]] counters& metrics() noexcept { return *counters_; }
+
+    /*! @brief The router's services; more may be added before start(). */
+    [[nodiscard]] kernel& services() noexcept { return kernel_; }
+
+private:
+    router_node_options options_;
+    node_environment environment_;
+    std::shared_ptr<counters> counters_;
+    std::unique_ptr<router_driver> driver_;
+    std::unique_ptr<claim_service> claims_;
+    std::unique_ptr<caller_front> callers_;
+    absl::Status built_;
+    kernel kernel_;
+};
+
+} // namespace dandelionbay
