--- a/src/dandelionbay/http/bounded_server.cpp
+++ b/src/dandelionbay/http/bounded_server.cpp
@@ -198,6 +198,9 @@
     counters_->add("refused_total", describe(code).name);
     response.status = describe(code).http_status;
     response.set_content(error_body(code, executed::no), json_type);
+    if (stream != nullptr && stream->fault() != internal::receive_fault::none) {
+        response.set_header("Connection", "close");
+    }
 }
 
 bounded_server::bounded_server(std::uint32_t threads, internal::connection_limits limits, const clock& time,
--- a/src/dandelionbay/http/caller_front.cpp
+++ b/src/dandelionbay/http/caller_front.cpp
@@ -99,8 +99,7 @@
     response.set_content(gate_->stopping() ? "stopping\n" : "ok\n", "text/plain");
 }
 
-caller_front::reply_pointer caller_front::submit(accepted_request work, const service_config& offer,
-                                                 bool cancellable) {
+caller_front::reply_pointer caller_front::submit(accepted_request work, const service_config& offer, bool cancellable) {
     // A request may wait and run a second time after a retry.
     const auto limit =
         2 * (std::chrono::milliseconds{offer.queue_timeout_ms} + std::chrono::milliseconds{offer.run_timeout_ms}) +
--- a/src/dandelionbay/http/caller_services.cpp
+++ b/src/dandelionbay/http/caller_services.cpp
@@ -140,8 +140,8 @@
         refuse(response, result_code::store_unavailable);
         return;
     }
-    auto decision = claims_->begin({work.team, work.service, key, fingerprint_of(work.request),
-                                    offer.queue_timeout_ms + offer.run_timeout_ms});
+    auto decision = claims_->begin(
+        {work.team, work.service, key, fingerprint_of(work.request), offer.queue_timeout_ms + offer.run_timeout_ms});
     if (decision.action == claim_decision::kind::replay) {
         counters_->add("claims_replayed_total");
         send_whole(decision.answer, response);
--- a/src/dandelionbay/http/fwd.hpp
+++ b/src/dandelionbay/http/fwd.hpp
@@ -9,6 +9,10 @@
 class bounded_server;
 struct caller_front_options;
 class caller_front;
+struct admin_front_options;
 class admin_front;
+struct admin_request;
+struct admin_answer;
+class admin_api;
 
 } // namespace dandelionbay
