Serve the administration API on each router

Cause: operators change the configuration through an entry router. Change: router_node starts admin_front when it has an operators' token; the polling reads rows through decode_stored_config, so that reader and writer of the row share one format.

--- a/src/dandelionbay/node/node_driver.cpp
+++ b/src/dandelionbay/node/node_driver.cpp
@@ -3,9 +3,10 @@
 #include <algorithm>
 #include <chrono>
 
-#include <nlohmann/json.hpp>
 #include <xxhash.h>
 
+#include "dandelionbay/config/config_editor.hpp"
+
 namespace dandelionbay {
 
 namespace {
@@ -91,10 +92,12 @@
 
 void node_driver::poll_config() {
     const auto started = clock_->now();
-    const auto row = store_->get("config", "fleet");
-    if (!row.ok()) {
-        const bool empty = absl::IsNotFound(row.status());
-        counters_->add("store_reads_total", empty ? "not_found" : "failed");
+    const auto row = store_->get(config_table, config_key);
+    const auto stored = row.ok() ? decode_stored_config(*row) : absl::StatusOr<stored_config>{row.status()};
+    if (!stored.ok()) {
+        const bool empty = absl::IsNotFound(stored.status());
+        const bool malformed = absl::IsDataLoss(stored.status());
+        counters_->add("store_reads_total", empty ? "not_found" : malformed ? "malformed" : "failed");
         tasks_.post([this, empty] {
             const auto now = clock_->now();
             apply(empty ? fleet_.store_empty(now) : fleet_.store_failed(now), now);
@@ -102,13 +105,7 @@
         return;
     }
     counters_->add("store_reads_total", "ok");
-    const auto value = nlohmann::json::parse(row->value, nullptr, false);
-    const auto document = value.is_object() ? value.find("document") : value.end();
-    if (!value.is_object() || document == value.end()) {
-        counters_->add("store_rows_malformed_total");
-        return;
-    }
-    tasks_.post([this, started, revision = row->version, text = document->dump()] {
+    tasks_.post([this, started, revision = stored->revision, text = stored->document] {
         const auto now = clock_->now();
         apply(fleet_.store_read(revision, text, started, now), now);
     });
--- a/src/dandelionbay/node/router_node.cpp
+++ b/src/dandelionbay/node/router_node.cpp
@@ -3,6 +3,7 @@
 #include <thread>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "dandelionbay/node/node_parts.hpp"
 
 namespace dandelionbay {
@@ -48,6 +49,14 @@
     built_.Update(kernel_.add("polling", std::make_unique<polling_service>(*driver_)));
     built_.Update(kernel_.add("claims", std::make_unique<claims_part>(*claims_)));
     built_.Update(kernel_.add("callers", std::make_unique<service_handle>(*callers_)));
+    if (!options_.admin_token.empty()) {
+        editor_ = std::make_unique<config_editor>(*environment_.store, *counters_,
+                                                  absl::StrCat(options_.common.host.value, "-", driver_->life()));
+        admin_api_ = std::make_unique<admin_api>(*editor_, *driver_, *counters_);
+        admin_ = std::make_unique<admin_front>(admin_front_options{options_.admin_listen, options_.admin_token},
+                                               *admin_api_, time, *counters_);
+        built_.Update(kernel_.add("admin", std::make_unique<service_handle>(*admin_)));
+    }
 }
 
 router_node::~router_node() {
--- a/src/dandelionbay/node/router_node.hpp
+++ b/src/dandelionbay/node/router_node.hpp
@@ -5,6 +5,9 @@
 #include "absl/status/status.h"
 #include "dandelionbay/base/counters.hpp"
 #include "dandelionbay/claim/claim_service.hpp"
+#include "dandelionbay/config/config_editor.hpp"
+#include "dandelionbay/http/admin_api.hpp"
+#include "dandelionbay/http/admin_front.hpp"
 #include "dandelionbay/http/caller_front.hpp"
 #include "dandelionbay/kernel/kernel.hpp"
 #include "dandelionbay/node/node_environment.hpp"
@@ -16,7 +19,8 @@
 /**
  * @brief An entry router.
  *
- * Services in its kernel: "clock", "counters", "store", "router", "links", "polling", "claims", "callers".
+ * Services in its kernel: "clock", "counters", "store", "router", "links", "polling", "claims", "callers", "admin"
+ * (only with a token for operators).
  */
 class router_node {
 public:
@@ -39,6 +43,9 @@
     /*! @brief Where callers connect; valid after start(). */
     [[nodiscard]] std::uint16_t caller_port() const noexcept { return callers_->port(); }
 
+    /*! @brief Where operators connect; valid after start(); zero without a token for operators. */
+    [[nodiscard]] std::uint16_t admin_port() const noexcept { return admin_ != nullptr ? admin_->port() : 0; }
+
     /*! @brief Where other hosts connect; valid after start(). */
     [[nodiscard]] std::uint16_t peer_port() noexcept { return driver_->links().port(); }
 
@@ -61,6 +68,9 @@
     std::unique_ptr<router_driver> driver_;
     std::unique_ptr<claim_service> claims_;
     std::unique_ptr<caller_front> callers_;
+    std::unique_ptr<config_editor> editor_;
+    std::unique_ptr<admin_api> admin_api_;
+    std::unique_ptr<admin_front> admin_;
     absl::Status built_;
     kernel kernel_;
 };
