Store the first fleet configuration through the configuration editor

Change: the platform stand-in's first revision has the form that the editor writes, so that later changes find it.

--- a/src/dandelionbay/app/command.hpp
+++ b/src/dandelionbay/app/command.hpp
@@ -50,6 +50,8 @@
 /*! @brief The subcommands. */
 [[nodiscard]] command check_command();
 [[nodiscard]] command ctl_command();
+[[nodiscard]] command dev_command();
+[[nodiscard]] command serve_command();
 [[nodiscard]] command standin_command();
 
 } // namespace dandelionbay::app
--- a/src/dandelionbay/app/standin.cpp
+++ b/src/dandelionbay/app/standin.cpp
@@ -4,12 +4,10 @@
 #include "absl/flags/declare.h"
 #include "absl/flags/flag.h"
 #include "dandelionbay/app/command.hpp"
+#include "dandelionbay/app/first_config.hpp"
 #include "dandelionbay/app/stop_signal.hpp"
 #include "dandelionbay/base/text.hpp"
-#include "dandelionbay/config/config_editor.hpp"
-#include "dandelionbay/config/fleet_config.hpp"
 #include "dandelionbay/settings/process_settings.hpp"
-#include "dandelionbay/store/memory_table_store.hpp"
 
 ABSL_DECLARE_FLAG(std::string, settings);
 
@@ -36,13 +34,8 @@
         if (!text.ok()) {
             return usage_error(from_absl(text.status().message()));
         }
-        if (const auto config = parse_fleet_config(*text, 1); !config.ok()) {
-            return usage_error(concat(settings.fleet_config, ":\n", from_absl(config.status().message())));
-        }
-        memory_table_store store{rows};
-        counters metrics;
-        if (const auto stored = config_editor{store, metrics, "platform"}.replace(*text, 0); !stored.ok()) {
-            return failure(from_absl(stored.status().message()));
+        if (const auto status = store_first_config(rows, *text); !status.ok()) {
+            return usage_error(concat(settings.fleet_config, ":\n", from_absl(status.message())));
         }
     }
     return serve_until_stopped(platform, signal);
