Run suspects of a crash at one endpoint for each request

Ruled out: a claim in the store (a write for each suspect, not possible while the store is down); serving suspects at one router only (callers choose the router). Change: a router submits a suspect only to the endpoint that rendezvous hashing of its fingerprint picks among the endpoints in service that it has links to, so the agent there sees all copies.

--- a/src/dandelionbay/router/internal/state.hpp
+++ b/src/dandelionbay/router/internal/state.hpp
@@ -56,6 +56,13 @@
     void serve(pool_record& pool, time_point now);
     [[nodiscard]] bool serve_one(pool_record& pool, time_point now);
     [[nodiscard]] std::optional<team_id> choose_team(pool_record& pool, const agent_record& agent, time_point now);
+    /*!
+     * @brief Agent of the one endpoint at which a suspect may run, the same at all routers with the same links.
+     *
+     * Copies of a request that were sent through several routers would otherwise crash several endpoints before the
+     * first crash is known everywhere.
+     */
+    [[nodiscard]] const host_id& suspect_home(const pool_id& pool, const accepted_request& order) const;
     [[nodiscard]] bool may_run(const request_id& id, const agent_record& agent, time_point now) const;
     [[nodiscard]] bool has_runnable(const pool_record& pool, const agent_record& agent, time_point now) const;
     [[nodiscard]] bool owed_elsewhere(const pool_record& pool, const agent_record& agent, const team_id& team) const;
@@ -133,6 +140,8 @@
     std::set<std::pair<time_point, sequence_type>> timers_;
     std::map<pool_id, pool_record> pools_;
     std::map<host_id, agent_record> agents_;
+    // Cleared whenever a link or the configuration changes.
+    mutable std::map<std::pair<pool_id, std::uint64_t>, host_id> suspect_homes_;
     std::set<host_id> routers_up_;
     std::set<host_id> exchange_peers_;
     std::set<pool_id> to_serve_;
--- a/src/dandelionbay/router/internal/state_dispatch.cpp
+++ b/src/dandelionbay/router/internal/state_dispatch.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
 
+#include <xxhash.h>
+
 #include "dandelionbay/router/internal/state.hpp"
 
 namespace dandelionbay {
@@ -24,8 +26,36 @@
     }
 }
 
+const host_id& router_core::state::suspect_home(const pool_id& pool, const accepted_request& order) const {
+    const auto [home, missing] = suspect_homes_.try_emplace(std::pair{pool, order.fingerprint});
+    if (!missing) {
+        return home->second;
+    }
+    XXH64_hash_t highest = 0;
+    const auto group = access_.group_of(order.team);
+    for (const auto& [host, agent] : agents_) {
+        const auto& groups = access_.allowed(agent.endpoint);
+        const auto* const endpoint = config_->find(agent.endpoint);
+        if (!agent.up || !agent.told.contains(pool) || std::ranges::find(groups, group) == groups.end() ||
+            endpoint == nullptr || config_->zone_out(endpoint->zone) || config_->leaving(agent.endpoint)) {
+            continue;
+        }
+        const auto& name = agent.endpoint.value;
+        const auto hash = XXH3_64bits_withSeed(name.data(), name.size(), order.fingerprint);
+        if (home->second.empty() || hash > highest) {
+            highest = hash;
+            home->second = host;
+        }
+    }
+    return home->second;
+}
+
 bool router_core::state::may_run(const request_id& id, const agent_record& agent, time_point now) const {
-    return now >= agent.suspects_from || crashes_.crashes(requests_.at(id.sequence).order.fingerprint) == 0;
+    const auto& it = requests_.at(id.sequence);
+    if (crashes_.crashes(it.order.fingerprint) == 0) {
+        return true;
+    }
+    return now >= agent.suspects_from && suspect_home(it.pool, it.order) == agent.host;
 }
 
 std::optional<team_id> router_core::state::choose_team(pool_record& pool, const agent_record& agent, time_point now) {
@@ -34,12 +64,9 @@
     if (!next) {
         return std::nullopt;
     }
-    if (now >= agent.suspects_from) {
-        return next->second;
-    }
-    // The agent has just rejected a suspect: teams whose waiting requests are all suspects have to wait for others.
+    // A team whose waiting requests are all suspects that may not run at this endpoint leaves the turn to others.
     const auto runnable = [&](const request_id& id) { return may_run(id, agent, now); };
-    if (pool.queues.any(next->second, runnable)) {
+    if (crashes_.size() == 0 || pool.queues.any(next->second, runnable)) {
         return next->second;
     }
     for (const auto& [counter, team] : pool.queues.first(groups, pool.queues.backlogged())) {
@@ -51,7 +78,7 @@
 }
 
 bool router_core::state::has_runnable(const pool_record& pool, const agent_record& agent, time_point now) const {
-    if (now >= agent.suspects_from) {
+    if (crashes_.size() == 0) {
         return true;
     }
     const auto teams = pool.queues.first(access_.allowed(agent.endpoint), pool.queues.backlogged());
--- a/src/dandelionbay/router/internal/state_event.cpp
+++ b/src/dandelionbay/router/internal/state_event.cpp
@@ -41,6 +41,7 @@
     assert(config != nullptr && "a configuration is given");
     config_ = std::move(config);
     access_ = access_groups{*config_};
+    suspect_homes_.clear();
     for (auto& [id, pool] : pools_) {
         for (const auto& [counter, team] : pool.queues.first_of_all(pool.queues.backlogged())) {
             pool.queues.set_team(team, access_.group_of(team), counter);
@@ -144,6 +145,7 @@
     next_slow_ = now + slow_interval;
     ledger_.tick(now);
     crashes_.expire(now);
+    suspect_homes_.clear();
     forget_agents();
     for (auto& [id, pool] : pools_) {
         constexpr double newest_share = 0.2;
--- a/src/dandelionbay/router/internal/state_link.cpp
+++ b/src/dandelionbay/router/internal/state_link.cpp
@@ -53,6 +53,7 @@
             pool.grants.drop(peer.host, now);
         }
     }
+    suspect_homes_.clear();
     agent.host = peer.host;
     agent.incarnation = peer.incarnation;
     agent.endpoint = peer.endpoint;
@@ -96,6 +97,7 @@
     const auto found = agents_.find(peer);
     if (found != agents_.end() && found->second.up) {
         found->second.up = false;
+        suspect_homes_.clear();
         for (auto& [id, pool] : pools_) {
             pool.grants.drop(peer, now);
         }
@@ -143,7 +145,7 @@
         const bool only = suspects && !pool.queues.any(team, [&](const request_id& id) {
             return crashes_.crashes(requests_.at(id.sequence).order.fingerprint) == 0;
         });
-        if (only && now < agent.suspects_from) {
+        if (only && !pool.queues.any(team, [&](const request_id& id) { return may_run(id, agent, now); })) {
             continue;
         }
         teams.push_back(
@@ -207,7 +209,7 @@
     std::map<std::pair<pool_id, std::vector<group_type>>, std::vector<team_demand>> known;
     std::vector<team_demand> special;
     const auto demand_of = [&](pool_record& pool, const agent_record& agent) -> const std::vector<team_demand>& {
-        if (agent.distance == 2 || now < agent.suspects_from) {
+        if (agent.distance == 2 || crashes_.size() > 0) {
             special = demand_for(pool, agent, now);
             return special;
         }
--- a/test/dandelionbay/soak/checker.hpp
+++ b/test/dandelionbay/soak/checker.hpp
@@ -31,6 +31,7 @@
     };
 
     void stop_waiting(request_state& state);
+    void trace_step(const std::string& key, const request_id& id, const std::string& step) const;
 
 public:
     using size_type = std::size_t;
@@ -49,6 +50,9 @@
     [[nodiscard]] fairness_meter& fairness() noexcept { return fairness_; }
     void violation(std::string text);
 
+    /*! @brief Prints the steps of the requests with a key on standard error. */
+    void trace(std::string key) { trace_ = std::move(key); }
+
     /*! @brief Checks that every request has ended. */
     void finish();
 
@@ -65,6 +69,7 @@
     std::set<request_id> started_;
     std::vector<std::string> violations_;
     fairness_meter fairness_;
+    std::string trace_;
     size_type starts_{};
 };
 
--- a/test/dandelionbay/soak/options.hpp
+++ b/test/dandelionbay/soak/options.hpp
@@ -11,6 +11,7 @@
 /*! @brief Size of the fleet, load and faults of one run. */
 struct options {
     std::uint64_t seed{1};
+    std::string trace{}; //!< Key of a request whose steps are printed; empty for none.
     std::uint32_t routers{3};
     std::uint32_t model_endpoints{4};
     std::uint32_t plain_endpoints{2};
--- a/test/dandelionbay/soak/run.cpp
+++ b/test/dandelionbay/soak/run.cpp
@@ -332,6 +332,7 @@
     explicit fleet_run(const options& chosen) : chosen_{chosen}, random_{chosen.seed}, links_{events_, random_()} {}
 
     report run() {
+        checks_.trace(chosen_.trace);
         build();
         events_.run_until(events_.now() + 2s);
         load_end_ = events_.now() + chosen_.load;
