--- a/src/dandelionbay/router/internal/limits.hpp
+++ b/src/dandelionbay/router/internal/limits.hpp
@@ -50,6 +50,9 @@
 inline constexpr duration run_margin = std::chrono::seconds{2};
 /*! Runs of one request, the first included. */
 inline constexpr std::uint32_t most_attempts = 3;
+/*! Additional wait of a suspect: the same request may crash another endpoint at the moment, and that news comes first.
+ */
+inline constexpr duration suspect_backoff = std::chrono::seconds{1};
 /*! Time for which an agent that rejected a suspect is not offered another one. */
 inline constexpr duration suspect_hold = std::chrono::milliseconds{500};
 
--- a/src/dandelionbay/router/internal/state_request.cpp
+++ b/src/dandelionbay/router/internal/state_request.cpp
@@ -138,6 +138,9 @@
     metrics_->add("retries_total", describe(code).name);
     it.phase = request_phase::backoff;
     it.backoff_until = now + retry_budget::backoff(it.attempts, random_);
+    if (crashes_.crashes(it.order.fingerprint) > 0) {
+        it.backoff_until += suspect_backoff;
+    }
     reschedule(it);
 }
 
