--- a/src/dandelionbay/agent/agent_admission.cpp
+++ b/src/dandelionbay/agent/agent_admission.cpp
@@ -86,7 +86,10 @@
     run.crashes = crashes;
     run.remote = held->remote;
     run.remote_bytes = held->bytes;
-    runs_.emplace(it.id, std::move(run));
+    if (!runs_.emplace(it.id, std::move(run)).second) {
+        violation("admitted_twice");
+        return;
+    }
 
     if (running() + foreign_ > ramp_.limit()) {
         violation("admission_over_limit");
