--- a/src/dandelionbay/base/result_code.hpp
+++ b/src/dandelionbay/base/result_code.hpp
@@ -46,12 +46,14 @@
     deadline_exceeded = 4005,
     duplicate_request = 4006,
     resume_failed = 4007,
+    answer_not_kept = 4008,
     // Administration.
     revision_mismatch = 5001,
     invalid_configuration = 5002,
     no_majority = 5003,
     object_not_found = 5004,
     fencing_token_old = 5005,
+    precondition_missing = 5006,
     // Faults of the system itself.
     internal_error = 9001,
     protocol_error = 9002,
