--- a/test/dandelionbay/node/fleet_test.cpp
+++ b/test/dandelionbay/node/fleet_test.cpp
@@ -42,5 +42,65 @@
     }
 }
 
+// Guards against answers that are mixed up or cut when many stream at once, and when the router stops meanwhile.
+TEST_F(fleet, parallel_streams_are_whole_and_a_stop_cuts_none) {
+    ASSERT_TRUE(ready());
+    constexpr int calls = 200;
+    std::vector<std::thread> threads;
+    std::atomic<int> whole{0};
+    std::atomic<int> other{0};
+    for (int n = 0; n < calls; ++n) {
+        threads.emplace_back([&, n] {
+            const auto prompt = "prompt " + std::to_string(n);
+            const auto answer = client().Post("/v1/chat/completions", chat(prompt, 30, true), "application/json");
+            ++(answer && answer->status == 200 && streamed_text(answer->body) == answer_text(prompt, 30) ? whole
+                                                                                                         : other);
+        });
+    }
+    while (whole == 0 && other == 0) {
+        std::this_thread::sleep_for(5ms);
+    }
+    router->stop();
+    for (auto& it : threads) {
+        it.join();
+    }
+    EXPECT_EQ(whole, calls) << router->metrics().render();
+    EXPECT_EQ(router->metrics().total("answers_cut_total"), 0);
+}
+
+// Guards against an agent that drops runs when it is stopped, and against new work for it.
+TEST_F(fleet, a_stopping_agent_finishes_its_runs) {
+    ASSERT_TRUE(ready());
+    std::thread running{[&] {
+        const auto answer = client().Post("/v1/chat/completions", chat("long", 800, true), "application/json");
+        EXPECT_TRUE(answer && streamed_text(answer->body) == answer_text("long", 800));
+    }};
+    while (engine.running() == 0) {
+        std::this_thread::sleep_for(5ms);
+    }
+    engine_agent->stop();
+    running.join();
+    const auto refused = client().Post("/v1/chat/completions", chat("late", 1, false), "application/json");
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->status, 503);
+    EXPECT_NE(refused->body.find("\"executed\":\"no\""), std::string::npos);
+}
+
+// Guards against a broken engine whose half answer looks complete, and whose crash is taken for a lost connection.
+TEST_F(fleet, an_engine_that_crashes_within_a_stream_is_visible) {
+    ASSERT_TRUE(ready());
+    std::thread crash{[&] {
+        while (engine.stats().output_tokens < 20) {
+            std::this_thread::sleep_for(1ms);
+        }
+        engine.crash();
+    }};
+    const auto answer = client().Post("/v1/chat/completions", chat("broken", 2'000, true), "application/json");
+    crash.join();
+    EXPECT_TRUE(!answer || streamed_text(answer->body).empty());
+    EXPECT_EQ(engine_agent->metrics().get("endpoint_runs_total", "crashed"), 1) << engine_agent->metrics().render();
+    EXPECT_TRUE(ready()) << "the engine is used again after its crash";
+}
+
 } // namespace
 } // namespace dandelionbay
