--- a/src/dandelionbay/node/agent_node.cpp
+++ b/src/dandelionbay/node/agent_node.cpp
@@ -17,6 +17,7 @@
     }
     driver_ = std::make_unique<agent_driver>(options_, *environment_.endpoint, time, *counters_, *environment_.store,
                                              *environment_.hosts);
+    driver_->set_log(environment_.log);
     built_ = add_common_parts(kernel_, environment_, counters_);
     built_.Update(kernel_.add("agent", std::make_unique<service_handle>(*driver_)));
     built_.Update(kernel_.add("links", std::make_unique<service_handle>(driver_->links())));
--- a/src/dandelionbay/node/fleet_state.cpp
+++ b/src/dandelionbay/node/fleet_state.cpp
@@ -6,7 +6,7 @@
 
 void fleet_state::ask_peers(fleet_change& change, time_point now) {
     if (auto query = adopter_.next_query(now)) {
-        change.messages.emplace_back(std::move(query->first), std::move(query->second));
+        change.messages.emplace_back(std::move(query->first), query->second);
     }
 }
 
@@ -116,6 +116,7 @@
         }
     }
     std::vector<host_entry> hosts;
+    hosts.reserve(all.size());
     for (auto& [host, entry] : all) {
         hosts.push_back(std::move(entry));
     }
--- a/src/dandelionbay/node/node_driver.cpp
+++ b/src/dandelionbay/node/node_driver.cpp
@@ -70,8 +70,15 @@
     host_poller_.stop();
 }
 
+void node_driver::note(log_level level, std::string_view event, const event_log::fields& values) {
+    if (log_ != nullptr) {
+        log_->write(level, event, values);
+    }
+}
+
 void node_driver::begin_stop() {
     stopping_ = true;
+    note(log_level::info, "stop_begins", {});
     tasks_.post([this] {
         const auto now = clock_->now();
         links_->announce(fleet_.make_heartbeat(true, now));
@@ -79,12 +86,13 @@
     });
 }
 
-void node_driver::apply(fleet_change change, time_point now) {
-    for (auto& [to, body] : change.messages) {
-        links_->send(to, std::move(body));
+void node_driver::apply(const fleet_change& change, time_point now) {
+    for (const auto& [to, body] : change.messages) {
+        links_->send(to, body);
     }
     if (change.config != nullptr) {
         counters_->set("config_revision", static_cast<std::int64_t>(fleet_.revision()));
+        note(log_level::info, "config_in_force", {{"revision", std::to_string(fleet_.revision())}});
         on_config(change.config, now);
         links_->announce(fleet_.make_heartbeat(stopping_, now));
     }
@@ -191,10 +199,11 @@
 void node_driver::link_up(const hello& peer) {
     tasks_.post([this, peer] {
         const auto now = clock_->now();
-        auto change = fleet_.link_up(peer, now);
-        const bool known = change.handled;
-        apply(std::move(change), now);
-        if (known) {
+        const auto change = fleet_.link_up(peer, now);
+        note(log_level::info, "link_up",
+             {{"peer", peer.host.value}, {"incarnation", std::to_string(peer.incarnation)}});
+        apply(change, now);
+        if (change.handled) {
             on_link_up(peer, now);
         }
     });
@@ -202,6 +211,7 @@
 
 void node_driver::link_down(const host_id& peer) {
     tasks_.post([this, peer] {
+        note(log_level::warn, "link_down", {{"peer", peer.value}});
         fleet_.link_down(peer);
         on_link_down(peer, clock_->now());
     });
@@ -210,10 +220,9 @@
 void node_driver::message_received(const host_id& from, message body) {
     tasks_.post([this, from, body = std::move(body)] {
         const auto now = clock_->now();
-        auto change = fleet_.receive(from, body, now);
-        const bool handled = change.handled;
-        apply(std::move(change), now);
-        if (!handled) {
+        const auto change = fleet_.receive(from, body, now);
+        apply(change, now);
+        if (!change.handled) {
             on_message(from, body, now);
         }
     });
--- a/src/dandelionbay/node/node_driver.hpp
+++ b/src/dandelionbay/node/node_driver.hpp
@@ -8,6 +8,7 @@
 
 #include "dandelionbay/base/clock.hpp"
 #include "dandelionbay/base/counters.hpp"
+#include "dandelionbay/base/event_log.hpp"
 #include "dandelionbay/http/fleet_view.hpp"
 #include "dandelionbay/kernel/kernel.hpp"
 #include "dandelionbay/net/link_server.hpp"
@@ -28,12 +29,13 @@
  * Everything that happens is put into one mailbox, so that the core and the fleet's state need no locks.
  */
 class node_driver : public service, public link_events, public fleet_view {
-    void apply(fleet_change change, time_point now);
+    void apply(const fleet_change& change, time_point now);
     void tick();
     void poll_config();
     void poll_hosts();
     void publish(time_point now);
     void refresh_peers();
+    void note(log_level level, std::string_view event, const event_log::fields& values);
 
 protected:
     /*! @brief A configuration came into force. */
@@ -87,6 +89,9 @@
     /*! @brief The links; started and stopped after and before the driver. */
     [[nodiscard]] link_server& links() noexcept { return *links_; }
 
+    /*! @brief Sets the log; before start(). @param log It, or null. */
+    void set_log(std::shared_ptr<event_log> log) { log_ = std::move(log); }
+
     /*! @brief Starts to poll the platform. */
     void start_polling();
 
@@ -133,6 +138,7 @@
     mutable std::mutex snapshot_mutex_;
     snapshot snapshot_;
     std::vector<host_entry> dialled_;
+    std::shared_ptr<event_log> log_;
     std::unique_ptr<link_server> links_;
     repeater config_poller_;
     repeater host_poller_;
--- a/src/dandelionbay/node/node_environment.hpp
+++ b/src/dandelionbay/node/node_environment.hpp
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "dandelionbay/base/clock.hpp"
+#include "dandelionbay/base/event_log.hpp"
 #include "dandelionbay/kernel/kernel.hpp"
 #include "dandelionbay/node/endpoint_client.hpp"
 #include "dandelionbay/store/host_list.hpp"
@@ -16,6 +17,7 @@
     std::shared_ptr<table_store> store{};
     std::shared_ptr<host_list> hosts{};
     std::shared_ptr<endpoint_client> endpoint{}; //!< Agents only.
+    std::shared_ptr<event_log> log{};            //!< No log if null.
 };
 
 /*! @brief Registers an object without a life of its own in the kernel. @tparam Type Its interface. */
--- a/src/dandelionbay/node/router_node.cpp
+++ b/src/dandelionbay/node/router_node.cpp
@@ -32,6 +32,7 @@
       environment_{complete(std::move(environment), options_.common)}, counters_{std::make_shared<counters>()} {
     const auto& time = *environment_.time;
     driver_ = std::make_unique<router_driver>(options_, time, *counters_, *environment_.store, *environment_.hosts);
+    driver_->set_log(environment_.log);
     claim_settings claims;
     claims.self = {options_.common.host, driver_->life()};
     claims_ =
