--- /dev/null
+++ b/src/dandelionbay/app/dev_fleet.cpp
@@ -0,0 +1,226 @@
+#include "dandelionbay/app/dev_fleet.hpp"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+#include <thread>
+#include <utility>
+
+#include "dandelionbay/app/first_config.hpp"
+#include "dandelionbay/base/text.hpp"
+
+namespace dandelionbay::app {
+
+namespace {
+
+constexpr auto* loopback = "127.0.0.1";
+constexpr std::chrono::seconds start_limit{20};
+/*! No balancer sends connections to a development fleet; the stop need not wait for one. */
+constexpr std::chrono::milliseconds balancer_delay{200};
+constexpr std::uint32_t caller_threads = 128;
+
+struct place {
+    std::string_view name;
+    std::string_view region;
+    std::string_view zone;
+};
+
+constexpr std::array routers{place{"router-1", "west", "west-1"}, place{"router-2", "east", "east-1"}};
+constexpr std::array engines{place{"engine-1", "west", "west-1"}, place{"engine-2", "west", "west-1"},
+                             place{"engine-3", "west", "west-2"}, place{"engine-4", "east", "east-1"}};
+constexpr std::array order_services{place{"orders-1", "west", "west-2"}, place{"orders-2", "east", "east-1"}};
+
+constexpr std::string_view document = R"json({
+    "zones": [{"name": "west-1", "region": "west"}, {"name": "west-2", "region": "west"},
+              {"name": "east-1", "region": "east"}],
+    "endpoints": [{"name": "engine-1", "zone": "west-1", "labels": {"serves": "chat"}},
+                  {"name": "engine-2", "zone": "west-1", "labels": {"serves": "chat"}},
+                  {"name": "engine-3", "zone": "west-2", "labels": {"serves": "chat"}},
+                  {"name": "engine-4", "zone": "east-1", "labels": {"serves": "chat"}},
+                  {"name": "orders-1", "zone": "west-2", "labels": {"serves": "orders"}, "cold_slots": 8},
+                  {"name": "orders-2", "zone": "east-1", "labels": {"serves": "orders"}, "cold_slots": 8}],
+    "pools": [{"name": "chat", "endpoints": "serves=chat"}, {"name": "orders", "endpoints": "serves=orders"}],
+    "services": [{"name": "chat", "kind": "model", "model": "dev-model", "pool": "chat"},
+                 {"name": "orders", "kind": "plain", "pool": "orders",
+                  "not_repeatable": [{"method": "POST", "path_prefix": "/orders"}]}],
+    "teams": [{"name": "team-1", "token": "dev-team-1"}, {"name": "team-2", "token": "dev-team-2"},
+              {"name": "team-3", "token": "dev-team-3"}, {"name": "team-4", "token": "dev-team-4"}],
+    "zones_out": "service=out",
+    "endpoints_leaving": "state=leaving"
+})json";
+
+/*! A port that was free a moment ago; zero if there is none. */
+[[nodiscard]] std::uint16_t free_port() {
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): the socket interface takes sockaddr.
+    auto* const generic = reinterpret_cast<sockaddr*>(&address);
+    const bool bound = ::bind(fd, generic, size) == 0 && ::getsockname(fd, generic, &size) == 0;
+    ::close(fd);
+    return bound ? ntohs(address.sin_port) : std::uint16_t{0};
+}
+
+[[nodiscard]] host_entry entry_of(const place& at, std::string host, host_role role) {
+    return host_entry{host_id{std::move(host)},
+                      role,
+                      region_id{std::string{at.region}},
+                      zone_id{std::string{at.zone}},
+                      socket_address{loopback, free_port()},
+                      false};
+}
+
+[[nodiscard]] node_options options_of(const host_entry& host, const std::vector<host_entry>& hosts,
+                                      std::uint16_t store_port) {
+    node_options out;
+    out.host = host.host;
+    out.region = host.region;
+    out.zone = host.zone;
+    out.peer_listen = host.peer;
+    out.store = socket_address{loopback, store_port};
+    out.hosts = hosts;
+    return out;
+}
+
+/*! Stops all nodes at the same time, because each stop waits for its running requests. */
+template<typename Node>
+void stop_all(std::vector<std::unique_ptr<Node>>& nodes) noexcept {
+    std::vector<std::thread> threads;
+    threads.reserve(nodes.size());
+    for (auto& it : nodes) {
+        threads.emplace_back([&it] { it->stop(); });
+    }
+    for (auto& it : threads) {
+        it.join();
+    }
+    nodes.clear();
+}
+
+} // namespace
+
+dev_fleet::dev_fleet(dev_options options) : options_{std::move(options)} {
+    for (const auto& it : routers) {
+        hosts_.push_back(entry_of(it, std::string{it.name}, host_role::router));
+    }
+    for (const auto& it : engines) {
+        hosts_.push_back(entry_of(it, concat("agent-", it.name), host_role::agent));
+    }
+    for (const auto& it : order_services) {
+        hosts_.push_back(entry_of(it, concat("agent-", it.name), host_role::agent));
+    }
+}
+
+dev_fleet::~dev_fleet() {
+    stop();
+}
+
+absl::Status dev_fleet::start_platform() {
+    const auto rows = std::make_shared<table_map>();
+    if (auto status = store_first_config(rows, document); !status.ok()) {
+        return status;
+    }
+    standin_platform_options options;
+    options.hosts = hosts_;
+    platform_ = std::make_unique<standin_platform>(options, rows);
+    return platform_->start();
+}
+
+absl::Status dev_fleet::start_endpoints() {
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+        engines_.push_back(std::make_unique<standin_engine>(standin_engine_options{}));
+        if (auto status = engines_.back()->start(); !status.ok()) {
+            return status;
+        }
+    }
+    for (std::size_t i = 0; i < order_services.size(); ++i) {
+        services_.push_back(std::make_unique<standin_service>(standin_service_options{}));
+        if (auto status = services_.back()->start(); !status.ok()) {
+            return status;
+        }
+    }
+    return absl::OkStatus();
+}
+
+absl::Status dev_fleet::start_agents() {
+    for (std::size_t i = 0; i < engines.size() + order_services.size(); ++i) {
+        const bool engine = i < engines.size();
+        const auto& at = engine ? engines.at(i) : order_services.at(i - engines.size());
+        const auto port = engine ? engines_.at(i)->port() : services_.at(i - engines.size())->port();
+        agent_node_options options;
+        options.common = options_of(hosts_.at(routers.size() + i), hosts_, platform_->port());
+        options.endpoint = endpoint_id{std::string{at.name}};
+        options.endpoint_address = socket_address{loopback, port};
+        agents_.push_back(std::make_unique<agent_node>(options));
+        if (auto status = agents_.back()->start(); !status.ok()) {
+            return status;
+        }
+    }
+    return absl::OkStatus();
+}
+
+absl::Status dev_fleet::start_routers() {
+    for (std::size_t i = 0; i < routers.size(); ++i) {
+        router_node_options options;
+        options.common = options_of(hosts_.at(i), hosts_, platform_->port());
+        options.caller_listen = socket_address{loopback, i == 0 ? options_.port : std::uint16_t{0}};
+        options.admin_listen = socket_address{loopback, i == 0 ? options_.admin_port : std::uint16_t{0}};
+        options.admin_token = options_.admin_token;
+        options.caller_threads = caller_threads;
+        options.balancer_delay = balancer_delay;
+        routers_.push_back(std::make_unique<router_node>(options));
+        if (auto status = routers_.back()->start(); !status.ok()) {
+            return status;
+        }
+    }
+    return absl::OkStatus();
+}
+
+bool dev_fleet::serving() {
+    return std::ranges::all_of(routers_, [&](const auto& router) {
+        const auto nodes = router->view().nodes();
+        return nodes.size() == hosts_.size() && std::ranges::all_of(nodes, [](const node_state& it) {
+                   return it.state == "live" && it.config_revision > 0;
+               });
+    });
+}
+
+absl::Status dev_fleet::wait_until_serving() {
+    const auto limit = std::chrono::steady_clock::now() + start_limit;
+    while (!serving()) {
+        if (std::chrono::steady_clock::now() > limit) {
+            return absl::DeadlineExceededError("not all hosts are live with a configuration");
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+    }
+    return absl::OkStatus();
+}
+
+absl::Status dev_fleet::start() {
+    auto status = start_platform();
+    if (status.ok()) {
+        status = start_endpoints();
+    }
+    if (status.ok()) {
+        status = start_agents();
+    }
+    if (status.ok()) {
+        status = start_routers();
+    }
+    return status.ok() ? wait_until_serving() : status;
+}
+
+void dev_fleet::stop() noexcept {
+    stop_all(routers_);
+    stop_all(agents_);
+    engines_.clear();
+    services_.clear();
+    platform_.reset();
+}
+
+} // namespace dandelionbay::app
--- /dev/null
+++ b/src/dandelionbay/app/dev_fleet.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "dandelionbay/node/agent_node.hpp"
+#include "dandelionbay/node/router_node.hpp"
+#include "dandelionbay/standin/standin_engine.hpp"
+#include "dandelionbay/standin/standin_platform.hpp"
+#include "dandelionbay/standin/standin_service.hpp"
+
+namespace dandelionbay::app {
+
+/*! @brief Ports and token of a development fleet. */
+struct dev_options {
+    std::uint16_t port{};       //!< Callers of the first router.
+    std::uint16_t admin_port{}; //!< Operators of the first router.
+    std::string admin_token{"dev-admin"};
+
+    friend bool operator==(const dev_options&, const dev_options&) = default;
+};
+
+/**
+ * @brief A whole fleet in one process over loopback sockets.
+ *
+ * 2 entry routers, 3 zones in 2 regions, 4 agents in front of model engine stand-ins, 2 in front of order service
+ * stand-ins, and a platform stand-in.
+ */
+class dev_fleet {
+    [[nodiscard]] absl::Status start_platform();
+    [[nodiscard]] absl::Status start_endpoints();
+    [[nodiscard]] absl::Status start_agents();
+    [[nodiscard]] absl::Status start_routers();
+    [[nodiscard]] absl::Status wait_until_serving();
+    [[nodiscard]] bool serving();
+
+public:
+    /*! @brief Creates a fleet that does not run yet. @param options Ports and token. */
+    explicit dev_fleet(dev_options options);
+    dev_fleet(const dev_fleet&) = delete;
+    dev_fleet(dev_fleet&&) = delete;
+    dev_fleet& operator=(const dev_fleet&) = delete;
+    dev_fleet& operator=(dev_fleet&&) = delete;
+    ~dev_fleet();
+
+    /*! @brief Starts everything and waits until calls are served. @return The first error. */
+    [[nodiscard]] absl::Status start();
+
+    /*! @brief Graceful stop of all routers, then of all agents, then of the stand-ins. */
+    void stop() noexcept;
+
+private:
+    dev_options options_;
+    std::vector<host_entry> hosts_;
+    std::unique_ptr<standin_platform> platform_;
+    std::vector<std::unique_ptr<standin_engine>> engines_;
+    std::vector<std::unique_ptr<standin_service>> services_;
+    std::vector<std::unique_ptr<agent_node>> agents_;
+    std::vector<std::unique_ptr<router_node>> routers_;
+};
+
+} // namespace dandelionbay::app
