--- a/src/dandelionbay/app/serve.cpp
+++ b/src/dandelionbay/app/serve.cpp
@@ -4,6 +4,7 @@
 #include "absl/flags/flag.h"
 #include "dandelionbay/app/command.hpp"
 #include "dandelionbay/app/stop_signal.hpp"
+#include "dandelionbay/base/event_log.hpp"
 #include "dandelionbay/base/text.hpp"
 #include "dandelionbay/node/agent_node.hpp"
 #include "dandelionbay/node/router_node.hpp"
@@ -15,14 +16,30 @@
 
 namespace {
 
+[[nodiscard]] event_log_options log_options(const process_settings& settings, const node_options& node) {
+    auto level = log_level::info;
+    if (settings.log.level == "debug") {
+        level = log_level::debug;
+    } else if (settings.log.level == "warn") {
+        level = log_level::warn;
+    } else if (settings.log.level == "error") {
+        level = log_level::error;
+    }
+    return event_log_options{level, settings.log.output, node.host, node.zone};
+}
+
 template<typename Node>
-[[nodiscard]] int serve_until_stopped(Node& node, const stop_signal& signal) {
+[[nodiscard]] int serve_until_stopped(Node& node, const stop_signal& signal, event_log& log) {
     if (const auto status = node.start(); !status.ok()) {
+        log.write(log_level::error, "start_failed", {{"reason", std::string{status.message()}}});
         return failure(from_absl(status.message()));
     }
+    log.write(log_level::info, "started");
     std::cout << "ready" << std::endl; // Flushed, because a script waits for this line.
     signal.wait();
+    log.write(log_level::info, "stopping");
     node.stop();
+    log.write(log_level::info, "stopped");
     return exit_ok;
 }
 
@@ -37,12 +54,14 @@
         return usage_error(concat(path, ":\n", from_absl(settings.status().message())));
     }
     if (settings->role == process_role::router) {
+        event_log log{log_options(*settings, settings->router.common)};
         router_node router{settings->router};
-        return serve_until_stopped(router, signal);
+        return serve_until_stopped(router, signal, log);
     }
     if (settings->role == process_role::agent) {
+        event_log log{log_options(*settings, settings->agent.common)};
         agent_node agent{settings->agent};
-        return serve_until_stopped(agent, signal);
+        return serve_until_stopped(agent, signal, log);
     }
     return usage_error(concat(path, ": the role ", to_string(settings->role), " is a stand-in; see standin --help"));
 }
--- a/src/dandelionbay/node/node_driver.cpp
+++ b/src/dandelionbay/node/node_driver.cpp
@@ -136,6 +136,10 @@
 
 void node_driver::publish(time_point now) {
     snapshot next{fleet_.members().members(now), fleet_.members().hears_majority(now), fleet_.listed()};
+    // The membership learns revisions from messages, and a host sends none to itself.
+    for (auto& it : next.members) {
+        it.config_revision = it.entry.host == options_.host ? fleet_.revision() : it.config_revision;
+    }
     const std::lock_guard lock{snapshot_mutex_};
     snapshot_ = std::move(next);
 }
