Give the nodes of serve the event log of their settings

Measured: tools/demo ends with status 0. The 18 tests of label, config, settings, administration and app pass under the thread sanitizer, the whole dev fleet included; the address sanitizer was not run.

--- a/src/dandelionbay/app/serve.cpp
+++ b/src/dandelionbay/app/serve.cpp
@@ -1,4 +1,5 @@
 #include <iostream>
+#include <memory>
 
 #include "absl/flags/declare.h"
 #include "absl/flags/flag.h"
@@ -54,14 +55,16 @@
         return usage_error(concat(path, ":\n", from_absl(settings.status().message())));
     }
     if (settings->role == process_role::router) {
-        event_log log{log_options(*settings, settings->router.common)};
-        router_node router{settings->router};
-        return serve_until_stopped(router, signal, log);
+        node_environment environment;
+        environment.log = std::make_shared<event_log>(log_options(*settings, settings->router.common));
+        router_node router{settings->router, environment};
+        return serve_until_stopped(router, signal, *environment.log);
     }
     if (settings->role == process_role::agent) {
-        event_log log{log_options(*settings, settings->agent.common)};
-        agent_node agent{settings->agent};
-        return serve_until_stopped(agent, signal, log);
+        node_environment environment;
+        environment.log = std::make_shared<event_log>(log_options(*settings, settings->agent.common));
+        agent_node agent{settings->agent, environment};
+        return serve_until_stopped(agent, signal, *environment.log);
     }
     return usage_error(concat(path, ": the role ", to_string(settings->role), " is a stand-in; see standin --help"));
 }
