Let the exchange peers share the byte pace

Cause: when the exchange pace is used up it allows one message at a time, and each exchange visited the peers in the order of their names. The first peer took every message; the others got no rows as long as the load lasted, so their counters stood still and the bound of design section 5 did not hold for them.

Ruled out: a pace for each peer, which multiplies the bytes by the number of peers and breaks the limit of 9 KB/s.

Change: an exchange starts behind the peer that was sent rows last, as the demand does for agents. A router_fairness test drives three peers with 100 changing teams each.

Conclusion: no peer is left out any more.

--- a/src/dandelionbay/router/internal/state.hpp
+++ b/src/dandelionbay/router/internal/state.hpp
@@ -150,7 +150,8 @@
     time_point next_demand_{};
     time_point next_exchange_{};
     time_point next_slow_{};
-    host_id demand_turn_; // agent from which the next round of demands starts, when the pace runs out
+    host_id demand_turn_;   // agent from which the next round of demands starts, when the pace runs out
+    host_id exchange_turn_; // peer that was sent rows last; the next exchange starts behind it
     bool stopping_{};
     actions out_;
 };
--- a/src/dandelionbay/router/internal/state_event.cpp
+++ b/src/dandelionbay/router/internal/state_event.cpp
@@ -122,9 +122,9 @@
         return;
     }
     next_exchange_ = now + exchange_interval;
-    for (const auto& host : exchange_peers_) {
+    const auto visit = [&](const host_id& host) {
         if (!routers_up_.contains(host) || !exchange_pace_.take(0.0, 0.0, now)) {
-            continue;
+            return;
         }
         auto rows = ledger_.take_changes(host, exchange_rows, repair_rows);
         const auto count = rows.rows.size() + rows.lifts.size();
@@ -132,8 +132,13 @@
             std::ignore = exchange_pace_.take(row_bytes * static_cast<double>(count), 0.0, now);
             metrics_->add("ledger_rows_sent_total", {}, static_cast<counters::value_type>(count));
             send(host, std::move(rows));
+            exchange_turn_ = host;
         }
-    }
+    };
+    // When the pace allows one message at a time, a fixed order would send all of them to the first peer.
+    const auto begin = exchange_peers_.upper_bound(host_id{exchange_turn_});
+    std::for_each(begin, exchange_peers_.end(), visit);
+    std::for_each(exchange_peers_.begin(), begin, visit);
 }
 
 void router_core::state::slow_work(time_point now) {
--- a/test/dandelionbay/router/router_fairness_test.cpp
+++ b/test/dandelionbay/router/router_fairness_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "dandelionbay/router/fake_fleet.hpp"
+#include "dandelionbay/router/fake_router.hpp"
 #include "dandelionbay/router/internal/limits.hpp"
 
 namespace dandelionbay {
@@ -158,5 +159,40 @@
     RecordProperty("share_ahead", std::to_string(ahead / all));
 }
 
+// Guards against an exchange that sends all rows to the first peer while the byte pace allows one message at a time.
+TEST(router_fairness, every_peer_gets_rows_when_the_pace_runs_out) {
+    one_router it{make_config(100, 1)};
+    const std::vector<host_id> peers{host("router", 1), host("router", 2), host("router", 3)};
+    for (std::size_t n = 1; n <= peers.size(); ++n) {
+        it.take(it.core.link_up(router_hello(n), it.now));
+    }
+    it.take(it.core.set_exchange_peers(peers, it.now));
+    const auto exchange_for = [&](std::uint64_t first, std::uint64_t last) {
+        for (auto version = first; version <= last; ++version) {
+            for (const auto& peer : peers) {
+                ledger_rows changed;
+                for (std::size_t n = 0; n < 100; ++n) {
+                    changed.rows.push_back({pool, team(n), peer, 1, version, static_cast<double>(version), 0.0, 0});
+                }
+                it.take(it.core.receive(peer, changed, it.now));
+            }
+            it.pass(milliseconds{200});
+        }
+    };
+    exchange_for(1, 50); // uses the burst up
+    it.log.clear();
+    exchange_for(51, 200);
+    std::map<host_id, std::size_t> sent;
+    for (const auto& action : it.log) {
+        const auto* const out = std::get_if<send_message>(&action);
+        if (out != nullptr && std::holds_alternative<ledger_rows>(out->body)) {
+            ++sent[out->to];
+        }
+    }
+    for (const auto& peer : peers) {
+        EXPECT_GE(sent[peer], 5U) << peer.value << " gets its part of about 22 messages";
+    }
+}
+
 } // namespace
 } // namespace dandelionbay
