Count crashes of endpoints by id and stop refused requests at agents

Cause: three faults let a request run at a third endpoint after two crashes. Endpoints that crashed at the same moment both reported crash number 1, and the merge by maximum counted one. After a clearance an agent's crash number 1 did not exceed the cleared number, so it was not counted. A router that was paused or cut off submitted a request that others had refused, and agents did not know of the refusal.

Ruled out: sending every suspicion to agents. One crash with 100 running requests would be 100 messages to each of 340 agents, over the 9 KB/s of control traffic. Refusals need two crashes and are rare.

Change: a crash has an id (48-bit hash of the agent's host and incarnation, 16-bit sequence number; 0 for the loss of the agent). A suspicion carries the ids that count and the cleared ids, merged by union, at most 8 for a request. Routers and agents use crash_register; suspicion_memory is removed. A submit names its crashes, and a normal end clears those known when the run started, not later ones. Routers tell agents when a request becomes refused or is cleared again, and on link_up of an agent. All routers that lose an agent name the same crash, and a crash elsewhere no longer hides that loss. Waiting requests also end when the loss of an agent makes them refused.

Expectations of earlier tests name ids instead of numbers. The case of a clearance without a number is gone with that message; a case that a clearance covers only its ids takes its place.

The suspicion and submit messages changed format under the same protocol version; a link between hosts of both versions closes at the first such message.

--- a/src/dandelionbay/agent/agent_admission.cpp
+++ b/src/dandelionbay/agent/agent_admission.cpp
@@ -26,7 +26,7 @@
     if (!allowed(it.team)) {
         return result_code::not_permitted;
     }
-    if (crashes >= internal::suspicion_memory::refusal) {
+    if (crashes >= crash_register::refused_at) {
         return result_code::crashes_endpoints;
     }
     const bool suspect_runs = std::ranges::any_of(runs_, [](const auto& run) { return run.second.crashes > 0; });
@@ -65,7 +65,8 @@
         reject(from, it, result_code::duplicate_request, out);
         return;
     }
-    const auto crashes = std::max(it.suspicion, suspicions_.crashes(it.fingerprint, now));
+    suspicions_.merge(suspicion{.fingerprint = it.fingerprint, .crashes = it.crashes}, now);
+    const auto crashes = std::max(it.suspicion, suspicions_.crashes(it.fingerprint));
     if (const auto code = check(it, held, crashes, now); code != result_code::ok) {
         if (held.has_value()) {
             release({*held}, now);
@@ -84,6 +85,7 @@
     run.started = now;
     run.deadline = now + std::chrono::milliseconds{it.timeout_ms};
     run.crashes = crashes;
+    run.known = suspicions_.known(it.fingerprint).crashes;
     run.remote = held->remote;
     run.remote_bytes = held->bytes;
     if (!runs_.emplace(it.id, std::move(run)).second) {
--- a/src/dandelionbay/agent/agent_links.cpp
+++ b/src/dandelionbay/agent/agent_links.cpp
@@ -45,7 +45,8 @@
                                                   .up = true,
                                                   .remote = peer.region != settings_.region,
                                                   .other_zone = peer.zone != settings_.zone});
-    for (const auto& it : suspicions_.all(now)) {
+    suspicions_.expire(now);
+    for (const auto& it : suspicions_.all()) {
         out.emplace_back(send_message{peer.host, it});
     }
 }
--- a/src/dandelionbay/agent/agent_runs.cpp
+++ b/src/dandelionbay/agent/agent_runs.cpp
@@ -104,24 +104,25 @@
     runs_.erase(it);
 }
 
-void agent_core::state::suspect(std::uint64_t fingerprint, std::uint32_t crashes, time_point now, actions& out) {
-    const suspicion news{.fingerprint = fingerprint, .crashes = crashes + 1};
-    suspicions_.merge(news, now);
-    broadcast(news, out);
+void agent_core::state::suspect(std::uint64_t fingerprint, crash_id id, time_point now, actions& out) {
+    if (suspicions_.crashed(fingerprint, id, now)) {
+        broadcast(suspicions_.known(fingerprint), out);
+    }
 }
 
 void agent_core::state::crash(time_point now, actions& out) {
     metrics_.add("endpoint_crashes_total");
     crashed_process_ = process_;
+    const auto id = make_crash_id(settings_.host, settings_.incarnation, ++crash_sequence_);
     for (const auto& it : broken_) {
         if (it.ended + internal::crash_window >= now) {
-            suspect(it.fingerprint, it.crashes, now, out);
+            suspect(it.fingerprint, id, now, out);
         }
     }
     broken_.clear();
     while (!runs_.empty()) {
         const auto it = runs_.begin();
-        suspect(it->second.work.fingerprint, it->second.crashes, now, out);
+        suspect(it->second.work.fingerprint, id, now, out);
         end_run(it, result_code::endpoint_failed, executed::unknown, now, out);
     }
     foreign_ = 0;
@@ -188,10 +189,8 @@
         if (!run.work.model_call) {
             ramp_.completed(run.started, now);
         }
-        if (run.crashes > 0) {
-            const suspicion news{.fingerprint = run.work.fingerprint, .cleared = true};
-            suspicions_.merge(news, now);
-            broadcast(news, out);
+        if (suspicions_.finished(run.work.fingerprint, run.known, now)) {
+            broadcast(suspicions_.known(run.work.fingerprint), out);
         }
         end_run(it, result_code::ok, executed::yes, now, out);
         break;
@@ -206,7 +205,7 @@
         paused_until_ = std::max(paused_until_.value_or(now), now + internal::refusal_pause);
         break;
     case run_end::broken:
-        broken_.push_back(broken_run{run.work.fingerprint, run.crashes, now});
+        broken_.push_back(broken_run{run.work.fingerprint, now});
         while (broken_.front().ended + internal::crash_window < now) {
             broken_.pop_front();
         }
--- a/src/dandelionbay/agent/agent_state.cpp
+++ b/src/dandelionbay/agent/agent_state.cpp
@@ -167,6 +167,7 @@
         paused_until_.reset();
         lost_ = false;
     }
+    suspicions_.expire(now);
     sweep_runs(now, out);
     sweep_answers(now);
 }
--- a/src/dandelionbay/agent/agent_state.hpp
+++ b/src/dandelionbay/agent/agent_state.hpp
@@ -17,8 +17,8 @@
 #include "dandelionbay/agent/demand_board.hpp"
 #include "dandelionbay/agent/floor_book.hpp"
 #include "dandelionbay/agent/grant_book.hpp"
-#include "dandelionbay/agent/suspicion_memory.hpp"
 #include "dandelionbay/limit/byte_budget.hpp"
+#include "dandelionbay/limit/crash_register.hpp"
 #include "dandelionbay/limit/ramp_limiter.hpp"
 
 namespace dandelionbay {
@@ -46,6 +46,9 @@
 /*! @brief Pause of grants after the endpoint refused a request, so that requests don't circulate. */
 inline constexpr duration refusal_pause = std::chrono::milliseconds{200};
 
+/*! @brief Largest number of suspected fingerprints an agent remembers; it knows mostly those of its own endpoint. */
+inline constexpr std::size_t suspicion_capacity = 1'024;
+
 /*! @brief Runs that broke off this shortly before a crash was noticed count as present at the crash. */
 inline constexpr duration crash_window = std::chrono::seconds{1};
 
@@ -70,7 +73,8 @@
         time_point deadline{};
         std::uint64_t request_bytes{};
         std::uint32_t input_tokens{};
-        std::uint32_t crashes{}; //!< Highest known suspicion at the start.
+        std::uint32_t crashes{};       //!< Highest known suspicion at the start.
+        std::vector<crash_id> known{}; //!< Crashes that counted against it at the start.
         bool remote{};
         double remote_bytes{}; //!< Bytes taken from the budget between regions.
         bool attached{true};   //!< The router's link carries the answer.
@@ -104,7 +108,6 @@
 
     struct broken_run {
         std::uint64_t fingerprint{};
-        std::uint32_t crashes{};
         time_point ended{};
     };
 
@@ -151,7 +154,7 @@
     [[nodiscard]] run_state* find_run(const request_id& id);
     void end_unstarted(run_map::iterator it, time_point now, actions& out);
     void crash(time_point now, actions& out);
-    void suspect(std::uint64_t fingerprint, std::uint32_t crashes, time_point now, actions& out);
+    void suspect(std::uint64_t fingerprint, crash_id id, time_point now, actions& out);
     void stop_run(run_state& run, result_code why, actions& out);
     void resume_answer(const host_id& from, const resume& it, actions& out);
     void sweep_runs(time_point now, actions& out);
@@ -239,7 +242,8 @@
     run_map ended_{}; //!< Ended runs whose answer is kept.
     std::set<std::pair<time_point, request_id>> ended_order_{};
     std::size_t ended_bytes_{};
-    internal::suspicion_memory suspicions_{};
+    crash_register suspicions_{internal::suspicion_capacity};
+    std::uint16_t crash_sequence_{}; //!< Crashes of the endpoint that this incarnation has seen.
     std::deque<broken_run> broken_{};
 };
 
--- a/src/dandelionbay/base/ids.hpp
+++ b/src/dandelionbay/base/ids.hpp
@@ -54,6 +54,9 @@
 /*! @brief Number of one life of a process; a later life of the same host has a higher number. */
 using incarnation_type = std::uint64_t;
 
+/*! @brief One crash of an endpoint; see make_crash_id. */
+using crash_id = std::uint64_t;
+
 /*! @brief Identifies a request across the fleet; never reused, also after a restart of the router. */
 struct request_id {
     host_id router{};
--- a/src/dandelionbay/limit/crash_register.cpp
+++ b/src/dandelionbay/limit/crash_register.cpp
@@ -2,49 +2,91 @@
 
 #include <algorithm>
 
+#include <xxhash.h>
+
 namespace dandelionbay {
 
-bool crash_register::raise(std::uint64_t fingerprint, std::uint32_t crashes, std::uint32_t cleared, time_point now) {
-    auto& it = records_[fingerprint];
-    const auto more_crashes = std::max(it.crashes, crashes);
-    const auto more_cleared = std::max(it.cleared, cleared);
-    if (more_crashes == it.crashes && more_cleared == it.cleared) {
-        return false;
+namespace {
+
+constexpr crash_id sequence_mask = 0xffff;
+
+} // namespace
+
+crash_id make_crash_id(const host_id& agent, incarnation_type incarnation, std::uint16_t sequence) {
+    return (XXH64(agent.value.data(), agent.value.size(), incarnation) & ~sequence_mask) | sequence;
+}
+
+bool same_agent(crash_id a, crash_id b) noexcept {
+    return (a & ~sequence_mask) == (b & ~sequence_mask);
+}
+
+std::uint32_t crash_register::count(const record& in) noexcept {
+    return static_cast<std::uint32_t>(std::ranges::count(in.crashes, false, &crash::cleared));
+}
+
+suspicion crash_register::message_of(std::uint64_t fingerprint, const record& in) {
+    suspicion out{.fingerprint = fingerprint};
+    for (const auto& it : in.crashes) {
+        (it.cleared ? out.cleared : out.crashes).push_back(it.id);
     }
-    it = record{more_crashes, more_cleared, now};
+    return out;
+}
+
+bool crash_register::add(record& to, crash_id id, bool cleared) {
+    const auto it = std::ranges::find(to.crashes, id, &crash::id);
+    if (it != to.crashes.end()) {
+        const bool changed = cleared && !it->cleared;
+        it->cleared = it->cleared || cleared;
+        return changed;
+    }
+    if (to.crashes.size() >= most_crashes) {
+        const auto oldest = std::ranges::find(to.crashes, true, &crash::cleared);
+        if (cleared || oldest == to.crashes.end()) {
+            return false;
+        }
+        to.crashes.erase(oldest);
+    }
+    to.crashes.push_back(crash{id, cleared});
     return true;
 }
 
-suspicion crash_register::crashed(std::uint64_t fingerprint, time_point now) {
-    const auto it = records_.find(fingerprint);
-    const auto number = (it != records_.end() ? it->second.crashes : 0) + 1;
-    raise(fingerprint, number, 0, now);
-    return {fingerprint, number, false};
+bool crash_register::crashed(std::uint64_t fingerprint, crash_id id, time_point now) {
+    return merge(suspicion{.fingerprint = fingerprint, .crashes = {id}}, now);
 }
 
 bool crash_register::merge(const suspicion& in, time_point now) {
-    if (in.cleared && in.crashes == 0) {
-        // An agent that saw the request finish names no number. It covers a single crash only: a request that is
-        // refused does not run, so it can't have finished since.
-        const auto known = crashes(in.fingerprint);
-        return known > 0 && known < refused_at && !finished(in.fingerprint, now).empty();
+    if (in.crashes.empty() && in.cleared.empty()) {
+        return false;
+    }
+    if (records_.size() >= capacity_ && !records_.contains(in.fingerprint)) {
+        records_.erase(std::ranges::min_element(records_, {}, [](const auto& it) { return it.second.changed; }));
+    }
+    auto& it = records_[in.fingerprint];
+    bool changed = false;
+    for (const auto id : in.cleared) {
+        changed = add(it, id, true) || changed;
+    }
+    for (const auto id : in.crashes) {
+        changed = add(it, id, false) || changed;
+    }
+    if (changed) {
+        it.changed = now;
     }
-    return in.crashes > 0 && raise(in.fingerprint, in.crashes, in.cleared ? in.crashes : 0, now);
+    return changed;
 }
 
-std::vector<suspicion> crash_register::finished(std::uint64_t fingerprint, time_point now) {
-    const auto it = records_.find(fingerprint);
-    if (it == records_.end() || it->second.cleared >= it->second.crashes) {
-        return {};
-    }
-    const auto number = it->second.crashes;
-    raise(fingerprint, number, number, now);
-    return {suspicion{fingerprint, number, true}};
+bool crash_register::finished(std::uint64_t fingerprint, std::span<const crash_id> covered, time_point now) {
+    return merge(suspicion{.fingerprint = fingerprint, .cleared = {covered.begin(), covered.end()}}, now);
 }
 
 std::uint32_t crash_register::crashes(std::uint64_t fingerprint) const {
     const auto it = records_.find(fingerprint);
-    return it != records_.end() ? it->second.crashes - std::min(it->second.cleared, it->second.crashes) : 0;
+    return it != records_.end() ? count(it->second) : 0;
+}
+
+suspicion crash_register::known(std::uint64_t fingerprint) const {
+    const auto it = records_.find(fingerprint);
+    return it != records_.end() ? message_of(fingerprint, it->second) : suspicion{.fingerprint = fingerprint};
 }
 
 void crash_register::expire(time_point now) {
@@ -54,11 +96,16 @@
 std::vector<suspicion> crash_register::all() const {
     std::vector<suspicion> out;
     for (const auto& [fingerprint, it] : records_) {
-        if (it.cleared > 0) {
-            out.push_back(suspicion{fingerprint, it.cleared, true});
-        }
-        if (it.crashes > it.cleared) {
-            out.push_back(suspicion{fingerprint, it.crashes, false});
+        out.push_back(message_of(fingerprint, it));
+    }
+    return out;
+}
+
+std::vector<suspicion> crash_register::all_refused() const {
+    std::vector<suspicion> out;
+    for (const auto& [fingerprint, it] : records_) {
+        if (count(it) >= refused_at) {
+            out.push_back(message_of(fingerprint, it));
         }
     }
     return out;
--- a/src/dandelionbay/limit/crash_register.hpp
+++ b/src/dandelionbay/limit/crash_register.hpp
@@ -3,28 +3,48 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <span>
 #include <vector>
 
 #include "dandelionbay/base/clock.hpp"
+#include "dandelionbay/base/ids.hpp"
 #include "dandelionbay/limit/fwd.hpp"
 #include "dandelionbay/wire/message.hpp"
 
 namespace dandelionbay {
 
 /**
- * @brief Requests that were running when an endpoint crashed, by fingerprint.
+ * @brief Names one crash of an endpoint. Every host that sees the crash computes the same name.
+ * @param agent Agent of the endpoint.
+ * @param incarnation Incarnation of the agent.
+ * @param sequence Crashes the agent has seen in this incarnation, from 1; 0 for the loss of the agent itself.
+ * @return Hash of agent and incarnation in the upper 48 bits, sequence in the lower 16.
+ */
+[[nodiscard]] crash_id make_crash_id(const host_id& agent, incarnation_type incarnation, std::uint16_t sequence);
+
+/*! @brief Tells whether two crashes were at the same incarnation of an agent. */
+[[nodiscard]] bool same_agent(crash_id a, crash_id b) noexcept;
+
+/**
+ * @brief Requests that were running when an endpoint crashed, by fingerprint; used by routers and agents.
  *
- * The number of crashes only grows and is merged by maximum. A clearance names the number it covers, so a late message
- * from before the clearance does not bring the suspicion back.
+ * Known and cleared crashes are sets of ids that are merged by union. Messages may therefore be lost, repeated and
+ * reordered, crashes at the same moment all count, and a late message does not bring a cleared crash back.
  */
 class crash_register {
+    struct crash {
+        crash_id id{};
+        bool cleared{};
+    };
+
     struct record {
-        std::uint32_t crashes{};
-        std::uint32_t cleared{}; // crashes that do not count any more
+        std::vector<crash> crashes{}; // oldest first
         time_point changed{};
     };
 
-    bool raise(std::uint64_t fingerprint, std::uint32_t crashes, std::uint32_t cleared, time_point now);
+    [[nodiscard]] static std::uint32_t count(const record& in) noexcept;
+    [[nodiscard]] static suspicion message_of(std::uint64_t fingerprint, const record& in);
+    [[nodiscard]] static bool add(record& to, crash_id id, bool cleared);
 
 public:
     using size_type = std::size_t;
@@ -35,14 +55,36 @@
     /*! @brief Crashes from which on a request is refused. */
     static constexpr std::uint32_t refused_at = 2;
 
-    /*! @brief Counts a crash. @param fingerprint Request that was running. @return Message for the other hosts. */
-    [[nodiscard]] suspicion crashed(std::uint64_t fingerprint, time_point now);
+    /**
+     * @brief Largest number of crashes kept for a request.
+     *
+     * When it is reached the oldest cleared crash makes room. Without a cleared one the request is refused anyway.
+     */
+    static constexpr size_type most_crashes = 8;
+
+    /**
+     * @brief Largest number of records by default; the least recently changed one makes room.
+     *
+     * A failed zone with 100 endpoints and 100 requests on each needs 10,000.
+     */
+    static constexpr size_type default_capacity = 16'384;
+
+    /*! @brief Creates an empty register. @param capacity Largest number of records. */
+    explicit crash_register(size_type capacity = default_capacity) noexcept : capacity_{capacity} {}
+
+    /*! @brief Counts a crash. @param fingerprint Request that was running. @return True if it was not known yet. */
+    bool crashed(std::uint64_t fingerprint, crash_id id, time_point now);
 
     /*! @brief Merges a message. @return True if it changed the register and is worth passing on. */
     bool merge(const suspicion& in, time_point now);
 
-    /*! @brief The request finished normally. @return Messages for the other hosts; none if it was no suspect. */
-    [[nodiscard]] std::vector<suspicion> finished(std::uint64_t fingerprint, time_point now);
+    /**
+     * @brief The request finished normally.
+     * @param fingerprint The request.
+     * @param covered Crashes that were known when the run started; others are not cleared.
+     * @return True if it changed the register.
+     */
+    bool finished(std::uint64_t fingerprint, std::span<const crash_id> covered, time_point now);
 
     /*! @brief Crashes that count against a request. */
     [[nodiscard]] std::uint32_t crashes(std::uint64_t fingerprint) const;
@@ -50,17 +92,24 @@
     /*! @brief Tells whether a request is refused. */
     [[nodiscard]] bool refused(std::uint64_t fingerprint) const { return crashes(fingerprint) >= refused_at; }
 
+    /*! @brief Message with all that is known of a request. */
+    [[nodiscard]] suspicion known(std::uint64_t fingerprint) const;
+
     /*! @brief Forgets old records; to be called from time to time. */
     void expire(time_point now);
 
     /*! @brief Messages that tell a new peer everything. */
     [[nodiscard]] std::vector<suspicion> all() const;
 
+    /*! @brief Messages that tell a new peer of the refused requests only. */
+    [[nodiscard]] std::vector<suspicion> all_refused() const;
+
     /*! @brief Number of records. */
     [[nodiscard]] size_type size() const noexcept { return records_.size(); }
 
 private:
-    std::map<std::uint64_t, record> records_;
+    size_type capacity_;
+    std::map<std::uint64_t, record> records_{};
 };
 
 } // namespace dandelionbay
--- a/src/dandelionbay/router/internal/records.hpp
+++ b/src/dandelionbay/router/internal/records.hpp
@@ -30,7 +30,7 @@
     request_id wire_id{}; //!< A further run has its own id, so messages of an earlier one are recognised as late.
     host_id agent{};
     grant_id grant{};
-    std::uint32_t suspicion{}; //!< Crashes that were known when it was submitted.
+    std::vector<crash_id> known{}; //!< Crashes that counted against it when it was submitted.
     time_point run_deadline{time_point::max()};
     time_point link_deadline{time_point::max()}; //!< Set while the agent's link is down.
     time_point gap_deadline{time_point::max()};  //!< Set while bytes are missing.
--- a/src/dandelionbay/router/internal/state.hpp
+++ b/src/dandelionbay/router/internal/state.hpp
@@ -98,7 +98,8 @@
     // state_event.cpp: events, exchange, clock
     void exchange(time_point now);
     void take_suspicion(const host_id& from, const suspicion& in, time_point now);
-    void announce(const suspicion& in, const host_id& except);
+    void announce(std::uint64_t fingerprint, bool was_refused, const host_id& except);
+    void end_refused(std::uint64_t fingerprint, time_point now);
     void slow_work(time_point now);
     void forget_agents();
     void check_invariants();
--- a/src/dandelionbay/router/internal/state_answer.cpp
+++ b/src/dandelionbay/router/internal/state_answer.cpp
@@ -139,8 +139,9 @@
     if (it.model_call) {
         costs_.observe(key, run.progress.end()->output_tokens);
     }
-    for (const auto& cleared : crashes_.finished(it.order.fingerprint, now)) {
-        announce(cleared, host_id{});
+    const bool was_refused = crashes_.refused(it.order.fingerprint);
+    if (crashes_.finished(it.order.fingerprint, it.run.known, now)) {
+        announce(it.order.fingerprint, was_refused, host_id{});
     }
     close_run(it, exact_cost(it), now);
     it.phase = request_phase::backoff; // the run is closed
--- a/src/dandelionbay/router/internal/state_dispatch.cpp
+++ b/src/dandelionbay/router/internal/state_dispatch.cpp
@@ -175,8 +175,9 @@
     work.model_call = it.model_call;
     work.idempotent = it.order.idempotent;
     work.fingerprint = it.order.fingerprint;
-    it.run.suspicion = crashes_.crashes(it.order.fingerprint);
-    work.suspicion = it.run.suspicion;
+    it.run.known = crashes_.known(it.order.fingerprint).crashes;
+    work.crashes = it.run.known;
+    work.suspicion = static_cast<std::uint32_t>(work.crashes.size());
     work.timeout_ms = timeout_ms;
     work.request = it.order.request;
     metrics_->add("submitted_total", grant.spare ? "spare" : "granted");
--- a/src/dandelionbay/router/internal/state_event.cpp
+++ b/src/dandelionbay/router/internal/state_event.cpp
@@ -88,26 +88,43 @@
     return finish_event(now);
 }
 
-void router_core::state::announce(const suspicion& in, const host_id& except) {
+void router_core::state::announce(std::uint64_t fingerprint, bool was_refused, const host_id& except) {
+    const auto news = crashes_.known(fingerprint);
     for (const auto& host : exchange_peers_) {
         if (host != except && routers_up_.contains(host)) {
-            send(host, in);
+            send(host, news);
+        }
+    }
+    // A router that was paused or cut off still submits a request that was refused elsewhere; agents stop it. They are
+    // not told of other suspicions: one crash with 100 running requests would be 100 messages to each of 340 agents,
+    // more than the control traffic of 9 KB/s allows.
+    if (was_refused != crashes_.refused(fingerprint)) {
+        for (const auto& [host, agent] : agents_) {
+            if (agent.up) {
+                send(host, news);
+            }
         }
     }
 }
 
 void router_core::state::take_suspicion(const host_id& from, const suspicion& in, time_point now) {
+    const auto crashes = crashes_.crashes(in.fingerprint);
+    const bool was_refused = crashes_.refused(in.fingerprint);
     if (!crashes_.merge(in, now)) {
         return;
     }
-    metrics_->add("suspicions_total", in.cleared ? "cleared" : "crash");
-    announce(in, from);
-    if (!crashes_.refused(in.fingerprint)) {
+    metrics_->add("suspicions_total", crashes_.crashes(in.fingerprint) > crashes ? "crash" : "cleared");
+    announce(in.fingerprint, was_refused, from);
+    end_refused(in.fingerprint, now);
+}
+
+void router_core::state::end_refused(std::uint64_t fingerprint, time_point now) {
+    if (!crashes_.refused(fingerprint)) {
         return;
     }
     std::vector<sequence_type> refused;
     for (const auto& [id, it] : requests_) {
-        if (it.order.fingerprint == in.fingerprint && it.phase != request_phase::running) {
+        if (it.order.fingerprint == fingerprint && it.phase != request_phase::running) {
             refused.push_back(id);
         }
     }
--- a/src/dandelionbay/router/internal/state_link.cpp
+++ b/src/dandelionbay/router/internal/state_link.cpp
@@ -19,11 +19,18 @@
 } // namespace
 
 void router_core::state::suspect_lost(const request_record& it, time_point now) {
-    // An endpoint that takes its agent down with it leaves nobody to report the crash. A crash that was reported since
-    // the submission is not counted again, so equal requests that are lost together count once.
-    if (crashes_.crashes(it.order.fingerprint) <= it.run.suspicion) {
+    // An endpoint that takes its agent down with it leaves nobody to report the crash. A crash that this agent reported
+    // since the submission is not counted again. All routers and equal requests that lose an agent name the same crash.
+    const auto id = make_crash_id(it.run.agent, agents_.at(it.run.agent).incarnation, 0);
+    const auto known = crashes_.known(it.order.fingerprint).crashes;
+    const bool reported = std::ranges::any_of(known, [&](const crash_id& other) {
+        return same_agent(id, other) && std::ranges::find(it.run.known, other) == it.run.known.end();
+    });
+    const bool was_refused = crashes_.refused(it.order.fingerprint);
+    if (!reported && crashes_.crashed(it.order.fingerprint, id, now)) {
         metrics_->add("suspicions_total", "agent_lost");
-        announce(crashes_.crashed(it.order.fingerprint, now), host_id{});
+        announce(it.order.fingerprint, was_refused, host_id{});
+        end_refused(it.order.fingerprint, now);
     }
 }
 
@@ -72,6 +79,9 @@
             reschedule(it);
         }
     }
+    for (const auto& it : crashes_.all_refused()) {
+        send(peer.host, it);
+    }
     next_demand_ = std::min(next_demand_, now);
 }
 
--- a/src/dandelionbay/wire/fields.hpp
+++ b/src/dandelionbay/wire/fields.hpp
@@ -44,7 +44,7 @@
         return std::tie(it.method, it.path, it.headers, it.body);
     } else if constexpr (std::is_same_v<value, submit>) {
         return std::tie(it.id, it.grant, it.team, it.service, it.model_call, it.idempotent, it.fingerprint,
-                        it.suspicion, it.timeout_ms, it.request);
+                        it.suspicion, it.timeout_ms, it.request, it.crashes);
     } else if constexpr (std::is_same_v<value, rejected>) {
         return std::tie(it.id, it.grant, it.code);
     } else if constexpr (std::is_same_v<value, head>) {
--- a/src/dandelionbay/wire/message.hpp
+++ b/src/dandelionbay/wire/message.hpp
@@ -123,9 +123,10 @@
     bool model_call{};           //!< The answer is a stream of tokens of a model engine.
     bool idempotent{true};       //!< May run again after a failure.
     std::uint64_t fingerprint{}; //!< Hash of team, call and body.
-    std::uint32_t suspicion{};   //!< Endpoint crashes this request was present at.
+    std::uint32_t suspicion{};   //!< Number of endpoint crashes that count against this request.
     std::uint32_t timeout_ms{};  //!< Counted from receipt; the run is cancelled after it.
     call request{};
+    std::vector<crash_id> crashes{}; //!< The crashes that count against it; cleared if it finishes.
 
     friend bool operator==(const submit&, const submit&) = default;
 };
@@ -186,11 +187,11 @@
     friend bool operator==(const resume&, const resume&) = default;
 };
 
-/*! @brief Number of endpoint crashes a request was present at; merged by maximum. */
+/*! @brief Endpoint crashes a request was present at; merged by union. */
 struct suspicion {
     std::uint64_t fingerprint{};
-    std::uint32_t crashes{};
-    bool cleared{}; //!< The request has since finished normally.
+    std::vector<crash_id> crashes{}; //!< Crashes that count against it.
+    std::vector<crash_id> cleared{}; //!< Crashes after which it ran and finished normally.
 
     friend bool operator==(const suspicion&, const suspicion&) = default;
 };
--- a/test/dandelionbay/agent/agent_answer_test.cpp
+++ b/test/dandelionbay/agent/agent_answer_test.cpp
@@ -1,4 +1,5 @@
 #include "dandelionbay/agent/agent_harness.hpp"
+#include "dandelionbay/limit/crash_register.hpp"
 
 namespace dandelionbay {
 namespace {
@@ -14,6 +15,8 @@
         sent_to.clear();
     }
 
+    static crash_id crash(std::uint16_t sequence) { return make_crash_id(host_id{"a"}, 1, sequence); }
+
     request_id run(bool idempotent, std::uint64_t fingerprint, std::uint32_t suspicion = 0) {
         auto it = make("r1", pop("r1"));
         it.idempotent = idempotent;
@@ -175,7 +178,7 @@
             EXPECT_EQ(it.code, result_code::endpoint_failed);
             EXPECT_EQ(it.state, executed::unknown);
         }
-        const std::vector<suspicion> expected{{100, 1}, {200, 1}, {300, 1}};
+        const std::vector<suspicion> expected{{100, {crash(1)}, {}}, {200, {crash(1)}, {}}, {300, {crash(1)}, {}}};
         EXPECT_EQ(messages<suspicion>("r1"), expected);
         EXPECT_EQ(messages<suspicion>("r2"), expected);
         link("r3");
@@ -208,13 +211,13 @@
         ask("r1", {team_demand{.team = team_id{"team"}, .queued = 4, .suspects_only = true}});
         EXPECT_EQ(metrics.get("idle_while_waiting_total"), 0);
         complete(again);
-        EXPECT_EQ(messages<suspicion>("r2"), (std::vector<suspicion>{{.fingerprint = 200, .cleared = true}}));
+        EXPECT_EQ(messages<suspicion>("r2"), (std::vector<suspicion>{{200, {}, {crash(1)}}}));
     }
     {
         SCOPED_TRACE("the guilty one crashes a second endpoint and is refused from then on");
         const auto again = run(true, 100, 1);
         take(core->run_ended(again, run_end::crashed, 0, now));
-        EXPECT_EQ(messages<suspicion>("r2").back(), (suspicion{100, 2}));
+        EXPECT_EQ(messages<suspicion>("r2").back(), (suspicion{100, {crash(1), crash(2)}, {}}));
         warm_fully("p3");
         ask("r1", "team", 4);
         const auto starts = started.size();
@@ -233,7 +236,42 @@
     EXPECT_TRUE(messages<suspicion>("r1").empty());
     advance(milliseconds{500});
     take(core->run_ended(second, run_end::crashed, 0, now));
-    EXPECT_EQ(messages<suspicion>("r1"), (std::vector<suspicion>{{100, 1}, {200, 1}}));
+    EXPECT_EQ(messages<suspicion>("r1"), (std::vector<suspicion>{{100, {crash(1)}, {}}, {200, {crash(1)}, {}}}));
+}
+
+// Guards against a crash after a clearance that is not counted, because it has the number of the cleared one.
+TEST_F(agent_answers, a_crash_after_a_clearance_counts) {
+    const crash_id elsewhere = 77;
+    auto suspected = make("r1", pop("r1"));
+    suspected.fingerprint = 100;
+    suspected.suspicion = 1;
+    suspected.crashes = {elsewhere};
+    receive("r1", suspected);
+    complete(suspected.id);
+    EXPECT_EQ(messages<suspicion>("r1"), (std::vector<suspicion>{{100, {}, {elsewhere}}}));
+    const auto again = run(true, 100);
+    take(core->run_ended(again, run_end::crashed, 0, now));
+    EXPECT_EQ(messages<suspicion>("r1").back(), (suspicion{100, {crash(1)}, {elsewhere}}));
+    crash_register router;
+    for (const auto& it : messages<suspicion>("r1")) {
+        router.merge(it, now);
+    }
+    EXPECT_EQ(router.crashes(100), 1U);
+}
+
+// Guards against a router that was paused while others refused a request, and submits it to a third endpoint.
+TEST_F(agent_answers, a_request_that_is_refused_elsewhere_is_rejected) {
+    receive("r2", suspicion{100, {1, 2}, {}});
+    const auto starts = started.size();
+    run(true, 100);
+    EXPECT_EQ(last_rejection("r1"), result_code::crashes_endpoints);
+    EXPECT_EQ(started.size(), starts);
+    {
+        SCOPED_TRACE("until it is cleared");
+        receive("r2", suspicion{100, {}, {1, 2}});
+        complete(run(true, 100));
+        EXPECT_EQ(started.size(), starts + 1);
+    }
 }
 
 } // namespace
--- a/test/dandelionbay/limit/retry_and_crash_test.cpp
+++ b/test/dandelionbay/limit/retry_and_crash_test.cpp
@@ -1,3 +1,6 @@
+#include <array>
+#include <chrono>
+
 #include <gtest/gtest.h>
 
 #include "dandelionbay/limit/crash_register.hpp"
@@ -43,43 +46,53 @@
 
 // Guards against a request that goes on crashing endpoints, and against an innocent one that stays suspected.
 TEST(crash_register, two_crashes_refuse_and_a_normal_end_clears) {
+    const std::array<crash_id, 4> ids{11, 12, 13, 14};
     crash_register here;
     crash_register there;
-    const auto first = here.crashed(42, start);
+    EXPECT_TRUE(here.crashed(42, ids[0], start));
+    const auto first = here.known(42);
+    EXPECT_EQ(first, (suspicion{42, {ids[0]}, {}}));
     EXPECT_EQ(here.crashes(42), 1U);
     EXPECT_FALSE(here.refused(42));
     {
-        SCOPED_TRACE("merged by maximum: a repeated message counts once");
+        SCOPED_TRACE("merged by union: a repeated message counts once");
         EXPECT_TRUE(there.merge(first, start));
         EXPECT_FALSE(there.merge(first, start));
+        EXPECT_FALSE(there.crashed(42, ids[0], start));
         EXPECT_EQ(there.crashes(42), 1U);
     }
     {
         SCOPED_TRACE("cleared; the late suspicion does not come back");
-        for (const auto& it : there.finished(42, start)) {
-            EXPECT_TRUE(here.merge(it, start));
-        }
+        EXPECT_TRUE(there.finished(42, first.crashes, start));
+        EXPECT_TRUE(here.merge(there.known(42), start));
         EXPECT_EQ(here.crashes(42), 0U);
         EXPECT_FALSE(here.merge(first, start));
-        EXPECT_TRUE(there.finished(42, start).empty());
+        EXPECT_EQ(here.crashes(42), 0U);
+        EXPECT_FALSE(there.finished(42, first.crashes, start));
+        crash_register other;
+        EXPECT_FALSE(other.finished(42, {}, start));
+        EXPECT_EQ(other.size(), 0U);
+        EXPECT_TRUE(other.merge(there.known(42), start)) << "also where the clearance comes first";
+        EXPECT_FALSE(other.merge(first, start));
+        EXPECT_EQ(other.crashes(42), 0U);
     }
     {
-        SCOPED_TRACE("an agent's clearance without a number covers one crash, not a refusal");
+        SCOPED_TRACE("a normal end clears only the crashes before its start");
         crash_register other;
-        EXPECT_FALSE(other.merge(suspicion{42, 0, true}, start));
-        std::ignore = other.crashed(42, start);
-        EXPECT_TRUE(other.merge(suspicion{42, 0, true}, start));
-        EXPECT_EQ(other.crashes(42), 0U);
-        other.merge(suspicion{42, 3, false}, start);
-        EXPECT_FALSE(other.merge(suspicion{42, 0, true}, start));
+        std::ignore = other.crashed(42, ids[0], start);
+        std::ignore = other.crashed(42, ids[1], start);
+        std::ignore = other.crashed(42, ids[2], start);
+        EXPECT_TRUE(other.finished(42, std::array{ids[0]}, start));
         EXPECT_TRUE(other.refused(42));
     }
     {
         SCOPED_TRACE("a later crash counts from one, two refuse");
-        std::ignore = here.crashed(42, start);
+        std::ignore = here.crashed(42, ids[1], start);
         EXPECT_EQ(here.crashes(42), 1U);
-        std::ignore = here.crashed(42, start);
+        EXPECT_TRUE(here.all_refused().empty());
+        std::ignore = here.crashed(42, ids[2], start);
         EXPECT_TRUE(here.refused(42));
+        EXPECT_EQ(here.all_refused(), here.all());
         crash_register fresh;
         for (const auto& it : here.all()) {
             fresh.merge(it, start);
@@ -93,5 +106,53 @@
     }
 }
 
+// Guards against two endpoints that crash at the same moment and whose agents do not know of each other: both crashes
+// used to have number 1 and counted as one.
+TEST(crash_register, crashes_at_the_same_moment_all_count) {
+    crash_register a;
+    crash_register b;
+    std::ignore = a.crashed(42, make_crash_id(host_id{"a"}, 1, 1), start);
+    std::ignore = b.crashed(42, make_crash_id(host_id{"b"}, 1, 1), start);
+    crash_register router;
+    router.merge(a.known(42), start);
+    router.merge(b.known(42), start);
+    EXPECT_EQ(router.crashes(42), 2U);
+    EXPECT_TRUE(router.refused(42));
+}
+
+// Guards against names that differ between hosts that see the same crash, or are equal for different crashes.
+TEST(crash_register, an_id_names_agent_incarnation_and_sequence) {
+    const auto id = make_crash_id(host_id{"a"}, 1, 1);
+    EXPECT_EQ(id, make_crash_id(host_id{"a"}, 1, 1));
+    EXPECT_NE(id, make_crash_id(host_id{"a"}, 1, 2));
+    EXPECT_TRUE(same_agent(id, make_crash_id(host_id{"a"}, 1, 2)));
+    EXPECT_FALSE(same_agent(id, make_crash_id(host_id{"a"}, 2, 1)));
+    EXPECT_FALSE(same_agent(id, make_crash_id(host_id{"b"}, 1, 1)));
+}
+
+// Guards against a register that grows without bound, and against a bound that drops a refusal.
+TEST(crash_register, is_bounded) {
+    crash_register small{2};
+    {
+        SCOPED_TRACE("crashes of one request: cleared ones make room first");
+        for (crash_id id = 1; id <= crash_register::most_crashes; ++id) {
+            EXPECT_TRUE(small.crashed(42, id, start));
+        }
+        EXPECT_FALSE(small.crashed(42, 100, start));
+        EXPECT_TRUE(small.finished(42, std::array<crash_id, 1>{1}, start));
+        EXPECT_TRUE(small.crashed(42, 100, start));
+        EXPECT_EQ(small.crashes(42), crash_register::most_crashes);
+        EXPECT_TRUE(small.known(42).cleared.empty());
+    }
+    {
+        SCOPED_TRACE("requests: the least recently changed one makes room");
+        std::ignore = small.crashed(43, 1, start + std::chrono::seconds{1});
+        std::ignore = small.crashed(44, 1, start + std::chrono::seconds{2});
+        EXPECT_EQ(small.size(), 2U);
+        EXPECT_EQ(small.crashes(42), 0U);
+        EXPECT_EQ(small.crashes(43), 1U);
+    }
+}
+
 } // namespace
 } // namespace dandelionbay
