Start agents as not fresh

Cause: the agent core started with a fresh configuration and its driver with one that is not fresh, and the driver reports changes only. An agent that got its first configuration without evidence, as from a peer in an isolated partition, was never told and granted until it had been fresh and lost it.

Ruled out by reading: fleet_state gives store_read evidence only when the revision read is in force, feeds majority_heard on its tick and computes freshness.fresh(now) && !adopter.behind(now) on each tick.

Change: the core starts as not fresh, so it also waits between the first configuration and the next tick. The test harness reports freshness after the start, as the driver does.

Test: agent_harness.an_agent_grants_only_after_it_was_told_that_its_ configuration_is_fresh; it failed with the former initial value.

Conclusion: an agent without evidence admits no work from its start on.

--- a/src/dandelionbay/agent/agent_state.hpp
+++ b/src/dandelionbay/agent/agent_state.hpp
@@ -211,7 +211,7 @@
     bool zone_out_{true};
     bool label_leaving_{true};
     bool host_leaving_{};
-    bool fresh_{true};
+    bool fresh_{}; //!< Initially as in the driver, which reports changes only.
     bool stopping_{};
 
     ramp_limiter ramp_{};
--- a/test/dandelionbay/agent/agent_grant_test.cpp
+++ b/test/dandelionbay/agent/agent_grant_test.cpp
@@ -174,5 +174,23 @@
     EXPECT_EQ(metrics.get("late_messages_total", "demand"), 1);
 }
 
+// Guards against an agent that starts with a configuration that may be old, as from a peer in an isolated partition,
+// and grants for good because its driver reports only changes of the freshness (R4, R8).
+TEST_F(agent_harness, an_agent_grants_only_after_it_was_told_that_its_configuration_is_fresh) {
+    core = std::make_unique<agent_core>(agent_settings{.host = host_id{"a"},
+                                                       .region = region_id{"west"},
+                                                       .zone = zone_id{"z1"},
+                                                       .endpoint = endpoint_id{"e"},
+                                                       .incarnation = 1},
+                                        metrics);
+    apply();
+    warm();
+    link("r1");
+    ask("r1", "team", 4);
+    EXPECT_EQ(grants("r1"), 0);
+    take(core->set_fresh(true, now));
+    EXPECT_GT(grants("r1"), 0);
+}
+
 } // namespace
 } // namespace dandelionbay
--- a/test/dandelionbay/agent/agent_harness.hpp
+++ b/test/dandelionbay/agent/agent_harness.hpp
@@ -53,6 +53,7 @@
                                                            .incarnation = incarnation},
                                             metrics);
         apply();
+        take(core->set_fresh(true, now));
     }
 
     void apply() { take(core->apply(std::make_shared<const fleet_config>(config), now)); }
