Add the bench subcommand

Ruled out: measuring without a warm-up. Also ruled out: one thread pool for all teams, because the backlog of one team would delay the others before their calls reach a router.

--- a/src/dandelionbay/app/command.hpp
+++ b/src/dandelionbay/app/command.hpp
@@ -48,6 +48,7 @@
 [[nodiscard]] int failure(std::string_view message);
 
 /*! @brief The subcommands. */
+[[nodiscard]] command bench_command();
 [[nodiscard]] command check_command();
 [[nodiscard]] command ctl_command();
 [[nodiscard]] command dev_command();
--- a/src/dandelionbay/app/dev_fleet.cpp
+++ b/src/dandelionbay/app/dev_fleet.cpp
@@ -29,9 +29,9 @@
     std::string_view zone;
 };
 
-constexpr std::array routers{place{"router-1", "west", "west-1"}, place{"router-2", "east", "east-1"}};
-constexpr std::array engines{place{"engine-1", "west", "west-1"}, place{"engine-2", "west", "west-1"},
-                             place{"engine-3", "west", "west-2"}, place{"engine-4", "east", "east-1"}};
+constexpr std::array router_places{place{"router-1", "west", "west-1"}, place{"router-2", "east", "east-1"}};
+constexpr std::array engine_places{place{"engine-1", "west", "west-1"}, place{"engine-2", "west", "west-1"},
+                                   place{"engine-3", "west", "west-2"}, place{"engine-4", "east", "east-1"}};
 constexpr std::array order_services{place{"orders-1", "west", "west-2"}, place{"orders-2", "east", "east-1"}};
 
 constexpr std::string_view document = R"json({
@@ -105,10 +105,10 @@
 } // namespace
 
 dev_fleet::dev_fleet(dev_options options) : options_{std::move(options)} {
-    for (const auto& it : routers) {
+    for (const auto& it : router_places) {
         hosts_.push_back(entry_of(it, std::string{it.name}, host_role::router));
     }
-    for (const auto& it : engines) {
+    for (const auto& it : engine_places) {
         hosts_.push_back(entry_of(it, concat("agent-", it.name), host_role::agent));
     }
     for (const auto& it : order_services) {
@@ -132,7 +132,7 @@
 }
 
 absl::Status dev_fleet::start_endpoints() {
-    for (std::size_t i = 0; i < engines.size(); ++i) {
+    for (std::size_t i = 0; i < engine_places.size(); ++i) {
         engines_.push_back(std::make_unique<standin_engine>(standin_engine_options{}));
         if (auto status = engines_.back()->start(); !status.ok()) {
             return status;
@@ -148,12 +148,12 @@
 }
 
 absl::Status dev_fleet::start_agents() {
-    for (std::size_t i = 0; i < engines.size() + order_services.size(); ++i) {
-        const bool engine = i < engines.size();
-        const auto& at = engine ? engines.at(i) : order_services.at(i - engines.size());
-        const auto port = engine ? engines_.at(i)->port() : services_.at(i - engines.size())->port();
+    for (std::size_t i = 0; i < engine_places.size() + order_services.size(); ++i) {
+        const bool engine = i < engine_places.size();
+        const auto& at = engine ? engine_places.at(i) : order_services.at(i - engine_places.size());
+        const auto port = engine ? engines_.at(i)->port() : services_.at(i - engine_places.size())->port();
         agent_node_options options;
-        options.common = options_of(hosts_.at(routers.size() + i), hosts_, platform_->port());
+        options.common = options_of(hosts_.at(router_places.size() + i), hosts_, platform_->port());
         options.endpoint = endpoint_id{std::string{at.name}};
         options.endpoint_address = socket_address{loopback, port};
         agents_.push_back(std::make_unique<agent_node>(options));
@@ -165,7 +165,7 @@
 }
 
 absl::Status dev_fleet::start_routers() {
-    for (std::size_t i = 0; i < routers.size(); ++i) {
+    for (std::size_t i = 0; i < router_places.size(); ++i) {
         router_node_options options;
         options.common = options_of(hosts_.at(i), hosts_, platform_->port());
         options.caller_listen = socket_address{loopback, i == 0 ? options_.port : std::uint16_t{0}};
@@ -215,6 +215,16 @@
     return status.ok() ? wait_until_serving() : status;
 }
 
+std::vector<const standin_engine*> dev_fleet::engines_in(std::string_view zone) const {
+    std::vector<const standin_engine*> out;
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+        if (engine_places.at(i).zone == zone) {
+            out.push_back(engines_[i].get());
+        }
+    }
+    return out;
+}
+
 void dev_fleet::stop() noexcept {
     stop_all(routers_);
     stop_all(agents_);
--- a/src/dandelionbay/app/dev_fleet.hpp
+++ b/src/dandelionbay/app/dev_fleet.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "absl/status/status.h"
@@ -53,6 +54,21 @@
     /*! @brief Graceful stop of all routers, then of all agents, then of the stand-ins. */
     void stop() noexcept;
 
+    /*! @brief The routers; empty unless the fleet runs. */
+    [[nodiscard]] const std::vector<std::unique_ptr<router_node>>& routers() const noexcept { return routers_; }
+
+    /*! @brief The agents; empty unless the fleet runs. */
+    [[nodiscard]] const std::vector<std::unique_ptr<agent_node>>& agents() const noexcept { return agents_; }
+
+    /*! @brief The model engine stand-ins; empty unless the fleet runs. */
+    [[nodiscard]] const std::vector<std::unique_ptr<standin_engine>>& engines() const noexcept { return engines_; }
+
+    /*! @brief The order service stand-ins; empty unless the fleet runs. */
+    [[nodiscard]] const std::vector<std::unique_ptr<standin_service>>& services() const noexcept { return services_; }
+
+    /*! @brief The model engine stand-ins of a zone. @param zone Name of the zone. @return Valid until stop(). */
+    [[nodiscard]] std::vector<const standin_engine*> engines_in(std::string_view zone) const;
+
 private:
     dev_options options_;
     std::vector<host_entry> hosts_;
--- /dev/null
+++ b/src/dandelionbay/bench/load_generator.cpp
@@ -0,0 +1,219 @@
+#include "dandelionbay/bench/load_generator.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include "dandelionbay/base/text.hpp"
+#include "dandelionbay/http/event_stream.hpp"
+#include "dandelionbay/standin/standin_engine.hpp"
+
+namespace dandelionbay::bench {
+
+namespace {
+
+using nlohmann::json;
+
+/*! With 4 teams, 116 connections for each router, below the 128 caller threads of a development router. */
+constexpr std::size_t threads_per_team = 28;
+constexpr std::size_t order_threads = 4;
+constexpr std::chrono::seconds connect_limit{5};
+/*! Above the queue limit and the run limit of the services, so that the routers' final answers are seen. */
+constexpr std::chrono::seconds answer_limit{180};
+
+[[nodiscard]] time_point now() noexcept {
+    return monotonic_clock{}.now();
+}
+
+[[nodiscard]] httplib::Request make_request(const arrival& it, const std::string& path, const json& body) {
+    httplib::Request out;
+    out.method = "POST";
+    out.path = path;
+    out.set_header("Authorization", concat("Bearer dev-team-", it.team + 1));
+    out.set_header("Content-Type", "application/json");
+    out.body = body.dump();
+    return out;
+}
+
+[[nodiscard]] httplib::Result send(std::uint16_t port, httplib::Request& request) {
+    httplib::Client client{"127.0.0.1", port};
+    client.set_tcp_nodelay(true);
+    client.set_connection_timeout(connect_limit);
+    client.set_read_timeout(answer_limit);
+    return client.send(request);
+}
+
+[[nodiscard]] std::string code_of(const std::string& body, int status) {
+    const auto document = json::parse(body, nullptr, false);
+    if (document.is_object() && document.contains("error") && document["error"].contains("code")) {
+        return document["error"]["code"].dump();
+    }
+    return concat("http-", status);
+}
+
+/*! @brief A streamed answer as its caller reads it. */
+class chat_answer {
+    void take(std::string_view event) {
+        const auto data = event_data(event);
+        if (data == end_of_stream) {
+            ended_ = true;
+            return;
+        }
+        const auto part = json::parse(data, nullptr, false);
+        const auto choices = part.is_object() ? part.value("choices", json::array()) : json::array();
+        if (choices.empty() || !choices[0].contains("delta")) {
+            return;
+        }
+        const auto text = choices[0]["delta"].value("content", std::string{});
+        if (!text.empty()) {
+            text_ += text;
+            token(now());
+        }
+    }
+
+    void token(time_point at) {
+        if (last_) {
+            results_->next_token(at - *last_);
+        } else {
+            results_->answered(it_->team, sent_);
+            results_->first_token(planned_, at);
+        }
+        last_ = at;
+        results_->count_token(it_->team, at);
+    }
+
+public:
+    chat_answer(const arrival& it, time_point planned, recorder& results)
+        : it_{&it}, planned_{planned}, sent_{now()}, results_{&results} {
+        results_->sent(it.team, sent_);
+    }
+
+    void feed(std::string_view data) {
+        if (status_ == 200) {
+            splitter_.feed(data, [this](std::string_view event) { take(event); });
+        } else {
+            error_.append(data);
+        }
+    }
+
+    void set_status(int status) noexcept { status_ = status; }
+
+    /*! Records how the call ended. @param whole Whether the HTTP answer ended properly. */
+    void finish(bool whole) {
+        if (!last_) {
+            results_->answered(it_->team, sent_);
+        }
+        if (status_ == 0) {
+            results_->end(ending::lost, now());
+        } else if (status_ != 200) {
+            results_->refuse(code_of(error_, status_));
+        } else if (!whole || !ended_) {
+            results_->end(ending::cut, now());
+        } else {
+            const bool own = text_ == standin_engine::expected_answer(it_->text + "\n", it_->tokens);
+            results_->end(own ? ending::complete : ending::wrong, now());
+        }
+    }
+
+private:
+    const arrival* it_;
+    time_point planned_;
+    time_point sent_;
+    recorder* results_;
+    event_splitter splitter_;
+    int status_{0};
+    bool ended_{false};
+    std::optional<time_point> last_;
+    std::string text_;
+    std::string error_;
+};
+
+} // namespace
+
+load_generator::load_generator(std::vector<arrival> plan, port_list ports, time_point start, time_point limit,
+                               recorder& results)
+    : ports_{ports}, start_{start}, limit_{limit}, results_{&results} {
+    for (auto& it : plan) {
+        const auto index = it.router * (team_count + 1) + (it.is_order() ? team_count : it.team);
+        lanes_.at(index).calls.push_back(std::move(it));
+    }
+}
+
+load_generator::~load_generator() {
+    finish();
+}
+
+void load_generator::send_chat(const arrival& it) {
+    const json body{{"model", "dev-model"},
+                    {"stream", true},
+                    {"max_tokens", it.tokens},
+                    {"messages", {{{"role", "user"}, {"content", it.text}}}}};
+    auto request = make_request(it, "/v1/chat/completions", body);
+    chat_answer answer{it, start_ + it.at, *results_};
+    request.response_handler = [&](const httplib::Response& head) {
+        answer.set_status(head.status);
+        return true;
+    };
+    request.content_receiver = [&](const char* data, std::size_t size, std::uint64_t /*offset*/,
+                                   std::uint64_t /*total*/) {
+        answer.feed({data, size});
+        return true;
+    };
+    answer.finish(static_cast<bool>(send(ports_.at(it.router), request)));
+}
+
+void load_generator::send_order(const arrival& it) {
+    auto request = make_request(it, "/services/orders/orders", json{{"order", it.text}});
+    request.set_header("Idempotency-Key", it.text);
+    int status = 0;
+    request.response_handler = [&](const httplib::Response& head) {
+        status = head.status;
+        return true;
+    };
+    const auto result = send(ports_.at(it.router), request);
+    if (!result) {
+        results_->end(status == 0 ? ending::lost : ending::cut, now());
+    } else if (status != 201) {
+        results_->refuse(code_of(result->body, status));
+    } else {
+        const auto answer = json::parse(result->body, nullptr, false);
+        const bool own = answer.is_object() && answer.value("order", std::string{}) == it.text;
+        results_->end(own ? ending::complete : ending::wrong, now());
+    }
+}
+
+void load_generator::work(lane& from) {
+    for (auto n = from.next++; n < from.calls.size(); n = from.next++) {
+        const auto& it = from.calls[n];
+        std::this_thread::sleep_until(start_ + it.at);
+        if (now() > limit_) {
+            results_->end(ending::unsent, now());
+        } else if (it.is_order()) {
+            send_order(it);
+        } else {
+            send_chat(it);
+        }
+    }
+}
+
+void load_generator::start() {
+    for (std::size_t i = 0; i < lanes_.size(); ++i) {
+        const auto n = i % (team_count + 1) == team_count ? order_threads : threads_per_team;
+        for (std::size_t k = 0; k < n; ++k) {
+            threads_.emplace_back([this, i] { work(lanes_.at(i)); });
+        }
+    }
+}
+
+void load_generator::finish() {
+    for (auto& it : threads_) {
+        it.join();
+    }
+    threads_.clear();
+}
+
+} // namespace dandelionbay::bench
--- /dev/null
+++ b/src/dandelionbay/bench/load_generator.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include "dandelionbay/bench/fwd.hpp"
+#include "dandelionbay/bench/recorder.hpp"
+#include "dandelionbay/bench/scenario.hpp"
+
+namespace dandelionbay::bench {
+
+/**
+ * @brief Sends planned calls to the routers at their times, whatever became of the earlier ones.
+ *
+ * The calls of each team to each router have threads of their own, so that the backlog of one team delays no other
+ * team's calls before they reach a router. When all threads of a team wait, its next calls are late; their latency
+ * counts from the planned time.
+ */
+class load_generator {
+    struct lane {
+        std::vector<arrival> calls{};
+        std::atomic<std::size_t> next{0};
+    };
+
+    void work(lane& from);
+    void send_chat(const arrival& it);
+    void send_order(const arrival& it);
+
+public:
+    using port_list = std::array<std::uint16_t, router_count>;
+
+    /**
+     * @brief Prepares the load; sends nothing yet.
+     * @param plan Arrivals, ordered by time.
+     * @param ports Ports of the routers for callers.
+     * @param start Start of the load.
+     * @param limit Time after which no call is sent.
+     * @param results Must outlive the object.
+     */
+    load_generator(std::vector<arrival> plan, port_list ports, time_point start, time_point limit, recorder& results);
+    load_generator(const load_generator&) = delete;
+    load_generator(load_generator&&) = delete;
+    load_generator& operator=(const load_generator&) = delete;
+    load_generator& operator=(load_generator&&) = delete;
+
+    /*! @brief Waits until every call has ended. */
+    ~load_generator();
+
+    /*! @brief Starts the threads. */
+    void start();
+
+    /*! @brief Waits until every call has ended. */
+    void finish();
+
+private:
+    port_list ports_;
+    time_point start_;
+    time_point limit_;
+    recorder* results_;
+    std::array<lane, router_count*(team_count + 1)> lanes_; //!< For each router one per team and one for orders.
+    std::vector<std::thread> threads_;
+};
+
+} // namespace dandelionbay::bench
--- /dev/null
+++ b/src/dandelionbay/bench/recorder.cpp
@@ -0,0 +1,107 @@
+#include "dandelionbay/bench/recorder.hpp"
+
+namespace dandelionbay::bench {
+
+namespace {
+
+/*! A call without a first token after this time waits in a queue: five times the first-token time of a warm engine. */
+constexpr std::chrono::milliseconds backlog_age{250};
+
+} // namespace
+
+recorder::recorder(time_point start, std::size_t seconds) : start_{start}, seconds_(seconds) {}
+
+second_of_service* recorder::second_at(time_point now) {
+    const auto n = static_cast<std::size_t>(std::chrono::floor<std::chrono::seconds>(now - start_).count());
+    return n < seconds_.size() ? &seconds_[n] : nullptr;
+}
+
+void recorder::sent(std::size_t team, time_point now) {
+    const std::lock_guard lock{mutex_};
+    teams_.at(team).waiting.insert(now);
+}
+
+void recorder::answered(std::size_t team, time_point sent) {
+    const std::lock_guard lock{mutex_};
+    auto& waiting = teams_.at(team).waiting;
+    if (const auto it = waiting.find(sent); it != waiting.end()) {
+        waiting.erase(it);
+    }
+}
+
+void recorder::first_token(time_point planned, time_point now) {
+    const std::lock_guard lock{mutex_};
+    ttft_.add(now - planned);
+}
+
+void recorder::next_token(duration gap) {
+    const std::lock_guard lock{mutex_};
+    inter_token_.add(gap);
+}
+
+void recorder::count_token(std::size_t team, time_point now) {
+    const std::lock_guard lock{mutex_};
+    ++teams_.at(team).tokens;
+    if (auto* const it = second_at(now); it != nullptr) {
+        ++it->tokens;
+    }
+}
+
+void recorder::end(ending how, time_point now) {
+    const std::lock_guard lock{mutex_};
+    ++endings_[how];
+    if (auto* const it = second_at(now); it != nullptr && how == ending::complete) {
+        ++it->complete;
+    }
+}
+
+void recorder::refuse(const std::string& code) {
+    const std::lock_guard lock{mutex_};
+    ++refused_[code];
+}
+
+fairness_meter::sample recorder::sample(time_point now) const {
+    const std::lock_guard lock{mutex_};
+    fairness_meter::sample out;
+    for (std::size_t i = 0; i < team_count; ++i) {
+        const auto& team = teams_.at(i);
+        out.at(i) = {team.tokens, !team.waiting.empty() && now - *team.waiting.begin() > backlog_age};
+    }
+    return out;
+}
+
+std::vector<second_of_service> recorder::seconds() const {
+    const std::lock_guard lock{mutex_};
+    return seconds_;
+}
+
+nlohmann::json recorder::report() const {
+    const std::lock_guard lock{mutex_};
+    const auto count = [this](ending how) {
+        const auto it = endings_.find(how);
+        return it != endings_.end() ? it->second : 0;
+    };
+    std::uint64_t in_time = 0;
+    auto by_second = nlohmann::json::array();
+    for (const auto& it : seconds_) {
+        in_time += it.complete;
+        by_second.push_back({{"complete", it.complete}, {"tokens", it.tokens}});
+    }
+    auto tokens = nlohmann::json::array();
+    for (const auto& it : teams_) {
+        tokens.push_back(it.tokens);
+    }
+    return {{"requests_per_s", static_cast<double>(in_time) / static_cast<double>(seconds_.size())},
+            {"complete", count(ending::complete)},
+            {"refused_by_code", refused_},
+            {"cut", count(ending::cut)},
+            {"lost", count(ending::lost)},
+            {"wrong", count(ending::wrong)},
+            {"unsent", count(ending::unsent)},
+            {"ttft_ms", ttft_.summary()},
+            {"inter_token_ms", inter_token_.summary()},
+            {"tokens_by_team", std::move(tokens)},
+            {"service_by_second", std::move(by_second)}};
+}
+
+} // namespace dandelionbay::bench
--- /dev/null
+++ b/src/dandelionbay/bench/recorder.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dandelionbay/base/clock.hpp"
+#include "dandelionbay/bench/fairness_meter.hpp"
+#include "dandelionbay/bench/fwd.hpp"
+#include "dandelionbay/bench/latency_histogram.hpp"
+
+namespace dandelionbay::bench {
+
+/*! @brief How a call ended for its caller. */
+enum class ending {
+    complete,
+    cut,   //!< The answer broke off.
+    lost,  //!< No answer.
+    wrong, //!< A whole answer that belongs to another call.
+    unsent //!< Its turn did not come before the end of the run.
+};
+
+/*! @brief Calls and tokens of one second. */
+struct second_of_service {
+    std::uint64_t complete{};
+    std::uint64_t tokens{};
+
+    friend bool operator==(const second_of_service&, const second_of_service&) = default;
+};
+
+/*! @brief Collects what the callers see; safe for use by several threads. */
+class recorder {
+    struct team_state {
+        std::int64_t tokens{};
+        std::multiset<time_point> waiting{}; //!< When the calls without a first token were sent.
+    };
+
+    [[nodiscard]] second_of_service* second_at(time_point now);
+
+public:
+    /*! @brief Starts. @param start Start of the load. @param seconds Length of the load. */
+    recorder(time_point start, std::size_t seconds);
+
+    /*! @brief A chat call was sent. @param team Of the caller. @param now When. */
+    void sent(std::size_t team, time_point now);
+
+    /*! @brief A call no longer waits for its first token. @param team Of the caller. @param sent When it was sent. */
+    void answered(std::size_t team, time_point sent);
+
+    /*! @brief The first token came. @param planned When the call was due. @param now Current time. */
+    void first_token(time_point planned, time_point now);
+
+    /*! @brief A further token came. @param gap Time since the previous one. */
+    void next_token(duration gap);
+
+    /*! @brief Counts a token of a team. */
+    void count_token(std::size_t team, time_point now);
+
+    /*! @brief A call ended without refusal. */
+    void end(ending how, time_point now);
+
+    /*! @brief A call was refused. @param code Numeric result code, or the HTTP status if there is none. */
+    void refuse(const std::string& code);
+
+    /*! @brief What each team has got. */
+    [[nodiscard]] fairness_meter::sample sample(time_point now) const;
+
+    /*! @brief Service by the second. */
+    [[nodiscard]] std::vector<second_of_service> seconds() const;
+
+    /*! @brief All figures of the callers. @return JSON object. */
+    [[nodiscard]] nlohmann::json report() const;
+
+private:
+    const time_point start_;
+    mutable std::mutex mutex_;
+    std::vector<second_of_service> seconds_;
+    std::array<team_state, team_count> teams_;
+    std::map<ending, std::uint64_t> endings_;
+    std::map<std::string, std::uint64_t> refused_;
+    latency_histogram ttft_;
+    latency_histogram inter_token_;
+};
+
+} // namespace dandelionbay::bench
--- /dev/null
+++ b/src/dandelionbay/bench/run.cpp
@@ -0,0 +1,224 @@
+#include "dandelionbay/bench/run.hpp"
+
+#include <algorithm>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "dandelionbay/app/admin_client.hpp"
+#include "dandelionbay/app/dev_fleet.hpp"
+#include "dandelionbay/base/text.hpp"
+#include "dandelionbay/bench/fairness_meter.hpp"
+#include "dandelionbay/bench/load_generator.hpp"
+#include "dandelionbay/bench/recorder.hpp"
+#include "dandelionbay/config/document_edit.hpp"
+
+namespace dandelionbay::bench {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds sample_interval{20};
+/*! Time for all threads to start before the first call is due. */
+constexpr std::chrono::milliseconds lead{200};
+/*! Calls that are late at the end of the load are still sent for as long as this. */
+constexpr std::chrono::seconds drain_limit{20};
+/*! Requirement R4. */
+constexpr std::chrono::seconds zone_limit{5};
+constexpr std::string_view moved_zone = "west-1";
+/*! Shares of the run at which the zone is taken out and back. */
+constexpr double out_share = 0.15;
+constexpr double back_share = 0.85;
+
+[[nodiscard]] time_point now() noexcept {
+    return monotonic_clock{}.now();
+}
+
+/*! @brief One run: the fleet, and what is sampled from it. */
+class bench_run {
+    void print(std::string_view line) {
+        const std::lock_guard lock{progress_mutex_};
+        *progress_ << line << std::endl; // Flushed, because people watch it.
+    }
+
+    [[nodiscard]] load_generator::port_list ports() const {
+        return {fleet_.routers().at(0)->caller_port(), fleet_.routers().at(1)->caller_port()};
+    }
+
+    /*! Runs a load whose figures are dropped. */
+    void warm_endpoints() {
+        const auto start = now() + lead;
+        recorder unused{start, 1};
+        load_generator load{plan_arrivals(warm_up(), options_.warm_up, options_.seed + 1), ports(), start,
+                            start + options_.warm_up + drain_limit, unused};
+        print(concat("warm-up of ", options_.warm_up.count(), " s"));
+        load.start();
+        load.finish();
+    }
+
+    template<typename Nodes>
+    [[nodiscard]] static double control_bytes(const Nodes& nodes) {
+        counters::value_type sum = 0;
+        for (const auto& it : nodes) {
+            sum += it->metrics().total("control_bytes_sent_total");
+        }
+        return static_cast<double>(sum);
+    }
+
+    /*! Requests that the engines of the moved zone have started. */
+    [[nodiscard]] std::uint64_t started_in_zone() const {
+        std::uint64_t sum = 0;
+        for (const auto* it : fleet_.engines_in(moved_zone)) {
+            sum += it->stats().started;
+        }
+        return sum;
+    }
+
+    [[nodiscard]] absl::Status move_zone(bool out) {
+        const app::admin_client operators{{"127.0.0.1", fleet_.routers().front()->admin_port()},
+                                          app::dev_options{}.admin_token};
+        auto config = operators.get("config");
+        if (!config.ok()) {
+            return absl::UnavailableError(concat("reading the configuration failed: ", config.body.dump()));
+        }
+        if (auto status = set_zone_out(config.body, moved_zone, out); !status.ok()) {
+            return status;
+        }
+        const auto changed = operators.send("PUT", "config", config.etag, config.body.dump());
+        return changed.ok() ? absl::OkStatus()
+                            : absl::UnavailableError(concat("the edit failed: ", changed.body.dump()));
+    }
+
+    /*! Takes the zone out and back, and counts what its engines start later than the limit. */
+    void run_zone_move(time_point start) {
+        const auto at = [&](double share) {
+            return start + std::chrono::duration_cast<duration>(options_.length * share);
+        };
+        std::this_thread::sleep_until(at(out_share));
+        zone_status_ = move_zone(true);
+        const auto out_at = now();
+        if (!zone_status_.ok()) {
+            return;
+        }
+        print(concat("zone ", moved_zone, " out of service"));
+        std::this_thread::sleep_until(out_at + zone_limit);
+        const auto before = started_in_zone();
+        std::this_thread::sleep_until(at(back_share));
+        late_grants_ = started_in_zone() - before;
+        late_window_ = now() - (out_at + zone_limit);
+        zone_status_ = move_zone(false);
+        print(concat("zone ", moved_zone, " back in service"));
+    }
+
+    void sample_service(time_point start, time_point end, const recorder& results) {
+        auto last = now();
+        std::size_t printed = 0;
+        while (last < end) {
+            std::this_thread::sleep_until(std::min(end, last + sample_interval));
+            const auto at = now();
+            const std::chrono::duration<double> step = at - last;
+            for (const auto& it : fleet_.engines()) {
+                running_time_ += step.count() * it->running();
+                slot_time_ += step.count() * standin_engine_options{}.slots;
+            }
+            fairness_.add(results.sample(at), at - last);
+            last = at;
+            const auto seconds = results.seconds();
+            if (at - start >= std::chrono::seconds{printed + 1} && printed < seconds.size()) {
+                const auto& it = seconds[printed];
+                print(concat("second ", ++printed, ": ", it.complete, " complete, ", it.tokens, " tokens"));
+            }
+        }
+    }
+
+    /*! Compares the orders that were sent with the runs that the order stand-ins report. */
+    [[nodiscard]] std::uint64_t doubled_orders() const {
+        std::map<std::string, std::uint64_t> runs;
+        for (const auto& service : fleet_.services()) {
+            for (const auto& [order, n] : service->runs()) {
+                runs[order] += n;
+            }
+        }
+        return static_cast<std::uint64_t>(std::ranges::count_if(runs, [](const auto& it) { return it.second > 1; }));
+    }
+
+public:
+    bench_run(const bench_options& options, std::ostream& progress)
+        : options_{options}, progress_{&progress}, fleet_{app::dev_options{}} {}
+
+    [[nodiscard]] absl::StatusOr<json> run() {
+        if (auto status = fleet_.start(); !status.ok()) {
+            return status;
+        }
+        warm_endpoints();
+        auto plan = plan_arrivals(options_.load, options_.length, options_.seed);
+        const auto offered = plan.size();
+        const auto start = now() + lead;
+        const auto end = start + options_.length;
+        recorder results{start, static_cast<std::size_t>(options_.length.count())};
+        load_generator load{std::move(plan), ports(), start, end + drain_limit, results};
+        load.start();
+        std::this_thread::sleep_until(start);
+        const auto router_bytes = control_bytes(fleet_.routers());
+        const auto agent_bytes = control_bytes(fleet_.agents());
+        std::thread mover;
+        if (options_.load.zone_move) {
+            mover = std::thread{[&] { run_zone_move(start); }};
+        }
+        sample_service(start, end, results);
+        const auto router_sent = control_bytes(fleet_.routers()) - router_bytes;
+        const auto agent_sent = control_bytes(fleet_.agents()) - agent_bytes;
+        if (mover.joinable()) {
+            mover.join();
+        }
+        load.finish();
+        if (!zone_status_.ok()) {
+            return zone_status_;
+        }
+        const auto routers = static_cast<double>(fleet_.routers().size());
+        const auto agents = static_cast<double>(fleet_.agents().size());
+        const auto seconds = static_cast<double>(options_.length.count());
+        auto out = results.report();
+        out["scenario"] = options_.load.name;
+        out["seconds"] = options_.length.count();
+        out["seed"] = options_.seed;
+        out["warm_up_s"] = options_.warm_up.count();
+        out["offered"] = offered;
+        out["doubled"] = doubled_orders();
+        out["utilisation_ratio"] = running_time_ / slot_time_;
+        out["control_bytes_per_node_s"] = (router_sent + agent_sent) / (routers + agents) / seconds;
+        out["control_bytes_per_router_s"] = router_sent / routers / seconds;
+        out["control_bytes_per_agent_s"] = agent_sent / agents / seconds;
+        out["fairness_gap_tokens"] = fairness_.gap();
+        out["contended_s"] = std::chrono::duration<double>{fairness_.contended()}.count();
+        out["late_grants_after_5s"] = late_grants_ ? json(*late_grants_) : json(nullptr);
+        out["late_grants_window_s"] = std::chrono::duration<double>{late_window_}.count();
+        fleet_.stop();
+        return out;
+    }
+
+private:
+    bench_options options_;
+    std::ostream* progress_;
+    std::mutex progress_mutex_;
+    app::dev_fleet fleet_;
+    fairness_meter fairness_;
+    double running_time_{0};
+    double slot_time_{0};
+    absl::Status zone_status_;
+    std::optional<std::uint64_t> late_grants_;
+    duration late_window_{0};
+};
+
+} // namespace
+
+absl::StatusOr<json> run_bench(const bench_options& options, std::ostream& progress) {
+    return bench_run{options, progress}.run();
+}
+
+} // namespace dandelionbay::bench
--- /dev/null
+++ b/src/dandelionbay/bench/scenario.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dandelionbay/base/clock.hpp"
+#include "dandelionbay/bench/fwd.hpp"
+
+namespace dandelionbay::bench {
+
+/*! @brief Teams of the development fleet. */
+inline constexpr std::size_t team_count = 4;
+/*! @brief Entry routers of the development fleet. */
+inline constexpr std::size_t router_count = 2;
+
+/*! @brief Load of one team. */
+struct team_load {
+    double rate{};         //!< Chat calls per second.
+    double first_router{}; //!< Share of the calls that go to the first router.
+
+    friend bool operator==(const team_load&, const team_load&) = default;
+};
+
+/*! @brief What is sent, and what happens to the fleet meanwhile. */
+struct scenario {
+    std::string_view name{};
+    std::array<team_load, team_count> teams{};
+    double order_rate{};              //!< Orders per second.
+    bool zone_move{};                 //!< A zone is taken out of service and back.
+    std::chrono::seconds shortest{1}; //!< Shortest run that measures what the scenario is for.
+
+    friend bool operator==(const scenario&, const scenario&) = default;
+};
+
+/*! @brief One planned call. */
+struct arrival {
+    duration at{}; //!< Since the start of the load.
+    std::size_t team{};
+    std::size_t router{};
+    std::uint32_t tokens{}; //!< Output tokens of a chat call; zero for an order.
+    std::string text{};     //!< Prompt or order id.
+
+    [[nodiscard]] bool is_order() const noexcept { return tokens == 0; }
+
+    friend bool operator==(const arrival&, const arrival&) = default;
+};
+
+/*! @brief All scenarios. */
+[[nodiscard]] std::span<const scenario> scenarios() noexcept;
+
+/*! @brief Load that takes the endpoints through their cold start. */
+[[nodiscard]] scenario warm_up() noexcept;
+
+/*! @brief Finds a scenario. @param name Its name. @return It, or null. */
+[[nodiscard]] const scenario* find_scenario(std::string_view name) noexcept;
+
+/**
+ * @brief Draws the arrivals of a run.
+ * @param load The scenario.
+ * @param length Length of the load.
+ * @param seed Equal seeds give equal arrivals; different seeds give different prompts and order ids.
+ * @return The arrivals, ordered by time.
+ */
+[[nodiscard]] std::vector<arrival> plan_arrivals(const scenario& load, std::chrono::seconds length, std::uint64_t seed);
+
+} // namespace dandelionbay::bench
--- /dev/null
+++ b/test/dandelionbay/bench/bench_test.cpp
@@ -0,0 +1,89 @@
+#include "dandelionbay/bench/run.hpp"
+
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+#include "dandelionbay/bench/fairness_meter.hpp"
+#include "dandelionbay/bench/latency_histogram.hpp"
+
+namespace dandelionbay::bench {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Guards against figures that can't be repeated, and against a resent order that would not be one.
+TEST(bench, equal_seeds_give_equal_arrivals) {
+    for (const auto& it : scenarios()) {
+        SCOPED_TRACE(it.name);
+        const auto plan = plan_arrivals(it, 10s, 7);
+        EXPECT_EQ(plan, plan_arrivals(it, 10s, 7));
+        EXPECT_NE(plan, plan_arrivals(it, 10s, 8));
+        EXPECT_TRUE(std::ranges::is_sorted(plan, {}, &arrival::at));
+    }
+    EXPECT_EQ(find_scenario("bogus"), nullptr);
+}
+
+// Guards against a quantile from the wrong bin and against times outside the range that are not counted.
+TEST(bench, histogram_reads_quantiles_within_its_resolution) {
+    latency_histogram it;
+    EXPECT_EQ(it.quantile_ms(0.5), 0);
+    for (int i = 1; i <= 100; ++i) {
+        it.add(i * 1ms);
+    }
+    EXPECT_NEAR(it.quantile_ms(0.5), 50, 0.6);
+    EXPECT_NEAR(it.quantile_ms(0.95), 95, 1.1);
+    it.add(0ms);
+    it.add(2h);
+    EXPECT_EQ(it.summary()["count"], 102);
+}
+
+// Guards against a gap that counts time in which only one of the teams is backlogged.
+TEST(bench, fairness_gap_covers_only_time_in_which_both_teams_are_backlogged) {
+    fairness_meter meter;
+    const auto add = [&](team_sample a, team_sample b) { meter.add({a, b, {}, {}}, 20ms); };
+    add({0, true}, {0, false});
+    add({500, true}, {0, false});
+    EXPECT_EQ(meter.gap(), 0);
+    {
+        SCOPED_TRACE("the second team joins; only the service from here on counts");
+        add({500, true}, {0, true});
+        add({530, true}, {0, true});
+        add({530, true}, {40, true});
+        EXPECT_EQ(meter.gap(), 40);
+    }
+    {
+        SCOPED_TRACE("a new interval starts after the second team was idle");
+        add({900, true}, {40, false});
+        add({900, true}, {40, true});
+        add({910, true}, {40, true});
+        EXPECT_EQ(meter.gap(), 40);
+    }
+    EXPECT_EQ(meter.contended(), 100ms);
+}
+
+// Guards against a report that lacks a figure, and against answers that are cut, lost, doubled or another caller's.
+TEST(bench, steady_run_reports_all_figures_and_breaks_no_answer) {
+    std::ostringstream progress;
+    const auto figures = run_bench({*find_scenario("steady"), 2s, 1}, progress);
+    ASSERT_TRUE(figures.ok()) << figures.status();
+    for (const auto* key :
+         {"requests_per_s", "complete", "refused_by_code", "cut", "lost", "doubled", "ttft_ms", "inter_token_ms",
+          "utilisation_ratio", "control_bytes_per_node_s", "fairness_gap_tokens", "late_grants_after_5s"}) {
+        EXPECT_TRUE(figures->contains(key)) << key;
+    }
+    for (const auto* key : {"ttft_ms", "inter_token_ms"}) {
+        for (const auto* quantile : {"p50", "p95", "p99"}) {
+            EXPECT_GT((*figures)[key][quantile], 0) << key << ' ' << quantile;
+        }
+    }
+    for (const auto* key : {"cut", "lost", "doubled", "wrong"}) {
+        EXPECT_EQ((*figures)[key], 0) << *figures;
+    }
+    EXPECT_GT((*figures)["complete"], 0);
+    EXPECT_GT((*figures)["control_bytes_per_node_s"], 0);
+    EXPECT_NE(progress.str().find("second 1: "), std::string::npos) << progress.str();
+}
+
+} // namespace
+} // namespace dandelionbay::bench
