Use one token bucket for control bytes

Cause: the router had its own token bucket for the bytes of demands and of the exchange, because the shared one was written at the same time. Ruled out: try_take() in its place; the router takes bytes into debt and leaves a reserve to urgent messages. Change: byte_budget::take_above() serves that use; byte_pace is gone. The sanitizer builds were not run for this change. Conclusion: behaviour is unchanged.

--- a/src/dandelionbay/limit/byte_budget.cpp
+++ b/src/dandelionbay/limit/byte_budget.cpp
@@ -38,6 +38,14 @@
     return true;
 }
 
+bool byte_budget::take_above(double bytes, double reserve, time_point now) noexcept {
+    if (available(now) <= reserve * burst_) {
+        return false;
+    }
+    charge(bytes, now);
+    return true;
+}
+
 void byte_budget::charge(double bytes, time_point now) noexcept {
     refill(now);
     level_ = std::min(burst_, level_ - bytes);
--- a/src/dandelionbay/limit/byte_budget.hpp
+++ b/src/dandelionbay/limit/byte_budget.hpp
@@ -34,6 +34,15 @@
      */
     [[nodiscard]] bool try_take(double bytes, time_point now) noexcept;
 
+    /**
+     * @brief Takes bytes, if need be into debt, while more than a reserve is there.
+     * @param bytes Amount.
+     * @param reserve Share of the capacity that is left to more urgent uses, from 0 to 1.
+     * @param now Current time.
+     * @return False if only the reserve is left.
+     */
+    [[nodiscard]] bool take_above(double bytes, double reserve, time_point now) noexcept;
+
     /*! @brief Takes bytes in any case; a negative amount gives them back. @param bytes Amount. @param now Time. */
     void charge(double bytes, time_point now) noexcept;
 
--- a/src/dandelionbay/router/internal/records.hpp
+++ b/src/dandelionbay/router/internal/records.hpp
@@ -116,34 +116,4 @@
     }
 };
 
-/*! @brief Token bucket for bytes of control messages. */
-class byte_pace {
-public:
-    byte_pace(double per_second, double burst) : per_second_{per_second}, burst_{burst}, level_{burst} {}
-
-    /**
-     * @brief Takes bytes if more than a reserve is left; the level may become negative once.
-     * @param bytes Bytes to take.
-     * @param reserve Share of the burst that is left to more urgent messages, from 0 to 1.
-     * @return False if only the reserve is left.
-     */
-    [[nodiscard]] bool take(double bytes, double reserve, time_point now) noexcept {
-        if (now > last_) {
-            level_ = std::min(burst_, level_ + per_second_ * std::chrono::duration<double>{now - last_}.count());
-            last_ = now;
-        }
-        if (level_ <= reserve * burst_) {
-            return false;
-        }
-        level_ -= bytes;
-        return true;
-    }
-
-private:
-    double per_second_;
-    double burst_;
-    double level_;
-    time_point last_{};
-};
-
 } // namespace dandelionbay::internal
--- a/src/dandelionbay/router/internal/state.hpp
+++ b/src/dandelionbay/router/internal/state.hpp
@@ -14,6 +14,7 @@
 #include "dandelionbay/base/counters.hpp"
 #include "dandelionbay/fair/cost_model.hpp"
 #include "dandelionbay/fair/ledger.hpp"
+#include "dandelionbay/limit/byte_budget.hpp"
 #include "dandelionbay/limit/crash_register.hpp"
 #include "dandelionbay/limit/retry_budget.hpp"
 #include "dandelionbay/router/internal/access_groups.hpp"
@@ -149,8 +150,8 @@
     std::set<host_id> peers_told_all_;  // peers that were told that they have all rows
     std::set<host_id> peers_heard_all_; // peers that have sent all their rows
     std::set<pool_id> to_serve_;
-    internal::byte_pace demand_pace_;
-    internal::byte_pace exchange_pace_;
+    byte_budget demand_pace_;
+    byte_budget exchange_pace_;
     time_point next_demand_{};
     time_point next_exchange_{};
     time_point next_slow_{};
--- a/src/dandelionbay/router/internal/state_event.cpp
+++ b/src/dandelionbay/router/internal/state_event.cpp
@@ -10,7 +10,8 @@
 router_core::state::state(router_settings settings, counters& metrics)
     : settings_{std::move(settings)}, metrics_{&metrics}, random_{settings_.seed}, ledger_{settings_.host,
                                                                                            settings_.incarnation},
-      demand_pace_{demand_bytes_per_second, demand_burst}, exchange_pace_{exchange_bytes_per_second, exchange_burst} {}
+      demand_pace_{demand_bytes_per_second, demand_burst, time_point{}}, exchange_pace_{exchange_bytes_per_second,
+                                                                                        exchange_burst, time_point{}} {}
 
 void router_core::state::send(const host_id& to, message body) {
     out_.emplace_back(send_message{to, std::move(body)});
@@ -144,13 +145,13 @@
     }
     next_exchange_ = now + exchange_interval;
     const auto visit = [&](const host_id& host) {
-        if (!routers_up_.contains(host) || !exchange_pace_.take(0.0, 0.0, now)) {
+        if (!routers_up_.contains(host) || !exchange_pace_.take_above(0.0, 0.0, now)) {
             return;
         }
         auto rows = ledger_.take_changes(host, exchange_rows, repair_rows);
         const auto count = rows.rows.size() + rows.lifts.size();
         if (count > 0) {
-            std::ignore = exchange_pace_.take(row_bytes * static_cast<double>(count), 0.0, now);
+            std::ignore = exchange_pace_.take_above(row_bytes * static_cast<double>(count), 0.0, now);
             metrics_->add("ledger_rows_sent_total", {}, static_cast<counters::value_type>(count));
             send(host, std::move(rows));
             exchange_turn_ = host;
--- a/src/dandelionbay/router/internal/state_link.cpp
+++ b/src/dandelionbay/router/internal/state_link.cpp
@@ -214,7 +214,7 @@
     }
     auto teams = demand_for(pool, agent, now);
     if (differs(pool, told->second, teams, true) &&
-        demand_pace_.take(team_bytes * static_cast<double>(teams.size() + 1), piggyback_reserve, now)) {
+        demand_pace_.take_above(team_bytes * static_cast<double>(teams.size() + 1), piggyback_reserve, now)) {
         tell(pool, agent, std::move(teams), now);
     }
 }
@@ -259,7 +259,7 @@
                 continue;
             }
             const double reserve = teams.empty() != told.teams.empty() ? 0.0 : refresh_reserve;
-            if (!demand_pace_.take(team_bytes * static_cast<double>(teams.size() + 1), reserve, now)) {
+            if (!demand_pace_.take_above(team_bytes * static_cast<double>(teams.size() + 1), reserve, now)) {
                 paced = true;
                 continue;
             }
