Sum a ledger entry once when a peer's row is merged

Cause: merging a row summed the charges of all rows of the team twice, once to shrink a provisional lift and once to refresh the entry. Change: refresh() is told that a peer caused the change and shrinks the lift with the sum that it computes anyway. Conclusion: behaviour is unchanged.

--- a/src/dandelionbay/fair/ledger.cpp
+++ b/src/dandelionbay/fair/ledger.cpp
@@ -41,7 +41,7 @@
     return own || (it.row.router != self_ && now - it.heard < gone_after);
 }
 
-void ledger::refresh(entry& it, time_point now) {
+void ledger::refresh(entry& it, time_point now, change cause) {
     auto& pool = pools_[it.key.pool];
     const auto old_rank = std::pair<double, const entry*>{it.base + it.reserved, &it};
     pool.backlogged.erase(old_rank);
@@ -63,6 +63,9 @@
         it.queued_elsewhere += own ? 0 : state.row.queued;
         remote_load = remote_load || (!own && (state.row.reserved > 0.0 || state.row.queued > 0));
     }
+    if (cause == change::by_peer) {
+        consume_provisional(it, charged - it.service);
+    }
     it.base = std::max(it.floor, it.lift + it.provisional + charged);
     pool.service += charged - it.service;
     it.service = charged;
@@ -238,12 +241,7 @@
         }
         auto& it = at(team_key{row.pool, row.team});
         if (merge_row(it, row, from, now)) {
-            double charged = 0.0;
-            for (const auto& [id, state] : it.rows) {
-                charged += state.row.charged;
-            }
-            consume_provisional(it, charged - it.service);
-            refresh(it, now);
+            refresh(it, now, change::by_peer);
         }
     }
     for (const auto& row : in.lifts) {
--- a/src/dandelionbay/fair/ledger.hpp
+++ b/src/dandelionbay/fair/ledger.hpp
@@ -39,6 +39,8 @@
 class ledger {
     using row_key = std::pair<host_id, incarnation_type>;
 
+    enum class change : std::uint8_t { by_peer, other };
+
     struct row_state {
         ledger_row row{};
         time_point heard{};
@@ -80,7 +82,7 @@
     [[nodiscard]] entry& at(const team_key& key);
     [[nodiscard]] row_state& own_row(entry& it);
     [[nodiscard]] bool counts(const row_state& it, time_point now) const;
-    void refresh(entry& it, time_point now);
+    void refresh(entry& it, time_point now, change cause = change::other);
     static void consume_provisional(entry& it, double gained) noexcept;
     void mark(const item& changed, const host_id& except);
     void own_changed(entry& it, row_state& own, time_point now);
