Check an idle endpoint's process before work starts there

Cause: an endpoint that was replaced by a new, cold process while it was idle was noticed by its next load report only, up to 500 ms later, and got up to all its slots until then. A running call tells of the end of its process by its broken connection; an idle endpoint has none. The randomised runs hid it, because they told the agent of the end of a process at once.

Weighed and not taken: a connection kept open to the endpoint (occupies a thread of many servers and closes at their idle limit); more frequent reports (shorten the gap, don't close it).

Change: when nothing runs and nothing was heard of the process for 50 ms, submissions wait for the answer to check_endpoint; then they are admitted or rejected as not run as usual. The driver drops a report whose read began before the check. The engine stand-in no longer reports its predecessor's process after a restart. The randomised runs no longer announce the end.

Conclusion: a cold start is no longer overrun after an unnoticed restart, except at endpoints that report no process.

--- a/src/dandelionbay/agent/agent_action.hpp
+++ b/src/dandelionbay/agent/agent_action.hpp
@@ -27,7 +27,16 @@
     friend bool operator==(const cancel_run&, const cancel_run&) = default;
 };
 
-using agent_action = std::variant<send_message, start_run, cancel_run>;
+/*!
+ * @brief Read the endpoint's state now; a report or the loss of the endpoint must follow.
+ *
+ * The state must be read after this action; a report that was on its way already may be of a former process.
+ */
+struct check_endpoint {
+    friend bool operator==(const check_endpoint&, const check_endpoint&) = default;
+};
+
+using agent_action = std::variant<send_message, start_run, cancel_run, check_endpoint>;
 
 /*! @brief State of an endpoint as it reports it, late by its reporting interval. */
 struct load_report {
--- a/src/dandelionbay/agent/agent_admission.cpp
+++ b/src/dandelionbay/agent/agent_admission.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <chrono>
+#include <utility>
 
 #include "dandelionbay/agent/agent_state.hpp"
 
@@ -45,7 +47,46 @@
     out.emplace_back(send_message{to, rejected{.id = it.id, .grant = it.grant, .code = code}});
 }
 
+bool agent_core::state::must_verify(time_point now) const {
+    // A running call breaks with its process, so only an endpoint without calls can be replaced unnoticed. One that
+    // never names its process can't be verified.
+    const bool known = contact_.has_value() && now - *contact_ < internal::contact_age;
+    return runs_.empty() && !process_.empty() && !known && !refusal(now).has_value();
+}
+
+void agent_core::state::verify_first(const host_id& from, const submit& it, time_point now, actions& out) {
+    if (unverified_.empty()) {
+        metrics_.add("endpoint_checks_total");
+        out.emplace_back(check_endpoint{});
+    }
+    unverified_.push_back({from, it, now});
+}
+
+void agent_core::state::admit_verified(time_point now, actions& out) {
+    for (auto& [router, work, since] : std::exchange(unverified_, {})) {
+        const auto waited = std::chrono::ceil<std::chrono::milliseconds>(now - since).count();
+        work.timeout_ms -= static_cast<std::uint32_t>(std::min<std::int64_t>(work.timeout_ms, waited));
+        on_submit(router, work, now, out);
+    }
+}
+
+bool agent_core::state::withdraw_unverified(const host_id& from, const request_id& id, time_point now) {
+    const auto it = std::ranges::find(unverified_, id, [](const auto& held) { return held.work.id; });
+    if (it == unverified_.end() || it->router != from) {
+        return false;
+    }
+    if (const auto held = grants_.take(it->work.grant, from); held.has_value()) {
+        release({*held}, now);
+    }
+    unverified_.erase(it);
+    return true;
+}
+
 void agent_core::state::on_submit(const host_id& from, const submit& it, time_point now, actions& out) {
+    if (must_verify(now)) {
+        verify_first(from, it, now, out);
+        return;
+    }
     const auto held = grants_.take(it.grant, from);
     if (held.has_value()) {
         demands_.submitted(from, held->pool, it.team);
--- a/src/dandelionbay/agent/agent_links.cpp
+++ b/src/dandelionbay/agent/agent_links.cpp
@@ -118,7 +118,10 @@
     on_submit(from, it, now, out);
 }
 
-void agent_core::state::on_message(const host_id& from, const cancel& it, time_point /*now*/, actions& out) {
+void agent_core::state::on_message(const host_id& from, const cancel& it, time_point now, actions& out) {
+    if (withdraw_unverified(from, it.id, now)) {
+        return;
+    }
     auto* const run = it.id.router == from ? find_run(it.id) : nullptr;
     if (run == nullptr) {
         metrics_.add("late_messages_total", "cancel");
--- a/src/dandelionbay/agent/agent_runs.cpp
+++ b/src/dandelionbay/agent/agent_runs.cpp
@@ -137,12 +137,13 @@
 }
 
 void agent_core::state::run_head(const request_id& id, std::int32_t status, std::vector<header_field> headers,
-                                 time_point /*now*/, actions& out) {
+                                 time_point now, actions& out) {
     const auto it = runs_.find(id);
     if (it == runs_.end()) {
         metrics_.add("late_messages_total", "run_head");
         return;
     }
+    contact_ = now;
     auto& run = it->second;
     run.head_known = true;
     run.first = head{.id = id, .status = status, .headers = std::move(headers)};
@@ -158,6 +159,7 @@
         metrics_.add("late_messages_total", "run_data");
         return false;
     }
+    contact_ = now;
     auto& run = it->second;
     const auto limit_before = ramp_.limit();
     if (!run.answered && (tokens > 0 || !data.empty())) {
--- a/src/dandelionbay/agent/agent_state.cpp
+++ b/src/dandelionbay/agent/agent_state.cpp
@@ -151,12 +151,15 @@
         lost_ = false;
         paused_until_.reset();
     }
+    contact_ = now;
+    admit_verified(now, out);
 }
 
 void agent_core::state::endpoint_lost(time_point now, actions& out) {
     metrics_.add("endpoint_lost_total");
     reported_ = true;
     lose_endpoint(now, out);
+    admit_verified(now, out);
 }
 
 void agent_core::state::tick(time_point now, actions& out) {
@@ -178,7 +181,8 @@
 }
 
 bool agent_core::state::idle() const noexcept {
-    return runs_.empty() && std::ranges::all_of(ended_, [](const auto& it) { return it.second.end_sent; });
+    return runs_.empty() && unverified_.empty() &&
+           std::ranges::all_of(ended_, [](const auto& it) { return it.second.end_sent; });
 }
 
 time_point agent_core::state::next_deadline() const noexcept {
--- a/src/dandelionbay/agent/agent_state.hpp
+++ b/src/dandelionbay/agent/agent_state.hpp
@@ -46,6 +46,13 @@
 /*! @brief Pause of grants after the endpoint refused a request, so that requests don't circulate. */
 inline constexpr duration refusal_pause = std::chrono::milliseconds{200};
 
+/*!
+ * @brief An idle endpoint that was not heard of for this long may be a new and cold process.
+ *
+ * Shorter than a process takes to end and to listen again, so that work sent within it meets the known process.
+ */
+inline constexpr duration contact_age = std::chrono::milliseconds{50};
+
 /*! @brief Largest number of suspected fingerprints an agent remembers; it knows mostly those of its own endpoint. */
 inline constexpr std::size_t suspicion_capacity = 1'024;
 
@@ -111,6 +118,13 @@
         time_point ended{};
     };
 
+    /*! @brief A submission that waits until the endpoint's state is known. */
+    struct unverified_submission {
+        host_id router{};
+        submit work{};
+        time_point since{};
+    };
+
     using run_map = std::map<request_id, run_state>;
 
     // agent_state.cpp: configuration and state of the endpoint.
@@ -148,6 +162,10 @@
                                     std::uint32_t crashes, time_point now) const;
     void reject(const host_id& to, const submit& it, result_code code, actions& out);
     void on_submit(const host_id& from, const submit& it, time_point now, actions& out);
+    [[nodiscard]] bool must_verify(time_point now) const;
+    void verify_first(const host_id& from, const submit& it, time_point now, actions& out);
+    void admit_verified(time_point now, actions& out);
+    [[nodiscard]] bool withdraw_unverified(const host_id& from, const request_id& id, time_point now);
 
     // agent_runs.cpp: runs and answers.
     void end_run(run_map::iterator it, result_code code, executed outcome, time_point now, actions& out);
@@ -237,6 +255,8 @@
     double mean_bytes_{16'384.0}; //!< Moving average of a request's bytes in both directions.
     std::optional<time_point> idle_since_{};
 
+    std::optional<time_point> contact_{};             //!< The endpoint's present process was last heard of.
+    std::vector<unverified_submission> unverified_{}; //!< Wait for the answer to check_endpoint.
     internal::admission_memory admitted_{};
     run_map runs_{};  //!< Runs at the endpoint.
     run_map ended_{}; //!< Ended runs whose answer is kept.
--- a/src/dandelionbay/node/agent_driver.cpp
+++ b/src/dandelionbay/node/agent_driver.cpp
@@ -44,6 +44,9 @@
             endpoint_->start_run(run->work, *this);
         } else if (const auto* end = std::get_if<cancel_run>(&it)) {
             endpoint_->cancel_run(end->id);
+        } else if (std::holds_alternative<check_endpoint>(it)) {
+            ++checks_ordered_;
+            endpoint_poller_.wake();
         }
     }
     idle_ = core_.idle();
@@ -51,9 +54,14 @@
 
 void agent_driver::poll_endpoint() {
     endpoint_->expire(time().now());
+    const auto checks = checks_ordered_.load();
     auto state = endpoint_->state();
     metrics().add("load_reports_total", state.ok() ? "ok" : "failed");
-    tasks().post([this, state = std::move(state)] {
+    tasks().post([this, checks, state = std::move(state)] {
+        if (checks != checks_ordered_) {
+            // Read in part before a check was ordered, so it may describe a former process; the check's own follows.
+            return;
+        }
         const auto now = time().now();
         perform(state.ok() ? core_.report(*state, now) : core_.endpoint_lost(now));
     });
--- a/src/dandelionbay/node/agent_driver.hpp
+++ b/src/dandelionbay/node/agent_driver.hpp
@@ -47,6 +47,7 @@
     endpoint_client* endpoint_;
     agent_core core_;
     repeater endpoint_poller_;
+    std::atomic<std::uint32_t> checks_ordered_{0};
     bool fresh_{false};
     std::atomic<bool> idle_{true};
 };
--- a/src/dandelionbay/node/mailbox.cpp
+++ b/src/dandelionbay/node/mailbox.cpp
@@ -86,6 +86,14 @@
     thread_ = std::thread{[this, seed] { run(seed); }};
 }
 
+void repeater::wake() {
+    {
+        const std::lock_guard lock{mutex_};
+        woken_ = true;
+    }
+    changed_.notify_all();
+}
+
 void repeater::stop() noexcept {
     {
         const std::lock_guard lock{mutex_};
@@ -102,11 +110,12 @@
     std::uniform_real_distribution<double> factor{1.0 - jitter_, 1.0 + jitter_};
     std::unique_lock lock{mutex_};
     while (!ended_) {
+        woken_ = false;
         lock.unlock();
         work_();
         lock.lock();
         const auto wait = std::chrono::duration_cast<std::chrono::microseconds>(interval_ * factor(random));
-        changed_.wait_for(lock, wait, [this] { return ended_; });
+        changed_.wait_for(lock, wait, [this] { return ended_ || woken_; });
     }
 }
 
--- a/src/dandelionbay/node/mailbox.hpp
+++ b/src/dandelionbay/node/mailbox.hpp
@@ -62,6 +62,9 @@
     /*! @brief Starts the thread, which calls the function at once. @param seed Of the jitter. */
     void start(std::uint64_t seed);
 
+    /*! @brief Calls the function now, or once more when the call in progress has returned. */
+    void wake();
+
     /*! @brief Waits for the call in progress and ends the thread. */
     void stop() noexcept;
 
@@ -73,6 +76,7 @@
     std::function<void()> work_;
     std::mutex mutex_;
     std::condition_variable changed_;
+    bool woken_{false};
     bool ended_{false};
     std::thread thread_;
 };
--- a/src/dandelionbay/standin/engine_load.cpp
+++ b/src/dandelionbay/standin/engine_load.cpp
@@ -82,6 +82,8 @@
     process_ = new_process_name();
     cold_until_ = now + options_.cold_time;
     running_ = 0;
+    // The lag is that of the process which answers; a new one can't report the state of its predecessor.
+    history_.clear();
     record(now);
 }
 
--- a/test/dandelionbay/agent/agent_cold_test.cpp
+++ b/test/dandelionbay/agent/agent_cold_test.cpp
@@ -12,7 +12,7 @@
         link(router);
         ask(router, "team", 5);
     }
-    take(core->report({.process = "p1", .cold = true}, now));
+    report({.process = "p1", .cold = true});
     const auto outstanding = [&] { return grants("r1") + grants("r2") + grants("r3") + grants("r4"); };
     EXPECT_EQ(outstanding(), 1);
     {
@@ -38,9 +38,9 @@
             ask(router, "team", 5);
         }
         EXPECT_EQ(outstanding(), 0) << "before the first report the agent can't know what runs";
-        take(core->report({.process = "p1", .cold = true, .running = 1}, now));
+        report({.process = "p1", .cold = true, .running = 1});
         EXPECT_EQ(outstanding(), 0);
-        take(core->report({.process = "p1", .cold = true, .running = 0}, now));
+        report({.process = "p1", .cold = true, .running = 0});
         EXPECT_EQ(outstanding(), 1);
     }
 }
@@ -92,7 +92,7 @@
     warm_fully();
     {
         SCOPED_TRACE("a report that says cold");
-        take(core->report({.process = "p1", .cold = true}, now));
+        report({.process = "p1", .cold = true});
         EXPECT_EQ(core->limit(), 1);
     }
     {
@@ -113,6 +113,63 @@
     }
 }
 
+// Guards against full load for an endpoint whose process ended while it was idle, before its next load report. Found by
+// the randomised runs once they stopped telling the agent of such an end.
+TEST_F(agent_cold, an_idle_endpoint_is_checked_before_work_starts_at_it) {
+    start_agent();
+    warm_fully();
+    ASSERT_EQ(core->limit(), 8);
+    link("r1");
+    ask("r1", "team", 8);
+    ASSERT_EQ(grants("r1"), 8);
+    const auto before = started.size();
+    const auto checks_before = checks;
+    advance(milliseconds{60});
+    endpoint_answers = false;
+    const auto first = submit_one("r1");
+    const auto second = submit_one("r1");
+    const auto third = submit_one("r1");
+    {
+        SCOPED_TRACE("nothing starts before the answer, and one check serves all");
+        EXPECT_EQ(started.size(), before);
+        EXPECT_EQ(checks, checks_before + 1);
+        EXPECT_FALSE(core->idle());
+    }
+    {
+        SCOPED_TRACE("a caller that leaves meanwhile is forgotten");
+        receive("r1", cancel{third});
+    }
+    {
+        SCOPED_TRACE("a new process is cold: one request starts, the other was not run");
+        report({.process = "p2", .cold = true});
+        ASSERT_EQ(started.size(), before + 1);
+        EXPECT_EQ(started.back().id, first);
+        ASSERT_EQ(messages<rejected>("r1").size(), 1);
+        EXPECT_EQ(messages<rejected>("r1").back().id, second);
+        EXPECT_EQ(last_rejection("r1"), result_code::endpoint_cold);
+    }
+    {
+        SCOPED_TRACE("while a call runs its connection tells of the end of the process");
+        ask("r1", "team", 8);
+        advance(milliseconds{200});
+        EXPECT_EQ(checks, checks_before + 1);
+    }
+    complete(first);
+    warm_fully("p2");
+    link("r1", 2);
+    ask("r1", "team", 8);
+    advance(milliseconds{60});
+    {
+        SCOPED_TRACE("an endpoint that does not answer the check: provably not run");
+        const auto last = submit_one("r1");
+        EXPECT_EQ(checks, checks_before + 2);
+        take(core->endpoint_lost(now));
+        EXPECT_EQ(messages<rejected>("r1").back().id, last);
+        EXPECT_EQ(last_rejection("r1"), result_code::endpoint_unavailable);
+        EXPECT_TRUE(core->idle());
+    }
+}
+
 // Guards against a request that a dead endpoint can't take and that circulates between router and agent, and against
 // one that is lost because its id counts as admitted though it did not run.
 TEST_F(agent_cold, a_request_that_did_not_start_is_rejected_as_not_run_and_may_come_again) {
--- a/test/dandelionbay/agent/agent_harness.hpp
+++ b/test/dandelionbay/agent/agent_harness.hpp
@@ -39,8 +39,13 @@
                 sent_to[sent->to].push_back(std::move(sent->body));
             } else if (auto* const start = std::get_if<start_run>(&it)) {
                 started.push_back(std::move(start->work));
+            } else if (const auto* const end = std::get_if<cancel_run>(&it)) {
+                cancelled.push_back(end->id);
             } else {
-                cancelled.push_back(std::get<cancel_run>(it).id);
+                ++checks;
+                if (endpoint_answers) {
+                    take(core->report(present, now));
+                }
             }
         }
     }
@@ -58,7 +63,12 @@
 
     void apply() { take(core->apply(std::make_shared<const fleet_config>(config), now)); }
 
-    void warm(const std::string& process = "p1") { take(core->report({.process = process}, now)); }
+    void report(load_report state) {
+        present = std::move(state);
+        take(core->report(present, now));
+    }
+
+    void warm(const std::string& process = "p1") { report({.process = process}); }
 
     void give_back(const std::string& router) { receive(router, returned{std::exchange(held[host_id{router}], {})}); }
 
@@ -198,6 +208,9 @@
                   {.id = zone_id{"z2"}, .region = region_id{"east"}}},
     };
     std::unique_ptr<agent_core> core;
+    load_report present{.process = "p1"}; // What the endpoint answers to a check of its state.
+    bool endpoint_answers{true};
+    int checks{};
     std::map<host_id, std::vector<grant_id>> held;
     std::map<grant_id, time_point> expiry;
     std::map<host_id, std::vector<grant_id>> recalled;
--- a/test/dandelionbay/agent/agent_random_test.cpp
+++ b/test/dandelionbay/agent/agent_random_test.cpp
@@ -136,7 +136,7 @@
         }
         if (!reported || pick(25) == 0) {
             const auto running = static_cast<std::uint32_t>(at_endpoint.size());
-            take(core->report({.process = std::to_string(process), .cold = pick(9) == 0, .running = running}, now));
+            report({.process = std::to_string(process), .cold = pick(9) == 0, .running = running});
             reported = true;
         }
     }
--- a/test/dandelionbay/agent/agent_run_test.cpp
+++ b/test/dandelionbay/agent/agent_run_test.cpp
@@ -16,7 +16,7 @@
     }
     {
         SCOPED_TRACE("a cold endpoint takes one request");
-        take(core->report({.process = "p1", .cold = true}, now));
+        report({.process = "p1", .cold = true});
         EXPECT_EQ(grants("r1"), 1);
     }
     const auto id = submit_one("r1");
--- a/test/dandelionbay/soak/sim_endpoint.cpp
+++ b/test/dandelionbay/soak/sim_endpoint.cpp
@@ -15,6 +15,7 @@
 constexpr duration first_token = 80ms;
 constexpr duration report_interval = 500ms;
 constexpr duration report_lag = 200ms;
+constexpr duration check_time = 1ms;
 constexpr std::uint32_t cold_slots = 1;
 const std::string crash_marker = "crash";
 
@@ -77,13 +78,20 @@
 void sim_endpoint::crash() {
     ++process_;
     warm_at_ = events_->now() + cold_time;
-    sink_->connection_lost();
     const auto broken = std::exchange(runs_, {});
     for (const auto& [id, state] : broken) {
         sink_->run_ended(id, run_end::crashed, 0);
     }
 }
 
+void sim_endpoint::check() {
+    events_->after(check_time, [this] {
+        const load_report state{std::to_string(process_), events_->now() < warm_at_,
+                                static_cast<std::uint32_t>(runs_.size())};
+        sink_->reported(state);
+    });
+}
+
 void sim_endpoint::send_report() {
     const load_report state{std::to_string(process_), events_->now() < warm_at_,
                             static_cast<std::uint32_t>(runs_.size())};
--- a/test/dandelionbay/soak/sim_endpoint.hpp
+++ b/test/dandelionbay/soak/sim_endpoint.hpp
@@ -28,9 +28,6 @@
     virtual void run_data(const request_id& id, std::string data) = 0;
     virtual void run_ended(const request_id& id, run_end end, std::uint32_t input_tokens) = 0;
     virtual void reported(const load_report& state) = 0;
-
-    /*! @brief The agent's idle connection to the endpoint's process broke. */
-    virtual void connection_lost() = 0;
 };
 
 /*! @brief Small model of a back end: tokens at an interval, cold start, crashes and a load report with a lag. */
@@ -55,6 +52,9 @@
     bool start(const submit& work);
     void cancel(const request_id& id);
 
+    /*! @brief Reports the state of the present process, as a read over a local connection does. */
+    void check();
+
     /*! @brief Closes all calls without telling anyone, as when the agent's process ends. */
     void drop_calls() { runs_.clear(); }
 
--- a/test/dandelionbay/soak/sim_node.cpp
+++ b/test/dandelionbay/soak/sim_node.cpp
@@ -135,6 +135,8 @@
         } else if (const auto* const cancel = std::get_if<cancel_run>(&action)) {
             // The driver reports the end of a cancelled call later, never from within the action.
             shared_->events.after(1ms, [this, id = cancel->id] { endpoint_->cancel(id); });
+        } else if (std::holds_alternative<check_endpoint>(action)) {
+            endpoint_->check();
         }
     }
 }
@@ -173,10 +175,6 @@
     perform(core_->report(state, shared_->events.now()));
 }
 
-void sim_agent::connection_lost() {
-    perform(core_->endpoint_lost(shared_->events.now()));
-}
-
 hello sim_agent::introduce() const {
     return {settings_.host,        host_role::agent,   settings_.region, settings_.zone,
             settings_.incarnation, settings_.endpoint, config_->revision};
--- a/test/dandelionbay/soak/sim_node.hpp
+++ b/test/dandelionbay/soak/sim_node.hpp
@@ -72,7 +72,6 @@
     void run_data(const request_id& id, std::string data) override;
     void run_ended(const request_id& id, run_end end, std::uint32_t input_tokens) override;
     void reported(const load_report& state) override;
-    void connection_lost() override;
 
 public:
     sim_agent(world& shared, agent_settings settings, std::uint32_t slots, std::shared_ptr<const fleet_config> config);
