Refuse callers of an isolated router at once

Cause: router admission did not look at freshness. In a part of the fleet without the store and without a majority all agents stop admitting, so a caller waited for the queue's time limit and was refused then; the refusal was certain from the start.

Change: router_core::set_fresh. While the configuration may be out of date, what waits and what comes is refused with configuration_stale, not run, with the time to come back; what runs gets its whole answer. The driver asks again at each request, so that no request is refused between the first configuration and the next tick.

Ruled out: queueing for the rest of the partition (the caller can go to a router on the other side), refusing only new requests (those that wait have no better prospect).

Before: refusal after the service's queue time limit.

--- a/src/dandelionbay/node/node_driver.hpp
+++ b/src/dandelionbay/node/node_driver.hpp
@@ -66,6 +66,8 @@
     [[nodiscard]] const clock& time() const noexcept { return *clock_; }
     [[nodiscard]] counters& metrics() noexcept { return *counters_; }
     [[nodiscard]] const fleet_state& fleet() const noexcept { return fleet_; }
+    /*! @brief Tells whether new work may be admitted. @param now Current time. */
+    [[nodiscard]] bool fresh(time_point now) { return fleet_.fresh(now); }
     [[nodiscard]] const node_options& options() const noexcept { return options_; }
 
 public:
--- a/src/dandelionbay/node/router_driver.cpp
+++ b/src/dandelionbay/node/router_driver.cpp
@@ -62,6 +62,12 @@
     idle_ = core_.idle();
 }
 
+void router_driver::update_freshness(bool fresh, time_point now) {
+    if (fresh != std::exchange(fresh_, fresh)) {
+        perform(core_.set_fresh(fresh, now), now);
+    }
+}
+
 void router_driver::accept(ticket_type ticket, const std::shared_ptr<answer_queue>& queue, accepted_request request) {
     const auto now = time().now();
     const auto& config = fleet().config();
@@ -70,6 +76,8 @@
         (void)queue->push(answer_end{{}, result_code::unknown_service, executed::no, {}});
         return;
     }
+    // Between the first configuration and the next tick the core does not know yet that it is fresh.
+    update_freshness(fresh(now), now);
     request_id id;
     auto actions = core_.accept(std::move(request), now, id);
     answers_.emplace(id, open_answer{ticket, queue});
@@ -122,7 +130,8 @@
     perform(core_.receive(from, body, now), now);
 }
 
-void router_driver::on_tick(bool /*fresh*/, time_point now) {
+void router_driver::on_tick(bool fresh, time_point now) {
+    update_freshness(fresh, now);
     refresh_exchange(now);
     perform(core_.tick(now), now);
     metrics().set("requests_open", static_cast<std::int64_t>(answers_.size()));
--- a/src/dandelionbay/node/router_driver.hpp
+++ b/src/dandelionbay/node/router_driver.hpp
@@ -22,6 +22,7 @@
     void accept(ticket_type ticket, const std::shared_ptr<answer_queue>& queue, accepted_request request);
     void cancel(ticket_type ticket);
     void refresh_exchange(time_point now);
+    void update_freshness(bool fresh, time_point now);
 
 protected:
     void on_config(const std::shared_ptr<const fleet_config>& config, time_point now) override;
@@ -66,6 +67,7 @@
     std::map<ticket_type, request_id> tickets_;
     std::vector<host_id> exchange_peers_;
     time_point next_exchange_{};
+    bool fresh_{false};
     std::atomic<bool> idle_{true};
 };
 
--- a/src/dandelionbay/router/internal/state.hpp
+++ b/src/dandelionbay/router/internal/state.hpp
@@ -102,6 +102,7 @@
     void take_suspicion(const host_id& from, const suspicion& in, time_point now);
     void announce(std::uint64_t fingerprint, bool was_refused, const host_id& except);
     void end_refused(std::uint64_t fingerprint, time_point now);
+    void end_waiting(result_code code, time_point now);
     void slow_work(time_point now);
     void forget_agents();
     void check_invariants();
@@ -114,6 +115,7 @@
     state(router_settings settings, counters& metrics);
 
     [[nodiscard]] actions apply(std::shared_ptr<const fleet_config> config, time_point now);
+    [[nodiscard]] actions set_fresh(bool fresh, time_point now);
     [[nodiscard]] actions accept(accepted_request request, time_point now, request_id& id);
     [[nodiscard]] actions caller_gone(const request_id& id, time_point now);
     [[nodiscard]] actions link_up(const hello& peer, time_point now);
@@ -157,6 +159,7 @@
     time_point next_slow_{};
     host_id demand_turn_;   // agent from which the next round of demands starts, when the pace runs out
     host_id exchange_turn_; // peer that was sent rows last; the next exchange starts behind it
+    bool fresh_{};          // initially as in the driver, which reports changes only
     bool stopping_{};
     actions out_;
 };
--- a/src/dandelionbay/router/internal/state_event.cpp
+++ b/src/dandelionbay/router/internal/state_event.cpp
@@ -139,6 +139,28 @@
     }
 }
 
+void router_core::state::end_waiting(result_code code, time_point now) {
+    std::vector<sequence_type> waiting;
+    for (const auto& [id, it] : requests_) {
+        if (it.phase != request_phase::running) {
+            waiting.push_back(id);
+        }
+    }
+    for (const auto& id : waiting) {
+        auto& it = requests_.at(id);
+        end(it, code, it.ran, now);
+    }
+}
+
+router_core::actions router_core::state::set_fresh(bool fresh, time_point now) {
+    fresh_ = fresh;
+    if (!fresh) {
+        // No agent in reach admits work now either. A caller told at once can go to a router on the other side.
+        end_waiting(result_code::configuration_stale, now);
+    }
+    return finish_event(now);
+}
+
 void router_core::state::exchange(time_point now) {
     if (now < next_exchange_) {
         return;
--- a/src/dandelionbay/router/internal/state_request.cpp
+++ b/src/dandelionbay/router/internal/state_request.cpp
@@ -180,6 +180,9 @@
 
 result_code router_core::state::admit(const request_record& it, const service_config& service, time_point now) {
     using enum result_code;
+    if (!fresh_) {
+        return configuration_stale;
+    }
     const auto group = access_.group_of(it.order.team);
     if (!access_.permitted(it.pool, group)) {
         return not_permitted;
--- a/src/dandelionbay/router/router_core.cpp
+++ b/src/dandelionbay/router/router_core.cpp
@@ -15,6 +15,10 @@
     return state_->apply(std::move(config), now);
 }
 
+router_core::actions router_core::set_fresh(bool fresh, time_point now) {
+    return state_->set_fresh(fresh, now);
+}
+
 router_core::actions router_core::accept(accepted_request request, time_point now, request_id& id) {
     return state_->accept(std::move(request), now, id);
 }
--- a/src/dandelionbay/router/router_core.hpp
+++ b/src/dandelionbay/router/router_core.hpp
@@ -52,6 +52,13 @@
     /*! @brief Puts a configuration in force. @param config The configuration. @param now Current time. */
     [[nodiscard]] actions apply(std::shared_ptr<const fleet_config> config, time_point now);
 
+    /**
+     * @brief Tells the core whether its configuration may be trusted to be the newest.
+     * @param fresh False refuses what waits and what comes as not run until it is true again; work that runs goes on.
+     * @param now Current time.
+     */
+    [[nodiscard]] actions set_fresh(bool fresh, time_point now);
+
     /**
      * @brief Takes a request in.
      * @param request The request; its team and service must exist in the configuration in force.
--- a/test/dandelionbay/router/fake_fleet.hpp
+++ b/test/dandelionbay/router/fake_fleet.hpp
@@ -251,6 +251,7 @@
         waiting_[n].clear();
         backlog_[n].clear();
         std::ignore = cores[n]->apply(config_, now);
+        std::ignore = cores[n]->set_fresh(true, now);
         for (std::size_t agent = 0; agent < fakes.size(); ++agent) {
             fakes[agent].drop(host("router", n));
             perform(n, cores[n]->link_up(agent_hello(agent), now));
--- a/test/dandelionbay/router/fake_router.hpp
+++ b/test/dandelionbay/router/fake_router.hpp
@@ -15,6 +15,7 @@
     explicit one_router(std::shared_ptr<const fleet_config> config = make_config(4, 2))
         : core{settings_of(0), metrics} {
         take(core.apply(std::move(config), now));
+        take(core.set_fresh(true, now));
         take(core.link_up(agent_hello(0), now));
     }
     one_router(const one_router&) = delete;
--- a/test/dandelionbay/router/router_failure_test.cpp
+++ b/test/dandelionbay/router/router_failure_test.cpp
@@ -87,6 +87,44 @@
     }
 }
 
+// Guards against callers of an isolated part of the fleet who wait for the queue's time limit though no agent in reach
+// admits work (R4, R6), and against running work that is cut by it.
+TEST(router_freshness, an_isolated_router_refuses_at_once_and_finishes_what_runs) {
+    one_router it;
+    const auto runs = it.started(chat(team(0), 10), 1);
+    const auto waits = it.accept(chat(team(1), 10));
+    {
+        SCOPED_TRACE("what waits is refused as not run, with the time to come back");
+        it.take(it.core.set_fresh(false, it.now));
+        ASSERT_EQ(it.ends().size(), 1U);
+        EXPECT_EQ(it.ends()[0].id, waits);
+        EXPECT_EQ(it.ends()[0].code, result_code::configuration_stale);
+        EXPECT_EQ(it.ends()[0].state, executed::no);
+        EXPECT_GT(it.ends()[0].retry_after, duration{});
+    }
+    {
+        SCOPED_TRACE("what comes is refused in the same event");
+        const auto late = it.accept(chat(team(2), 10));
+        ASSERT_EQ(it.ends().size(), 2U);
+        EXPECT_EQ(it.ends()[1].id, late);
+        EXPECT_EQ(it.ends()[1].code, result_code::configuration_stale);
+        EXPECT_EQ(it.metrics.get("refused_total", "configuration_stale"), 1);
+    }
+    {
+        SCOPED_TRACE("what runs gets its whole answer");
+        it.answer(runs.id, "whole");
+        ASSERT_EQ(it.ends().size(), 3U);
+        EXPECT_EQ(it.ends()[2].code, result_code::ok);
+        EXPECT_EQ(it.text(runs.id), "whole");
+    }
+    {
+        SCOPED_TRACE("fresh again, work is taken");
+        it.take(it.core.set_fresh(true, it.now));
+        EXPECT_NE(it.started(chat(team(1), 10), 2).id, runs.id);
+        EXPECT_EQ(it.ends().size(), 3U);
+    }
+}
+
 // Guards against a wrong outcome when the agent dies at any step, and against a second run of an order.
 TEST(router_failure, an_agent_that_dies_at_each_step) {
     enum class step { granted, submitted, headed, streamed };
--- a/test/dandelionbay/soak/sim_node.cpp
+++ b/test/dandelionbay/soak/sim_node.cpp
@@ -22,6 +22,7 @@
     : shared_{&shared}, settings_{std::move(settings)}, config_{std::move(config)}, core_{std::make_unique<router_core>(
                                                                                         settings_, shared.metrics)} {
     perform(core_->apply(config_, shared_->events.now()));
+    perform(core_->set_fresh(true, shared_->events.now()));
     tick();
 }
 
@@ -112,6 +113,7 @@
     core_ = std::make_unique<router_core>(settings_, shared_->metrics);
     perform(core_->set_exchange_peers(peers_, shared_->events.now()));
     perform(core_->apply(config_, shared_->events.now()));
+    perform(core_->set_fresh(true, shared_->events.now()));
     shared_->links.break_links(settings_.host);
 }
 
