Admit after isolation only with the newest announced configuration

Cause: when a partition ends, the first hellos make the majority heard again, so an isolated node was fresh at once; a higher announced revision stopped it only after 1 s. A zone that was taken out during the partition got new work in that time. Ruled out by the trace: evidence that lives too long (its age had grown to 14 s) and a delayed message.

Change: a node that was not fresh becomes fresh only when no reachable peer has announced a higher revision. A node that is fresh keeps the tolerance of 1 s, because its evidence was valid a moment ago.

--- a/src/dandelionbay/config/config_adopter.cpp
+++ b/src/dandelionbay/config/config_adopter.cpp
@@ -141,7 +141,7 @@
 }
 
 bool config_adopter::behind(time_point now) const {
-    return behind_since_.has_value() && now - *behind_since_ >= behind_limit && highest_announced() > current_.revision;
+    return behind_since_.has_value() && now - *behind_since_ >= behind_limit && knows_higher();
 }
 
 std::optional<config_document> config_adopter::answer(const config_query& it) const {
--- a/src/dandelionbay/config/config_adopter.hpp
+++ b/src/dandelionbay/config/config_adopter.hpp
@@ -99,6 +99,9 @@
      */
     [[nodiscard]] bool behind(time_point now) const;
 
+    /*! @brief Tells whether a reachable peer announced a higher revision than the one in force. */
+    [[nodiscard]] bool knows_higher() const { return highest_announced() > current_.revision; }
+
     /*! @brief Answers a peer's query. @param it The query. @return The document, if it is higher than the peer's. */
     [[nodiscard]] std::optional<config_document> answer(const config_query& it) const;
 
--- a/src/dandelionbay/node/fleet_state.cpp
+++ b/src/dandelionbay/node/fleet_state.cpp
@@ -100,8 +100,11 @@
 }
 
 bool fleet_state::fresh(time_point now) {
-    const bool evidence = freshness_.fresh(now);
-    return evidence && !adopter_.behind(now) && adopter_.config() != nullptr;
+    const bool evidence = freshness_.fresh(now) && adopter_.config() != nullptr;
+    // A node that was isolated may be many changes behind when it hears the others again, so it waits until it has what
+    // they announce. One that was not is behind by the changes of the last moments only.
+    fresh_ = evidence && (fresh_ ? !adopter_.behind(now) : !adopter_.knows_higher());
+    return fresh_;
 }
 
 heartbeat fleet_state::make_heartbeat(bool leaving, time_point now) const {
--- a/src/dandelionbay/node/fleet_state.hpp
+++ b/src/dandelionbay/node/fleet_state.hpp
@@ -91,6 +91,7 @@
     config_adopter adopter_;
     freshness freshness_;
     bool listed_{false};
+    bool fresh_{false};
 };
 
 } // namespace dandelionbay
