Take a majority only of hosts that were named

Cause: it had not read the host list and knew the 3 hosts that it heard, so it heard a majority of all it knew. Ruled out: wrong counting of leaving hosts (the trace shows 3 known hosts, none leaving).

Change: there is no majority before the settings or the host list named other hosts.

--- a/src/dandelionbay/member/membership.cpp
+++ b/src/dandelionbay/member/membership.cpp
@@ -61,7 +61,8 @@
 }
 
 membership::membership(host_entry self, const std::vector<host_entry>& hosts, counters& metrics, time_point now)
-    : self_{std::move(self)}, metrics_{metrics} {
+    : self_{std::move(self)}, metrics_{metrics}, all_named_{std::ranges::any_of(
+                                                     hosts, [this](const auto& it) { return it.host != self_.host; })} {
     for (const auto& it : hosts) {
         records_.emplace(it.host, record{.entry = it, .known_since = now, .ever_listed = true});
     }
@@ -69,6 +70,7 @@
 }
 
 void membership::host_list_read(const std::vector<host_entry>& hosts, time_point now) {
+    all_named_ = true;
     std::set<host_id> listed;
     for (const auto& it : hosts) {
         listed.insert(it.host);
@@ -148,7 +150,25 @@
     return since.has_value() && now - *since < suspect_after;
 }
 
+std::uint64_t membership::majority_revision(std::uint64_t own, time_point now) const {
+    if (!all_named_) {
+        return 0;
+    }
+    std::vector<std::uint64_t> revisions{own};
+    for (const auto& [host, it] : records_) {
+        if (host != self_.host && counts(it, now)) {
+            revisions.push_back(it.config_revision);
+        }
+    }
+    std::ranges::sort(revisions, std::greater{});
+    return revisions[revisions.size() / 2];
+}
+
 std::optional<time_point> membership::majority_heard(time_point now) const {
+    // A process that only knows the hosts it heard would find a majority of them in any part of a partition.
+    if (!all_named_) {
+        return std::nullopt;
+    }
     std::vector<time_point> times{now};
     for (const auto& [host, it] : records_) {
         if (host != self_.host && it.heard.has_value() && counts(it, now)) {
--- a/src/dandelionbay/member/membership.hpp
+++ b/src/dandelionbay/member/membership.hpp
@@ -76,7 +76,8 @@
     /**
      * @brief Starts with the hosts of the settings.
      * @param self This host; it always counts as heard.
-     * @param hosts Hosts known before the host list was read; may contain this host.
+     * @param hosts Hosts known before the host list was read; may contain this host. If there are others, they have to
+     * be all: the majority is taken of them until the list is read.
      * @param metrics Counters; must outlive the object.
      * @param now Current time.
      */
@@ -112,11 +113,19 @@
     /*! @brief Tells whether more than half of the known hosts are heard, this one included. @param now Time. */
     [[nodiscard]] bool hears_majority(time_point now) const;
 
+    /**
+     * @brief Highest revision that more than half of the known hosts have, as far as they were heard.
+     * @param own Revision of this host.
+     * @param now Current time.
+     * @return It; zero if there is none or the hosts are not known.
+     */
+    [[nodiscard]] std::uint64_t majority_revision(std::uint64_t own, time_point now) const;
+
     /**
      * @brief Since when at the latest a majority has been heard: the newest time such that more than half of the known
      * hosts were heard at it or later.
      * @param now Current time.
-     * @return The time, or nothing if a majority was never heard.
+     * @return The time, or nothing if a majority was never heard or neither the settings nor the host list named hosts.
      */
     [[nodiscard]] std::optional<time_point> majority_heard(time_point now) const;
 
@@ -124,6 +133,7 @@
     host_entry self_;
     counters& metrics_;
     std::map<host_id, record> records_{};
+    bool all_named_{}; //!< Settings or the host list named the hosts that a majority is taken of.
 };
 
 } // namespace dandelionbay
--- a/test/dandelionbay/member/membership_test.cpp
+++ b/test/dandelionbay/member/membership_test.cpp
@@ -134,6 +134,36 @@
     }
 }
 
+// Guards against a process that restarted in an isolated part, knows only the hosts that it hears there, and takes them
+// for a majority. Found by the randomised runs.
+TEST_F(hosts, a_majority_needs_hosts_that_settings_or_the_list_named) {
+    membership restarted{router("h0"), {}, metrics, now};
+    for (const char* const name : {"h1", "h2"}) {
+        EXPECT_TRUE(restarted.heard(hello_of(router(name)), now));
+    }
+    EXPECT_FALSE(restarted.hears_majority(now));
+    EXPECT_EQ(restarted.majority_heard(now), std::nullopt);
+    EXPECT_EQ(restarted.majority_revision(3, now), 0);
+    restarted.host_list_read(routers(5), now);
+    EXPECT_TRUE(restarted.hears_majority(now)) << "3 of 5";
+    restarted.host_list_read(routers(7), now);
+    EXPECT_FALSE(restarted.hears_majority(now)) << "3 of 7";
+}
+
+// Guards against a change that is called accepted before a majority has it.
+TEST_F(hosts, the_majority_has_the_revision_that_more_than_half_announced) {
+    const auto announce = [this](const char* host, std::uint64_t revision) {
+        EXPECT_TRUE(view.heard(host_id{host}, heartbeat{.incarnation = 1, .config_revision = revision}, now));
+    };
+    EXPECT_EQ(view.majority_revision(7, now), 0);
+    announce("h1", 7);
+    EXPECT_EQ(view.majority_revision(7, now), 0) << "2 of 5";
+    announce("h2", 6);
+    EXPECT_EQ(view.majority_revision(7, now), 6);
+    announce("h3", 8);
+    EXPECT_EQ(view.majority_revision(7, now), 7) << "7, 7 and 8 of 5";
+}
+
 // Guards against two parts that both accept changes, whichever hosts the settings and the lagging list have (R10).
 TEST(partition, at_most_one_part_hears_a_majority) {
     for (unsigned seed = 0; seed < 300; ++seed) {
