Call a change accepted when a majority of the hosts has it

Cause: the check for a majority before the write looks back up to 3 s. Ruled out: a shorter look back only, since any window can hit a partition.

Change: after the write the router waits up to 5 s until a majority of the known hosts has announced the revision. If it does not, the answer is 5007 not_confirmed, 504: stored, but not to be relied on yet. Weighed: a second phase before the write that fences the majority; it stops the majority's service after each partition that begins within a change.

--- a/src/dandelionbay/base/result_code.cpp
+++ b/src/dandelionbay/base/result_code.cpp
@@ -49,6 +49,7 @@
     result_info{object_not_found, "object_not_found", 404, "no such object"},
     result_info{fencing_token_old, "fencing_token_old", 409, "a newer holder of the lease exists"},
     result_info{precondition_missing, "precondition_missing", 428, "this change needs an If-Match header"},
+    result_info{not_confirmed, "not_confirmed", 504, "the change is stored, but no majority of the hosts has it yet"},
     result_info{internal_error, "internal_error", 500, "internal error"},
     result_info{protocol_error, "protocol_error", 502, "a message violates the protocol"},
 };
--- a/src/dandelionbay/base/result_code.hpp
+++ b/src/dandelionbay/base/result_code.hpp
@@ -54,6 +54,7 @@
     object_not_found = 5004,
     fencing_token_old = 5005,
     precondition_missing = 5006,
+    not_confirmed = 5007,
     // Faults of the system itself.
     internal_error = 9001,
     protocol_error = 9002,
--- a/src/dandelionbay/http/admin_api.cpp
+++ b/src/dandelionbay/http/admin_api.cpp
@@ -1,6 +1,7 @@
 #include "dandelionbay/http/admin_api.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <optional>
 #include <utility>
 
@@ -19,6 +20,11 @@
 
 using nlohmann::json;
 
+// Within this time a majority that still reaches this router has the change. Without the wait a change could be
+// accepted in the first seconds of a partition, before this router notices that it lost the majority, which would then
+// never learn of it.
+constexpr std::chrono::seconds confirm_limit{5};
+
 [[nodiscard]] bool is_collection(std::string_view name) {
     return std::ranges::find(collection_names, name) != collection_names.end();
 }
@@ -135,6 +141,9 @@
         return refuse(revision.status(), absl::IsAborted(revision.status()) ? executed::no : executed::unknown);
     }
     view_->adopt(*revision, text);
+    if (!view_->wait_for_majority(*revision, confirm_limit)) {
+        return refuse(result_code::not_confirmed, executed::yes, concat("it is revision ", *revision));
+    }
     metrics_->add("admin_changes_total");
     return admin_answer{200, json{{"revision", *revision}}.dump(), etag_of(*revision)};
 }
--- a/src/dandelionbay/http/fleet_view.hpp
+++ b/src/dandelionbay/http/fleet_view.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -41,6 +42,14 @@
 
     /*! @brief Puts a configuration that was just stored in force here and announces it to the links. */
     virtual void adopt(std::uint64_t revision, const std::string& document) = 0;
+
+    /**
+     * @brief Waits until more than half of the known hosts have a revision or a higher one, this router included.
+     * @param revision The revision.
+     * @param limit Longest wait.
+     * @return False if the time was not enough.
+     */
+    [[nodiscard]] virtual bool wait_for_majority(std::uint64_t revision, std::chrono::milliseconds limit) const = 0;
 };
 
 } // namespace dandelionbay
--- a/src/dandelionbay/node/node_driver.cpp
+++ b/src/dandelionbay/node/node_driver.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <thread>
 
 #include <xxhash.h>
 
@@ -143,7 +144,8 @@
 }
 
 void node_driver::publish(time_point now) {
-    snapshot next{fleet_.members().members(now), fleet_.members().hears_majority(now), fleet_.listed()};
+    snapshot next{fleet_.members().members(now), fleet_.members().hears_majority(now), fleet_.listed(),
+                  fleet_.members().majority_revision(fleet_.revision(), now)};
     // The membership learns revisions from messages, and a host sends none to itself.
     for (auto& it : next.members) {
         it.config_revision = it.entry.host == options_.host ? fleet_.revision() : it.config_revision;
@@ -200,6 +202,22 @@
     });
 }
 
+bool node_driver::wait_for_majority(std::uint64_t revision, std::chrono::milliseconds limit) const {
+    const auto end = std::chrono::steady_clock::now() + limit;
+    for (;;) {
+        {
+            const std::lock_guard lock{snapshot_mutex_};
+            if (snapshot_.majority_revision >= revision) {
+                return true;
+            }
+        }
+        if (std::chrono::steady_clock::now() >= end) {
+            return false;
+        }
+        std::this_thread::sleep_for(tick_interval);
+    }
+}
+
 void node_driver::link_up(const hello& peer) {
     tasks_.post([this, peer] {
         const auto now = clock_->now();
--- a/src/dandelionbay/node/node_driver.hpp
+++ b/src/dandelionbay/node/node_driver.hpp
@@ -115,6 +115,7 @@
     [[nodiscard]] std::vector<node_state> nodes() const override;
     [[nodiscard]] bool hears_majority() const override;
     void adopt(std::uint64_t revision, const std::string& document) override;
+    [[nodiscard]] bool wait_for_majority(std::uint64_t revision, std::chrono::milliseconds limit) const override;
 
     void link_up(const hello& peer) override;
     void link_down(const host_id& peer) override;
@@ -125,6 +126,7 @@
         std::vector<member> members{};
         bool majority{};
         bool listed{};
+        std::uint64_t majority_revision{};
     };
 
     node_options options_;
--- a/test/dandelionbay/http/admin_api_test.cpp
+++ b/test/dandelionbay/http/admin_api_test.cpp
@@ -82,10 +82,21 @@
         EXPECT_EQ(it.call("GET", "config").status, 200);
         it.view.majority = true;
     }
+    {
+        SCOPED_TRACE("a partition begins while the change is written: stored, and not called accepted");
+        it.view.confirms = false;
+        const auto answer = it.call("PATCH", "zones/z1/labels", "\"1\"", R"({"c": "d"})");
+        EXPECT_EQ(answer.status, 504);
+        EXPECT_EQ(it.code_of(answer), 5007U);
+        EXPECT_EQ(it.executed_of(answer), "yes");
+        EXPECT_EQ(it.metrics.get("admin_changes_total"), 1);
+        it.view.confirms = true;
+        ASSERT_EQ(it.call("PATCH", "zones/z1/labels", "\"2\"", R"({"c": null})").etag, "\"3\"");
+    }
     {
         SCOPED_TRACE("the store is down");
         it.store.set_faults([](const store_call&) { return store_fault::before; });
-        const auto answer = it.call("PATCH", "zones/z1/labels", "\"1\"", label);
+        const auto answer = it.call("PATCH", "zones/z1/labels", "\"3\"", label);
         EXPECT_EQ(it.code_of(answer), 3005U);
         EXPECT_EQ(it.executed_of(answer), "no");
         EXPECT_EQ(it.call("GET", "config").status, 503);
@@ -95,8 +106,8 @@
         it.store.set_faults([](const store_call& call) {
             return call.operation == store_operation::put ? store_fault::after : store_fault::none;
         });
-        EXPECT_EQ(it.call("PATCH", "zones/z1/labels", "\"1\"", label).etag, "\"2\"");
-        EXPECT_EQ(it.view.revision(), 2U);
+        EXPECT_EQ(it.call("PATCH", "zones/z1/labels", "\"3\"", label).etag, "\"4\"");
+        EXPECT_EQ(it.view.revision(), 4U);
     }
     {
         SCOPED_TRACE("the answer is lost and reading back fails too");
@@ -105,7 +116,7 @@
             written = written || call.operation == store_operation::put;
             return written ? store_fault::after : store_fault::none;
         });
-        const auto answer = it.call("PATCH", "zones/z2/labels", "\"2\"", label);
+        const auto answer = it.call("PATCH", "zones/z2/labels", "\"4\"", label);
         EXPECT_EQ(it.code_of(answer), 4004U);
         EXPECT_EQ(it.executed_of(answer), "unknown");
         it.store.set_faults(nullptr);
--- a/test/dandelionbay/http/admin_fixture.hpp
+++ b/test/dandelionbay/http/admin_fixture.hpp
@@ -29,12 +29,18 @@
         revision_ = std::max(revision, revision_);
     }
 
+    [[nodiscard]] bool wait_for_majority(std::uint64_t revision, std::chrono::milliseconds /*limit*/) const override {
+        const std::lock_guard lock{mutex_};
+        return confirms.load() && revision <= revision_;
+    }
+
     [[nodiscard]] std::uint64_t revision() const {
         const std::lock_guard lock{mutex_};
         return revision_;
     }
 
     std::atomic<bool> majority{true};
+    std::atomic<bool> confirms{true};
 
 private:
     mutable std::mutex mutex_;
