Join the randomised runs with the real fleet state

Cause: the runs applied configurations to the cores directly and set every node fresh, so configuration, freshness and membership were never joined with grants, restarts and partitions under random faults.

New faults: store outages and parted zones, with the store on either side.

--- a/test/dandelionbay/soak/options.hpp
+++ b/test/dandelionbay/soak/options.hpp
@@ -31,6 +31,9 @@
     bool zone_moves{};
     bool callers_leave{};
     bool graceful_stops{};
+    bool store_outages{};
+    bool hosts_in_settings{}; //!< The nodes' settings name all hosts.
+    bool partitions{};        //!< A zone is parted from the others, with or without the store.
 };
 
 /*! @brief Outcome of one run. */
--- a/test/dandelionbay/soak/sim_endpoint.hpp
+++ b/test/dandelionbay/soak/sim_endpoint.hpp
@@ -28,6 +28,7 @@
     virtual void run_data(const request_id& id, std::string data) = 0;
     virtual void run_ended(const request_id& id, run_end end, std::uint32_t input_tokens) = 0;
     virtual void reported(const load_report& state) = 0;
+    virtual void unreachable() = 0;
 };
 
 /*! @brief Small model of a back end: tokens at an interval, cold start, crashes and a load report with a lag. */
@@ -58,6 +59,9 @@
     /*! @brief Closes all calls without telling anyone, as when the agent's process ends. */
     void drop_calls() { runs_.clear(); }
 
+    /*! @brief Tells whether a process listens; between two processes none does. */
+    [[nodiscard]] bool reachable() const { return events_->now() >= listens_at_; }
+
     /*! @brief Restarts without warning: all calls break, the new process is cold. */
     void restart() { crash(); }
 
@@ -70,6 +74,7 @@
     endpoint_events* sink_;
     std::map<request_id, run_state> runs_;
     std::uint64_t process_{1};
+    time_point listens_at_{};
     time_point warm_at_{};
 };
 
--- a/test/dandelionbay/soak/sim_link.hpp
+++ b/test/dandelionbay/soak/sim_link.hpp
@@ -62,6 +62,10 @@
     void break_links(const host_id& host);
     /*! @brief Keeps a link from standing, or lets it stand again. */
     void block(const host_id& a, const host_id& b, bool blocked);
+    /*! @brief Runs something at a host, after its pause if it is paused. */
+    void run_at(const host_id& host, const std::function<void()>& run) {
+        deliver(host, [run](link_user&) { run(); });
+    }
     /*! @brief Holds back all that happens at a host until a time. */
     void pause(const host_id& host, time_point until);
     [[nodiscard]] time_point paused_until(const host_id& host) const;
