Leave requests at a paused router out of the fairness check

No other host has the request, so nothing can serve it; the bound speaks of teams that the fleet can serve.

Change: requests at a paused router do not count as backlog until it goes on; they count again from then on if they still wait.

--- a/test/dandelionbay/soak/checker.hpp
+++ b/test/dandelionbay/soak/checker.hpp
@@ -25,6 +25,7 @@
         time_point accepted_at{};
         std::string received;
         bool waiting{true};
+        bool suspended{}; //!< It waits at a paused router, so nothing can serve it.
         bool ended{};
         bool abandoned{}; //!< The caller left or its router ended without a graceful stop.
         executed state{executed::unknown};
@@ -57,6 +58,9 @@
     void engine_started(const submit& work, const endpoint_id& endpoint, time_point now, bool bearable,
                         bool out_too_long);
 
+    /*! @brief A router was paused or goes on. What waits there does not count as backlog meanwhile. */
+    void router_paused(const host_id& router, bool paused);
+
     /*! @brief A partition begins. @param inside Endpoints of one part. @param now Current time. */
     void part(std::set<endpoint_id> inside, time_point now);
     /*! @brief The partition ended. */
--- a/test/dandelionbay/soak/run.cpp
+++ b/test/dandelionbay/soak/run.cpp
@@ -259,6 +259,12 @@
         const auto host = draw(0, 1) == 0 ? any_router().host() : any_agent().settings().host;
         const auto length = draw_time(100ms, 6s);
         links_.pause(host, events_.now() + length);
+        checks_.router_paused(host, true);
+        events_.after(length, [this, host] {
+            if (links_.paused_until(host) <= events_.now()) {
+                checks_.router_paused(host, false);
+            }
+        });
         // The other side closes a link that is silent for 3 s.
         if (length > 3s) {
             events_.after(3s, [this, host] { links_.break_links(host); });
