Add an open-loop load tool for operators

Ruled out: running the bench's generator against a URL, since its teams, ports and answer check are those of the development fleet; connections that are kept open, since a balancer distributes connections and a router gives a thread to each; Idempotency-Keys from the seed, since the fleet answers a second run's known keys with stored responses.

Change: `dandelionbay load` plans a Poisson process for each team from the seed and counts latency from the planned time. The profile is checked like settings, each fault with its JSON path. The Poisson times, the refusal code and the text of a stream event move out of bench's files for use by both; object_reader learns to read numbers.

Conclusion: operators can load their own fleet; https is not spoken.

--- a/src/dandelionbay/app/command.hpp
+++ b/src/dandelionbay/app/command.hpp
@@ -52,6 +52,7 @@
 [[nodiscard]] command check_command();
 [[nodiscard]] command ctl_command();
 [[nodiscard]] command dev_command();
+[[nodiscard]] command load_command();
 [[nodiscard]] command serve_command();
 [[nodiscard]] command standin_command();
 
--- a/src/dandelionbay/bench/load_generator.cpp
+++ b/src/dandelionbay/bench/load_generator.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "dandelionbay/base/text.hpp"
+#include "dandelionbay/bench/answer.hpp"
 #include "dandelionbay/http/event_stream.hpp"
 #include "dandelionbay/standin/standin_engine.hpp"
 
@@ -47,14 +48,6 @@
     return client.send(request);
 }
 
-[[nodiscard]] std::string code_of(const std::string& body, int status) {
-    const auto document = json::parse(body, nullptr, false);
-    if (document.is_object() && document.contains("error") && document["error"].contains("code")) {
-        return document["error"]["code"].dump();
-    }
-    return concat("http-", status);
-}
-
 /*! @brief A streamed answer as its caller reads it. */
 class chat_answer {
     void take(std::string_view event) {
@@ -63,12 +56,7 @@
             ended_ = true;
             return;
         }
-        const auto part = json::parse(data, nullptr, false);
-        const auto choices = part.is_object() ? part.value("choices", json::array()) : json::array();
-        if (choices.empty() || !choices[0].contains("delta")) {
-            return;
-        }
-        const auto text = choices[0]["delta"].value("content", std::string{});
+        const auto text = delta_text(data);
         if (!text.empty()) {
             text_ += text;
             token(now());
@@ -110,7 +98,7 @@
         if (status_ == 0) {
             results_->end(ending::lost, now());
         } else if (status_ != 200) {
-            results_->refuse(code_of(error_, status_));
+            results_->refuse(refusal_code(error_, status_));
         } else if (!whole || !ended_) {
             results_->end(ending::cut, now());
         } else {
@@ -178,7 +166,7 @@
     if (!result) {
         results_->end(status == 0 ? ending::lost : ending::cut, now());
     } else if (status != 201) {
-        results_->refuse(code_of(result->body, status));
+        results_->refuse(refusal_code(result->body, status));
     } else {
         const auto answer = json::parse(result->body, nullptr, false);
         const bool own = answer.is_object() && answer.value("order", std::string{}) == it.text;
--- a/src/dandelionbay/bench/scenario.cpp
+++ b/src/dandelionbay/bench/scenario.cpp
@@ -1,7 +1,6 @@
 #include "dandelionbay/bench/scenario.hpp"
 
 #include <algorithm>
-#include <random>
 
 #include "dandelionbay/base/text.hpp"
 
@@ -41,17 +40,6 @@
              false,
              std::chrono::seconds{1}}};
 
-/*! Times of a Poisson process. */
-[[nodiscard]] std::vector<duration> draw_times(double rate, std::chrono::seconds length, std::mt19937_64& random) {
-    std::vector<duration> out;
-    std::exponential_distribution<double> gap{rate};
-    const auto limit = static_cast<double>(length.count());
-    for (double at = gap(random); at < limit; at += gap(random)) {
-        out.push_back(std::chrono::duration_cast<duration>(std::chrono::duration<double>{at}));
-    }
-    return out;
-}
-
 } // namespace
 
 scenario warm_up() noexcept {
@@ -67,6 +55,16 @@
     return it != all_scenarios.end() ? it : nullptr;
 }
 
+std::vector<duration> draw_times(double rate, std::chrono::seconds length, std::mt19937_64& random) {
+    std::vector<duration> out;
+    std::exponential_distribution<double> gap{rate};
+    const auto limit = static_cast<double>(length.count());
+    for (double at = gap(random); at < limit; at += gap(random)) {
+        out.push_back(std::chrono::duration_cast<duration>(std::chrono::duration<double>{at}));
+    }
+    return out;
+}
+
 std::vector<arrival> plan_arrivals(const scenario& load, std::chrono::seconds length, std::uint64_t seed) {
     std::mt19937_64 random{seed};
     std::uniform_real_distribution<double> share{0, 1};
--- a/src/dandelionbay/bench/scenario.hpp
+++ b/src/dandelionbay/bench/scenario.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <random>
 #include <span>
 #include <string>
 #include <string_view>
@@ -60,6 +61,15 @@
 /*! @brief Finds a scenario. @param name Its name. @return It, or null. */
 [[nodiscard]] const scenario* find_scenario(std::string_view name) noexcept;
 
+/**
+ * @brief Draws the times of a Poisson process.
+ * @param rate Arrivals per second, over 0.
+ * @param length Length of the load.
+ * @param random Source of random numbers.
+ * @return Times since the start of the load, in ascending order.
+ */
+[[nodiscard]] std::vector<duration> draw_times(double rate, std::chrono::seconds length, std::mt19937_64& random);
+
 /**
  * @brief Draws the arrivals of a run.
  * @param load The scenario.
--- a/src/dandelionbay/config/json_reader.cpp
+++ b/src/dandelionbay/config/json_reader.cpp
@@ -197,6 +197,23 @@
     out = it->get<std::int64_t>();
 }
 
+void object_reader::number(std::string_view key, presence need, double& out, double low, double high) {
+    const auto* const it = child(key, need);
+    if (it == nullptr) {
+        return;
+    }
+    if (!it->is_number()) {
+        fault(key, concat("expected a number, found ", it->type_name()));
+        return;
+    }
+    const auto value = it->get<double>();
+    if (value < low || value > high) {
+        fault(key, concat("expected ", low, " to ", high, ", found ", it->dump()));
+        return;
+    }
+    out = value;
+}
+
 void object_reader::labels(std::string_view key, label_set& out) {
     const auto* const it = child(key, presence::optional);
     if (it == nullptr) {
--- a/src/dandelionbay/config/json_reader.hpp
+++ b/src/dandelionbay/config/json_reader.hpp
@@ -76,6 +76,9 @@
         out = static_cast<Type>(value);
     }
 
+    /*! @brief Reads a number. @param low Least valid value. @param high Greatest valid value. */
+    void number(std::string_view key, presence need, double& out, double low, double high);
+
     /*! @brief Reads labels; the keys "name", "zone" and "region" are reserved for implicit labels. */
     void labels(std::string_view key, label_set& out);
 
--- a/test/dandelionbay/app/command_test.cpp
+++ b/test/dandelionbay/app/command_test.cpp
@@ -17,7 +17,7 @@
 };
 
 outcome run(std::vector<std::string> args) {
-    const std::array commands{check_command(), ctl_command()};
+    const std::array commands{check_command(), ctl_command(), load_command()};
     testing::internal::CaptureStdout();
     testing::internal::CaptureStderr();
     const int status = run_command(commands, args);
@@ -82,5 +82,24 @@
     EXPECT_EQ(run({"check", "--settings=" + good.path()}).status, exit_ok);
 }
 
+// Guards against a load that starts with a faulty profile, and against one without any answer that looks successful.
+TEST(command, load_tells_usage_errors_from_failures) {
+    const std::string profile = "--profile=" DANDELIONBAY_SOURCE_DIR "/examples/load/dev.json";
+    EXPECT_EQ(run({"load", "--help"}).status, exit_ok);
+    EXPECT_EQ(run({"load"}).status, exit_usage);
+    EXPECT_EQ(run({"load", "--target=http://127.0.0.1:1", "--profile=/nonexistent"}).status, exit_usage);
+    EXPECT_EQ(run({"load", "--target=https://127.0.0.1:1", profile}).status, exit_usage);
+    EXPECT_EQ(run({"load", "--target=http://127.0.0.1:1", profile, "--seconds=0"}).status, exit_usage);
+    {
+        const temporary_file bad{R"({"teams": [], "colour": "red"})"};
+        const auto result = run({"load", "--target=http://127.0.0.1:1", "--profile", bad.path(), "--seconds=1"});
+        EXPECT_EQ(result.status, exit_usage);
+        EXPECT_NE(result.err.find("$.colour: "), std::string::npos) << result.err;
+    }
+    const auto failed = run({"load", "--target=http://127.0.0.1:1", profile, "--seconds=1", "--json"});
+    EXPECT_EQ(failed.status, exit_failed);
+    EXPECT_NE(failed.out.find("\"complete\":0"), std::string::npos) << failed.out;
+}
+
 } // namespace
 } // namespace dandelionbay::app
