Write charts of a bench or load run as one HTML page

Cause: the figures of a run are JSON only, in which a dip in one second or an uneven share between teams is hard to see.

Ruled out: a JavaScript chart library, which would need the network or a copy in the page; writing the file only after the run without a check, since a wrong path would lose a long run.

Change: `--plot=FILE.html` for bench and load. A small renderer (module plot) makes tables, bar charts and a line chart as inline SVG; all texts are escaped, and the page is well-formed XML too. The file is opened before the run; status 2 if it can't be.

Conclusion: both commands show latency quantiles, calls by second, shares and refusals without further tools.

--- a/src/dandelionbay/app/bench.cpp
+++ b/src/dandelionbay/app/bench.cpp
@@ -6,6 +6,7 @@
 #include "absl/flags/declare.h"
 #include "absl/flags/flag.h"
 #include "dandelionbay/app/command.hpp"
+#include "dandelionbay/app/plot_file.hpp"
 #include "dandelionbay/base/text.hpp"
 #include "dandelionbay/bench/run.hpp"
 
@@ -31,22 +32,27 @@
         return usage_error(
             concat("bench: --seconds is from ", load->shortest.count(), " to ", longest_s, " for ", name));
     }
+    plot_file plot;
+    if (!plot.usable()) {
+        return usage_error(concat("bench: --plot: can't write ", plot.path()));
+    }
     const auto figures = bench::run_bench({*load, length, absl::GetFlag(FLAGS_seed)}, std::cerr);
     if (!figures.ok()) {
         return failure(from_absl(figures.status().message()));
     }
     std::cout << figures->dump(absl::GetFlag(FLAGS_json) ? -1 : 2) << '\n';
-    return exit_ok;
+    return plot.write(concat("Bench ", name), *figures) ? exit_ok
+                                                        : failure(concat("bench: writing ", plot.path(), " failed"));
 }
 
 } // namespace
 
 command bench_command() {
     return {"bench",
-            "--scenario=NAME [--seconds=N] [--seed=N] [--json]",
+            "--scenario=NAME [--seconds=N] [--seed=N] [--json] [--plot=FILE.html]",
             "Runs a development fleet in this process, sends it an open-loop load over HTTP and prints the figures as\n"
             "one JSON object; progress goes to standard error. Scenarios: steady, skew, zone-move, flood.",
-            {"scenario", "seconds", "seed", "json"},
+            {"scenario", "seconds", "seed", "json", "plot"},
             run_bench};
 }
 
--- a/src/dandelionbay/app/load.cpp
+++ b/src/dandelionbay/app/load.cpp
@@ -6,6 +6,7 @@
 #include "absl/flags/declare.h"
 #include "absl/flags/flag.h"
 #include "dandelionbay/app/command.hpp"
+#include "dandelionbay/app/plot_file.hpp"
 #include "dandelionbay/base/text.hpp"
 #include "dandelionbay/load/run.hpp"
 #include "dandelionbay/settings/process_settings.hpp"
@@ -60,11 +61,18 @@
     if (!options.ok()) {
         return usage_error(from_absl(options.status().message()));
     }
+    plot_file plot;
+    if (!plot.usable()) {
+        return usage_error(concat("load: --plot: can't write ", plot.path()));
+    }
     const auto figures = load::run_load(*options, std::cerr);
     if (!figures.ok()) {
         return failure(from_absl(figures.status().message()));
     }
     std::cout << figures->dump(absl::GetFlag(FLAGS_json) ? -1 : 2) << '\n';
+    if (!plot.write(concat("Load on ", absl::GetFlag(FLAGS_target)), *figures)) {
+        return failure(concat("load: writing ", plot.path(), " failed"));
+    }
     return (*figures)["complete"] > 0 ? exit_ok : failure("load: no call was complete");
 }
 
@@ -72,10 +80,10 @@
 
 command load_command() {
     return {"load",
-            "--target=URL --profile=FILE.json [--seconds=N] [--seed=N] [--json]",
+            "--target=URL --profile=FILE.json [--seconds=N] [--seed=N] [--json] [--plot=FILE.html]",
             "Sends a fleet an open-loop load over its caller API and prints the figures as one JSON object; progress\n"
             "goes to standard error. Ends with status 1 if no call was complete.",
-            {"target", "profile", "seconds", "seed", "json"},
+            {"target", "profile", "seconds", "seed", "json", "plot"},
             run_load};
 }
 
--- /dev/null
+++ b/src/dandelionbay/plot/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace dandelionbay::plot {
+
+struct bar;
+
+class page;
+
+} // namespace dandelionbay::plot
--- a/test/dandelionbay/app/command_test.cpp
+++ b/test/dandelionbay/app/command_test.cpp
@@ -90,15 +90,20 @@
     EXPECT_EQ(run({"load", "--target=http://127.0.0.1:1", "--profile=/nonexistent"}).status, exit_usage);
     EXPECT_EQ(run({"load", "--target=https://127.0.0.1:1", profile}).status, exit_usage);
     EXPECT_EQ(run({"load", "--target=http://127.0.0.1:1", profile, "--seconds=0"}).status, exit_usage);
+    EXPECT_EQ(run({"load", "--target=http://127.0.0.1:1", profile, "--seconds=1", "--plot=/nonexistent/x"}).status,
+              exit_usage);
     {
         const temporary_file bad{R"({"teams": [], "colour": "red"})"};
         const auto result = run({"load", "--target=http://127.0.0.1:1", "--profile", bad.path(), "--seconds=1"});
         EXPECT_EQ(result.status, exit_usage);
         EXPECT_NE(result.err.find("$.colour: "), std::string::npos) << result.err;
     }
-    const auto failed = run({"load", "--target=http://127.0.0.1:1", profile, "--seconds=1", "--json"});
+    const temporary_file plot{""};
+    const auto failed =
+        run({"load", "--target=http://127.0.0.1:1", profile, "--seconds=1", "--json", "--plot", plot.path()});
     EXPECT_EQ(failed.status, exit_failed);
     EXPECT_NE(failed.out.find("\"complete\":0"), std::string::npos) << failed.out;
+    EXPECT_GT(std::filesystem::file_size(plot.path()), 0U);
 }
 
 } // namespace
