Read the configuration row only when it changed

Cause: every node read the whole row every 2 s. At the target size that is about 24 MB/s from the store, half of it over a link of 3.75 MB/s between regions.

Ruled out: a row of its own for the revision, which two writes would keep in step and which the platform's ETag makes needless; sending the version last read from the store instead of the revision in force, since a node that got a change from a peer would then fetch it again.

Change: table_store::get_unless, over HTTP a GET with If-None-Match. 304 is evidence like a whole read and counts as store_reads_total{unchanged}; no answer and 429 stay failures. The stand-in answers likewise. cpp-httplib waits for a body of a 304 unless its Content-Length is zero: with two of three legal heads the read took 1,001 ms; the caller now ends such an answer at its head.

A node no longer compares the text that a peer gave it with the row of the same revision, since that row isn't sent.

--- a/src/dandelionbay/node/fleet_state.cpp
+++ b/src/dandelionbay/node/fleet_state.cpp
@@ -29,6 +29,15 @@
     return change;
 }
 
+fleet_change fleet_state::store_unchanged(std::uint64_t revision, time_point started, time_point now) {
+    fleet_change change;
+    if (revision != 0 && adopter_.revision() >= revision) {
+        freshness_.store_read(started);
+    }
+    ask_peers(change, now);
+    return change;
+}
+
 fleet_change fleet_state::store_empty(time_point now) {
     fleet_change change;
     adopter_.store_empty(now);
--- a/src/dandelionbay/node/fleet_state.hpp
+++ b/src/dandelionbay/node/fleet_state.hpp
@@ -41,6 +41,10 @@
     [[nodiscard]] fleet_change store_read(std::uint64_t revision, const std::string& document, time_point started,
                                           time_point now);
 
+    /*! @brief The store still has the revision that this node asked it with. @param revision It. @param started When
+     * the read began. */
+    [[nodiscard]] fleet_change store_unchanged(std::uint64_t revision, time_point started, time_point now);
+
     /*! @brief The store has no configuration. */
     [[nodiscard]] fleet_change store_empty(time_point now);
 
--- a/src/dandelionbay/node/node_driver.cpp
+++ b/src/dandelionbay/node/node_driver.cpp
@@ -91,6 +91,7 @@
         links_->send(to, body);
     }
     if (change.config != nullptr) {
+        revision_ = fleet_.revision();
         counters_->set("config_revision", static_cast<std::int64_t>(fleet_.revision()));
         note(log_level::info, "config_in_force", {{"revision", std::to_string(fleet_.revision())}});
         on_config(change.config, now);
@@ -100,8 +101,17 @@
 
 void node_driver::poll_config() {
     const auto started = clock_->now();
-    const auto row = store_->get(config_table, config_key);
-    const auto stored = row.ok() ? decode_stored_config(*row) : absl::StatusOr<stored_config>{row.status()};
+    const auto known = revision_.load();
+    const auto row = store_->get_unless(config_table, config_key, known);
+    if (row.ok() && !row->has_value()) {
+        counters_->add("store_reads_total", "unchanged");
+        tasks_.post([this, started, known] {
+            const auto now = clock_->now();
+            apply(fleet_.store_unchanged(known, started, now), now);
+        });
+        return;
+    }
+    const auto stored = row.ok() ? decode_stored_config(**row) : absl::StatusOr<stored_config>{row.status()};
     if (!stored.ok()) {
         const bool empty = absl::IsNotFound(stored.status());
         const bool malformed = absl::IsDataLoss(stored.status());
--- a/src/dandelionbay/node/node_driver.hpp
+++ b/src/dandelionbay/node/node_driver.hpp
@@ -136,6 +136,7 @@
     host_list* hosts_;
     fleet_state fleet_;
     std::atomic<bool> stopping_{false};
+    std::atomic<std::uint64_t> revision_{0}; //!< In force; read by the thread that polls.
     time_point next_publish_{};
     mutable std::mutex snapshot_mutex_;
     snapshot snapshot_;
--- a/src/dandelionbay/standin/standin_platform.cpp
+++ b/src/dandelionbay/standin/standin_platform.cpp
@@ -115,7 +115,12 @@
             response.status = 404;
             return;
         }
-        response.set_header("ETag", absl::StrCat("\"", row->version, "\""));
+        const auto tag = absl::StrCat("\"", row->version, "\"");
+        response.set_header("ETag", tag);
+        if (request.get_header_value("If-None-Match") == tag) {
+            response.status = 304;
+            return;
+        }
         response.set_content(row->value, "application/octet-stream");
     }
 
--- a/src/dandelionbay/store/http_caller.cpp
+++ b/src/dandelionbay/store/http_caller.cpp
@@ -72,10 +72,22 @@
         answer.body.append(data, size);
         return answer.body.size() <= largest_body && steady_clock::now() - began < time_limit_;
     };
+    // Such an answer has no body, but may tell the length of what it stands for (RFC 9110, 8.6). The library would wait
+    // for a body unless the length is zero.
+    bool without_body = false;
+    request.response_handler = [&](const httplib::Response& head) {
+        answer.status = head.status;
+        answer.etag = head.get_header_value("ETag");
+        without_body = head.status == not_modified && head.get_header_value("Content-Length") != "0";
+        return !without_body;
+    };
     auto client = take();
     httplib::Response response;
     auto error = httplib::Error::Success;
     if (!client->send(request, response, error)) {
+        if (without_body) {
+            return answer; // The library has closed the connection.
+        }
         forget_all();
         const auto text = absl::StrCat("no answer from ", server_.ip, ":", server_.port, ": ", to_string(error));
         return steady_clock::now() - began < time_limit_ / 4 ? absl::UnavailableError(text)
@@ -87,12 +99,16 @@
     return answer;
 }
 
-absl::StatusOr<http_answer> http_caller::get(const std::string& path) {
+absl::StatusOr<http_answer> http_caller::get(const std::string& path, const std::string& known) {
     httplib::Request request;
     request.method = "GET";
     request.path = path;
+    if (!known.empty()) {
+        request.set_header("If-None-Match", known);
+    }
     auto answer = call(request);
-    if (answer.ok() && !succeeded(answer->status)) {
+    const bool unchanged = answer.ok() && !known.empty() && answer->status == not_modified;
+    if (answer.ok() && !unchanged && !succeeded(answer->status)) {
         return error_of(*answer);
     }
     return answer;
--- a/src/dandelionbay/store/http_caller.hpp
+++ b/src/dandelionbay/store/http_caller.hpp
@@ -16,6 +16,9 @@
 
 namespace dandelionbay::internal {
 
+/*! @brief HTTP status of an answer to a conditional read of what the caller has. */
+inline constexpr int not_modified = 304;
+
 /*! @brief Answer of the platform. */
 struct http_answer {
     int status{};
@@ -54,8 +57,12 @@
     /*! @brief Performs a call. @return The answer, whatever its status; Unavailable or DeadlineExceeded without one. */
     [[nodiscard]] absl::StatusOr<http_answer> call(httplib::Request& request);
 
-    /*! @brief Reads a resource. @param path Encoded path. @return As call(). */
-    [[nodiscard]] absl::StatusOr<http_answer> get(const std::string& path);
+    /**
+     * @brief Reads a resource.
+     * @param path Encoded path. @param known ETag of what the caller has; empty for none.
+     * @return The answer, with status 304 only if an ETag was given; else the errors of call() and error_of().
+     */
+    [[nodiscard]] absl::StatusOr<http_answer> get(const std::string& path, const std::string& known = {});
 
 private:
     const socket_address server_;
--- a/src/dandelionbay/store/http_table_store.cpp
+++ b/src/dandelionbay/store/http_table_store.cpp
@@ -30,13 +30,7 @@
     return version;
 }
 
-} // namespace
-
-http_table_store::http_table_store(socket_address server, std::chrono::milliseconds time_limit)
-    : caller_{std::move(server), time_limit} {}
-
-absl::StatusOr<table_row> http_table_store::get(std::string_view table, std::string_view key) {
-    auto answer = caller_.get(path_of(table, key));
+absl::StatusOr<table_row> row_of(absl::StatusOr<internal::http_answer> answer) {
     if (!answer.ok()) {
         return answer.status();
     }
@@ -47,6 +41,29 @@
     return table_row{std::move(answer->body), *version};
 }
 
+} // namespace
+
+http_table_store::http_table_store(socket_address server, std::chrono::milliseconds time_limit)
+    : caller_{std::move(server), time_limit} {}
+
+absl::StatusOr<table_row> http_table_store::get(std::string_view table, std::string_view key) {
+    return row_of(caller_.get(path_of(table, key)));
+}
+
+absl::StatusOr<std::optional<table_row>> http_table_store::get_unless(std::string_view table, std::string_view key,
+                                                                      std::uint64_t known) {
+    const auto tag = known != 0 ? absl::StrCat("\"", known, "\"") : std::string{};
+    auto answer = caller_.get(path_of(table, key), tag);
+    if (answer.ok() && answer->status == internal::not_modified) {
+        return std::nullopt;
+    }
+    auto row = row_of(std::move(answer));
+    if (!row.ok()) {
+        return row.status();
+    }
+    return std::optional{*std::move(row)};
+}
+
 absl::StatusOr<std::uint64_t> http_table_store::put(std::string_view table, std::string_view key,
                                                     std::string_view value, std::uint64_t expected_version) {
     httplib::Request request;
--- a/src/dandelionbay/store/http_table_store.hpp
+++ b/src/dandelionbay/store/http_table_store.hpp
@@ -18,6 +18,8 @@
     explicit http_table_store(socket_address server, std::chrono::milliseconds time_limit = store_time_limit);
 
     [[nodiscard]] absl::StatusOr<table_row> get(std::string_view table, std::string_view key) override;
+    [[nodiscard]] absl::StatusOr<std::optional<table_row>> get_unless(std::string_view table, std::string_view key,
+                                                                      std::uint64_t known) override;
     [[nodiscard]] absl::StatusOr<std::uint64_t> put(std::string_view table, std::string_view key,
                                                     std::string_view value, std::uint64_t expected_version) override;
     [[nodiscard]] absl::StatusOr<std::vector<std::string>> list(std::string_view table) override;
--- a/src/dandelionbay/store/memory_table_store.cpp
+++ b/src/dandelionbay/store/memory_table_store.cpp
@@ -46,6 +46,15 @@
     return rows_->get(table, key);
 }
 
+absl::StatusOr<std::optional<table_row>> memory_table_store::get_unless(std::string_view table, std::string_view key,
+                                                                        std::uint64_t known) {
+    auto row = get(table, key);
+    if (!row.ok()) {
+        return row.status();
+    }
+    return row->version == known ? std::nullopt : std::optional{*std::move(row)};
+}
+
 absl::StatusOr<std::uint64_t> memory_table_store::put(std::string_view table, std::string_view key,
                                                       std::string_view value, std::uint64_t expected_version) {
     const auto fault = next_fault(store_operation::put, table, key);
--- a/src/dandelionbay/store/memory_table_store.hpp
+++ b/src/dandelionbay/store/memory_table_store.hpp
@@ -49,6 +49,8 @@
     [[nodiscard]] std::uint64_t calls() const;
 
     [[nodiscard]] absl::StatusOr<table_row> get(std::string_view table, std::string_view key) override;
+    [[nodiscard]] absl::StatusOr<std::optional<table_row>> get_unless(std::string_view table, std::string_view key,
+                                                                      std::uint64_t known) override;
     [[nodiscard]] absl::StatusOr<std::uint64_t> put(std::string_view table, std::string_view key,
                                                     std::string_view value, std::uint64_t expected_version) override;
     [[nodiscard]] absl::StatusOr<std::vector<std::string>> list(std::string_view table) override;
--- a/src/dandelionbay/store/table_store.hpp
+++ b/src/dandelionbay/store/table_store.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +42,14 @@
      */
     [[nodiscard]] virtual absl::StatusOr<table_row> get(std::string_view table, std::string_view key) = 0;
 
+    /**
+     * @brief Reads a row unless its version is the one that the caller has.
+     * @param table Table name. @param key Row key. @param known Version of the caller's row; 0 if it has none.
+     * @return The row; nothing if its version is still the known one; NotFound.
+     */
+    [[nodiscard]] virtual absl::StatusOr<std::optional<table_row>>
+    get_unless(std::string_view table, std::string_view key, std::uint64_t known) = 0;
+
     /**
      * @brief Writes a row if its version is as expected.
      * @param table Table name. @param key Row key. @param value New bytes.
--- a/test/dandelionbay/node/fleet_test.cpp
+++ b/test/dandelionbay/node/fleet_test.cpp
@@ -42,6 +42,26 @@
     }
 }
 
+// Guards against polls that read the whole document every time, and against a change that a conditional poll misses.
+TEST_F(fleet, polls_read_the_configuration_only_when_it_changed) {
+    ASSERT_TRUE(ready());
+    const auto reads = [&](const char* result) { return engine_agent->metrics().get("store_reads_total", result); };
+    const auto wait_for = [](const auto& condition) {
+        for (int n = 0; n < 500 && !condition(); ++n) {
+            std::this_thread::sleep_for(10ms);
+        }
+        return condition();
+    };
+    const auto whole = reads("ok");
+    EXPECT_TRUE(wait_for([&] { return reads("unchanged") >= 5; })) << engine_agent->metrics().render();
+    EXPECT_EQ(reads("ok"), whole);
+    ASSERT_TRUE(platform->rows().put("config", "fleet", document(), 1).ok());
+    EXPECT_TRUE(wait_for([&] { return engine_agent->metrics().get("config_revision") == 2; }));
+    platform->set_faults({.down = true});
+    const auto failed = reads("failed");
+    EXPECT_TRUE(wait_for([&] { return reads("failed") > failed; }));
+}
+
 // Guards against answers that are mixed up or cut when many stream at once, and when the router stops meanwhile.
 TEST_F(fleet, parallel_streams_are_whole_and_a_stop_cuts_none) {
     ASSERT_TRUE(ready());
--- a/test/dandelionbay/store/http_table_store_test.cpp
+++ b/test/dandelionbay/store/http_table_store_test.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <chrono>
 #include <thread>
 
@@ -53,6 +54,89 @@
     EXPECT_TRUE(store.list("leases").value().empty());
 }
 
+// Guards against a stand-in that sends a row which the caller has.
+TEST_F(http_table_store_test, the_platform_answers_304_for_a_known_version) {
+    ASSERT_TRUE(platform.rows().put("t", "a", "1", 0).ok());
+    httplib::Client client{"127.0.0.1", platform.port()};
+    const auto known = client.Get("/tables/t/a", httplib::Headers{{"If-None-Match", "\"1\""}});
+    ASSERT_TRUE(known);
+    EXPECT_EQ(known->status, 304);
+    EXPECT_EQ(known->get_header_value("ETag"), "\"1\"");
+    EXPECT_EQ(known->body, "");
+    const auto other = client.Get("/tables/t/a", httplib::Headers{{"If-None-Match", "\"2\""}});
+    ASSERT_TRUE(other);
+    EXPECT_EQ(other->status, 200);
+    EXPECT_EQ(other->body, "1");
+}
+
+// Guards against an unanswered conditional read that counts as "unchanged", and against a missed change.
+TEST_F(http_table_store_test, a_conditional_read_tells_unchanged_from_unanswered) {
+    http_table_store store{address()};
+    EXPECT_TRUE(absl::IsNotFound(store.get_unless("t", "a", 1).status()));
+    ASSERT_TRUE(store.put("t", "a", "1", 0).ok());
+    platform.set_faults({.down = true});
+    EXPECT_TRUE(absl::IsUnavailable(store.get_unless("t", "a", 1).status()));
+    platform.set_faults({});
+    EXPECT_EQ(store.get_unless("t", "a", 0).value(), (table_row{"1", 1}));
+    EXPECT_EQ(store.get_unless("t", "a", 1).value(), std::nullopt);
+    ASSERT_TRUE(store.put("t", "a", "2", 1).ok());
+    EXPECT_EQ(store.get_unless("t", "a", 1).value(), (table_row{"2", 2}));
+    platform.set_faults({.reads_per_second = 0.0});
+    EXPECT_TRUE(absl::IsUnavailable(store.get_unless("t", "a", 1).status()));
+}
+
+/*! Accepts one connection and answers its first request; keeps the connection open until it is destroyed. */
+class one_answer_server {
+public:
+    explicit one_answer_server(const std::string& answer) : fd_{::socket(AF_INET, SOCK_STREAM, 0)} {
+        sockaddr_in name{};
+        name.sin_family = AF_INET;
+        name.sin_addr.s_addr = ::htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(name);
+        EXPECT_EQ(::bind(fd_, reinterpret_cast<sockaddr*>(&name), size), 0);
+        EXPECT_EQ(::listen(fd_, 4), 0);
+        EXPECT_EQ(::getsockname(fd_, reinterpret_cast<sockaddr*>(&name), &size), 0);
+        port_ = ::ntohs(name.sin_port);
+        thread_ = std::thread{[this, answer] {
+            connection_ = ::accept(fd_, nullptr, nullptr);
+            std::array<char, 4'096> buf{};
+            EXPECT_GT(::recv(connection_, buf.data(), buf.size(), 0), 0);
+            EXPECT_GT(::send(connection_, answer.data(), answer.size(), MSG_NOSIGNAL), 0);
+        }};
+    }
+    one_answer_server(const one_answer_server&) = delete;
+    one_answer_server(one_answer_server&&) = delete;
+    one_answer_server& operator=(const one_answer_server&) = delete;
+    one_answer_server& operator=(one_answer_server&&) = delete;
+    ~one_answer_server() {
+        thread_.join();
+        ::close(connection_);
+        ::close(fd_);
+    }
+
+    [[nodiscard]] socket_address address() const { return {"127.0.0.1", port_}; }
+
+private:
+    int fd_;
+    int connection_{-1};
+    std::uint16_t port_{};
+    std::thread thread_;
+};
+
+// Guards against a wait for the body that a 304 never has, whatever length it tells.
+TEST(http_table_store, unchanged_needs_no_body) {
+    for (const std::string header : {"", "Content-Length: 131072\r\n", "Content-Length: 0\r\n"}) {
+        SCOPED_TRACE(header);
+        const one_answer_server server{"HTTP/1.1 304 Not Modified\r\nETag: \"7\"\r\n" + header + "\r\n"};
+        http_table_store store{server.address(), milliseconds{2'000}};
+        const auto began = steady_clock::now();
+        const auto row = store.get_unless("t", "a", 7);
+        ASSERT_TRUE(row.ok()) << row.status();
+        EXPECT_EQ(*row, std::nullopt);
+        EXPECT_LT(steady_clock::now() - began, milliseconds{500});
+    }
+}
+
 // Guards against lost answers taken for refusals, and against a client that stays on broken connections.
 TEST_F(http_table_store_test, a_write_without_answer_is_an_error_that_may_have_taken_effect) {
     http_table_store store{address()};
