Print ready when a configuration is in force

Cause: `serve` printed ready as soon as its threads ran, before the first read of the configuration, so scripts and process managers took a router for serving that refused every call.

Ruled out: waiting without limit, since a node must be able to start while the store is down; ready as soon as the first read failed, since the adopter gives peers up to 5 s to send their configuration.

Change: start_watch looks at the node's counters. SIGTERM during the wait stops the process gracefully without ready.

Conclusion: ready means that a configuration is in force, or the log says why not.

--- a/src/dandelionbay/app/serve.cpp
+++ b/src/dandelionbay/app/serve.cpp
@@ -9,6 +9,7 @@
 #include "dandelionbay/base/text.hpp"
 #include "dandelionbay/node/agent_node.hpp"
 #include "dandelionbay/node/router_node.hpp"
+#include "dandelionbay/node/start_watch.hpp"
 #include "dandelionbay/settings/process_settings.hpp"
 
 ABSL_DECLARE_FLAG(std::string, settings);
@@ -29,6 +30,18 @@
     return event_log_options{level, settings.log.output, node.host, node.zone};
 }
 
+/*! Waits until a node is ready. Returns start_state::waiting if a signal to stop came first. */
+[[nodiscard]] start_state wait_until_ready(counters& metrics, const stop_signal& signal) {
+    constexpr std::chrono::milliseconds interval{20};
+    const monotonic_clock time;
+    start_watch watch{metrics, time.now()};
+    auto state = watch.check(time.now());
+    while (state == start_state::waiting && !signal.wait_for(interval)) {
+        state = watch.check(time.now());
+    }
+    return state;
+}
+
 template<typename Node>
 [[nodiscard]] int serve_until_stopped(Node& node, const stop_signal& signal, event_log& log) {
     if (const auto status = node.start(); !status.ok()) {
@@ -36,8 +49,13 @@
         return failure(from_absl(status.message()));
     }
     log.write(log_level::info, "started");
-    std::cout << "ready" << std::endl; // Flushed, because a script waits for this line.
-    signal.wait();
+    if (const auto state = wait_until_ready(node.metrics(), signal); state != start_state::waiting) {
+        if (state != start_state::in_force) {
+            log.write(log_level::warn, "started_without_config", {{"reason", std::string{to_string(state)}}});
+        }
+        std::cout << "ready" << std::endl; // Flushed, because a script waits for this line.
+        signal.wait();
+    }
     log.write(log_level::info, "stopping");
     node.stop();
     log.write(log_level::info, "stopped");
--- a/src/dandelionbay/app/stop_signal.cpp
+++ b/src/dandelionbay/app/stop_signal.cpp
@@ -31,4 +31,11 @@
     }
 }
 
+bool stop_signal::wait_for(std::chrono::nanoseconds limit) const {
+    const auto set = stop_signals();
+    timespec time{};
+    time.tv_nsec = limit.count();
+    return sigtimedwait(&set, nullptr, &time) > 0;
+}
+
 } // namespace dandelionbay::app
--- a/src/dandelionbay/app/stop_signal.hpp
+++ b/src/dandelionbay/app/stop_signal.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+
 namespace dandelionbay::app {
 
 /**
@@ -14,6 +16,9 @@
 
     /*! @brief Blocks until SIGTERM or SIGINT arrives; returns at once if one arrived since the creation. */
     void wait() const;
+
+    /*! @brief Blocks until SIGTERM or SIGINT arrives. @param limit Longest time, below 1 s. @return True if one did. */
+    [[nodiscard]] bool wait_for(std::chrono::nanoseconds limit) const;
 };
 
 } // namespace dandelionbay::app
--- a/src/dandelionbay/node/fwd.hpp
+++ b/src/dandelionbay/node/fwd.hpp
@@ -7,5 +7,6 @@
 class router_node;
 class agent_node;
 class endpoint_client;
+class start_watch;
 
 } // namespace dandelionbay
