--- a/test/dandelionbay/node/fleet_state_test.cpp
+++ b/test/dandelionbay/node/fleet_state_test.cpp
@@ -57,5 +57,32 @@
     }
 }
 
+// Guards against a node that isolates itself although the store answers that nothing changed, and against answers about
+// a revision that isn't in force.
+TEST(fleet_state, an_unchanged_row_is_evidence_for_its_revision) {
+    node_options options;
+    options.host = host_id{"a"};
+    for (const auto* name : {"a", "b", "c"}) {
+        options.hosts.push_back({host_id{name}, host_role::agent, {}, {}, {"127.0.0.1", 1}, false});
+    }
+    counters metrics;
+    const time_point start{std::chrono::hours{1}};
+    fleet_state state{options, host_role::agent, 1, metrics, start};
+    const auto fresh = [&](duration after) {
+        static_cast<void>(state.tick(start + after));
+        return state.fresh(start + after);
+    };
+    static_cast<void>(state.store_unchanged(1, start, start));
+    EXPECT_FALSE(fresh(seconds{0})) << "nothing is in force";
+    EXPECT_NE(state.store_read(1, "{}", start, start).config, nullptr);
+    EXPECT_TRUE(fresh(seconds{3}));
+    EXPECT_FALSE(fresh(seconds{5})) << "the evidence is too old";
+    static_cast<void>(state.store_unchanged(2, start + seconds{5}, start + seconds{5}));
+    EXPECT_FALSE(fresh(seconds{5})) << "revision 2 is not in force";
+    static_cast<void>(state.store_unchanged(1, start + seconds{5}, start + seconds{5}));
+    EXPECT_TRUE(fresh(seconds{8}));
+    EXPECT_FALSE(fresh(seconds{10}));
+}
+
 } // namespace
 } // namespace dandelionbay
