Limit repayment after a partition between routers too

Cause: agents chose between routers by the lowest counter alone and did not know the distance at which a router limits the repayment of a deficit.

Ruled out: a distance from the agent's own mean cost, because an agent has no estimate of the pool's rate; a share for each team ahead at each router, which the router adds its own share to; a grant that names the team.

Change: a demand carries the router's estimate of the bound U (one field). The agent gives half of their share of the grants to teams that are further ahead than that and wait at no router with a team owed service; such a router limits the repayment itself. The fake fleet can run real agent cores; its requests have fingerprints of their own, because one fingerprint for all made two lost agents refuse every request.

Five exchanges and a request (1.45 s) hold while the repayment is limited.

Not measured: routers of another region, demands that name 2 of many teams.

Conclusion: the starvation between routers is gone; the rest of the pause is the last part of a deficit, within U, which the lowest counter alone repays.

--- a/src/dandelionbay/agent/agent_grants.cpp
+++ b/src/dandelionbay/agent/agent_grants.cpp
@@ -108,6 +108,86 @@
     }
 }
 
+agent_core::state::candidate agent_core::state::limit_repayment(candidate first, time_point now) const {
+    double gap = 0.0;
+    for (const auto& [key, work] : demands_.all()) {
+        gap = key.second == first.pool && !work.teams.empty() ? std::max(gap, work.gap) : gap;
+    }
+    if (gap <= 0.0) {
+        return first;
+    }
+    // A router with a team that is owed service limits the repayment among its own teams. Only the teams ahead that
+    // wait at no such router depend on the choice made here.
+    const double bound = first.counter + gap;
+    const bool suspects_allowed = !suspect_present();
+    const auto eligible = [&](const internal::waiting_team& it) {
+        return it.waiting() > 0 && allowed(it.reported.team) && (!it.reported.suspects_only || suspects_allowed);
+    };
+    std::set<team_id> elsewhere;
+    std::vector<internal::demand_board::key_type> routers_ahead;
+    for (const auto& [key, work] : demands_.all()) {
+        if (key.second != first.pool || !reachable(key.first, work, now)) {
+            continue;
+        }
+        const auto owed = [&](const auto& it) { return eligible(it) && counter(first.pool, it) <= bound; };
+        if (std::ranges::none_of(work.teams, owed)) {
+            routers_ahead.push_back(key);
+            continue;
+        }
+        for (const auto& it : work.teams) {
+            if (eligible(it)) {
+                elsewhere.insert(it.reported.team);
+            }
+        }
+    }
+    std::set<team_id> ahead;
+    std::optional<candidate> best;
+    for (const auto& key : routers_ahead) {
+        const auto& work = demands_.all().at(key);
+        const auto& link = links_.at(key.first);
+        for (const auto& it : work.teams) {
+            const auto& team = it.reported.team;
+            if (!eligible(it) || elsewhere.contains(team)) {
+                continue;
+            }
+            ahead.insert(team);
+            candidate option{.router = key.first,
+                             .pool = key.second,
+                             .team = team,
+                             .counter = counter(key.second, it),
+                             .suspects = it.reported.suspects_only,
+                             .remote = link.remote,
+                             .other_zone = link.other_zone,
+                             .last_grant = link.last_grant,
+                             .ahead = true};
+            const auto order = [](const candidate& n) {
+                return std::tie(n.remote, n.counter, n.other_zone, n.last_grant, n.router);
+            };
+            if (it.waiting() > grants_.held(key.first, key.second, team) &&
+                unmet(key.first, key.second, work, suspects_allowed) > 0 &&
+                (!best.has_value() || order(option) < order(*best))) {
+                best = std::move(option);
+            }
+        }
+    }
+    if (!best.has_value()) {
+        return first;
+    }
+    double all = 0.0;
+    double part = 0.0;
+    for (const auto& team : elsewhere) {
+        all += weight(team);
+    }
+    for (const auto& team : ahead) {
+        all += weight(team);
+        part += weight(team);
+    }
+    first.share_ahead = best->share_ahead = part / all;
+    const auto credit = credit_ahead_.find(first.pool);
+    const bool turn = credit != credit_ahead_.end() && credit->second + first.share_ahead / 2.0 >= 1.0;
+    return turn ? *best : first;
+}
+
 std::optional<agent_core::state::candidate> agent_core::state::choose(time_point now) const {
     std::map<pool_id, std::pair<std::optional<candidate>, std::optional<candidate>>> best;
     for (const auto& [key, work] : demands_.all()) {
@@ -125,7 +205,7 @@
     const auto& [local, remote] = it->second;
     const bool take_remote =
         remote.has_value() && (!local.has_value() || remote->counter + remote_lead * mean_cost_ < local->counter);
-    return take_remote ? remote : local;
+    return limit_repayment(take_remote ? *remote : *local, now);
 }
 
 std::optional<agent_core::state::candidate> agent_core::state::choose_spare(time_point now) const {
@@ -166,6 +246,8 @@
     links_.at(to.router).last_grant = ++grant_order_;
     if (!spare) {
         pool_turns_[to.pool] = grant_order_;
+        auto& credit = credit_ahead_[to.pool];
+        credit = to.share_ahead > 0.0 ? credit + to.share_ahead / 2.0 - (to.ahead ? 1.0 : 0.0) : 0.0;
     }
     metrics_.add("grants_total", spare ? "spare" : to.remote ? "other_region" : "demand");
     auto& note = new_grants_[{to.router, {to.pool, spare}}];
--- a/src/dandelionbay/agent/agent_state.hpp
+++ b/src/dandelionbay/agent/agent_state.hpp
@@ -111,6 +111,8 @@
         bool remote{};
         bool other_zone{};
         std::uint64_t last_grant{};
+        double share_ahead{}; //!< Share of the weights of teams ahead that only routers without owed teams have.
+        bool ahead{};         //!< Chosen for such a team.
     };
 
     struct broken_run {
@@ -138,6 +140,7 @@
 
     // agent_grants.cpp: grants.
     [[nodiscard]] std::optional<candidate> choose(time_point now) const;
+    [[nodiscard]] candidate limit_repayment(candidate first, time_point now) const;
     [[nodiscard]] bool reachable(const host_id& router, const internal::waiting_work& work, time_point now) const;
     void consider(const internal::demand_board::key_type& key, const internal::waiting_work& work, time_point now,
                   std::map<pool_id, std::pair<std::optional<candidate>, std::optional<candidate>>>& best) const;
@@ -248,6 +251,7 @@
     internal::floor_book floors_{};
     internal::grant_book grants_;
     std::map<pool_id, std::uint64_t> pool_turns_{}; //!< Position of each pool's last grant in the order of all grants.
+    std::map<pool_id, double> credit_ahead_{}; //!< Part of a grant that the teams ahead have earned, as in repayment.
     std::uint64_t grant_order_{};
     std::map<std::pair<host_id, std::pair<pool_id, bool>>, grant> new_grants_{}; //!< To be sent after the event.
     byte_budget remote_budget_;
--- a/src/dandelionbay/agent/demand_board.cpp
+++ b/src/dandelionbay/agent/demand_board.cpp
@@ -16,6 +16,7 @@
     work.lapses = 0;
     work.ignored_until = time_point{};
 
+    work.gap = report.gap;
     work.teams.clear();
     for (const auto& team : report.teams) {
         work.teams.push_back(waiting_team{.reported = team});
--- a/src/dandelionbay/agent/demand_board.hpp
+++ b/src/dandelionbay/agent/demand_board.hpp
@@ -29,6 +29,7 @@
     std::uint64_t version{};
     time_point since{}; //!< Since when work has been waiting without a break.
     std::vector<waiting_team> teams{};
+    double gap{};               //!< As in the report.
     std::uint32_t lapses{};     //!< Grants for this report that were not used in their lifetime.
     time_point ignored_until{}; //!< The report is doubtful until then.
 
--- a/src/dandelionbay/router/internal/state_link.cpp
+++ b/src/dandelionbay/router/internal/state_link.cpp
@@ -204,7 +204,7 @@
     told.at = now;
     told.known = true;
     metrics_->add("demands_sent_total");
-    send(agent.host, demand{pool.id, ++demand_version_, std::move(teams)});
+    send(agent.host, demand{pool.id, ++demand_version_, std::move(teams), pool.gap(exchange_delay)});
 }
 
 void router_core::state::piggyback(pool_record& pool, agent_record& agent, time_point now) {
--- a/src/dandelionbay/wire/fields.hpp
+++ b/src/dandelionbay/wire/fields.hpp
@@ -31,7 +31,7 @@
     } else if constexpr (std::is_same_v<value, team_demand>) {
         return std::tie(it.team, it.queued, it.counter, it.charged, it.suspects_only);
     } else if constexpr (std::is_same_v<value, demand>) {
-        return std::tie(it.pool, it.version, it.teams);
+        return std::tie(it.pool, it.version, it.teams, it.gap);
     } else if constexpr (std::is_same_v<value, team_floor>) {
         return std::tie(it.pool, it.team, it.charged);
     } else if constexpr (std::is_same_v<value, grant>) {
--- a/src/dandelionbay/wire/message.hpp
+++ b/src/dandelionbay/wire/message.hpp
@@ -58,6 +58,7 @@
     pool_id pool{};
     std::uint64_t version{}; //!< Grows with each demand of this router; older ones are ignored.
     std::vector<team_demand> teams{};
+    double gap{}; //!< Distance of counters beyond which a deficit is repaid, cost units per weight; 0 if unknown.
 
     friend bool operator==(const demand&, const demand&) = default;
 };
--- a/test/dandelionbay/router/fake_fleet.hpp
+++ b/test/dandelionbay/router/fake_fleet.hpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <optional>
@@ -9,8 +10,10 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "dandelionbay/agent/agent_core.hpp"
 #include "dandelionbay/router/router_core.hpp"
 
 namespace dandelionbay::testing_support {
@@ -88,7 +91,11 @@
     return request;
 }
 
-/*! Agent with a fixed number of slots; grants to the router whose team has the lowest counter; no cold start. */
+/*!
+ * Agent with a fixed number of slots; grants to the router whose team has the lowest counter; no cold start.
+ *
+ * With use_core() an agent_core decides instead, and only the endpoint is a fake.
+ */
 class fake_agent {
     struct told {
         std::uint64_t version{};
@@ -96,7 +103,50 @@
         std::uint32_t granted{}; // since that demand
     };
 
+    void perform(const agent_core::actions& todo, time_point now) {
+        for (const auto& it : todo) {
+            if (const auto* const out = std::get_if<send_message>(&it)) {
+                outbox_.emplace_back(out->to, out->body);
+            } else if (const auto* const start = std::get_if<start_run>(&it)) {
+                const auto output = std::uniform_int_distribution<std::uint32_t>{20, 400}(outputs_);
+                runs.push_back(run{start->work.id.router, start->work, output, now + milliseconds{output}});
+            } else if (const auto* const stop = std::get_if<cancel_run>(&it)) {
+                std::erase_if(runs, [&](const auto& n) { return n.work.id == stop->id; });
+                perform(core_->run_ended(stop->id, run_end::cancelled, 0, now), now);
+            } else {
+                report(now);
+            }
+        }
+    }
+
+    void report(time_point now) {
+        next_report_ = now + milliseconds{500};
+        perform(core_->report(load_report{"p", false, static_cast<std::uint32_t>(runs.size())}, now), now);
+    }
+
+    template<typename Send>
+    void step_core(time_point now, Send send) {
+        std::vector<run> over;
+        std::ranges::copy_if(runs, std::back_inserter(over), [&](const auto& it) { return it.ends <= now; });
+        std::erase_if(runs, [&](const auto& it) { return it.ends <= now; });
+        for (const auto& it : over) {
+            finished(it, now);
+            perform(core_->run_head(it.work.id, 200, {}, now), now);
+            perform(core_->run_data(it.work.id, "answer", it.output, now), now);
+            perform(core_->run_ended(it.work.id, run_end::complete, input_tokens, now), now);
+        }
+        if (now >= next_report_) {
+            report(now);
+        }
+        perform(core_->tick(now), now);
+        for (const auto& [to, body] : std::exchange(outbox_, {})) {
+            send(to, body);
+        }
+    }
+
 public:
+    static constexpr std::uint32_t input_tokens = 100;
+
     struct run {
         host_id router{};
         submit work{};
@@ -110,18 +160,41 @@
     std::vector<run> runs{};
     std::map<team_id, double> floors{};
     std::map<team_id, double> service{};
+    std::map<team_id, time_point> last_end{};
     std::uint64_t next_grant{1};
     double largest{};
 
     [[nodiscard]] std::size_t busy() const { return runs.size() + grants.size(); }
 
-    void drop(const host_id& router) {
+    /*! Hands the decisions to an agent_core. */
+    void use_core(agent_settings settings, std::shared_ptr<const fleet_config> config, counters& metrics,
+                  time_point now) {
+        core_ = std::make_unique<agent_core>(std::move(settings), metrics);
+        perform(core_->apply(std::move(config), now), now);
+        perform(core_->set_fresh(true, now), now);
+        report(now);
+    }
+
+    [[nodiscard]] bool has_core() const { return core_ != nullptr; }
+
+    void connect(const hello& router, time_point now) {
+        if (has_core()) {
+            perform(core_->link_up(router, now), now);
+        }
+    }
+
+    void drop(const host_id& router, time_point now) {
+        if (has_core()) {
+            perform(core_->link_down(router, now), now);
+        }
         demands.erase(router);
         std::erase_if(grants, [&](const auto& it) { return it.second.first == router; });
     }
 
     void receive(const host_id& from, const message& body, std::mt19937_64& random, time_point now) {
-        if (const auto* const wish = std::get_if<demand>(&body)) {
+        if (has_core()) {
+            perform(core_->receive(from, body, now), now);
+        } else if (const auto* const wish = std::get_if<demand>(&body)) {
             auto& known = demands[from];
             if (wish->version > known.version) {
                 known = told{wish->version, wish->teams, 0};
@@ -143,21 +216,29 @@
         }
     }
 
+    void finished(const run& it, time_point now) {
+        const double cost = input_tokens + 2.0 * it.output;
+        service[it.work.team] += cost;
+        largest = std::max(largest, cost);
+        last_end[it.work.team] = now;
+    }
+
     template<typename Send>
     void step(time_point now, Send send) {
+        if (has_core()) {
+            step_core(now, send);
+            return;
+        }
         std::erase_if(grants, [&](const auto& it) { return it.second.second <= now; });
         for (auto it = runs.begin(); it != runs.end();) {
             if (it->ends > now) {
                 ++it;
                 continue;
             }
-            const auto input = 100U;
-            const double cost = input + 2.0 * it->output;
-            service[it->work.team] += cost;
-            largest = std::max(largest, cost);
+            finished(*it, now);
             send(it->router, head{it->work.id, 200, {}});
             send(it->router, chunk{it->work.id, 0, "answer", it->output});
-            send(it->router, finish{it->work.id, result_code::ok, executed::yes, 6, input, it->output});
+            send(it->router, finish{it->work.id, result_code::ok, executed::yes, 6, input_tokens, it->output});
             it = runs.erase(it);
         }
         while (busy() < slots) {
@@ -186,6 +267,12 @@
             send(*best, out);
         }
     }
+
+private:
+    std::unique_ptr<agent_core> core_{};
+    std::vector<std::pair<host_id, message>> outbox_{};
+    std::mt19937_64 outputs_{7};
+    time_point next_report_{};
 };
 
 /*! Routers and fake agents on manual time, joined by links with a delay; every team is kept backlogged. */
@@ -253,7 +340,8 @@
         std::ignore = cores[n]->apply(config_, now);
         std::ignore = cores[n]->set_fresh(true, now);
         for (std::size_t agent = 0; agent < fakes.size(); ++agent) {
-            fakes[agent].drop(host("router", n));
+            fakes[agent].drop(host("router", n), now);
+            fakes[agent].connect(router_hello(n, incarnation), now);
             perform(n, cores[n]->link_up(agent_hello(agent), now));
         }
         std::vector<host_id> peers;
@@ -273,13 +361,25 @@
         perform(n, cores[n]->set_exchange_peers(peers, now));
     }
 
+    /*! Replaces the fake agents' decisions by agent cores; to be called before the first run(). */
+    void use_agent_cores() {
+        for (std::size_t n = 0; n < fakes.size(); ++n) {
+            const auto self = agent_hello(n);
+            fakes[n].use_core({self.host, self.region, self.zone, self.endpoint, self.incarnation, n}, config_, metrics,
+                              now);
+            for (std::size_t router = 0; router < cores.size(); ++router) {
+                fakes[n].connect(router_hello(router), now);
+            }
+        }
+    }
+
     /*! Breaks the links between hosts that the predicate tells apart. */
     void split(std::function<bool(const host_id&, const host_id&)> apart) {
         cut = std::move(apart);
         each_link([&](std::size_t n, const hello& peer) {
             perform(n, cores[n]->link_down(peer.host, now));
             if (peer.role == host_role::agent) {
-                fakes[index_of(peer.host)].drop(host("router", n));
+                fakes[index_of(peer.host)].drop(host("router", n), now);
             }
         });
     }
@@ -290,6 +390,9 @@
         each_link([&](std::size_t n, const hello& peer) { links.emplace_back(n, peer); });
         cut = nullptr;
         for (const auto& [n, peer] : links) {
+            if (peer.role == host_role::agent) {
+                fakes[index_of(peer.host)].connect(router_hello(n), now);
+            }
             perform(n, cores[n]->link_up(peer, now));
         }
     }
@@ -307,10 +410,17 @@
                 for (const auto& [name, depth] : wanted[n]) {
                     while (backlog_[n][name] < depth) {
                         request_id id;
-                        const auto todo = cores[n]->accept(chat(name, 100), now, id);
+                        // Requests with one fingerprint would share the crashes that lost agents count as.
+                        auto request = chat(name, 100);
+                        request.fingerprint = ++fingerprint_;
+                        const auto todo = cores[n]->accept(request, now, id);
+                        const auto before = backlog_[n][name];
                         waiting_[n][id] = name;
                         ++backlog_[n][name];
                         perform(n, todo);
+                        if (backlog_[n][name] <= before) {
+                            break; // refused at once
+                        }
                     }
                 }
                 if (now >= cores[n]->next_deadline()) {
@@ -332,7 +442,17 @@
         return sum;
     }
 
-    [[nodiscard]] double largest() const { return std::ranges::max(fakes, {}, &fake_agent::largest).largest; }
+    /*! When a request of a team last ended; the start of time if none did. */
+    [[nodiscard]] time_point last_end(const team_id& name) const {
+        time_point last{};
+        for (const auto& it : fakes) {
+            const auto found = it.last_end.find(name);
+            last = found != it.last_end.end() ? std::max(last, found->second) : last;
+        }
+        return last;
+    }
+
+    [[nodiscard]] double largest() const { return std::ranges::max_element(fakes, {}, &fake_agent::largest)->largest; }
 
     time_point now{seconds{100}};
     counters metrics{};
@@ -378,7 +498,7 @@
         for (std::size_t n = 0; n < fakes.size(); ++n) {
             if (host("agent", n) == it.to) {
                 const auto* const again = std::get_if<resume>(&it.body);
-                if (again != nullptr &&
+                if (again != nullptr && !fakes[n].has_core() &&
                     std::ranges::none_of(fakes[n].runs, [&](const auto& run) { return run.work.id == again->id; })) {
                     send(it.to, it.from, finish{again->id, result_code::resume_failed, executed::unknown, 0, 0, 0});
                 }
@@ -392,6 +512,7 @@
     std::vector<std::map<request_id, team_id>> waiting_;
     std::vector<std::map<team_id, int>> backlog_;
     std::uint64_t order_{};
+    std::uint64_t fingerprint_{};
 };
 
 } // namespace dandelionbay::testing_support
--- a/test/dandelionbay/router/router_fairness_test.cpp
+++ b/test/dandelionbay/router/router_fairness_test.cpp
@@ -33,15 +33,19 @@
         return high - low;
     }
 
-    /*! U = 2 (L + E) + 2 R D with the largest cost seen, the largest possible error and the measured rate. */
-    [[nodiscard]] double bound(duration exchange) const {
+    /*! Service of all teams per second. */
+    [[nodiscard]] double rate() const {
         double all = 0.0;
         for (std::size_t n = 0; n < teams_.size(); ++n) {
             all += served(n);
         }
+        return all / std::chrono::duration<double>{fleet_->now - begun_}.count();
+    }
+
+    /*! U = 2 (L + E) + 2 R D with the largest cost seen, the largest possible error and the measured rate. */
+    [[nodiscard]] double bound(duration exchange) const {
         const double largest = fleet_->largest();
-        const double rate = all / std::chrono::duration<double>{fleet_->now - begun_}.count();
-        return 2.0 * (largest + largest) + 2.0 * rate * std::chrono::duration<double>{exchange}.count();
+        return 2.0 * (largest + largest) + 2.0 * rate() * std::chrono::duration<double>{exchange}.count();
     }
 
 private:
@@ -51,6 +55,28 @@
     time_point begun_;
 };
 
+/*! Longest time without an ended request of a team, from the creation on. */
+class service_pause {
+public:
+    service_pause(fake_fleet& fleet, team_id team) : fleet_{&fleet}, team_{std::move(team)}, last_{fleet.now} {}
+
+    void run(duration time) {
+        for (const auto until = fleet_->now + time; fleet_->now < until;) {
+            fleet_->run(milliseconds{20});
+            last_ = std::max(last_, fleet_->last_end(team_));
+            longest_ = std::max(longest_, fleet_->now - last_);
+        }
+    }
+
+    [[nodiscard]] duration longest() const { return longest_; }
+
+private:
+    fake_fleet* fleet_;
+    team_id team_;
+    time_point last_;
+    duration longest_{};
+};
+
 // Own exchange interval of 200 ms, delay and scheduling of 5 ms each; all routers are direct peers.
 constexpr duration direct_exchange = milliseconds{210};
 // The routers assume an exchange tree.
@@ -159,6 +185,68 @@
     RecordProperty("share_ahead", std::to_string(ahead / all));
 }
 
+// Guards against agents that prefer the routers of the teams owed service without a limit, so that a team which is
+// ahead and waits at another router only gets nothing until the whole deficit is repaid.
+TEST(router_fairness, a_team_ahead_at_another_router_keeps_half_of_its_share) {
+    auto config = make_config(2, 3);
+    for (auto& it : config->endpoints) {
+        it.slots = 4;
+    }
+    for (const bool also_with_the_owed : {false, true}) {
+        SCOPED_TRACE(also_with_the_owed ? "the team ahead waits at both routers" : "each team waits at its own router");
+        fake_fleet fleet{config, 2, 3};
+        fleet.use_agent_cores();
+        fleet.wanted[0][team(0)] = 30;
+        fleet.wanted[1][team(1)] = 30;
+        if (also_with_the_owed) {
+            fleet.wanted[1][team(0)] = 30;
+        }
+        fleet.run(seconds{20});
+        // Router 0 with agents 0 and 1 against router 1 with agent 2.
+        const auto side = [](const host_id& it) { return it == host("router", 1) || it == host("agent", 2); };
+        fleet.split([side](const host_id& a, const host_id& b) { return side(a) != side(b); });
+        const measurement whole{fleet, {team(0), team(1)}};
+        fleet.run(seconds{30});
+        const double bound = whole.bound(direct_exchange);
+        EXPECT_GT(whole.gap(), 2.0 * bound) << "the partition makes a deficit";
+        fleet.join();
+        service_pause pause{fleet, team(0)};
+        pause.run(seconds{2}); // the first full exchange
+        const double limited = whole.bound(router_exchange);
+        double ahead = 0.0;
+        double all = 0.0;
+        duration limited_wait{};
+        int rounds = 0;
+        for (; rounds < 60 && whole.gap() > bound; ++rounds) {
+            const measurement round{fleet, {team(0), team(1)}};
+            pause.run(seconds{2});
+            if (whole.gap() > limited) {
+                ahead += round.served(0);
+                all += round.served(0) + round.served(1);
+                limited_wait = pause.longest();
+            }
+        }
+        EXPECT_LE(limited_wait, 5 * direct_exchange + milliseconds{400}) << "five exchanges and the longest request";
+        // A deficit within the routers' bound is repaid by the lowest counter alone, at the rate of the pool. The age
+        // of the rows and the longest request follow.
+        const double limit = limited / whole.rate() + 0.21 + 0.4;
+        const auto wait = std::chrono::duration<double>{pause.longest()}.count();
+        EXPECT_LE(wait, limit) << "no longer without service";
+        EXPECT_GE(ahead / all, 0.2) << "the team ahead keeps half of its share, a quarter of the slots";
+        EXPECT_LE(ahead / all, 0.3) << "the deficit is repaid from the slots of the team ahead";
+        EXPECT_LT(rounds, 60) << "the deficit is repaid";
+        EXPECT_EQ(fleet.metrics.total("invariant_violations_total"), 0) << fleet.metrics.render();
+        const std::string place = also_with_the_owed ? "both_" : "other_";
+        RecordProperty(place + "wait_s", std::to_string(wait));
+        RecordProperty(place + "wait_limit_s", std::to_string(limit));
+        RecordProperty(place + "limited_wait_ms",
+                       std::to_string(std::chrono::duration_cast<milliseconds>(limited_wait).count()));
+        RecordProperty(place + "rounds", std::to_string(rounds));
+        RecordProperty(place + "share_ahead", std::to_string(ahead / all));
+        RecordProperty(place + "bound", std::to_string(bound));
+    }
+}
+
 // Guards against an exchange that sends all rows to the first peer while the byte pace allows one message at a time.
 TEST(router_fairness, every_peer_gets_rows_when_the_pace_runs_out) {
     one_router it{make_config(100, 1)};
--- a/test/dandelionbay/wire/codec_test.cpp
+++ b/test/dandelionbay/wire/codec_test.cpp
@@ -15,7 +15,7 @@
     const call request{"POST", "/v1/chat/completions", {{"Accept", "*/*"}}, std::string("\0\xff{}", 4)};
     return {hello{host_id{"a1"}, host_role::agent, region_id{"r"}, zone_id{"z"}, 9, endpoint_id{"e"}, 3},
             heartbeat{9, 3, 250, true},
-            demand{pool_id{"p"}, 4, {{team_id{"t"}, 5, 1.5, 1.0, false}, {team_id{"u"}, 1, -0.25, 1e300, true}}},
+            demand{pool_id{"p"}, 4, {{team_id{"t"}, 5, 1.5, 1.0, false}, {team_id{"u"}, 1, -0.25, 1e300, true}}, 7.5},
             grant{pool_id{"p"}, grants, 3'000, true, {{pool_id{"p"}, team_id{"t"}, 12.0}}},
             recall{grants},
             returned{grants},
