--- a/test/dandelionbay/router/router_fairness_test.cpp
+++ b/test/dandelionbay/router/router_fairness_test.cpp
@@ -85,26 +85,36 @@
 // Guards against a team that crowds out others by the number of its requests, or by the routers it uses; the gap must
 // not grow with the time.
 TEST(router_fairness, a_flood_and_uneven_spread_stay_within_the_bound) {
-    fake_fleet fleet{make_config(4, 4), 3, 4};
-    // Team 0 floods all routers, 1 uses one router, 2 two of them unevenly, 3 holds little more than its slots.
-    for (auto& router : fleet.wanted) {
-        router[team(0)] = 256;
+    auto config = make_config(4, 4);
+    for (auto& it : config->endpoints) {
+        it.slots = 4;
     }
-    fleet.wanted[0][team(1)] = 24;
-    fleet.wanted[1][team(2)] = 24;
-    fleet.wanted[2][team(2)] = 3;
-    fleet.wanted[2][team(3)] = 12;
-    fleet.run(seconds{5});
-    const measurement it{fleet, {team(0), team(1), team(2), team(3)}};
-    double widest = 0.0;
-    for (int n = 0; n < 60; ++n) {
-        fleet.run(seconds{2});
-        ASSERT_LE(it.gap(), it.bound(direct_exchange)) << "after " << n << " rounds";
-        widest = std::max(widest, it.gap());
+    for (const bool agent_cores : {false, true}) {
+        SCOPED_TRACE(agent_cores ? "agent cores" : "fake agents");
+        fake_fleet fleet{config, 3, 4};
+        if (agent_cores) {
+            fleet.use_agent_cores();
+        }
+        // Team 0 floods all routers, 1 uses one router, 2 two of them unevenly, 3 holds little more than its slots.
+        for (auto& router : fleet.wanted) {
+            router[team(0)] = 256;
+        }
+        fleet.wanted[0][team(1)] = 24;
+        fleet.wanted[1][team(2)] = 24;
+        fleet.wanted[2][team(2)] = 3;
+        fleet.wanted[2][team(3)] = 12;
+        fleet.run(seconds{5});
+        const measurement it{fleet, {team(0), team(1), team(2), team(3)}};
+        double widest = 0.0;
+        for (int n = 0; n < 60; ++n) {
+            fleet.run(seconds{2});
+            ASSERT_LE(it.gap(), it.bound(direct_exchange)) << "after " << n << " rounds";
+            widest = std::max(widest, it.gap());
+        }
+        RecordProperty(agent_cores ? "widest_gap_agent_cores" : "widest_gap", std::to_string(widest));
+        RecordProperty(agent_cores ? "bound_agent_cores" : "bound", std::to_string(it.bound(direct_exchange)));
+        EXPECT_EQ(fleet.metrics.total("invariant_violations_total"), 0) << fleet.metrics.render();
     }
-    RecordProperty("widest_gap", std::to_string(widest));
-    RecordProperty("bound", std::to_string(it.bound(direct_exchange)));
-    EXPECT_EQ(fleet.metrics.total("invariant_violations_total"), 0) << fleet.metrics.render();
 }
 
 // Guards against a bound that depends on an undisturbed exchange: rows are lost, doubled and reordered.
