Keep the rows of a partition out of the estimated rate

Cause: the router estimates the pool's rate from the growth of all charges in a second. After a partition the charges of the other side arrive within one second and count as its service, which raises the router's estimate of U far above the deficit, so that the limit of repayment is not in force for seconds.

Change: the rate is not updated for 2 s after a router's link is up.

Conclusion: the limit is in force from the first exchange. Rows that arrive later than 2 s after the link, with the byte pace used up, or through a third router still enter the rate.

--- a/src/dandelionbay/router/internal/state.hpp
+++ b/src/dandelionbay/router/internal/state.hpp
@@ -157,9 +157,10 @@
     time_point next_demand_{};
     time_point next_exchange_{};
     time_point next_slow_{};
-    host_id demand_turn_;   // agent from which the next round of demands starts, when the pace runs out
-    host_id exchange_turn_; // peer that was sent rows last; the next exchange starts behind it
-    bool fresh_{};          // initially as in the driver, which reports changes only
+    time_point rate_from_{}; // until then rows of earlier service arrive, which say nothing about the rate
+    host_id demand_turn_;    // agent from which the next round of demands starts, when the pace runs out
+    host_id exchange_turn_;  // peer that was sent rows last; the next exchange starts behind it
+    bool fresh_{};           // initially as in the driver, which reports changes only
     bool stopping_{};
     actions out_;
 };
--- a/src/dandelionbay/router/internal/state_event.cpp
+++ b/src/dandelionbay/router/internal/state_event.cpp
@@ -212,7 +212,7 @@
     for (auto& [id, pool] : pools_) {
         constexpr double newest_share = 0.2;
         const double service = ledger_.service(id);
-        if (!first) {
+        if (!first && now >= rate_from_) {
             pool.rate += newest_share * ((service - pool.last_service) / seconds - pool.rate);
         }
         pool.last_service = service;
--- a/src/dandelionbay/router/internal/state_link.cpp
+++ b/src/dandelionbay/router/internal/state_link.cpp
@@ -92,6 +92,7 @@
         routers_up_.insert(peer.host);
         peers_told_all_.erase(peer.host);
         peers_heard_all_.erase(peer.host);
+        rate_from_ = now + 2 * slow_interval;
         update_sync(now);
         if (exchange_peers_.contains(peer.host)) {
             ledger_.add_peer(peer.host);
--- a/test/dandelionbay/router/router_fairness_test.cpp
+++ b/test/dandelionbay/router/router_fairness_test.cpp
@@ -257,6 +257,41 @@
     }
 }
 
+// Guards against rows of the other side that count as service of one second when they arrive: the estimated rate, and
+// with it the distance at which the limit of repayment begins, is then too high and a team waits for seconds.
+TEST(router_fairness, repayment_is_limited_at_once_after_a_long_partition) {
+    auto config = make_config(3, 2);
+    for (auto& it : config->endpoints) {
+        it.slots = 4;
+    }
+    fake_fleet fleet{config, 2, 2};
+    fleet.use_agent_cores();
+    fleet.wanted[0][team(0)] = 30;
+    fleet.wanted[1][team(1)] = 30;
+    fleet.wanted[0][team(2)] = 30;
+    fleet.run(seconds{20});
+    const auto side = [](const host_id& it) { return it.value.back(); };
+    fleet.split([side](const host_id& a, const host_id& b) { return side(a) != side(b); });
+    fleet.run(seconds{40});
+    fleet.wanted[1][team(2)] = 30; // newly backlogged here, served all the time on the other side
+    fleet.run(seconds{20});
+    fleet.join();
+    service_pause pause{fleet, team(2)};
+    const measurement joined{fleet, {team(0), team(1), team(2)}};
+    pause.run(seconds{30});
+    // As above: a deficit within the bound, the age of the rows and the longest request.
+    const double limit = joined.bound(router_exchange) / joined.rate() + 0.21 + 0.4;
+    const auto wait = std::chrono::duration<double>{pause.longest()}.count();
+    EXPECT_LE(wait, limit);
+    const measurement after{fleet, {team(0), team(1), team(2)}};
+    fleet.run(seconds{60});
+    EXPECT_LE(after.gap(), after.bound(direct_exchange));
+    EXPECT_EQ(fleet.metrics.total("invariant_violations_total"), 0) << fleet.metrics.render();
+    RecordProperty("wait_s", std::to_string(wait));
+    RecordProperty("wait_limit_s", std::to_string(limit));
+    RecordProperty("gap_after", std::to_string(after.gap()));
+}
+
 // Guards against an exchange that sends all rows to the first peer while the byte pace allows one message at a time.
 TEST(router_fairness, every_peer_gets_rows_when_the_pace_runs_out) {
     one_router it{make_config(100, 1)};
