--- a/src/dandelionbay/router/internal/state_link.cpp
+++ b/src/dandelionbay/router/internal/state_link.cpp
@@ -92,6 +92,7 @@
         routers_up_.insert(peer.host);
         peers_told_all_.erase(peer.host);
         peers_heard_all_.erase(peer.host);
+        rate_from_ = now + 2 * slow_interval;
         update_sync(now);
         if (exchange_peers_.contains(peer.host)) {
             ledger_.add_peer(peer.host);
@@ -204,7 +205,7 @@
     told.at = now;
     told.known = true;
     metrics_->add("demands_sent_total");
-    send(agent.host, demand{pool.id, ++demand_version_, std::move(teams)});
+    send(agent.host, demand{pool.id, ++demand_version_, std::move(teams), pool.gap(exchange_delay)});
 }
 
 void router_core::state::piggyback(pool_record& pool, agent_record& agent, time_point now) {
