Leave out of each frame what the link's hellos say

Control traffic was over the limit of 9 KB/s per node: each frame carried a 4-byte length, the protocol version, a sequence number and a deadline that nothing read, and each request id the router's host name and incarnation, which both sides know from hello.

Version 2 of the format has a length of 1 to 4 bytes, the type and the members. Ids of the link's own router and agent are sequence numbers, a heartbeat's revision is the difference to the one in hello, a router's own ledger rows have no origin, and fractions that fit take 4 bytes. Other ids keep their long form, so no message loses meaning. Only hello has the version, because a link accepts nothing before it. The decoder checks the array's header and the type as soon as they arrive: with the short length field a foreign protocol could otherwise wait for bytes that never come.

Alternatives: a compressor for each link (state and processor time for each of 349 links); a table of names for each link, not tried yet.

Tests that patched bytes at positions of the old format patch the same fields now; the codec's tests run with and without a link's names.

--- a/bench/agent_bench.cpp
+++ b/bench/agent_bench.cpp
@@ -19,7 +19,7 @@
             if (sent == nullptr) {
                 continue;
             }
-            bytes_ += count_bytes ? control_bytes(sent->body) : 0.0;
+            bytes_ += count_bytes ? control_bytes(sent->body, link_to(sent->to)) : 0.0;
             if (const auto* const leave = std::get_if<grant>(&sent->body)) {
                 for (const auto& id : leave->ids) {
                     held_.emplace_back(sent->to, id);
@@ -37,6 +37,11 @@
         }
     }
 
+    static link_context link_to(const host_id& router) {
+        return {{.host = agent_host(0), .role = host_role::agent, .incarnation = 1},
+                {.host = router, .role = host_role::router, .incarnation = 1}};
+    }
+
     void ask(std::size_t router) {
         demand wish{.pool = pool, .version = ++version_};
         for (std::size_t n = 0; n < 8; ++n) {
--- a/bench/router_bench.cpp
+++ b/bench/router_bench.cpp
@@ -22,13 +22,15 @@
             if (sent == nullptr) {
                 continue;
             }
+            const link_context link{{.host = router_host(0), .role = host_role::router, .incarnation = 1},
+                                    {.host = sent->to, .role = host_role::agent, .incarnation = 1}};
             if (const auto* const work = std::get_if<submit>(&sent->body)) {
                 started_.emplace_back(sent->to, work->id);
-                submit_bytes += count_bytes ? control_bytes(sent->body) : 0.0;
+                submit_bytes += count_bytes ? control_bytes(sent->body, link) : 0.0;
             } else if (count_bytes) {
-                control += control_bytes(sent->body);
+                control += control_bytes(sent->body, link);
                 if (const auto* const changed = std::get_if<ledger_rows>(&sent->body)) {
-                    note_rows(sent->to, *changed);
+                    note_rows(sent->to, *changed, link);
                 }
                 if (std::holds_alternative<demand>(sent->body)) {
                     ++demands;
@@ -40,8 +42,8 @@
         }
     }
 
-    void note_rows(const host_id& to, const ledger_rows& sent) {
-        ledger_bytes += control_bytes(sent);
+    void note_rows(const host_id& to, const ledger_rows& sent, const link_context& link) {
+        ledger_bytes += control_bytes(sent, link);
         rows += static_cast<std::int64_t>(sent.rows.size());
         for (const auto& row : sent.rows) {
             auto& last = row_sent_.try_emplace(std::pair{to, std::pair{row.router, row.team}}, now_).first->second;
--- a/bench/wire_bench.cpp
+++ b/bench/wire_bench.cpp
@@ -42,17 +42,27 @@
     return {.id = id, .offset = 10'000, .data = std::string(static_cast<std::size_t>(data), 'x'), .output_tokens = 1};
 }
 
+// Both sides' first messages, as known on a link between the router and the agent that the messages above name.
+link_context link_of(const message& body) {
+    const hello router{.host = id.router, .role = host_role::router, .incarnation = id.incarnation};
+    const hello agent{.host = agent_host(0), .role = host_role::agent, .incarnation = id.incarnation};
+    const bool from_agent = std::holds_alternative<grant>(body) || std::holds_alternative<chunk>(body);
+    return from_agent ? link_context{agent, router} : link_context{router, agent};
+}
+
 void encode(benchmark::State& state, const message& body) {
-    const envelope item{1'000, 0, body};
+    const auto link = link_of(body);
     for (auto _ : state) {
-        benchmark::DoNotOptimize(encode_frame(item));
+        benchmark::DoNotOptimize(encode_frame(body, link));
     }
-    state.counters["frame_bytes"] = static_cast<double>(encode_frame(item)->size());
+    state.counters["frame_bytes"] = static_cast<double>(encode_frame(body, link)->size());
 }
 
 void decode(benchmark::State& state, const message& body) {
-    const auto frame = encode_frame(envelope{1'000, 0, body}).value();
+    const auto link = link_of(body);
+    const auto frame = encode_frame(body, link).value();
     frame_decoder decoder;
+    decoder.set_link(link);
     for (auto _ : state) {
         decoder.feed(frame);
         benchmark::DoNotOptimize(decoder.next());
--- a/src/dandelionbay/net/link.cpp
+++ b/src/dandelionbay/net/link.cpp
@@ -92,10 +92,13 @@
 }
 
 std::size_t link::send(const message& body) {
-    const auto frame = encode_frame(envelope{++sequence_, 0, body});
+    const auto frame = encode_frame(body, out_);
     if (!frame.ok()) {
         return 0;
     }
+    if (const auto* first = std::get_if<hello>(&body)) {
+        said_ = *first;
+    }
     last_sent_ = clock_->now();
     pending_ += *frame;
     if (writing_.empty()) {
@@ -104,6 +107,12 @@
     return frame->size();
 }
 
+void link::set_peer(hello peer) {
+    out_ = {said_, peer};
+    decoder_.set_link({peer, said_});
+    peer_ = std::move(peer);
+}
+
 void link::close() noexcept {
     closed_ = true;
     asio::error_code ec;
--- a/src/dandelionbay/net/link.hpp
+++ b/src/dandelionbay/net/link.hpp
@@ -79,8 +79,8 @@
     /*! @brief The other side's first message, once received. */
     [[nodiscard]] const std::optional<hello>& peer() const noexcept { return peer_; }
 
-    /*! @brief Stores the other side's first message. @param peer It. */
-    void set_peer(hello peer) { peer_ = std::move(peer); }
+    /*! @brief Stores the other side's first message; this side's was sent before. @param peer It. */
+    void set_peer(hello peer);
 
     /*! @brief Host that was dialled; empty for an incoming connection. */
     [[nodiscard]] const host_id& dialled() const noexcept { return dialled_; }
@@ -97,10 +97,11 @@
     std::string pending_;
     std::string writing_;
     std::optional<hello> peer_;
+    hello said_;       //!< This side's first message.
+    link_context out_; //!< Both first messages, once the other side's is known.
     host_id dialled_;
     time_point last_received_;
     time_point last_sent_;
-    std::uint64_t sequence_{};
     bool closed_{};
 };
 
--- a/src/dandelionbay/net/link_server.cpp
+++ b/src/dandelionbay/net/link_server.cpp
@@ -70,8 +70,8 @@
 }
 
 void link_server::frame_received(internal::link& it, decoded_frame frame) {
-    control_received_ += static_cast<std::int64_t>(frame.bytes - payload_bytes(frame.item.body));
-    if (const auto* first = std::get_if<hello>(&frame.item.body)) {
+    control_received_ += static_cast<std::int64_t>(frame.bytes - payload_bytes(frame.body));
+    if (const auto* first = std::get_if<hello>(&frame.body)) {
         if (it.peer().has_value()) {
             refuse(it, "second_hello");
         } else {
@@ -80,7 +80,7 @@
     } else if (!it.peer().has_value()) {
         refuse(it, "hello_missing");
     } else {
-        events_->message_received(it.peer()->host, std::move(frame.item.body));
+        events_->message_received(it.peer()->host, std::move(frame.body));
     }
 }
 
--- a/src/dandelionbay/wire/codec.cpp
+++ b/src/dandelionbay/wire/codec.cpp
@@ -28,12 +28,32 @@
 // Received bytes are moved to the front of the buffer when at least this many were consumed.
 constexpr std::size_t compact_bytes = std::size_t{64} << 10U;
 
+// A message has fewer than 15 members, so that the array of its type and members has a header of one byte.
+constexpr unsigned char array_header = 0x90U;
+constexpr std::size_t most_members = 15;
+
+// Only the first message carries the protocol version; a link accepts no other message before it.
+constexpr std::size_t hello_type = 0;
+static_assert(std::is_same_v<std::variant_alternative_t<hello_type, message>, hello>);
+
+// Bits of a length in each byte of its field; the highest bit says that another byte follows.
+constexpr unsigned length_bits = 7;
+constexpr unsigned char length_more = 0x80U;
+
 using packer = msgpack::packer<msgpack::sbuffer>;
 
 struct malformed {
     const char* reason;
 };
 
+const hello& router_of(const link_context& link) noexcept {
+    return link.sender.role == host_role::router ? link.sender : link.receiver;
+}
+
+const hello& agent_of(const link_context& link) noexcept {
+    return link.sender.role == host_role::agent ? link.sender : link.receiver;
+}
+
 template<typename Type>
 constexpr bool is_vector = false;
 template<typename Item>
@@ -62,27 +82,77 @@
     }
 }
 
+void pack_real(packer& out, double value) {
+    // The library packs whole numbers as integers, which are never longer than a float.
+    if (std::abs(value) <= std::numeric_limits<float>::max() && value != std::trunc(value) &&
+        static_cast<double>(static_cast<float>(value)) == value) {
+        out.pack_float(static_cast<float>(value));
+    } else {
+        out.pack_double(value);
+    }
+}
+
 template<typename Type>
-void pack(packer& out, const Type& value) {
-    if constexpr (std::is_same_v<Type, bool> || std::is_arithmetic_v<Type>) {
+void pack(packer& out, const Type& value, const link_context& link);
+
+template<typename Type>
+void pack_members(packer& out, const Type& value, const link_context& link) {
+    std::apply([&](const auto&... it) { (pack(out, it, link), ...); }, internal::fields(value));
+}
+
+// The sender's incarnation is nil and the revision is the difference to the one in the sender's first message.
+void pack_members(packer& out, const heartbeat& value, const link_context& link) {
+    if (value.incarnation == link.sender.incarnation) {
+        out.pack_nil();
+    } else {
+        out.pack(value.incarnation);
+    }
+    out.pack(static_cast<std::int64_t>(value.config_revision - link.sender.config_revision));
+    out.pack(value.evidence_age_ms);
+    out.pack(value.leaving);
+}
+
+template<typename Type>
+void pack(packer& out, const Type& value, const link_context& link) {
+    if constexpr (std::is_same_v<Type, double>) {
+        pack_real(out, value);
+    } else if constexpr (std::is_same_v<Type, bool> || std::is_arithmetic_v<Type>) {
         out.pack(value);
     } else if constexpr (std::is_enum_v<Type>) {
         out.pack(static_cast<std::underlying_type_t<Type>>(value));
     } else if constexpr (std::is_same_v<Type, std::string>) {
         // A length over 32 bits is cut here; the check of the frame's size refuses it afterwards.
-        out.pack_bin(static_cast<std::uint32_t>(value.size()));
-        out.pack_bin_body(value.data(), static_cast<std::uint32_t>(value.size()));
+        out.pack_str(static_cast<std::uint32_t>(value.size()));
+        out.pack_str_body(value.data(), static_cast<std::uint32_t>(value.size()));
     } else if constexpr (is_name<Type>) {
-        pack(out, value.value);
+        pack(out, value.value, link);
     } else if constexpr (is_vector<Type>) {
         out.pack_array(static_cast<std::uint32_t>(value.size()));
         for (const auto& it : value) {
-            pack(out, it);
+            pack(out, it, link);
         }
     } else {
-        const auto members = internal::fields(value);
-        out.pack_array(std::tuple_size_v<decltype(members)>);
-        std::apply([&](const auto&... it) { (pack(out, it), ...); }, members);
+        if constexpr (std::is_same_v<Type, request_id>) {
+            const auto& router = router_of(link);
+            if (value.router == router.host && value.incarnation == router.incarnation) {
+                out.pack(value.sequence);
+                return;
+            }
+        } else if constexpr (std::is_same_v<Type, grant_id>) {
+            if (value.incarnation == agent_of(link).incarnation) {
+                out.pack(value.sequence);
+                return;
+            }
+        } else if constexpr (std::is_same_v<Type, ledger_row>) {
+            if (value.router == link.sender.host && value.incarnation == link.sender.incarnation) {
+                const auto members = internal::own_row_fields(value);
+                out.pack_array(std::tuple_size_v<decltype(members)>);
+                std::apply([&](const auto&... it) { (pack(out, it, link), ...); }, members);
+                return;
+            }
+        }
+        out.pack_array(std::tuple_size_v<decltype(internal::fields(value))>);
+        pack_members(out, value, link);
     }
 }
 
@@ -107,8 +177,51 @@
     throw malformed{"integer in range expected"};
 }
 
+double real(const msgpack::object& from) {
+    // The library packs whole numbers as integers.
+    if (from.type == msgpack::type::POSITIVE_INTEGER) {
+        return static_cast<double>(from.via.u64);
+    }
+    if (from.type == msgpack::type::NEGATIVE_INTEGER) {
+        return static_cast<double>(from.via.i64);
+    }
+    if ((from.type == msgpack::type::FLOAT64 || from.type == msgpack::type::FLOAT32) && std::isfinite(from.via.f64)) {
+        return from.via.f64;
+    }
+    throw malformed{"finite number expected"};
+}
+
+template<typename Type>
+void unpack(const msgpack::object& from, Type& value, const link_context& link);
+
+template<typename Members>
+void unpack_each(std::span<const msgpack::object> items, Members& members, const link_context& link) {
+    if (items.size() != std::tuple_size_v<Members>) {
+        throw malformed{"wrong number of fields"};
+    }
+    std::size_t n = 0;
+    std::apply([&](auto&... it) { (unpack(items[n++], it, link), ...); }, members);
+}
+
 template<typename Type>
-void unpack(const msgpack::object& from, Type& value) {
+void unpack_members(std::span<const msgpack::object> items, Type& value, const link_context& link) {
+    auto members = internal::fields(value);
+    unpack_each(items, members, link);
+}
+
+void unpack_members(std::span<const msgpack::object> items, heartbeat& value, const link_context& link) {
+    if (items.size() != std::tuple_size_v<decltype(internal::fields(value))>) {
+        throw malformed{"wrong number of fields"};
+    }
+    value.incarnation =
+        items[0].type == msgpack::type::NIL ? link.sender.incarnation : integer<incarnation_type>(items[0]);
+    value.config_revision = link.sender.config_revision + static_cast<std::uint64_t>(integer<std::int64_t>(items[1]));
+    unpack(items[2], value.evidence_age_ms, link);
+    unpack(items[3], value.leaving, link);
+}
+
+template<typename Type>
+void unpack(const msgpack::object& from, Type& value, const link_context& link) {
     if constexpr (std::is_same_v<Type, bool>) {
         if (from.type != msgpack::type::BOOLEAN) {
             throw malformed{"boolean expected"};
@@ -117,54 +230,58 @@
     } else if constexpr (std::is_integral_v<Type>) {
         value = integer<Type>(from);
     } else if constexpr (std::is_floating_point_v<Type>) {
-        // The library packs whole numbers as integers.
-        if (from.type == msgpack::type::POSITIVE_INTEGER) {
-            value = static_cast<Type>(from.via.u64);
-        } else if (from.type == msgpack::type::NEGATIVE_INTEGER) {
-            value = static_cast<Type>(from.via.i64);
-        } else if ((from.type == msgpack::type::FLOAT64 || from.type == msgpack::type::FLOAT32) &&
-                   std::isfinite(from.via.f64)) {
-            value = from.via.f64;
-        } else {
-            throw malformed{"finite number expected"};
-        }
+        value = real(from);
     } else if constexpr (std::is_enum_v<Type>) {
         value = static_cast<Type>(integer<std::underlying_type_t<Type>>(from));
         check_enum(value);
     } else if constexpr (std::is_same_v<Type, std::string>) {
-        if (from.type != msgpack::type::BIN) {
-            throw malformed{"bytes expected"};
+        if (from.type != msgpack::type::STR) {
+            throw malformed{"text expected"};
         }
-        value.assign(from.via.bin.ptr, from.via.bin.size);
+        value.assign(from.via.str.ptr, from.via.str.size);
     } else if constexpr (is_name<Type>) {
-        unpack(from, value.value);
+        unpack(from, value.value, link);
     } else if constexpr (is_vector<Type>) {
         const auto items = elements(from);
         value.resize(items.size());
         for (std::size_t n = 0; n < items.size(); ++n) {
-            unpack(items[n], value[n]);
+            unpack(items[n], value[n], link);
         }
     } else {
-        auto members = internal::fields(value);
-        const auto items = elements(from);
-        if (items.size() != std::tuple_size_v<decltype(members)>) {
-            throw malformed{"wrong number of fields"};
+        if constexpr (std::is_same_v<Type, request_id>) {
+            if (from.type != msgpack::type::ARRAY) {
+                const auto& router = router_of(link);
+                value = {router.host, router.incarnation, integer<std::uint64_t>(from)};
+                return;
+            }
+        } else if constexpr (std::is_same_v<Type, grant_id>) {
+            if (from.type != msgpack::type::ARRAY) {
+                value = {agent_of(link).incarnation, integer<std::uint64_t>(from)};
+                return;
+            }
+        } else if constexpr (std::is_same_v<Type, ledger_row>) {
+            auto members = internal::own_row_fields(value);
+            if (const auto items = elements(from); items.size() == std::tuple_size_v<decltype(members)>) {
+                value.router = link.sender.host;
+                value.incarnation = link.sender.incarnation;
+                unpack_each(items, members, link);
+                return;
+            }
         }
-        std::size_t n = 0;
-        std::apply([&](auto&... it) { (unpack(items[n++], it), ...); }, members);
+        unpack_members(elements(from), value, link);
     }
 }
 
 template<std::size_t Type = 0>
-message unpack_body(std::size_t type, const msgpack::object& from) {
+message unpack_body(std::size_t type, std::span<const msgpack::object> items, const link_context& link) {
     if constexpr (Type == std::variant_size_v<message>) {
         throw malformed{"unknown message type"};
     } else {
         if (type != Type) {
-            return unpack_body<Type + 1>(type, from);
+            return unpack_body<Type + 1>(type, items, link);
         }
         std::variant_alternative_t<Type, message> body;
-        unpack(from, body);
+        unpack_members(items, body, link);
         return body;
     }
 }
@@ -173,30 +290,32 @@
     return true;
 }
 
-envelope decode(std::string_view frame) {
-    const msgpack::unpack_limit limits{max_elements, 0, 0, max_frame_bytes, 0, max_depth};
+message decode(std::string_view frame, const link_context& link) {
+    const msgpack::unpack_limit limits{max_elements, 0, max_frame_bytes, 0, 0, max_depth};
     std::size_t end = 0;
     bool referenced = false;
     const auto handle = msgpack::unpack(frame.data(), frame.size(), end, referenced, &reference_all, nullptr, limits);
     if (end != frame.size()) {
         throw malformed{"bytes after the frame's array"};
     }
-    const auto items = elements(handle.get());
+    auto items = elements(handle.get());
     if (items.empty()) {
         throw malformed{"wrong number of fields"};
     }
-    if (integer<std::uint32_t>(items[0]) != protocol_version) {
-        throw absl::FailedPreconditionError(
-            absl::StrCat("protocol version ", items[0].via.u64, ", expected ", protocol_version));
-    }
-    if (items.size() != 5) {
-        throw malformed{"wrong number of fields"};
+    const auto type = integer<std::size_t>(items[0]);
+    items = items.subspan(1);
+    if (type == hello_type) {
+        // Before the other fields, whose number may differ in another version.
+        if (items.empty()) {
+            throw malformed{"wrong number of fields"};
+        }
+        if (const auto version = integer<std::uint32_t>(items[0]); version != protocol_version) {
+            throw absl::FailedPreconditionError(
+                absl::StrCat("protocol version ", version, ", expected ", protocol_version));
+        }
+        items = items.subspan(1);
     }
-    envelope item;
-    unpack(items[2], item.correlation);
-    unpack(items[3], item.deadline_ms);
-    item.body = unpack_body(integer<std::size_t>(items[1]), items[4]);
-    return item;
+    return unpack_body(type, items, link);
 }
 
 // NOLINTEND(cppcoreguidelines-pro-type-union-access)
@@ -211,24 +330,33 @@
 
 } // namespace
 
-absl::StatusOr<std::string> encode_frame(const envelope& item) {
+absl::StatusOr<std::string> encode_frame(const message& body, const link_context& link) {
     msgpack::sbuffer buf;
-    buf.write("\0\0\0\0", frame_length_bytes);
     packer out{buf};
-    out.pack_array(5);
-    pack(out, protocol_version);
-    pack(out, static_cast<std::uint32_t>(item.body.index()));
-    pack(out, item.correlation);
-    pack(out, item.deadline_ms);
-    std::visit([&](const auto& body) { pack(out, body); }, item.body);
-    const auto size = buf.size() - frame_length_bytes;
-    if (size > max_frame_bytes) {
-        return absl::InvalidArgumentError(absl::StrCat("frame of ", size, " bytes, at most ", max_frame_bytes));
+    std::visit(
+        [&](const auto& it) {
+            constexpr auto members = std::tuple_size_v<decltype(internal::fields(it))>;
+            static_assert(members + 2 <= most_members, "the array's header has one byte");
+            constexpr bool first = std::is_same_v<std::decay_t<decltype(it)>, hello>;
+            out.pack_array(static_cast<std::uint32_t>(members + (first ? 2 : 1)));
+            out.pack(static_cast<std::uint32_t>(body.index()));
+            if constexpr (first) {
+                out.pack(protocol_version);
+            }
+            pack_members(out, it, link);
+        },
+        body);
+    if (buf.size() > max_frame_bytes) {
+        return absl::InvalidArgumentError(absl::StrCat("frame of ", buf.size(), " bytes, at most ", max_frame_bytes));
     }
-    std::string frame{buf.data(), buf.size()};
-    for (std::size_t n = 0; n < frame_length_bytes; ++n) {
-        frame[n] = static_cast<char>((size >> (8U * (frame_length_bytes - 1 - n))) & 0xffU);
+    std::string frame;
+    frame.reserve(max_length_bytes + buf.size());
+    auto rest = buf.size();
+    for (; rest >= length_more; rest >>= length_bits) {
+        frame += static_cast<char>((rest & (length_more - 1U)) | length_more);
     }
+    frame += static_cast<char>(rest);
+    frame.append(buf.data(), buf.size());
     return frame;
 }
 
@@ -252,24 +380,46 @@
     buffer_.append(data);
 }
 
-absl::StatusOr<std::optional<decoded_frame>> frame_decoder::next() {
-    if (buffered() < frame_length_bytes) {
-        return std::nullopt;
+void frame_decoder::check_start(std::size_t at) const {
+    // Bytes of another protocol are refused as soon as they arrive; their supposed length may never be reached.
+    if (at < buffer_.size()) {
+        const auto header = static_cast<unsigned char>(buffer_[at]);
+        if (header <= array_header || header > (array_header | most_members)) {
+            throw malformed{"array of a message expected"};
+        }
     }
-    std::size_t size = 0;
-    for (std::size_t n = 0; n < frame_length_bytes; ++n) {
-        size = (size << 8U) | static_cast<unsigned char>(buffer_[offset_ + n]);
+    if (at + 1 < buffer_.size() && static_cast<unsigned char>(buffer_[at + 1]) >= std::variant_size_v<message>) {
+        throw malformed{"unknown message type"};
     }
-    if (size > max_frame_bytes) {
-        return absl::InvalidArgumentError(absl::StrCat("frame of ", size, " bytes, at most ", max_frame_bytes));
+}
+
+absl::StatusOr<std::optional<decoded_frame>> frame_decoder::next() {
+    std::size_t size = 0;
+    std::size_t length = 0;
+    bool more = true;
+    while (more && length < max_length_bytes) {
+        if (length == buffered()) {
+            return std::nullopt;
+        }
+        const auto byte = static_cast<unsigned char>(buffer_[offset_ + length]);
+        size |= std::size_t{byte & (length_more - 1U)} << (length_bits * length);
+        more = (byte & length_more) != 0;
+        ++length;
+        if (!more && byte == 0) {
+            return absl::InvalidArgumentError("malformed frame: empty or with a length field that is too long");
+        }
     }
-    if (buffered() < frame_length_bytes + size) {
-        return std::nullopt;
+    if (more || size > max_frame_bytes) {
+        return absl::InvalidArgumentError(absl::StrCat("frame of ", size, " bytes or more, at most ", max_frame_bytes));
     }
-    const auto frame = std::string_view{buffer_}.substr(offset_ + frame_length_bytes, size);
-    offset_ += frame_length_bytes + size;
     try {
-        return decoded_frame{decode(frame), frame_length_bytes + size};
+        check_start(offset_ + length);
+        if (buffered() < length + size) {
+            return std::nullopt;
+        }
+        const auto frame = std::string_view{buffer_}.substr(offset_ + length, size);
+        offset_ += length + size;
+        return decoded_frame{decode(frame, link_), length + size};
     } catch (const malformed& error) {
         return absl::InvalidArgumentError(absl::StrCat("malformed frame: ", error.reason));
     } catch (const absl::Status& status) {
--- a/src/dandelionbay/wire/fields.hpp
+++ b/src/dandelionbay/wire/fields.hpp
@@ -74,4 +74,14 @@
     }
 }
 
+/**
+ * @brief Lists the members of a row that its own router sends; the link's first message names the router.
+ * @param it The row, const or not.
+ * @return References to its members in wire order.
+ */
+template<typename Row>
+[[nodiscard]] auto own_row_fields(Row& it) noexcept {
+    return std::tie(it.pool, it.team, it.version, it.charged, it.reserved, it.queued);
+}
+
 } // namespace dandelionbay::internal
--- a/src/dandelionbay/wire/fwd.hpp
+++ b/src/dandelionbay/wire/fwd.hpp
@@ -19,8 +19,8 @@
 struct ledger_rows;
 struct config_query;
 struct config_document;
-struct envelope;
 struct decoded_frame;
 class frame_decoder;
+struct link_context;
 
 } // namespace dandelionbay
--- a/src/dandelionbay/wire/message.hpp
+++ b/src/dandelionbay/wire/message.hpp
@@ -14,7 +14,7 @@
 namespace dandelionbay {
 
 /*! @brief Version of the frame format and the messages; hosts with different versions do not talk. */
-inline constexpr std::uint32_t protocol_version = 1;
+inline constexpr std::uint32_t protocol_version = 2;
 
 /*! @brief Role of a process in the fleet. */
 enum class host_role : std::uint8_t { router = 0, agent = 1 };
@@ -223,13 +223,4 @@
 using message = std::variant<hello, heartbeat, demand, grant, recall, returned, submit, rejected, head, chunk, finish,
                              cancel, resume, suspicion, ledger_rows, config_query, config_document>;
 
-/*! @brief A message with its frame header. */
-struct envelope {
-    std::uint64_t correlation{}; //!< Sequence number of the frame on its link.
-    std::uint32_t deadline_ms{}; //!< The receiver drops the message if it is read later than this; 0 for none.
-    message body{};
-
-    friend bool operator==(const envelope&, const envelope&) = default;
-};
-
 } // namespace dandelionbay
--- a/test/dandelionbay/net/link_server_test.cpp
+++ b/test/dandelionbay/net/link_server_test.cpp
@@ -157,7 +157,7 @@
 };
 
 void say(asio::ip::tcp::socket& socket, const message& body) {
-    asio::write(socket, asio::buffer(encode_frame(envelope{1, 0, body}).value()));
+    asio::write(socket, asio::buffer(encode_frame(body).value()));
 }
 
 // Guards against waiting for ever on a connection that is open and silent: accepted and never answered, or silent
@@ -202,10 +202,10 @@
         EXPECT_TRUE(closed(bad));
         EXPECT_TRUE(agent.wait_count("link_closed_total", reason));
     };
-    const auto frame = [](const message& body) { return encode_frame(envelope{1, 0, body}).value(); };
+    const auto frame = [](const message& body) { return encode_frame(body).value(); };
     const auto first = frame(hello{host_id{"r2"}, host_role::router, {}, {}, 1, {}, 0});
     auto foreign = first;
-    foreign[5] = 2;
+    foreign[3] = 99;
     check("GET / HTTP/1.1\r\n\r\n", "malformed_frame");
     check(foreign, "protocol_version");
     check(frame(cancel{}), "hello_missing");
--- a/test/dandelionbay/wire/codec_test.cpp
+++ b/test/dandelionbay/wire/codec_test.cpp
@@ -34,25 +34,75 @@
 }
 
 std::string frame_of(const message& body) {
-    return encode_frame(envelope{1, 0, body}).value();
+    return encode_frame(body).value();
 }
 
+// Both sides' first messages on a link of the router and agent that the samples name.
+const link_context from_router{{.host = host_id{"r1"}, .role = host_role::router, .incarnation = id.incarnation},
+                               {.host = host_id{"a1"}, .role = host_role::agent, .incarnation = 7}};
+const link_context from_agent{from_router.receiver, from_router.sender};
+
 // Guards against fields that are lost, swapped or cut on the wire, and against frames split by the network.
 TEST(codec, every_message_survives_a_byte_by_byte_transfer) {
     ASSERT_EQ(samples().size(), std::variant_size_v<message>);
-    frame_decoder decoder;
-    for (const auto& body : samples()) {
-        SCOPED_TRACE(body.index());
-        const envelope item{~0ULL, 77, body};
-        const auto frame = encode_frame(item).value();
-        for (const char byte : frame.substr(0, frame.size() - 1)) {
-            decoder.feed(std::string_view{&byte, 1});
-            ASSERT_EQ(decoder.next().value(), std::nullopt);
+    for (const auto& link : {link_context{}, from_router, from_agent}) {
+        SCOPED_TRACE(link.sender.host.value);
+        frame_decoder decoder;
+        decoder.set_link(link);
+        for (const auto& body : samples()) {
+            SCOPED_TRACE(body.index());
+            const auto frame = encode_frame(body, link).value();
+            for (const char byte : frame.substr(0, frame.size() - 1)) {
+                decoder.feed(std::string_view{&byte, 1});
+                ASSERT_EQ(decoder.next().value(), std::nullopt);
+            }
+            decoder.feed(frame.substr(frame.size() - 1));
+            EXPECT_EQ(decoder.next().value(), (decoded_frame{body, frame.size()}));
+        }
+        EXPECT_EQ(decoder.buffered(), 0U);
+    }
+}
+
+// Guards against an id or a row of another host or of an earlier life that is taken for the link's own.
+TEST(codec, names_of_the_link_are_left_out_and_others_are_kept) {
+    const auto transfer = [](const message& body, const link_context& link) {
+        frame_decoder decoder;
+        decoder.set_link(link);
+        decoder.feed(encode_frame(body, link).value());
+        return decoder.next().value().value().body;
+    };
+    const auto size = [](const message& body, const link_context& link) {
+        return encode_frame(body, link).value().size();
+    };
+    const request_id earlier{id.router, id.incarnation - 1, id.sequence};
+    const request_id other{host_id{"r2"}, id.incarnation, id.sequence};
+    for (const auto& link : {from_router, from_agent}) {
+        EXPECT_EQ(size(cancel{id}, link), 4U);
+        for (const auto& it : {id, earlier, other}) {
+            EXPECT_EQ(transfer(cancel{it}, link), message{cancel{it}});
         }
-        decoder.feed(frame.substr(frame.size() - 1));
-        EXPECT_EQ(decoder.next().value(), (decoded_frame{item, frame.size()}));
+        for (const incarnation_type life : {0, 6, 7, 8}) {
+            EXPECT_EQ(transfer(recall{{{life, 5}}}, link), (message{recall{{{life, 5}}}}));
+        }
+    }
+    {
+        SCOPED_TRACE("heartbeat: incarnation left out, revision as a difference, also a lower or the highest one");
+        auto link = from_agent;
+        link.sender.config_revision = 299'300;
+        EXPECT_LE(size(heartbeat{7, 299'301, 2'000, false}, link), 9U);
+        for (const std::uint64_t revision : {0ULL, 299'299ULL, 299'301ULL, ~0ULL}) {
+            const message beat{heartbeat{8, revision, 2'000, true}};
+            EXPECT_EQ(transfer(beat, link), beat);
+        }
+    }
+    {
+        SCOPED_TRACE("ledger: the sender's rows and those that it passes on");
+        ledger_rows rows;
+        for (const auto& [host, life] : {std::pair{"r1", id.incarnation}, {"r1", 3}, {"r2", id.incarnation}}) {
+            rows.rows.push_back({pool_id{"p"}, team_id{"t"}, host_id{host}, life, 2, 0.1, 0.5, 6});
+        }
+        EXPECT_EQ(transfer(rows, from_router), message{rows});
     }
-    EXPECT_EQ(decoder.buffered(), 0U);
 }
 
 // Guards against payload that is counted as control traffic, which is billed and limited.
@@ -71,30 +121,37 @@
         decoder.feed(bytes);
         return decoder.next().status();
     };
-    const auto framed = [](const std::string& body) {
-        return std::string{'\0', '\0', '\0', static_cast<char>(body.size())} + body;
-    };
+    const auto framed = [](const std::string& body) { return std::string{static_cast<char>(body.size())} + body; };
     const auto good = frame_of(cancel{id});
     {
         SCOPED_TRACE("length over the bound, before any of its bytes arrive");
-        EXPECT_TRUE(absl::IsInvalidArgument(refused({"\x00\x80\x00\x01", 4})));
+        EXPECT_TRUE(absl::IsInvalidArgument(refused("\x81\x80\x80\x04")));
         EXPECT_TRUE(absl::IsInvalidArgument(refused("\xff\xff\xff\xff")));
-        EXPECT_FALSE(encode_frame(envelope{1, 0, config_document{1, std::string(max_frame_bytes, 'x')}}).ok());
+        EXPECT_TRUE(absl::IsInvalidArgument(refused({"\x80\x00", 2})));
+        EXPECT_FALSE(encode_frame(config_document{1, std::string(max_frame_bytes, 'x')}).ok());
+    }
+    {
+        SCOPED_TRACE("another protocol, before as many bytes arrive as its first ones seem to announce");
+        EXPECT_TRUE(absl::IsInvalidArgument(refused("GET")));
+        EXPECT_TRUE(absl::IsInvalidArgument(refused({"\0\0\0\x2a\x95\x01", 6})));
+        EXPECT_TRUE(absl::IsInvalidArgument(refused("\x7f\x90")));
+        EXPECT_TRUE(absl::IsInvalidArgument(refused("\x7f\x92\x11")));
     }
     {
-        SCOPED_TRACE("foreign protocol version");
-        auto foreign = good;
-        foreign[5] = 2;
+        SCOPED_TRACE("foreign protocol version, also with another number of fields");
+        auto foreign = frame_of(hello{host_id{"a1"}});
+        foreign[3] = 99;
         EXPECT_TRUE(absl::IsFailedPrecondition(refused(foreign)));
+        EXPECT_TRUE(absl::IsFailedPrecondition(refused(framed({"\x92\x00\x63", 3}))));
+        EXPECT_TRUE(absl::IsInvalidArgument(refused(framed({"\x91\x00", 2}))));
     }
     {
         SCOPED_TRACE("unknown type, wrong field count, trailing byte, empty frame, wrong kind");
         auto unknown = good;
-        unknown[6] = 99;
+        unknown[2] = 99;
         EXPECT_TRUE(absl::IsInvalidArgument(refused(unknown)));
-        EXPECT_TRUE(
-            absl::IsInvalidArgument(refused(framed("\x95\x01\x0f\x01" + std::string(1, '\0') + "\x92\x01\x02"))));
-        EXPECT_TRUE(absl::IsInvalidArgument(refused(framed(good.substr(4) + "\x01"))));
+        EXPECT_TRUE(absl::IsInvalidArgument(refused(framed("\x93\x0f\x01\x02"))));
+        EXPECT_TRUE(absl::IsInvalidArgument(refused(framed(good.substr(1) + "\x01"))));
         EXPECT_TRUE(absl::IsInvalidArgument(refused(framed(""))));
         EXPECT_TRUE(absl::IsInvalidArgument(refused(framed("\x01"))));
     }
@@ -105,7 +162,7 @@
     }
     {
         SCOPED_TRACE("value out of range of its enumeration");
-        const auto bad = encode_frame(envelope{1, 0, rejected{id, {}, static_cast<result_code>(1234)}}).value();
+        const auto bad = encode_frame(rejected{id, {}, static_cast<result_code>(1234)}).value();
         EXPECT_TRUE(absl::IsInvalidArgument(refused(bad)));
     }
     {
@@ -121,7 +178,9 @@
     const auto all = samples();
     int accepted = 0;
     for (int round = 0; round < 50'000; ++round) {
-        auto bytes = frame_of(all[random() % all.size()]) + frame_of(all[random() % all.size()]);
+        const auto& link = round % 2 == 0 ? from_router : from_agent;
+        auto bytes = encode_frame(all[random() % all.size()], link).value() +
+                     encode_frame(all[random() % all.size()], link).value();
         for (auto changes = 1 + random() % 4; changes > 0; --changes) {
             const auto at = random() % bytes.size();
             switch (random() % 3) {
@@ -136,10 +195,11 @@
             }
         }
         frame_decoder decoder;
+        decoder.set_link(link);
         decoder.feed(bytes);
         for (auto frame = decoder.next(); frame.ok() && frame->has_value(); frame = decoder.next()) {
             ++accepted;
-            EXPECT_TRUE(encode_frame((*frame)->item).ok());
+            EXPECT_TRUE(encode_frame((*frame)->body, link).ok());
         }
     }
     EXPECT_GT(accepted, 0);
