Mark the nodes of the benchmark fresh

tools/microbench drove cores that had never been told that their configuration is fresh, and such cores refuse all work: router_cycle finished none of its requests and sent no demand.

The router's and the agent's benchmark report freshness once, as the driver does.

--- a/bench/agent_bench.cpp
+++ b/bench/agent_bench.cpp
@@ -79,6 +79,7 @@
         config->endpoints.push_back({.id = endpoint(0), .zone = zone_id{"z1"}, .cold_slots = 8});
         config->zones.push_back({.id = zone_id{"z1"}, .region = region_id{"west"}});
         take(core_.apply(std::move(config), now_));
+        take(core_.set_fresh(true, now_));
         take(core_.report({.process = "p1"}, now_));
         for (std::size_t n = 0; n < routers; ++n) {
             take(core_.link_up(
--- a/bench/router_bench.cpp
+++ b/bench/router_bench.cpp
@@ -93,6 +93,7 @@
         config->services.push_back({.id = service, .pool = pool});
         config->services.back().queue_timeout_ms = 3'600'000;
         take(core_.apply(std::move(config), now_));
+        take(core_.set_fresh(true, now_));
         for (std::size_t n = 0; n < agents; ++n) {
             take(core_.link_up({agent_host(n), host_role::agent, region_id{"r"}, zone_id{"z"}, 1, endpoint(n), 1},
                                now_));
