Compare each bench run with three baselines

Change: run_queue_model() calculates, from the planned arrivals of the run and the engine stand-ins' parameters, what three other assignments of calls to engines give: round robin without fairness, fairness in each router alone, and one fair central queue. It is a discrete-event simulation on its own time and uses the recorder and the fairness meter of the run, so that the figures have the same definitions.

Ruled out: formulas of queueing theory (the token interval depends on the batch, the arrivals are given); an open queue in the model (the load generator sends at most 28 calls of a team to a router at a time, which the model repeats).

--- a/src/dandelionbay/bench/fwd.hpp
+++ b/src/dandelionbay/bench/fwd.hpp
@@ -4,8 +4,11 @@
 
 struct arrival;
 struct bench_options;
+struct engine_outage;
+struct queue_model_options;
 struct scenario;
 
+class fair_queue;
 class fairness_meter;
 class latency_histogram;
 class load_generator;
--- a/src/dandelionbay/bench/load_generator.cpp
+++ b/src/dandelionbay/bench/load_generator.cpp
@@ -18,8 +18,6 @@
 
 using nlohmann::json;
 
-/*! With 4 teams, 116 connections for each router, below the 128 caller threads of a development router. */
-constexpr std::size_t threads_per_team = 28;
 constexpr std::size_t order_threads = 4;
 constexpr std::chrono::seconds connect_limit{5};
 /*! Above the queue limit and the run limit of the services, so that the routers' final answers are seen. */
@@ -202,7 +200,7 @@
 
 void load_generator::start() {
     for (std::size_t i = 0; i < lanes_.size(); ++i) {
-        const auto n = i % (team_count + 1) == team_count ? order_threads : threads_per_team;
+        const auto n = i % (team_count + 1) == team_count ? order_threads : lane_threads;
         for (std::size_t k = 0; k < n; ++k) {
             threads_.emplace_back([this, i] { work(lanes_.at(i)); });
         }
--- a/src/dandelionbay/bench/run.cpp
+++ b/src/dandelionbay/bench/run.cpp
@@ -14,6 +14,7 @@
 #include "dandelionbay/base/text.hpp"
 #include "dandelionbay/bench/fairness_meter.hpp"
 #include "dandelionbay/bench/load_generator.hpp"
+#include "dandelionbay/bench/queue_model.hpp"
 #include "dandelionbay/bench/recorder.hpp"
 #include "dandelionbay/config/document_edit.hpp"
 
@@ -23,7 +24,6 @@
 
 using nlohmann::json;
 
-constexpr std::chrono::milliseconds sample_interval{20};
 /*! Time for all threads to start before the first call is due. */
 constexpr std::chrono::milliseconds lead{200};
 /*! Calls that are late at the end of the load are still sent for as long as this. */
@@ -115,6 +115,35 @@
         print(concat("zone ", moved_zone, " back in service"));
     }
 
+    [[nodiscard]] queue_model_options model_options() const {
+        queue_model_options out;
+        out.engines = fleet_.engines().size();
+        out.last_send = options_.length + drain_limit;
+        if (options_.load.zone_move) {
+            const auto at = [this](double share) {
+                return std::chrono::duration_cast<duration>(options_.length * share);
+            };
+            out.outage = engine_outage{at(out_share), at(back_share), {}};
+            const auto moved = fleet_.engines_in(moved_zone);
+            for (std::size_t i = 0; i < fleet_.engines().size(); ++i) {
+                if (std::ranges::find(moved, fleet_.engines()[i].get()) != moved.end()) {
+                    out.outage->engines.push_back(i);
+                }
+            }
+        }
+        return out;
+    }
+
+    void add_baselines(json& out, const std::vector<arrival>& plan) const {
+        out["baselines"] = run_baselines(plan, options_.length, model_options());
+        const auto of_central = [&](const char* figure) {
+            const double ideal = out["baselines"]["central_queue"][figure];
+            return ideal > 0 ? json(out[figure].get<double>() / ideal) : json(nullptr);
+        };
+        out["utilisation_of_central_queue"] = of_central("utilisation_ratio");
+        out["requests_per_s_of_central_queue"] = of_central("requests_per_s");
+    }
+
     void sample_service(time_point start, time_point end, const recorder& results) {
         auto last = now();
         std::size_t printed = 0;
@@ -156,12 +185,11 @@
             return status;
         }
         warm_endpoints();
-        auto plan = plan_arrivals(options_.load, options_.length, options_.seed);
-        const auto offered = plan.size();
+        const auto plan = plan_arrivals(options_.load, options_.length, options_.seed);
         const auto start = now() + lead;
         const auto end = start + options_.length;
         recorder results{start, static_cast<std::size_t>(options_.length.count())};
-        load_generator load{std::move(plan), ports(), start, end + drain_limit, results};
+        load_generator load{plan, ports(), start, end + drain_limit, results};
         load.start();
         std::this_thread::sleep_until(start);
         const auto router_bytes = control_bytes(fleet_.routers());
@@ -188,7 +216,7 @@
         out["seconds"] = options_.length.count();
         out["seed"] = options_.seed;
         out["warm_up_s"] = options_.warm_up.count();
-        out["offered"] = offered;
+        out["offered"] = plan.size();
         out["doubled"] = doubled_orders();
         out["utilisation_ratio"] = running_time_ / slot_time_;
         out["control_bytes_per_node_s"] = (router_sent + agent_sent) / (routers + agents) / seconds;
@@ -198,6 +226,7 @@
         out["contended_s"] = std::chrono::duration<double>{fairness_.contended()}.count();
         out["late_grants_after_5s"] = late_grants_ ? json(*late_grants_) : json(nullptr);
         out["late_grants_window_s"] = std::chrono::duration<double>{late_window_}.count();
+        add_baselines(out, plan);
         fleet_.stop();
         return out;
     }
--- a/src/dandelionbay/bench/scenario.cpp
+++ b/src/dandelionbay/bench/scenario.cpp
@@ -54,6 +54,12 @@
 
 } // namespace
 
+std::uint32_t cost_of(const arrival& it) {
+    // The engine stand-in counts words.
+    const auto words = 1 + std::ranges::count(it.text, ' ');
+    return static_cast<std::uint32_t>(words) + 2 * it.tokens;
+}
+
 scenario warm_up() noexcept {
     return {"warm-up", equal_teams(0.9), order_rate, false, std::chrono::seconds{1}};
 }
--- a/src/dandelionbay/bench/scenario.hpp
+++ b/src/dandelionbay/bench/scenario.hpp
@@ -19,6 +19,12 @@
 /*! @brief Entry routers of the development fleet. */
 inline constexpr std::size_t router_count = 2;
 
+/*! @brief Threads that send the calls of a team to a router: with 4 teams, and 4 threads for orders, 116 connections
+ * for each router, below the 128 caller threads of a development router. */
+inline constexpr std::size_t lane_threads = 28;
+/*! @brief Interval at which service and utilisation are sampled. */
+inline constexpr std::chrono::milliseconds sample_interval{20};
+
 /*! @brief Load of one team. */
 struct team_load {
     double rate{};         //!< Chat calls per second.
@@ -51,6 +57,9 @@
     friend bool operator==(const arrival&, const arrival&) = default;
 };
 
+/*! @brief What a chat call costs a fair router. @return Cost units: one for an input token, two for an output token. */
+[[nodiscard]] std::uint32_t cost_of(const arrival& it);
+
 /*! @brief All scenarios. */
 [[nodiscard]] std::span<const scenario> scenarios() noexcept;
 
--- a/test/dandelionbay/bench/bench_test.cpp
+++ b/test/dandelionbay/bench/bench_test.cpp
@@ -69,7 +69,8 @@
     ASSERT_TRUE(figures.ok()) << figures.status();
     for (const auto* key :
          {"requests_per_s", "complete", "refused_by_code", "cut", "lost", "doubled", "ttft_ms", "inter_token_ms",
-          "utilisation_ratio", "control_bytes_per_node_s", "fairness_gap_tokens", "late_grants_after_5s"}) {
+          "utilisation_ratio", "control_bytes_per_node_s", "fairness_gap_tokens", "late_grants_after_5s",
+          "utilisation_of_central_queue", "requests_per_s_of_central_queue", "baselines"}) {
         EXPECT_TRUE(figures->contains(key)) << key;
     }
     for (const auto* key : {"ttft_ms", "inter_token_ms"}) {
@@ -77,6 +78,11 @@
             EXPECT_GT((*figures)[key][quantile], 0) << key << ' ' << quantile;
         }
     }
+    for (const auto* policy : {"round_robin", "per_router_fairness", "central_queue"}) {
+        for (const auto* key : {"fairness_gap_tokens", "utilisation_ratio", "requests_per_s", "ttft_ms"}) {
+            EXPECT_TRUE(figures->at("baselines").at(policy).contains(key)) << policy << ' ' << key;
+        }
+    }
     for (const auto* key : {"cut", "lost", "doubled", "wrong"}) {
         EXPECT_EQ((*figures)[key], 0) << *figures;
     }
