Report the fairness bound, control processor time and added latency

Cause: the bench printed a fairness gap without the bound it should stay under, no processor time of the control work, and latencies that contain the engines' own time.

Change: fairness_bound_tokens with its terms, and the gap in cost units, in which the routers share; control_cpu_ratio from the CPU clocks of each node's core thread, event loop and polling threads; ttft_added_ms and inter_token_added_ms, token by token, from times that the engine stand-ins tell an observer.

Ruled out: subtracting quantiles (those of different calls); separating token forwarding from control work, as both run on the same threads.

--- a/src/dandelionbay/bench/fairness_meter.hpp
+++ b/src/dandelionbay/bench/fairness_meter.hpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 
 #include "dandelionbay/base/clock.hpp"
 #include "dandelionbay/bench/fwd.hpp"
@@ -13,6 +14,7 @@
 struct team_sample {
     std::int64_t tokens{}; //!< Output tokens that reached its callers.
     bool backlogged{};
+    std::int64_t cost{}; //!< Cost units: one for an input token of a started call, two for an output token.
 
     friend bool operator==(const team_sample&, const team_sample&) = default;
 };
@@ -21,10 +23,14 @@
  * @brief Largest difference of service between two teams over any interval in which both are backlogged throughout.
  */
 class fairness_meter {
+    void add_to_rate(const std::array<team_sample, team_count>& now, duration step);
+
     struct pair_state {
         bool open{};
         std::int64_t lowest{};
         std::int64_t highest{};
+        std::int64_t lowest_cost{};
+        std::int64_t highest_cost{};
     };
 
 public:
@@ -36,13 +42,24 @@
     /*! @brief The largest difference in tokens; zero if no two teams were backlogged at a time. */
     [[nodiscard]] std::int64_t gap() const noexcept { return gap_; }
 
+    /*! @brief The largest difference in cost units. */
+    [[nodiscard]] std::int64_t cost_gap() const noexcept { return cost_gap_; }
+
+    /*! @brief Highest service rate of all teams together. @return Cost units per second over one second at least; zero
+     *  if the samples cover less. */
+    [[nodiscard]] double rate() const noexcept { return rate_; }
+
     /*! @brief Time in which at least two teams were backlogged. */
     [[nodiscard]] duration contended() const noexcept { return contended_; }
 
 private:
     std::array<std::array<pair_state, team_count>, team_count> pairs_{};
     std::int64_t gap_{0};
+    std::int64_t cost_gap_{0};
     duration contended_{0};
+    std::optional<duration> window_; //!< Length so far of the window in which the rate is measured.
+    std::int64_t window_cost_{0};
+    double rate_{0};
 };
 
 } // namespace dandelionbay::bench
--- a/src/dandelionbay/bench/fwd.hpp
+++ b/src/dandelionbay/bench/fwd.hpp
@@ -8,6 +8,7 @@
 struct queue_model_options;
 struct scenario;
 
+class engine_times;
 class fair_queue;
 class fairness_meter;
 class latency_histogram;
--- a/src/dandelionbay/bench/load_generator.cpp
+++ b/src/dandelionbay/bench/load_generator.cpp
@@ -74,19 +74,27 @@
     }
 
     void token(time_point at) {
+        const auto engine = engines_->find(it_->text + "\n", made_++);
         if (last_) {
             results_->next_token(at - *last_);
+            if (engine) {
+                results_->next_token_added(at - *last_ - *engine);
+            }
         } else {
             results_->answered(it_->team, sent_);
             results_->first_token(planned_, at);
+            results_->count_input(it_->team, input_of(*it_));
+            if (engine) {
+                results_->first_token_added(at - planned_ - *engine);
+            }
         }
         last_ = at;
         results_->count_token(it_->team, at);
     }
 
 public:
-    chat_answer(const arrival& it, time_point planned, recorder& results)
-        : it_{&it}, planned_{planned}, sent_{now()}, results_{&results} {
+    chat_answer(const arrival& it, time_point planned, recorder& results, engine_times& engines)
+        : it_{&it}, planned_{planned}, sent_{now()}, results_{&results}, engines_{&engines} {
         results_->sent(it.team, sent_);
     }
 
@@ -102,6 +110,7 @@
 
     /*! Records how the call ended. @param whole Whether the HTTP answer ended properly. */
     void finish(bool whole) {
+        engines_->remove(it_->text + "\n");
         if (!last_) {
             results_->answered(it_->team, sent_);
         }
@@ -122,6 +131,8 @@
     time_point planned_;
     time_point sent_;
     recorder* results_;
+    engine_times* engines_;
+    std::size_t made_{0};
     event_splitter splitter_;
     int status_{0};
     bool ended_{false};
@@ -133,8 +144,8 @@
 } // namespace
 
 load_generator::load_generator(std::vector<arrival> plan, port_list ports, time_point start, time_point limit,
-                               recorder& results)
-    : ports_{ports}, start_{start}, limit_{limit}, results_{&results} {
+                               recorder& results, engine_times& engines)
+    : ports_{ports}, start_{start}, limit_{limit}, results_{&results}, engines_{&engines} {
     for (auto& it : plan) {
         const auto index = it.router * (team_count + 1) + (it.is_order() ? team_count : it.team);
         lanes_.at(index).calls.push_back(std::move(it));
@@ -151,7 +162,7 @@
                     {"max_tokens", it.tokens},
                     {"messages", {{{"role", "user"}, {"content", it.text}}}}};
     auto request = make_request(it, "/v1/chat/completions", body);
-    chat_answer answer{it, start_ + it.at, *results_};
+    chat_answer answer{it, start_ + it.at, *results_, *engines_};
     request.response_handler = [&](const httplib::Response& head) {
         answer.set_status(head.status);
         return true;
--- a/src/dandelionbay/bench/load_generator.hpp
+++ b/src/dandelionbay/bench/load_generator.hpp
@@ -8,6 +8,7 @@
 #include <thread>
 #include <vector>
 
+#include "dandelionbay/bench/engine_times.hpp"
 #include "dandelionbay/bench/fwd.hpp"
 #include "dandelionbay/bench/recorder.hpp"
 #include "dandelionbay/bench/scenario.hpp"
@@ -40,9 +41,10 @@
      * @param ports Ports of the routers for callers.
      * @param start Start of the load.
      * @param limit Time after which no call is sent.
-     * @param results Must outlive the object.
+     * @param results Takes what the callers see. @param engines The engines' own times. Both outlive the object.
      */
-    load_generator(std::vector<arrival> plan, port_list ports, time_point start, time_point limit, recorder& results);
+    load_generator(std::vector<arrival> plan, port_list ports, time_point start, time_point limit, recorder& results,
+                   engine_times& engines);
     load_generator(const load_generator&) = delete;
     load_generator(load_generator&&) = delete;
     load_generator& operator=(const load_generator&) = delete;
@@ -62,6 +64,7 @@
     time_point start_;
     time_point limit_;
     recorder* results_;
+    engine_times* engines_;
     std::array<lane, router_count*(team_count + 1)> lanes_; //!< For each router one per team and one for orders.
     std::vector<std::thread> threads_;
 };
--- a/src/dandelionbay/bench/queue_model.cpp
+++ b/src/dandelionbay/bench/queue_model.cpp
@@ -163,6 +163,7 @@
         if (it.made == 0) {
             results_.answered(planned.team, it.sent);
             results_.first_token(time_point{planned.at}, now());
+            results_.count_input(planned.team, input_of(planned));
         } else {
             results_.next_token(now() - it.last_token);
         }
@@ -200,6 +201,7 @@
                 {"tokens_by_team", seen["tokens_by_team"]},
                 {"utilisation_ratio", running_time_ / (slots * std::chrono::duration<double>{length_})},
                 {"fairness_gap_tokens", fairness_.gap()},
+                {"fairness_gap_cost_units", fairness_.cost_gap()},
                 {"contended_s", std::chrono::duration<double>{fairness_.contended()}.count()}};
     }
 
--- a/src/dandelionbay/bench/recorder.cpp
+++ b/src/dandelionbay/bench/recorder.cpp
@@ -39,6 +39,21 @@
     inter_token_.add(gap);
 }
 
+void recorder::first_token_added(duration added) {
+    const std::lock_guard lock{mutex_};
+    ttft_added_.add(added);
+}
+
+void recorder::next_token_added(duration added) {
+    const std::lock_guard lock{mutex_};
+    inter_token_added_.add(added);
+}
+
+void recorder::count_input(std::size_t team, std::uint32_t input) {
+    const std::lock_guard lock{mutex_};
+    teams_.at(team).input += input;
+}
+
 void recorder::count_token(std::size_t team, time_point now) {
     const std::lock_guard lock{mutex_};
     ++teams_.at(team).tokens;
@@ -65,7 +80,8 @@
     fairness_meter::sample out;
     for (std::size_t i = 0; i < team_count; ++i) {
         const auto& team = teams_.at(i);
-        out.at(i) = {team.tokens, !team.waiting.empty() && now - *team.waiting.begin() > backlog_age};
+        out.at(i) = {team.tokens, !team.waiting.empty() && now - *team.waiting.begin() > backlog_age,
+                     team.input + 2 * team.tokens};
     }
     return out;
 }
@@ -100,6 +116,8 @@
             {"unsent", count(ending::unsent)},
             {"ttft_ms", ttft_.summary()},
             {"inter_token_ms", inter_token_.summary()},
+            {"ttft_added_ms", ttft_added_.summary()},
+            {"inter_token_added_ms", inter_token_added_.summary()},
             {"tokens_by_team", std::move(tokens)},
             {"service_by_second", std::move(by_second)}};
 }
--- a/src/dandelionbay/bench/recorder.hpp
+++ b/src/dandelionbay/bench/recorder.hpp
@@ -36,6 +36,7 @@
 class recorder {
     struct team_state {
         std::int64_t tokens{};
+        std::int64_t input{};
         std::multiset<time_point> waiting{}; //!< When the calls without a first token were sent.
     };
 
@@ -57,6 +58,15 @@
     /*! @brief A further token came. @param gap Time since the previous one. */
     void next_token(duration gap);
 
+    /*! @brief The first token came. @param added Time to the first token beyond the engine's own. */
+    void first_token_added(duration added);
+
+    /*! @brief A further token came. @param added Time since the previous one beyond the engine's own. */
+    void next_token_added(duration added);
+
+    /*! @brief A call's first token came. @param team Of the caller. @param input Tokens of the prompt. */
+    void count_input(std::size_t team, std::uint32_t input);
+
     /*! @brief Counts a token of a team. */
     void count_token(std::size_t team, time_point now);
 
@@ -84,6 +94,8 @@
     std::map<std::string, std::uint64_t> refused_;
     latency_histogram ttft_;
     latency_histogram inter_token_;
+    latency_histogram ttft_added_;
+    latency_histogram inter_token_added_;
 };
 
 } // namespace dandelionbay::bench
--- a/src/dandelionbay/bench/run.cpp
+++ b/src/dandelionbay/bench/run.cpp
@@ -28,6 +28,8 @@
 constexpr std::chrono::milliseconds lead{200};
 /*! Calls that are late at the end of the load are still sent for as long as this. */
 constexpr std::chrono::seconds drain_limit{20};
+/*! D of docs/fairness.md: the exchange interval of 200 ms, and one more for the hop between the two regions. */
+constexpr std::chrono::milliseconds exchange_delay{400};
 /*! Requirement R4. */
 constexpr std::chrono::seconds zone_limit{5};
 constexpr std::string_view moved_zone = "west-1";
@@ -54,8 +56,12 @@
     void warm_endpoints() {
         const auto start = now() + lead;
         recorder unused{start, 1};
-        load_generator load{plan_arrivals(warm_up(), options_.warm_up, options_.seed + 1), ports(), start,
-                            start + options_.warm_up + drain_limit, unused};
+        load_generator load{plan_arrivals(warm_up(), options_.warm_up, options_.seed + 1),
+                            ports(),
+                            start,
+                            start + options_.warm_up + drain_limit,
+                            unused,
+                            engine_times_};
         print(concat("warm-up of ", options_.warm_up.count(), " s"));
         load.start();
         load.finish();
@@ -70,6 +76,32 @@
         return static_cast<double>(sum);
     }
 
+    [[nodiscard]] duration control_cpu_time() const {
+        duration sum{0};
+        for (const auto& it : fleet_.routers()) {
+            sum += it->control_cpu_time();
+        }
+        for (const auto& it : fleet_.agents()) {
+            sum += it->control_cpu_time();
+        }
+        return sum;
+    }
+
+    /*! Adds the bound of docs/fairness.md for teams of weight 1; output tokens cost two units. */
+    void add_bound(json& out, const std::vector<arrival>& plan) const {
+        double largest = 0;
+        for (const auto& it : plan) {
+            largest = std::max(largest, it.is_order() ? 0 : static_cast<double>(cost_of(it)));
+        }
+        const double rate = fairness_.rate();
+        const double delay = std::chrono::duration<double>{exchange_delay}.count();
+        const double bound = 2 * (largest + largest) + 2 * rate * delay;
+        out["fairness_bound_cost_units"] = bound;
+        out["fairness_bound_tokens"] = bound / 2;
+        out["fairness_bound_terms"] = {
+            {"L_cost_units", largest}, {"E_cost_units", largest}, {"R_cost_units_per_s", rate}, {"D_s", delay}};
+    }
+
     /*! Requests that the engines of the moved zone have started. */
     [[nodiscard]] std::uint64_t started_in_zone() const {
         std::uint64_t sum = 0;
@@ -184,16 +216,20 @@
         if (auto status = fleet_.start(); !status.ok()) {
             return status;
         }
+        for (const auto& it : fleet_.engines()) {
+            it->observe([this](const engine_token& token) { engine_times_.add(token); });
+        }
         warm_endpoints();
         const auto plan = plan_arrivals(options_.load, options_.length, options_.seed);
         const auto start = now() + lead;
         const auto end = start + options_.length;
         recorder results{start, static_cast<std::size_t>(options_.length.count())};
-        load_generator load{plan, ports(), start, end + drain_limit, results};
+        load_generator load{plan, ports(), start, end + drain_limit, results, engine_times_};
         load.start();
         std::this_thread::sleep_until(start);
         const auto router_bytes = control_bytes(fleet_.routers());
         const auto agent_bytes = control_bytes(fleet_.agents());
+        const auto cpu_before = control_cpu_time();
         std::thread mover;
         if (options_.load.zone_move) {
             mover = std::thread{[&] { run_zone_move(start); }};
@@ -201,6 +237,7 @@
         sample_service(start, end, results);
         const auto router_sent = control_bytes(fleet_.routers()) - router_bytes;
         const auto agent_sent = control_bytes(fleet_.agents()) - agent_bytes;
+        const std::chrono::duration<double> control_cpu = control_cpu_time() - cpu_before;
         if (mover.joinable()) {
             mover.join();
         }
@@ -223,6 +260,9 @@
         out["control_bytes_per_router_s"] = router_sent / routers / seconds;
         out["control_bytes_per_agent_s"] = agent_sent / agents / seconds;
         out["fairness_gap_tokens"] = fairness_.gap();
+        out["fairness_gap_cost_units"] = fairness_.cost_gap();
+        add_bound(out, plan);
+        out["control_cpu_ratio"] = control_cpu.count() / (routers + agents) / seconds;
         out["contended_s"] = std::chrono::duration<double>{fairness_.contended()}.count();
         out["late_grants_after_5s"] = late_grants_ ? json(*late_grants_) : json(nullptr);
         out["late_grants_window_s"] = std::chrono::duration<double>{late_window_}.count();
@@ -235,6 +275,7 @@
     bench_options options_;
     std::ostream* progress_;
     std::mutex progress_mutex_;
+    engine_times engine_times_; // Before the fleet, whose engines use it.
     app::dev_fleet fleet_;
     fairness_meter fairness_;
     double running_time_{0};
--- a/src/dandelionbay/bench/scenario.cpp
+++ b/src/dandelionbay/bench/scenario.cpp
@@ -54,10 +54,13 @@
 
 } // namespace
 
-std::uint32_t cost_of(const arrival& it) {
+std::uint32_t input_of(const arrival& it) {
     // The engine stand-in counts words.
-    const auto words = 1 + std::ranges::count(it.text, ' ');
-    return static_cast<std::uint32_t>(words) + 2 * it.tokens;
+    return static_cast<std::uint32_t>(1 + std::ranges::count(it.text, ' '));
+}
+
+std::uint32_t cost_of(const arrival& it) {
+    return input_of(it) + 2 * it.tokens;
 }
 
 scenario warm_up() noexcept {
--- a/src/dandelionbay/bench/scenario.hpp
+++ b/src/dandelionbay/bench/scenario.hpp
@@ -57,6 +57,9 @@
     friend bool operator==(const arrival&, const arrival&) = default;
 };
 
+/*! @brief Input tokens of a chat call as the engine stand-in counts them. */
+[[nodiscard]] std::uint32_t input_of(const arrival& it);
+
 /*! @brief What a chat call costs a fair router. @return Cost units: one for an input token, two for an output token. */
 [[nodiscard]] std::uint32_t cost_of(const arrival& it);
 
--- a/src/dandelionbay/node/agent_node.hpp
+++ b/src/dandelionbay/node/agent_node.hpp
@@ -37,6 +37,9 @@
     /*! @brief Where other hosts connect; valid after start(). */
     [[nodiscard]] std::uint16_t peer_port() noexcept { return driver_->links().port(); }
 
+    /*! @brief Processor time of the control work; see node_driver. @return Microseconds. */
+    [[nodiscard]] duration control_cpu_time() const noexcept { return driver_->control_cpu_time(); }
+
     /*! @brief The agent's counters. */
     [[nodiscard]] counters& metrics() noexcept { return *counters_; }
 
--- a/src/dandelionbay/node/mailbox.cpp
+++ b/src/dandelionbay/node/mailbox.cpp
@@ -53,6 +53,7 @@
 }
 
 void mailbox::run() {
+    cpu_.note_current_thread();
     std::vector<task> batch;
     auto next_tick = std::chrono::steady_clock::now();
     for (;;) {
@@ -106,6 +107,7 @@
 }
 
 void repeater::run(std::uint64_t seed) {
+    cpu_.note_current_thread();
     std::mt19937_64 random{seed};
     std::uniform_real_distribution<double> factor{1.0 - jitter_, 1.0 + jitter_};
     std::unique_lock lock{mutex_};
--- a/src/dandelionbay/node/mailbox.hpp
+++ b/src/dandelionbay/node/mailbox.hpp
@@ -7,6 +7,8 @@
 #include <thread>
 #include <vector>
 
+#include "dandelionbay/node/thread_time.hpp"
+
 namespace dandelionbay {
 
 /*! @brief Runs tasks one after the other, and a tick between them, on one thread. */
@@ -35,6 +37,9 @@
     /*! @brief Adds a task and waits until it has run. @param it The task. @return False if it did not run in 2 s. */
     bool call(task it);
 
+    /*! @brief Processor time of the thread. @return Microseconds; zero unless it runs. */
+    [[nodiscard]] duration cpu_time() const noexcept { return cpu_.used(); }
+
 private:
     void run();
 
@@ -44,6 +49,7 @@
     std::condition_variable changed_;
     std::vector<task> tasks_;
     bool ended_{false};
+    thread_time cpu_;
     std::thread thread_;
 };
 
@@ -65,6 +71,9 @@
     /*! @brief Calls the function now, or once more when the call in progress has returned. */
     void wake();
 
+    /*! @brief Processor time of the thread. @return Microseconds; zero unless it runs. */
+    [[nodiscard]] duration cpu_time() const noexcept { return cpu_.used(); }
+
     /*! @brief Waits for the call in progress and ends the thread. */
     void stop() noexcept;
 
@@ -78,6 +87,7 @@
     std::condition_variable changed_;
     bool woken_{false};
     bool ended_{false};
+    thread_time cpu_;
     std::thread thread_;
 };
 
--- a/src/dandelionbay/node/node_driver.cpp
+++ b/src/dandelionbay/node/node_driver.cpp
@@ -200,7 +200,12 @@
     });
 }
 
+duration node_driver::control_cpu_time() const noexcept {
+    return tasks_.cpu_time() + link_time_.used() + config_poller_.cpu_time() + host_poller_.cpu_time();
+}
+
 void node_driver::link_up(const hello& peer) {
+    link_time_.note_current_thread(); // The event loop calls this function.
     tasks_.post([this, peer] {
         const auto now = clock_->now();
         const auto change = fleet_.link_up(peer, now);
--- a/src/dandelionbay/node/node_driver.hpp
+++ b/src/dandelionbay/node/node_driver.hpp
@@ -109,6 +109,13 @@
     /*! @brief Tells whether the graceful stop has begun. */
     [[nodiscard]] bool is_stopping() const noexcept { return stopping_; }
 
+    /**
+     * @brief Processor time of the threads of the core, the links and the polling.
+     * @return Microseconds, token forwarding included; zero for a thread that does not run. The links count from the
+     *         first link on.
+     */
+    [[nodiscard]] duration control_cpu_time() const noexcept;
+
     /*! @brief Tells whether one life of a host may still be running; for claims. */
     [[nodiscard]] bool may_be_alive(const host_id& host, incarnation_type life) const;
 
@@ -142,6 +149,7 @@
     std::vector<host_entry> dialled_;
     std::shared_ptr<event_log> log_;
     std::unique_ptr<link_server> links_;
+    thread_time link_time_;
     repeater config_poller_;
     repeater host_poller_;
     mailbox tasks_;
--- a/src/dandelionbay/node/router_node.hpp
+++ b/src/dandelionbay/node/router_node.hpp
@@ -55,6 +55,9 @@
     /*! @brief The table service that the router uses. */
     [[nodiscard]] table_store& store() noexcept { return *environment_.store; }
 
+    /*! @brief Processor time of the control work; see node_driver. @return Microseconds. */
+    [[nodiscard]] duration control_cpu_time() const noexcept { return driver_->control_cpu_time(); }
+
     /*! @brief The router's counters. */
     [[nodiscard]] counters& metrics() noexcept { return *counters_; }
 
--- a/src/dandelionbay/standin/fwd.hpp
+++ b/src/dandelionbay/standin/fwd.hpp
@@ -8,6 +8,7 @@
 class standin_platform;
 struct standin_engine_options;
 struct engine_stats;
+struct engine_token;
 class standin_engine;
 struct standin_service_options;
 class standin_service;
--- a/src/dandelionbay/standin/standin_engine.cpp
+++ b/src/dandelionbay/standin/standin_engine.cpp
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
@@ -96,13 +97,23 @@
 } // namespace
 
 class standin_engine::state {
+    [[nodiscard]] token_observer current_observer() {
+        const std::lock_guard lock{observer_mutex};
+        return observer;
+    }
+
     void stream(const completion_call& call, std::shared_ptr<internal::engine_load::run> run,
                 httplib::Response& response) {
-        const auto provider = [call, run = std::move(run), made = std::uint32_t{0}](std::size_t /*offset*/,
-                                                                                    httplib::DataSink& sink) mutable {
+        const auto provider = [call, run = std::move(run), made = std::uint32_t{0}, seen = current_observer(),
+                               begin = std::chrono::steady_clock::now()](std::size_t /*offset*/,
+                                                                         httplib::DataSink& sink) mutable {
             if (!run->next_token()) {
                 return false;
             }
+            if (seen) {
+                const auto at = std::chrono::steady_clock::now() - begin;
+                seen({call.prompt, std::chrono::duration_cast<std::chrono::microseconds>(at)});
+            }
             auto text =
                 stream_event(call, stream_choice({{"content", token_text(hash_of(call.prompt), made)}}, nullptr));
             ++made;
@@ -222,6 +233,8 @@
 
     const standin_engine_options options;
     internal::engine_load load;
+    std::mutex observer_mutex;
+    token_observer observer;
     http_host host; // Last, so that its threads end before what they use.
 };
 
@@ -256,6 +269,11 @@
     state_->load.set_hanging(hanging);
 }
 
+void standin_engine::observe(token_observer it) {
+    const std::lock_guard lock{state_->observer_mutex};
+    state_->observer = std::move(it);
+}
+
 bool standin_engine::cold() const {
     return state_->load.report().cold;
 }
--- a/src/dandelionbay/standin/standin_engine.hpp
+++ b/src/dandelionbay/standin/standin_engine.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -42,6 +43,14 @@
     friend bool operator==(const engine_stats&, const engine_stats&) = default;
 };
 
+/*! @brief A token that an engine stand-in made. */
+struct engine_token {
+    std::string_view prompt{};      //!< Contents of all messages of the call, each followed by a newline.
+    std::chrono::microseconds at{}; //!< Since the call came to the engine.
+
+    friend bool operator==(const engine_token&, const engine_token&) = default;
+};
+
 /**
  * @brief Stand-in for a model engine with continuous batching.
  *
@@ -52,6 +61,9 @@
     class state;
 
 public:
+    /*! @brief Called by the threads of the connections. */
+    using token_observer = std::function<void(const engine_token&)>;
+
     /*! @brief Creates an engine that does not serve yet. @param options Settings. */
     explicit standin_engine(standin_engine_options options);
     standin_engine(const standin_engine&) = delete;
@@ -78,6 +90,9 @@
     /*! @brief While set, runs make no progress and connections stay open. @param hanging The state. */
     void set_hanging(bool hanging);
 
+    /*! @brief Sets what is told of each token of a streamed answer that begins later. @param it It, or null. */
+    void observe(token_observer it);
+
     /*! @brief Tells whether the engine is cold now; GET /state shows it later. */
     [[nodiscard]] bool cold() const;
 
--- a/test/dandelionbay/bench/bench_test.cpp
+++ b/test/dandelionbay/bench/bench_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include "dandelionbay/bench/engine_times.hpp"
 #include "dandelionbay/bench/fairness_meter.hpp"
 #include "dandelionbay/bench/latency_histogram.hpp"
 
@@ -62,6 +63,36 @@
     EXPECT_EQ(meter.contended(), 100ms);
 }
 
+// Guards against a bound with a wrong rate, and against a cost gap that leaves out the input.
+TEST(bench, fairness_meter_measures_cost_and_its_rate) {
+    fairness_meter meter;
+    const auto add = [&](std::int64_t a, std::int64_t b) { meter.add({{{0, true, a}, {0, true, b}, {}, {}}}, 500ms); };
+    add(1000, 0);
+    add(1100, 0);
+    EXPECT_EQ(meter.rate(), 0) << "half a second";
+    add(1100, 300);
+    EXPECT_DOUBLE_EQ(meter.rate(), 400);
+    add(1150, 300);
+    add(1150, 350);
+    EXPECT_DOUBLE_EQ(meter.rate(), 400) << "the next second is slower";
+    EXPECT_EQ(meter.gap(), 0);
+    EXPECT_EQ(meter.cost_gap(), 300) << "from 1100 ahead to 800 ahead";
+}
+
+// Guards against times of one call that are taken for another's, and against memory of finished calls.
+TEST(bench, engine_times_belong_to_one_call) {
+    engine_times it;
+    it.add({"a\n", 50ms});
+    it.add({"b\n", 70ms});
+    it.add({"a\n", 61ms});
+    EXPECT_EQ(it.find("a\n", 0), duration{50ms});
+    EXPECT_EQ(it.find("a\n", 1), duration{11ms});
+    EXPECT_EQ(it.find("b\n", 0), duration{70ms});
+    EXPECT_EQ(it.find("b\n", 1), std::nullopt);
+    it.remove("b\n");
+    EXPECT_EQ(it.find("b\n", 0), std::nullopt);
+}
+
 // Guards against a report that lacks a figure, and against answers that are cut, lost, doubled or another caller's.
 TEST(bench, steady_run_reports_all_figures_and_breaks_no_answer) {
     std::ostringstream progress;
@@ -70,10 +101,11 @@
     for (const auto* key :
          {"requests_per_s", "complete", "refused_by_code", "cut", "lost", "doubled", "ttft_ms", "inter_token_ms",
           "utilisation_ratio", "control_bytes_per_node_s", "fairness_gap_tokens", "late_grants_after_5s",
-          "utilisation_of_central_queue", "requests_per_s_of_central_queue", "baselines"}) {
+          "fairness_bound_tokens", "fairness_bound_terms", "control_cpu_ratio", "utilisation_of_central_queue",
+          "requests_per_s_of_central_queue", "baselines"}) {
         EXPECT_TRUE(figures->contains(key)) << key;
     }
-    for (const auto* key : {"ttft_ms", "inter_token_ms"}) {
+    for (const auto* key : {"ttft_ms", "inter_token_ms", "ttft_added_ms", "inter_token_added_ms"}) {
         for (const auto* quantile : {"p50", "p95", "p99"}) {
             EXPECT_GT((*figures)[key][quantile], 0) << key << ' ' << quantile;
         }
@@ -86,6 +118,9 @@
     for (const auto* key : {"cut", "lost", "doubled", "wrong"}) {
         EXPECT_EQ((*figures)[key], 0) << *figures;
     }
+    EXPECT_GT((*figures)["control_cpu_ratio"], 0);
+    EXPECT_LT((*figures)["ttft_added_ms"]["p50"], (*figures)["ttft_ms"]["p50"]);
+    EXPECT_EQ((*figures)["ttft_added_ms"]["count"], (*figures)["ttft_ms"]["count"]);
     EXPECT_GT((*figures)["complete"], 0);
     EXPECT_GT((*figures)["control_bytes_per_node_s"], 0);
     EXPECT_NE(progress.str().find("second 1: "), std::string::npos) << progress.str();
