--- a/src/dandelionbay/bench/load_generator.cpp
+++ b/src/dandelionbay/bench/load_generator.cpp
@@ -19,8 +19,6 @@
 
 using nlohmann::json;
 
-/*! With 4 teams, 116 connections for each router, below the 128 caller threads of a development router. */
-constexpr std::size_t threads_per_team = 28;
 constexpr std::size_t order_threads = 4;
 constexpr std::chrono::seconds connect_limit{5};
 /*! Above the queue limit and the run limit of the services, so that the routers' final answers are seen. */
@@ -48,6 +46,15 @@
     return client.send(request);
 }
 
+/*! Records a refusal. Returns whether it says that the call did not run. */
+bool record_refusal(recorder& results, const std::string& body, int status) {
+    const auto document = json::parse(body, nullptr, false);
+    const bool not_run = document.is_object() && document.contains("error") && document["error"].is_object() &&
+                         document["error"].value("executed", json{}) == "no";
+    results.refuse(refusal_code(body, status), not_run);
+    return not_run;
+}
+
 /*! @brief A streamed answer as its caller reads it. */
 class chat_answer {
     void take(std::string_view event) {
@@ -64,19 +71,27 @@
     }
 
     void token(time_point at) {
+        const auto engine = engines_->find(it_->text + "\n", made_++);
         if (last_) {
             results_->next_token(at - *last_);
+            if (engine) {
+                results_->next_token_added(at - *last_ - *engine);
+            }
         } else {
             results_->answered(it_->team, sent_);
-            results_->first_token(planned_, at);
+            results_->first_token(it_->router, planned_, at);
+            results_->count_input(it_->team, input_of(*it_));
+            if (engine) {
+                results_->first_token_added(at - planned_ - *engine);
+            }
         }
         last_ = at;
         results_->count_token(it_->team, at);
     }
 
 public:
-    chat_answer(const arrival& it, time_point planned, recorder& results)
-        : it_{&it}, planned_{planned}, sent_{now()}, results_{&results} {
+    chat_answer(const arrival& it, time_point planned, recorder& results, engine_times& engines)
+        : it_{&it}, planned_{planned}, sent_{now()}, results_{&results}, engines_{&engines} {
         results_->sent(it.team, sent_);
     }
 
@@ -92,13 +107,14 @@
 
     /*! Records how the call ended. @param whole Whether the HTTP answer ended properly. */
     void finish(bool whole) {
+        engines_->remove(it_->text + "\n");
         if (!last_) {
             results_->answered(it_->team, sent_);
         }
         if (status_ == 0) {
             results_->end(ending::lost, now());
         } else if (status_ != 200) {
-            results_->refuse(refusal_code(error_, status_));
+            (void)record_refusal(*results_, error_, status_);
         } else if (!whole || !ended_) {
             results_->end(ending::cut, now());
         } else {
@@ -112,6 +128,8 @@
     time_point planned_;
     time_point sent_;
     recorder* results_;
+    engine_times* engines_;
+    std::size_t made_{0};
     event_splitter splitter_;
     int status_{0};
     bool ended_{false};
@@ -123,8 +141,8 @@
 } // namespace
 
 load_generator::load_generator(std::vector<arrival> plan, port_list ports, time_point start, time_point limit,
-                               recorder& results)
-    : ports_{ports}, start_{start}, limit_{limit}, results_{&results} {
+                               recorder& results, engine_times& engines)
+    : ports_{ports}, start_{start}, limit_{limit}, results_{&results}, engines_{&engines} {
     for (auto& it : plan) {
         const auto index = it.router * (team_count + 1) + (it.is_order() ? team_count : it.team);
         lanes_.at(index).calls.push_back(std::move(it));
@@ -141,7 +159,7 @@
                     {"max_tokens", it.tokens},
                     {"messages", {{{"role", "user"}, {"content", it.text}}}}};
     auto request = make_request(it, "/v1/chat/completions", body);
-    chat_answer answer{it, start_ + it.at, *results_};
+    chat_answer answer{it, start_ + it.at, *results_, *engines_};
     request.response_handler = [&](const httplib::Response& head) {
         answer.set_status(head.status);
         return true;
@@ -163,15 +181,20 @@
         return true;
     };
     const auto result = send(ports_.at(it.router), request);
+    if (result && status != 201) {
+        const bool not_run = record_refusal(*results_, result->body, status);
+        results_->end_order(not_run ? "refused_not_run" : "refused_unknown");
+        return;
+    }
     if (!result) {
         results_->end(status == 0 ? ending::lost : ending::cut, now());
-    } else if (status != 201) {
-        results_->refuse(refusal_code(result->body, status));
-    } else {
-        const auto answer = json::parse(result->body, nullptr, false);
-        const bool own = answer.is_object() && answer.value("order", std::string{}) == it.text;
-        results_->end(own ? ending::complete : ending::wrong, now());
+        results_->end_order("no_answer");
+        return;
     }
+    const auto answer = json::parse(result->body, nullptr, false);
+    const bool own = answer.is_object() && answer.value("order", std::string{}) == it.text;
+    results_->end(own ? ending::complete : ending::wrong, now());
+    results_->end_order(own ? "complete" : "wrong");
 }
 
 void load_generator::work(lane& from) {
@@ -190,7 +213,7 @@
 
 void load_generator::start() {
     for (std::size_t i = 0; i < lanes_.size(); ++i) {
-        const auto n = i % (team_count + 1) == team_count ? order_threads : threads_per_team;
+        const auto n = i % (team_count + 1) == team_count ? order_threads : lane_threads;
         for (std::size_t k = 0; k < n; ++k) {
             threads_.emplace_back([this, i] { work(lanes_.at(i)); });
         }
--- a/src/dandelionbay/bench/run.cpp
+++ b/src/dandelionbay/bench/run.cpp
@@ -3,19 +3,18 @@
 #include <algorithm>
 #include <map>
 #include <mutex>
-#include <optional>
 #include <ostream>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include "dandelionbay/app/admin_client.hpp"
 #include "dandelionbay/app/dev_fleet.hpp"
 #include "dandelionbay/base/text.hpp"
 #include "dandelionbay/bench/fairness_meter.hpp"
+#include "dandelionbay/bench/fleet_disturbance.hpp"
 #include "dandelionbay/bench/load_generator.hpp"
+#include "dandelionbay/bench/queue_model.hpp"
 #include "dandelionbay/bench/recorder.hpp"
-#include "dandelionbay/config/document_edit.hpp"
 
 namespace dandelionbay::bench {
 
@@ -23,18 +22,12 @@
 
 using nlohmann::json;
 
-constexpr std::chrono::milliseconds sample_interval{20};
 /*! Time for all threads to start before the first call is due. */
 constexpr std::chrono::milliseconds lead{200};
 /*! Calls that are late at the end of the load are still sent for as long as this. */
 constexpr std::chrono::seconds drain_limit{20};
-/*! Requirement R4. */
-constexpr std::chrono::seconds zone_limit{5};
-constexpr std::string_view moved_zone = "west-1";
-/*! Shares of the run at which the zone is taken out and back. */
-constexpr double out_share = 0.15;
-constexpr double back_share = 0.85;
-
+/*! D of docs/fairness.md: the exchange interval of 200 ms, and one more for the hop between the two regions. */
+constexpr std::chrono::milliseconds exchange_delay{400};
 [[nodiscard]] time_point now() noexcept {
     return monotonic_clock{}.now();
 }
@@ -54,8 +47,12 @@
     void warm_endpoints() {
         const auto start = now() + lead;
         recorder unused{start, 1};
-        load_generator load{plan_arrivals(warm_up(), options_.warm_up, options_.seed + 1), ports(), start,
-                            start + options_.warm_up + drain_limit, unused};
+        load_generator load{plan_arrivals(warm_up(), options_.warm_up, options_.seed + 1),
+                            ports(),
+                            start,
+                            start + options_.warm_up + drain_limit,
+                            unused,
+                            engine_times_};
         print(concat("warm-up of ", options_.warm_up.count(), " s"));
         load.start();
         load.finish();
@@ -70,49 +67,44 @@
         return static_cast<double>(sum);
     }
 
-    /*! Requests that the engines of the moved zone have started. */
-    [[nodiscard]] std::uint64_t started_in_zone() const {
-        std::uint64_t sum = 0;
-        for (const auto* it : fleet_.engines_in(moved_zone)) {
-            sum += it->stats().started;
+    [[nodiscard]] duration control_cpu_time() const {
+        duration sum{0};
+        for (const auto& it : fleet_.routers()) {
+            sum += it->control_cpu_time();
+        }
+        for (const auto& it : fleet_.agents()) {
+            sum += it->control_cpu_time();
         }
         return sum;
     }
 
-    [[nodiscard]] absl::Status move_zone(bool out) {
-        const app::admin_client operators{{"127.0.0.1", fleet_.routers().front()->admin_port()},
-                                          app::dev_options{}.admin_token};
-        auto config = operators.get("config");
-        if (!config.ok()) {
-            return absl::UnavailableError(concat("reading the configuration failed: ", config.body.dump()));
-        }
-        if (auto status = set_zone_out(config.body, moved_zone, out); !status.ok()) {
-            return status;
+    /*! Adds the bound of docs/fairness.md for teams of weight 1; output tokens cost two units. */
+    void add_bound(json& out, const std::vector<arrival>& plan) const {
+        double largest = 0;
+        for (const auto& it : plan) {
+            largest = std::max(largest, it.is_order() ? 0 : static_cast<double>(cost_of(it)));
         }
-        const auto changed = operators.send("PUT", "config", config.etag, config.body.dump());
-        return changed.ok() ? absl::OkStatus()
-                            : absl::UnavailableError(concat("the edit failed: ", changed.body.dump()));
+        const double rate = fairness_.rate();
+        const double delay = std::chrono::duration<double>{exchange_delay}.count();
+        const double bound = 2 * (largest + largest) + 2 * rate * delay;
+        out["fairness_bound_cost_units"] = bound;
+        out["fairness_bound_tokens"] = bound / 2;
+        out["fairness_bound_terms"] = {
+            {"L_cost_units", largest}, {"E_cost_units", largest}, {"R_cost_units_per_s", rate}, {"D_s", delay}};
     }
 
-    /*! Takes the zone out and back, and counts what its engines start later than the limit. */
-    void run_zone_move(time_point start) {
-        const auto at = [&](double share) {
-            return start + std::chrono::duration_cast<duration>(options_.length * share);
+    void add_baselines(json& out, const std::vector<arrival>& plan, const fleet_disturbance& during) const {
+        queue_model_options model;
+        model.engines = fleet_.engines().size();
+        model.last_send = options_.length + drain_limit;
+        model.outage = during.outage();
+        out["baselines"] = run_baselines(plan, options_.length, model);
+        const auto of_central = [&](const char* figure) {
+            const double ideal = out["baselines"]["central_queue"][figure];
+            return ideal > 0 ? json(out[figure].get<double>() / ideal) : json(nullptr);
         };
-        std::this_thread::sleep_until(at(out_share));
-        zone_status_ = move_zone(true);
-        const auto out_at = now();
-        if (!zone_status_.ok()) {
-            return;
-        }
-        print(concat("zone ", moved_zone, " out of service"));
-        std::this_thread::sleep_until(out_at + zone_limit);
-        const auto before = started_in_zone();
-        std::this_thread::sleep_until(at(back_share));
-        late_grants_ = started_in_zone() - before;
-        late_window_ = now() - (out_at + zone_limit);
-        zone_status_ = move_zone(false);
-        print(concat("zone ", moved_zone, " back in service"));
+        out["utilisation_of_central_queue"] = of_central("utilisation_ratio");
+        out["requests_per_s_of_central_queue"] = of_central("requests_per_s");
     }
 
     void sample_service(time_point start, time_point end, const recorder& results) {
@@ -155,30 +147,31 @@
         if (auto status = fleet_.start(); !status.ok()) {
             return status;
         }
+        for (const auto& it : fleet_.engines()) {
+            it->observe([this](const engine_token& token) { engine_times_.add(token); });
+        }
         warm_endpoints();
-        auto plan = plan_arrivals(options_.load, options_.length, options_.seed);
-        const auto offered = plan.size();
+        const auto plan = plan_arrivals(options_.load, options_.length, options_.seed);
         const auto start = now() + lead;
         const auto end = start + options_.length;
         recorder results{start, static_cast<std::size_t>(options_.length.count())};
-        load_generator load{std::move(plan), ports(), start, end + drain_limit, results};
+        load_generator load{plan, ports(), start, end + drain_limit, results, engine_times_};
         load.start();
         std::this_thread::sleep_until(start);
         const auto router_bytes = control_bytes(fleet_.routers());
         const auto agent_bytes = control_bytes(fleet_.agents());
-        std::thread mover;
-        if (options_.load.zone_move) {
-            mover = std::thread{[&] { run_zone_move(start); }};
-        }
+        const auto cpu_before = control_cpu_time();
+        fleet_disturbance during{fleet_, options_.load.during, start, options_.length,
+                                 [this](std::string_view line) { print(line); }};
+        std::thread other{[&] { during.run(); }};
         sample_service(start, end, results);
+        other.join();
         const auto router_sent = control_bytes(fleet_.routers()) - router_bytes;
-        const auto agent_sent = control_bytes(fleet_.agents()) - agent_bytes;
-        if (mover.joinable()) {
-            mover.join();
-        }
+        const auto agent_sent = control_bytes(fleet_.agents()) + control_bytes(during.replaced()) - agent_bytes;
+        const std::chrono::duration<double> control_cpu = control_cpu_time() + during.replaced_cpu_time() - cpu_before;
         load.finish();
-        if (!zone_status_.ok()) {
-            return zone_status_;
+        if (!during.status().ok()) {
+            return during.status();
         }
         const auto routers = static_cast<double>(fleet_.routers().size());
         const auto agents = static_cast<double>(fleet_.agents().size());
@@ -188,16 +181,19 @@
         out["seconds"] = options_.length.count();
         out["seed"] = options_.seed;
         out["warm_up_s"] = options_.warm_up.count();
-        out["offered"] = offered;
+        out["offered"] = plan.size();
         out["doubled"] = doubled_orders();
         out["utilisation_ratio"] = running_time_ / slot_time_;
         out["control_bytes_per_node_s"] = (router_sent + agent_sent) / (routers + agents) / seconds;
         out["control_bytes_per_router_s"] = router_sent / routers / seconds;
         out["control_bytes_per_agent_s"] = agent_sent / agents / seconds;
         out["fairness_gap_tokens"] = fairness_.gap();
+        out["fairness_gap_cost_units"] = fairness_.cost_gap();
+        add_bound(out, plan);
+        out["control_cpu_ratio"] = control_cpu.count() / (routers + agents) / seconds;
         out["contended_s"] = std::chrono::duration<double>{fairness_.contended()}.count();
-        out["late_grants_after_5s"] = late_grants_ ? json(*late_grants_) : json(nullptr);
-        out["late_grants_window_s"] = std::chrono::duration<double>{late_window_}.count();
+        during.add_figures(out, results.seconds());
+        add_baselines(out, plan, during);
         fleet_.stop();
         return out;
     }
@@ -206,13 +202,11 @@
     bench_options options_;
     std::ostream* progress_;
     std::mutex progress_mutex_;
+    engine_times engine_times_; // Before the fleet, whose engines use it.
     app::dev_fleet fleet_;
     fairness_meter fairness_;
     double running_time_{0};
     double slot_time_{0};
-    absl::Status zone_status_;
-    std::optional<std::uint64_t> late_grants_;
-    duration late_window_{0};
 };
 
 } // namespace
--- a/src/dandelionbay/bench/scenario.hpp
+++ b/src/dandelionbay/bench/scenario.hpp
@@ -20,10 +20,26 @@
 /*! @brief Entry routers of the development fleet. */
 inline constexpr std::size_t router_count = 2;
 
+/*! @brief Threads that send the calls of a team to a router: with 4 teams, and 4 threads for orders, 116 connections
+ * for each router, below the 128 caller threads of a development router. */
+inline constexpr std::size_t lane_threads = 28;
+/*! @brief Interval at which service and utilisation are sampled. */
+inline constexpr std::chrono::milliseconds sample_interval{20};
+
+/*! @brief What happens to the fleet during the load. */
+enum class disturbance {
+    none,
+    zone_move,      //!< A zone is taken out of service and back.
+    engine_restart, //!< An engine restarts and is cold for a while.
+    store_outage,   //!< The platform stand-in ends every call without an answer.
+    agent_restarts  //!< All agents stop gracefully and start again, one after the other.
+};
+
 /*! @brief Load of one team. */
 struct team_load {
     double rate{};         //!< Chat calls per second.
     double first_router{}; //!< Share of the calls that go to the first router.
+    std::uint32_t input{}; //!< Input tokens beside the few that name the call.
 
     friend bool operator==(const team_load&, const team_load&) = default;
 };
@@ -32,8 +48,8 @@
 struct scenario {
     std::string_view name{};
     std::array<team_load, team_count> teams{};
-    double order_rate{};              //!< Orders per second.
-    bool zone_move{};                 //!< A zone is taken out of service and back.
+    double order_rate{}; //!< Orders per second.
+    disturbance during{};
     std::chrono::seconds shortest{1}; //!< Shortest run that measures what the scenario is for.
 
     friend bool operator==(const scenario&, const scenario&) = default;
@@ -52,6 +68,12 @@
     friend bool operator==(const arrival&, const arrival&) = default;
 };
 
+/*! @brief Input tokens of a chat call as the engine stand-in counts them. */
+[[nodiscard]] std::uint32_t input_of(const arrival& it);
+
+/*! @brief What a chat call costs a fair router. @return Cost units: one for an input token, two for an output token. */
+[[nodiscard]] std::uint32_t cost_of(const arrival& it);
+
 /*! @brief All scenarios. */
 [[nodiscard]] std::span<const scenario> scenarios() noexcept;
 
--- a/test/dandelionbay/bench/bench_test.cpp
+++ b/test/dandelionbay/bench/bench_test.cpp
@@ -1,11 +1,14 @@
 #include "dandelionbay/bench/run.hpp"
 
+#include <limits>
 #include <sstream>
 
 #include <gtest/gtest.h>
 
+#include "dandelionbay/bench/engine_times.hpp"
 #include "dandelionbay/bench/fairness_meter.hpp"
 #include "dandelionbay/bench/latency_histogram.hpp"
+#include "dandelionbay/bench/recorder.hpp"
 
 namespace dandelionbay::bench {
 namespace {
@@ -62,6 +65,62 @@
     EXPECT_EQ(meter.contended(), 100ms);
 }
 
+// Guards against a bound with a wrong rate, and against a cost gap that leaves out the input.
+TEST(bench, fairness_meter_measures_cost_and_its_rate) {
+    fairness_meter meter;
+    const auto add = [&](std::int64_t a, std::int64_t b) { meter.add({{{0, true, a}, {0, true, b}, {}, {}}}, 500ms); };
+    add(1000, 0);
+    add(1100, 0);
+    EXPECT_EQ(meter.rate(), 0) << "half a second";
+    add(1100, 300);
+    EXPECT_DOUBLE_EQ(meter.rate(), 400);
+    add(1150, 300);
+    add(1150, 350);
+    EXPECT_DOUBLE_EQ(meter.rate(), 400) << "the next second is slower";
+    EXPECT_EQ(meter.gap(), 0);
+    EXPECT_EQ(meter.cost_gap(), 300) << "from 1100 ahead to 800 ahead";
+}
+
+// Guards against a mean that contains the first second or the event, and against a worst second before the event.
+TEST(bench, worst_second_is_compared_with_the_mean_before_the_event) {
+    const std::vector<second_of_service> seconds{{1, 0}, {38, 0}, {42, 0}, {30, 0}, {20, 0}, {50, 0}};
+    const auto it = worst_second(seconds, 3);
+    EXPECT_EQ(it["second"], 5);
+    EXPECT_EQ(it["complete"], 20);
+    EXPECT_EQ(it["mean_before"], 40);
+    EXPECT_EQ(it["ratio"], 0.5);
+    EXPECT_EQ(worst_second(seconds, 1)["ratio"], nullptr);
+    EXPECT_EQ(worst_second(seconds, 6), nullptr);
+}
+
+// Guards against dossiers that are as short as chats, which would not measure fairness between them.
+TEST(bench, dossiers_cost_a_multiple_of_a_chat) {
+    const auto plan = plan_arrivals(*find_scenario("dossiers"), 2s, 1);
+    std::uint32_t cheapest_dossier = std::numeric_limits<std::uint32_t>::max();
+    std::uint32_t dearest_chat = 0;
+    for (const auto& it : plan) {
+        if (!it.is_order()) {
+            cheapest_dossier = it.team < 2 ? std::min(cheapest_dossier, cost_of(it)) : cheapest_dossier;
+            dearest_chat = it.team < 2 ? dearest_chat : std::max(dearest_chat, cost_of(it));
+        }
+    }
+    EXPECT_GT(cheapest_dossier, 7 * dearest_chat);
+}
+
+// Guards against times of one call that are taken for another's, and against memory of finished calls.
+TEST(bench, engine_times_belong_to_one_call) {
+    engine_times it;
+    it.add({"a\n", 50ms});
+    it.add({"b\n", 70ms});
+    it.add({"a\n", 61ms});
+    EXPECT_EQ(it.find("a\n", 0), duration{50ms});
+    EXPECT_EQ(it.find("a\n", 1), duration{11ms});
+    EXPECT_EQ(it.find("b\n", 0), duration{70ms});
+    EXPECT_EQ(it.find("b\n", 1), std::nullopt);
+    it.remove("b\n");
+    EXPECT_EQ(it.find("b\n", 0), std::nullopt);
+}
+
 // Guards against a report that lacks a figure, against answers that are cut, lost, doubled or another caller's, and
 // against control traffic over the limit.
 TEST(bench, steady_run_reports_all_figures_and_breaks_no_answer) {
@@ -70,17 +129,27 @@
     ASSERT_TRUE(figures.ok()) << figures.status();
     for (const auto* key :
          {"requests_per_s", "complete", "refused_by_code", "cut", "lost", "doubled", "ttft_ms", "inter_token_ms",
-          "utilisation_ratio", "control_bytes_per_node_s", "fairness_gap_tokens", "late_grants_after_5s"}) {
+          "utilisation_ratio", "control_bytes_per_node_s", "fairness_gap_tokens", "late_grants_after_5s",
+          "fairness_bound_tokens", "fairness_bound_terms", "control_cpu_ratio", "utilisation_of_central_queue",
+          "requests_per_s_of_central_queue", "baselines"}) {
         EXPECT_TRUE(figures->contains(key)) << key;
     }
-    for (const auto* key : {"ttft_ms", "inter_token_ms"}) {
+    for (const auto* key : {"ttft_ms", "inter_token_ms", "ttft_added_ms", "inter_token_added_ms"}) {
         for (const auto* quantile : {"p50", "p95", "p99"}) {
             EXPECT_GT((*figures)[key][quantile], 0) << key << ' ' << quantile;
         }
     }
+    for (const auto* policy : {"round_robin", "per_router_fairness", "central_queue"}) {
+        for (const auto* key : {"fairness_gap_tokens", "utilisation_ratio", "requests_per_s", "ttft_ms"}) {
+            EXPECT_TRUE(figures->at("baselines").at(policy).contains(key)) << policy << ' ' << key;
+        }
+    }
     for (const auto* key : {"cut", "lost", "doubled", "wrong"}) {
         EXPECT_EQ((*figures)[key], 0) << *figures;
     }
+    EXPECT_GT((*figures)["control_cpu_ratio"], 0);
+    EXPECT_LT((*figures)["ttft_added_ms"]["p50"], (*figures)["ttft_ms"]["p50"]);
+    EXPECT_EQ((*figures)["ttft_added_ms"]["count"], (*figures)["ttft_ms"]["count"]);
     EXPECT_GT((*figures)["complete"], 0);
     EXPECT_GT((*figures)["control_bytes_per_node_s"], 0);
     // Limit of design section 1.4.
@@ -88,5 +157,34 @@
     EXPECT_NE(progress.str().find("second 1: "), std::string::npos) << progress.str();
 }
 
+// Guards against an endpoint in cold start that gets more than it bears, and against a run without the restart.
+TEST(bench, cold_run_restarts_an_engine_and_overruns_no_cold_start) {
+    std::ostringstream progress;
+    const auto figures = run_bench({*find_scenario("cold"), 6s, 1, 1s}, progress);
+    ASSERT_TRUE(figures.ok()) << figures.status();
+    EXPECT_EQ((*figures)["cold_violations"], 0) << *figures;
+    EXPECT_EQ((*figures)["doubled"], 0);
+    EXPECT_NE(progress.str().find("restarted cold"), std::string::npos) << progress.str();
+    EXPECT_TRUE((*figures)["worst_second"].is_object());
+}
+
+// Guards against refusals of orders that may have run while the store is down, and against chats that need the store.
+TEST(bench, store_outage_run_serves_chats_and_refuses_orders_as_not_run) {
+    std::ostringstream progress;
+    const auto figures = run_bench({*find_scenario("store-outage"), 6s, 1, 1s}, progress);
+    ASSERT_TRUE(figures.ok()) << figures.status();
+    const auto& orders = (*figures)["orders_by_outcome"];
+    EXPECT_GT(orders.value("refused_not_run", 0), 0) << *figures;
+    EXPECT_FALSE(orders.contains("refused_unknown")) << *figures;
+    std::uint64_t refused = 0;
+    for (const auto& [code, n] : (*figures)["refused_by_code"].items()) {
+        refused += n.get<std::uint64_t>();
+    }
+    EXPECT_EQ(refused, orders["refused_not_run"]) << "a chat was refused: " << *figures;
+    for (const auto* key : {"doubled", "cut", "lost", "wrong"}) {
+        EXPECT_EQ((*figures)[key], 0) << key << *figures;
+    }
+}
+
 } // namespace
 } // namespace dandelionbay::bench
