Test links between processes that are cut for a moment

Cause: the relay could cut connections and no process test did it. Ruled out: a test of its own; five fleets in sequence take 55 s of the 60 s. Change: the agent test first cuts all links of the agents for 50 ms under load. Every answer that streams over them and every order is whole at its first attempt. Conclusion: answers resume after a broken link between real processes.

--- a/test/dandelionbay/process/agent_faults_test.cpp
+++ b/test/dandelionbay/process/agent_faults_test.cpp
@@ -1,10 +1,12 @@
 #include <csignal>
+#include <thread>
 
 #include "dandelionbay/process/caller_load.hpp"
 
 namespace dandelionbay::testing {
 namespace {
 
+using namespace std::chrono_literals;
 using process_agent = process_fleet;
 
 constexpr const char* routers[] = {"router-1", "router-2"};
@@ -25,12 +27,28 @@
 }
 
 // Guards against agent processes of an engine and of the order service that are killed, or frozen and continued: orders
-// run twice or are called "not run" though they ran, a broken stream looks complete, or the other engines idle.
+// run twice or are called "not run" though they ran, a broken stream looks complete, or the other engines idle. Also
+// against calls that are lost because a link breaks for a moment.
 TEST_F(process_agent, killed_and_frozen_agents_repeat_no_order_and_cut_no_answer_unseen) {
     caller_load load{*this};
     for (const auto* router : routers) {
         ASSERT_TRUE(load.wait_for_more(router, 2)) << router;
     }
+    {
+        SCOPED_TRACE("links cut while answers stream over them, which resume");
+        for (const auto mode : {relay_mode::cut, relay_mode::pass}) {
+            for (const auto* it : {"agent-1", "agent-2", "agent-3", "agent-orders"}) {
+                relay(it).set(mode);
+            }
+            std::this_thread::sleep_for(50ms); // Longer than the 10 ms after which a relay follows its mode.
+        }
+        expect_all_serve(*this, load);
+        for (const auto* router : routers) {
+            const auto seen = load.seen(router);
+            EXPECT_EQ(seen.whole_chats(), seen.chats.size()) << router;
+            EXPECT_EQ(seen.first_confirmed(), seen.orders.size()) << router;
+        }
+    }
     {
         SCOPED_TRACE("killed and started again");
         for (const auto* it : struck) {
--- a/test/dandelionbay/process/caller_load.cpp
+++ b/test/dandelionbay/process/caller_load.cpp
@@ -95,6 +95,11 @@
         std::ranges::count_if(orders, [](const auto& it) { return it.second.back().whole; }));
 }
 
+std::size_t load_record::first_confirmed() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(orders, [](const auto& it) { return it.second.front().whole; }));
+}
+
 void caller_load::chat(const std::string& router, bool stream) {
     while (!stopped_) {
         const auto answer = send_chat(fleet_, router, concat("prompt ", std::to_string(next_++)), stream);
--- a/test/dandelionbay/process/caller_load.hpp
+++ b/test/dandelionbay/process/caller_load.hpp
@@ -42,6 +42,9 @@
 
     /*! @brief Number of orders that got their confirmation. */
     [[nodiscard]] std::size_t confirmed_orders() const;
+
+    /*! @brief Number of orders that got their confirmation at the first attempt. */
+    [[nodiscard]] std::size_t first_confirmed() const;
 };
 
 /**
