Let the teams ahead take turns during a repayment

Cause: while a service deficit is repaid after a partition, the teams ahead keep half of their share, but by the lowest counter: repayment::choose took the least of them, and agents the router of the least of them. With three levels of counters the team furthest ahead got nothing until the others had caught up with it. Ruled out: the rate estimate after a rejoin (repaired before) and the share itself (right in sum).

Change: at a router the teams ahead take turns by weight; between routers an agent takes the one that was served the longest time ago.

--- a/src/dandelionbay/agent/agent_grants.cpp
+++ b/src/dandelionbay/agent/agent_grants.cpp
@@ -160,8 +160,9 @@
                              .other_zone = link.other_zone,
                              .last_grant = link.last_grant,
                              .ahead = true};
+            // Routers with teams ahead take turns: by the counter, the team that is furthest ahead would wait for all.
             const auto order = [](const candidate& n) {
-                return std::tie(n.remote, n.counter, n.other_zone, n.last_grant, n.router);
+                return std::tie(n.remote, n.last_grant, n.counter, n.other_zone, n.router);
             };
             if (it.waiting() > grants_.held(key.first, key.second, team) &&
                 unmet(key.first, key.second, work, suspects_allowed) > 0 &&
--- a/src/dandelionbay/fair/repayment.cpp
+++ b/src/dandelionbay/fair/repayment.cpp
@@ -1,24 +1,44 @@
 #include "dandelionbay/fair/repayment.hpp"
 
+#include <algorithm>
+#include <vector>
+
 namespace dandelionbay {
 
+std::pair<double, team_id> repayment::next_ahead(const team_queues& queues,
+                                                 std::span<const team_queues::group_type> groups, double bound) {
+    auto teams = queues.first(groups, queues.backlogged());
+    std::erase_if(teams, [bound](const auto& it) { return it.first <= bound; });
+    // A team that was not ahead before starts level with the others, so that it gets no turns for the time without it.
+    const auto turn = [this](const auto& it) {
+        const auto known = turns_.find(it.second);
+        return known != turns_.end() ? known->second : latest_turn_;
+    };
+    const auto next = std::ranges::min_element(teams, {}, turn);
+    const auto weight = weights_.find(next->second);
+    latest_turn_ = turn(*next);
+    turns_[next->second] = latest_turn_ + 1.0 / (weight != weights_.end() ? weight->second : 1.0);
+    return *next;
+}
+
 std::optional<std::pair<double, team_id>>
 repayment::choose(const team_queues& queues, std::span<const team_queues::group_type> groups, double gap) {
     auto lowest = queues.lowest(groups);
     if (!lowest) {
         return lowest;
     }
-    auto ahead = queues.lowest_above(groups, lowest->first + gap);
-    if (!ahead) {
+    const double bound = lowest->first + gap;
+    if (!queues.lowest_above(groups, bound)) {
         credit_ = 0.0;
+        turns_.clear();
         return lowest;
     }
     credit_ += share_ahead_ / 2.0;
-    if (credit_ >= 1.0) {
-        credit_ -= 1.0;
-        return ahead;
+    if (credit_ < 1.0) {
+        return lowest;
     }
-    return lowest;
+    credit_ -= 1.0;
+    return next_ahead(queues, groups, bound);
 }
 
 } // namespace dandelionbay
--- a/src/dandelionbay/fair/repayment.hpp
+++ b/src/dandelionbay/fair/repayment.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <optional>
 #include <span>
 #include <utility>
@@ -14,10 +15,16 @@
  * @brief Chooses the next team and limits the repayment of a service deficit.
  *
  * Without deficit the lowest counter is served. When backlogged counters lie further apart than the fairness bound, as
- * after a partition, the teams ahead keep half of their share of the slots, so at most half of all slots repay.
+ * after a partition, the teams ahead keep half of their share of the slots, so at most half of all slots repay. They
+ * take turns by weight: by the lowest counter, the team that is furthest ahead would wait for all others ahead.
  */
 class repayment {
+    [[nodiscard]] std::pair<double, team_id> next_ahead(const team_queues& queues,
+                                                        std::span<const team_queues::group_type> groups, double bound);
+
 public:
+    using weight_map = std::map<team_id, double>;
+
     /**
      * @brief Chooses a team.
      * @param queues Waiting requests of the pool.
@@ -31,12 +38,19 @@
     /**
      * @brief Sets the share of the teams that are ahead by more than the gap.
      * @param share Their weight over the weight of all backlogged teams, from 0 to 1.
+     * @param weights Weight of each of them, over 0; a team without one has 1.
      */
-    void set_share_ahead(double share) noexcept { share_ahead_ = share; }
+    void set_share_ahead(double share, weight_map weights = {}) noexcept {
+        share_ahead_ = share;
+        weights_ = std::move(weights);
+    }
 
 private:
     double share_ahead_{0.5};
     double credit_{};
+    weight_map weights_{};
+    std::map<team_id, double> turns_{}; //!< Turns of each team ahead over its weight.
+    double latest_turn_{};              //!< Turns of the team that was chosen last, before its choice.
 };
 
 } // namespace dandelionbay
--- a/src/dandelionbay/router/internal/state_event.cpp
+++ b/src/dandelionbay/router/internal/state_event.cpp
@@ -220,13 +220,17 @@
 
         double all = 0.0;
         double ahead = 0.0;
+        repayment::weight_map weights;
         const auto teams = pool.queues.first_of_all(pool.queues.backlogged());
         for (const auto& [counter, team] : teams) {
             const double weight = weight_of(team);
             all += weight;
-            ahead += counter > teams.front().first + pool.gap(exchange_delay) ? weight : 0.0;
+            if (counter > teams.front().first + pool.gap(exchange_delay)) {
+                ahead += weight;
+                weights.emplace(team, weight);
+            }
         }
-        pool.turn.set_share_ahead(all > 0.0 ? ahead / all : 0.0);
+        pool.turn.set_share_ahead(all > 0.0 ? ahead / all : 0.0, std::move(weights));
         to_serve_.insert(id);
     }
     check_invariants();
--- a/test/dandelionbay/fair/team_queues_test.cpp
+++ b/test/dandelionbay/fair/team_queues_test.cpp
@@ -1,8 +1,10 @@
 #include "dandelionbay/fair/team_queues.hpp"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <limits>
+#include <map>
 
 #include <gtest/gtest.h>
 
@@ -112,6 +114,43 @@
     }
 }
 
+// Guards against a team that is furthest ahead and gets nothing until the other teams ahead have caught up with it.
+TEST(repayment, teams_ahead_take_turns_by_weight) {
+    team_queues queues;
+    repayment rule;
+    const std::array counters{0.0, 1'000.0, 5'000.0, 9'000.0};
+    for (std::size_t n = 0; n < counters.size(); ++n) {
+        queues.set_team(team(n), 0, counters.at(n));
+        std::ignore = queues.push(team(n), id(n), {});
+    }
+    rule.set_share_ahead(0.75, {{team(1), 1.0}, {team(2), 1.0}, {team(3), 2.0}});
+    std::map<team_id, int> turns;
+    int longest = 0;
+    int without = 0;
+    for (int n = 0; n < 800; ++n) {
+        const auto chosen = rule.choose(queues, both, 100.0)->second;
+        ++turns[chosen];
+        without = chosen == team(3) ? 0 : without + 1;
+        longest = std::max(longest, without);
+    }
+    EXPECT_EQ(turns[team(0)], 500);
+    EXPECT_NEAR(turns[team(1)], 75, 1);
+    EXPECT_NEAR(turns[team(2)], 75, 1);
+    EXPECT_NEAR(turns[team(3)], 150, 1);
+    EXPECT_LT(longest, 10) << "half of the slots that its weight gives, one in 5 1/3, and one turn of the others";
+    {
+        SCOPED_TRACE("a team that comes to be ahead starts level with the others");
+        queues.set_team(team(4), 0, 7'000.0);
+        std::ignore = queues.push(team(4), id(9), {});
+        turns.clear();
+        for (int n = 0; n < 80; ++n) {
+            ++turns[rule.choose(queues, both, 100.0)->second];
+        }
+        EXPECT_LE(turns[team(4)], 8);
+        EXPECT_GE(turns[team(4)], 4);
+    }
+}
+
 // Guards against estimates beyond the caller's limit, reservations that stay behind, and counters that fall.
 TEST(cost_model, a_request_reserves_streams_and_settles) {
     const team_key key{pool_id{"p"}, team(0)};
--- a/test/dandelionbay/router/router_fairness_test.cpp
+++ b/test/dandelionbay/router/router_fairness_test.cpp
@@ -1,5 +1,7 @@
 #include <cmath>
 
+#include <array>
+
 #include <gtest/gtest.h>
 
 #include "dandelionbay/router/fake_fleet.hpp"
@@ -292,6 +294,53 @@
     RecordProperty("gap_after", std::to_string(after.gap()));
 }
 
+// Guards against repayment that serves the least of the teams ahead only, so that the team which is furthest ahead gets
+// nothing until the others have caught up with it.
+TEST(router_fairness, the_team_furthest_ahead_is_served_during_the_repayment) {
+    const std::array<std::size_t, 6> part_of_agent{0, 0, 0, 1, 1, 2};
+    auto config = make_config(3, part_of_agent.size());
+    for (auto& it : config->endpoints) {
+        it.slots = 4;
+    }
+    for (const bool everywhere : {false, true}) {
+        SCOPED_TRACE(everywhere ? "all teams wait at all routers" : "each team waits at its own router");
+        fake_fleet fleet{config, 3, part_of_agent.size()};
+        fleet.use_agent_cores();
+        for (std::size_t n = 0; n < 3; ++n) {
+            fleet.wanted[n][team(n)] = 30;
+        }
+        fleet.run(seconds{20});
+        const auto part = [&](const host_id& it) {
+            const auto n = static_cast<std::size_t>(it.value.back() - '0');
+            return it.value.starts_with("agent") ? part_of_agent.at(n) : n;
+        };
+        fleet.split([part](const host_id& a, const host_id& b) { return part(a) != part(b); });
+        fleet.run(seconds{60});
+        fleet.join();
+        for (std::size_t n = 0; everywhere && n < 3; ++n) {
+            for (std::size_t other = 0; other < 3; ++other) {
+                fleet.wanted[n][team(other)] = 30;
+            }
+        }
+        service_pause pause{fleet, team(0)};
+        const measurement joined{fleet, {team(0), team(1), team(2)}};
+        pause.run(seconds{40});
+        // The deficits still exceed the routers' estimate: five exchanges and the longest request.
+        const auto limited_wait = pause.longest();
+        EXPECT_LE(limited_wait, milliseconds{1'450});
+        pause.run(seconds{30});
+        // A deficit within the bound is repaid by the lowest counter alone, to two teams here; the age of the rows and
+        // the longest request come to it.
+        const double limit = 2 * joined.bound(router_exchange) / joined.rate() + 0.21 + 0.4;
+        const auto wait = std::chrono::duration<double>{pause.longest()}.count();
+        EXPECT_LE(wait, limit);
+        RecordProperty(everywhere ? "limited_everywhere_ms" : "limited_apart_ms",
+                       std::to_string(std::chrono::duration_cast<milliseconds>(limited_wait).count()));
+        RecordProperty(everywhere ? "wait_everywhere_s" : "wait_apart_s", std::to_string(wait));
+        EXPECT_EQ(fleet.metrics.total("invariant_violations_total"), 0) << fleet.metrics.render();
+    }
+}
+
 // Guards against an exchange that sends all rows to the first peer while the byte pace allows one message at a time.
 TEST(router_fairness, every_peer_gets_rows_when_the_pace_runs_out) {
     one_router it{make_config(100, 1)};
