Say which teams and when the largest fairness gap arose

Cause: the report of a bench run gave the largest gap in cost units without the teams and the time, so its cause could not be told from the report.

Ruled out: a trace of every sample in the report, 500 lines in a run of 10 s.

Change: the meter keeps the pair of teams and the two moments of the largest gap, and the report has them as fairness_gap_between.

--- a/src/dandelionbay/bench/fairness_meter.cpp
+++ b/src/dandelionbay/bench/fairness_meter.cpp
@@ -21,25 +21,43 @@
     window_cost_ = cost;
 }
 
+void fairness_meter::extend(std::size_t a, std::size_t b, const sample& now) {
+    auto& pair = pairs_.at(a).at(b);
+    const auto difference = now.at(a).tokens - now.at(b).tokens;
+    const auto cost = now.at(a).cost - now.at(b).cost;
+    if (!pair.open) {
+        pair = {true, difference, difference, cost, cost, elapsed_, elapsed_};
+    }
+    pair.lowest = std::min(pair.lowest, difference);
+    pair.highest = std::max(pair.highest, difference);
+    if (cost < pair.lowest_cost) {
+        pair.lowest_cost = cost;
+        pair.lowest_cost_at = elapsed_;
+    }
+    if (cost > pair.highest_cost) {
+        pair.highest_cost = cost;
+        pair.highest_cost_at = elapsed_;
+    }
+    gap_ = std::max(gap_, pair.highest - pair.lowest);
+    if (pair.highest_cost - pair.lowest_cost > cost_gap_) {
+        cost_gap_ = pair.highest_cost - pair.lowest_cost;
+        widest_ = pair.lowest_cost_at <= pair.highest_cost_at
+                      ? widest_gap{a, b, pair.lowest_cost_at, pair.highest_cost_at}
+                      : widest_gap{b, a, pair.highest_cost_at, pair.lowest_cost_at};
+    }
+}
+
 void fairness_meter::add(const sample& now, duration step) {
+    elapsed_ += step;
     bool contended = false;
     for (std::size_t a = 0; a < team_count; ++a) {
         for (std::size_t b = a + 1; b < team_count; ++b) {
-            auto& pair = pairs_.at(a).at(b);
-            if (!now.at(a).backlogged || !now.at(b).backlogged) {
-                pair.open = false;
-                continue;
-            }
-            contended = true;
-            const auto difference = now.at(a).tokens - now.at(b).tokens;
-            const auto cost = now.at(a).cost - now.at(b).cost;
-            if (!pair.open) {
-                pair = {true, difference, difference, cost, cost};
+            if (now.at(a).backlogged && now.at(b).backlogged) {
+                contended = true;
+                extend(a, b, now);
+            } else {
+                pairs_.at(a).at(b).open = false;
             }
-            pair = {true, std::min(pair.lowest, difference), std::max(pair.highest, difference),
-                    std::min(pair.lowest_cost, cost), std::max(pair.highest_cost, cost)};
-            gap_ = std::max(gap_, pair.highest - pair.lowest);
-            cost_gap_ = std::max(cost_gap_, pair.highest_cost - pair.lowest_cost);
         }
     }
     add_to_rate(now, step);
--- a/src/dandelionbay/bench/run.cpp
+++ b/src/dandelionbay/bench/run.cpp
@@ -93,6 +93,17 @@
             {"L_cost_units", largest}, {"E_cost_units", largest}, {"R_cost_units_per_s", rate}, {"D_s", delay}};
     }
 
+    void add_widest_gap(json& out) const {
+        out["fairness_gap_between"] = nullptr;
+        if (const auto it = fairness_.widest()) {
+            const auto seconds = [](duration n) { return std::chrono::duration<double>{n}.count(); };
+            out["fairness_gap_between"] = {{"ahead_team", it->first},
+                                           {"behind_team", it->second},
+                                           {"from_s", seconds(it->from)},
+                                           {"until_s", seconds(it->until)}};
+        }
+    }
+
     void add_baselines(json& out, const std::vector<arrival>& plan, const fleet_disturbance& during) const {
         queue_model_options model;
         model.engines = fleet_.engines().size();
@@ -189,6 +200,7 @@
         out["control_bytes_per_agent_s"] = agent_sent / agents / seconds;
         out["fairness_gap_tokens"] = fairness_.gap();
         out["fairness_gap_cost_units"] = fairness_.cost_gap();
+        add_widest_gap(out);
         add_bound(out, plan);
         out["control_cpu_ratio"] = control_cpu.count() / (routers + agents) / seconds;
         out["contended_s"] = std::chrono::duration<double>{fairness_.contended()}.count();
--- a/test/dandelionbay/bench/bench_test.cpp
+++ b/test/dandelionbay/bench/bench_test.cpp
@@ -79,6 +79,7 @@
     EXPECT_DOUBLE_EQ(meter.rate(), 400) << "the next second is slower";
     EXPECT_EQ(meter.gap(), 0);
     EXPECT_EQ(meter.cost_gap(), 300) << "from 1100 ahead to 800 ahead";
+    EXPECT_EQ(meter.widest(), (widest_gap{1, 0, 1000ms, 1500ms}));
 }
 
 // Guards against a mean that contains the first second or the event, and against a worst second before the event.
