Keep the highest announced revision up to date

Cause: config_adopter::highest_announced walked all peers, up to four times at each tick (tick, next_query, behind, knows_higher) and again at each accepted request.

Ruled out: an ordered multiset of revisions beside the map. It saves the walk when a peer is lost, which is rare, and costs an allocation for each peer.

Change: the largest value is a member. It rises with each announcement and is recomputed only when a peer is lost. next_query needs a peer that has exactly this revision, so it has to fall with the last one that has it.

Conclusion: the cost of a tick no longer grows with the number of peers in this class.

--- a/src/dandelionbay/config/config_adopter.cpp
+++ b/src/dandelionbay/config/config_adopter.cpp
@@ -1,17 +1,10 @@
 #include "dandelionbay/config/config_adopter.hpp"
 
 #include <algorithm>
+#include <ranges>
 
 namespace dandelionbay {
 
-std::uint64_t config_adopter::highest_announced() const {
-    std::uint64_t highest = 0;
-    for (const auto& [peer, revision] : announced_) {
-        highest = std::max(highest, revision);
-    }
-    return highest;
-}
-
 config_adopter::result config_adopter::adopt(document it) {
     decided_ = true;
     current_ = std::move(it);
@@ -79,10 +72,14 @@
 void config_adopter::announced(const host_id& peer, std::uint64_t revision) {
     auto& known = announced_[peer];
     known = std::max(known, revision);
+    highest_announced_ = std::max(highest_announced_, known);
 }
 
 void config_adopter::peer_lost(const host_id& peer) {
-    announced_.erase(peer);
+    if (announced_.erase(peer) > 0) {
+        const auto all = std::views::values(announced_);
+        highest_announced_ = all.empty() ? 0 : *std::ranges::max_element(all);
+    }
     asked_.erase(peer);
     if (open_.has_value() && open_->peer == peer) {
         open_.reset();
@@ -94,7 +91,7 @@
         open_.reset();
     }
     const auto have = std::max({current_.revision, candidate_.revision, unusable_});
-    const auto wanted = highest_announced();
+    const auto wanted = highest_announced_;
     // A running query is replaced only if a still higher revision is announced.
     if (wanted <= have || (open_.has_value() && open_->revision >= wanted)) {
         return std::nullopt;
@@ -121,7 +118,7 @@
 }
 
 config_adopter::result config_adopter::tick(time_point now) {
-    if (highest_announced() <= current_.revision) {
+    if (highest_announced_ <= current_.revision) {
         behind_since_.reset();
     } else {
         behind_since_ = behind_since_.value_or(now);
@@ -134,7 +131,7 @@
         return nullptr;
     }
     // A higher revision is known to exist; it is fetched first, because this host may have had it before.
-    if (std::max(candidate_.revision, unusable_) < highest_announced() && waited < start_limit) {
+    if (std::max(candidate_.revision, unusable_) < highest_announced_ && waited < start_limit) {
         return nullptr;
     }
     return adopt(std::move(candidate_));
--- a/src/dandelionbay/config/config_adopter.hpp
+++ b/src/dandelionbay/config/config_adopter.hpp
@@ -40,7 +40,6 @@
 
     [[nodiscard]] result consider(std::uint64_t revision, const std::string& text);
     [[nodiscard]] result adopt(document it);
-    [[nodiscard]] std::uint64_t highest_announced() const;
 
 public:
     /*! @brief After the store failed at the start, peers may announce their revisions for this long. */
@@ -100,7 +99,7 @@
     [[nodiscard]] bool behind(time_point now) const;
 
     /*! @brief Tells whether a reachable peer announced a higher revision than the one in force. */
-    [[nodiscard]] bool knows_higher() const { return highest_announced() > current_.revision; }
+    [[nodiscard]] bool knows_higher() const noexcept { return highest_announced_ > current_.revision; }
 
     /*! @brief Answers a peer's query. @param it The query. @return The document, if it is higher than the peer's. */
     [[nodiscard]] std::optional<config_document> answer(const config_query& it) const;
@@ -125,6 +124,7 @@
 
     std::uint64_t unusable_{}; //!< Highest revision whose document could not be parsed.
     std::map<host_id, std::uint64_t> announced_{};
+    std::uint64_t highest_announced_{}; //!< Largest value of announced_, or zero.
     std::map<host_id, time_point> asked_{};
     std::optional<query> open_{};
 };
--- a/test/dandelionbay/config/config_adopter_test.cpp
+++ b/test/dandelionbay/config/config_adopter_test.cpp
@@ -79,6 +79,23 @@
     }
 }
 
+// Guards against a largest announced revision that outlives its peers, which keeps a node behind, or that is lost with
+// one of several peers, which lets it go on with an old configuration.
+TEST_F(adoption, the_highest_announced_revision_follows_the_peers) {
+    ASSERT_NE(adopter.from_store(1, text(), now), nullptr);
+    adopter.announced(old_peer, 3);
+    adopter.announced(new_peer, 3);
+    adopter.announced(new_peer, 2);
+    adopter.peer_lost(old_peer);
+    EXPECT_TRUE(adopter.knows_higher()) << "a peer's revision does not fall";
+    adopter.announced(old_peer, 2);
+    adopter.peer_lost(new_peer);
+    EXPECT_EQ(adopter.next_query(now)->second.above_revision, 1) << "revision 2 is still announced";
+    adopter.peer_lost(old_peer);
+    EXPECT_FALSE(adopter.knows_higher());
+    EXPECT_EQ(adopter.next_query(now), std::nullopt);
+}
+
 // Guards against a restarted node that takes an older configuration than it had before, from the first peer it meets.
 TEST_F(adoption, a_node_that_starts_takes_the_store_or_the_highest_revision_of_its_peers) {
     {
