Turn changes of freshness into a call in node_driver

Cause: router_driver and agent_driver each remembered whether new work may be admitted, and called set_fresh of their core when it changed.

Ruled out: calling set_fresh at each tick without comparing; the cores would have to compare then, each for itself.

Change: node_driver::update_freshness compares and calls the new on_fresh, at each tick and, for a router, before a request is accepted. on_tick has no parameter for it any more. The core hears of a change before the heartbeat of the same tick is announced instead of after it; the heartbeat does not depend on the core.

Conclusion: one place decides when a core hears of freshness.

--- a/src/dandelionbay/node/agent_driver.cpp
+++ b/src/dandelionbay/node/agent_driver.cpp
@@ -107,10 +107,11 @@
     perform(core_.receive(from, body, now));
 }
 
-void agent_driver::on_tick(bool fresh, time_point now) {
-    if (fresh != std::exchange(fresh_, fresh)) {
-        perform(core_.set_fresh(fresh, now));
-    }
+void agent_driver::on_fresh(bool fresh, time_point now) {
+    perform(core_.set_fresh(fresh, now));
+}
+
+void agent_driver::on_tick(time_point now) {
     perform(core_.tick(now));
     metrics().set("endpoint_limit", core_.limit());
     metrics().set("endpoint_running", core_.running());
--- a/src/dandelionbay/node/agent_driver.hpp
+++ b/src/dandelionbay/node/agent_driver.hpp
@@ -25,7 +25,8 @@
     void on_link_up(const hello& peer, time_point now) override;
     void on_link_down(const host_id& peer, time_point now) override;
     void on_message(const host_id& from, const message& body, time_point now) override;
-    void on_tick(bool fresh, time_point now) override;
+    void on_fresh(bool fresh, time_point now) override;
+    void on_tick(time_point now) override;
     void on_begin_stop(time_point now) override;
 
 public:
@@ -49,7 +50,6 @@
     agent_core core_;
     repeater endpoint_poller_;
     std::atomic<std::uint32_t> checks_ordered_{0};
-    bool fresh_{false};
     std::atomic<bool> idle_{true};
 };
 
--- a/src/dandelionbay/node/node_driver.cpp
+++ b/src/dandelionbay/node/node_driver.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <thread>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -164,16 +165,23 @@
     snapshot_ = std::move(next);
 }
 
+void node_driver::update_freshness(time_point now) {
+    const bool fresh = fleet_.fresh(now);
+    if (fresh != std::exchange(fresh_, fresh)) {
+        on_fresh(fresh, now);
+    }
+}
+
 void node_driver::tick() {
     const auto now = clock_->now();
     apply(fleet_.tick(now), now);
-    const bool fresh = fleet_.fresh(now);
+    update_freshness(now);
     if (now >= next_publish_) {
         next_publish_ = now + publish_interval;
         publish(now);
         links_->announce(fleet_.make_heartbeat(stopping_, now));
     }
-    on_tick(fresh, now);
+    on_tick(now);
 }
 
 bool node_driver::may_be_alive(const host_id& host, incarnation_type life) const {
--- a/src/dandelionbay/node/node_driver.hpp
+++ b/src/dandelionbay/node/node_driver.hpp
@@ -53,8 +53,11 @@
     /*! @brief A message for the core arrived. */
     virtual void on_message(const host_id& from, const message& body, time_point now) = 0;
 
-    /*! @brief Time passed. @param fresh Whether new work may be admitted. */
-    virtual void on_tick(bool fresh, time_point now) = 0;
+    /*! @brief Whether new work may be admitted has changed; false until the first call. @param fresh The new value. */
+    virtual void on_fresh(bool fresh, time_point now) = 0;
+
+    /*! @brief Time passed; called after on_fresh(). */
+    virtual void on_tick(time_point now) = 0;
 
     /*! @brief Begins the core's graceful stop. */
     virtual void on_begin_stop(time_point now) = 0;
@@ -66,8 +69,8 @@
     [[nodiscard]] const clock& time() const noexcept { return *clock_; }
     [[nodiscard]] counters& metrics() noexcept { return *counters_; }
     [[nodiscard]] const fleet_state& fleet() const noexcept { return fleet_; }
-    /*! @brief Tells whether new work may be admitted. @param now Current time. */
-    [[nodiscard]] bool fresh(time_point now) { return fleet_.fresh(now); }
+    /*! @brief Judges whether new work may be admitted; calls on_fresh() on a change. @param now Current time. */
+    void update_freshness(time_point now);
     [[nodiscard]] const node_options& options() const noexcept { return options_; }
 
 public:
@@ -144,6 +147,7 @@
     table_store* store_;
     host_list* hosts_;
     fleet_state fleet_;
+    bool fresh_{false}; //!< What on_fresh() was told last.
     std::atomic<bool> stopping_{false};
     std::atomic<std::uint64_t> revision_{0}; //!< In force; read by the thread that polls.
     time_point next_publish_{};
--- a/src/dandelionbay/node/router_driver.cpp
+++ b/src/dandelionbay/node/router_driver.cpp
@@ -62,12 +62,6 @@
     idle_ = core_.idle();
 }
 
-void router_driver::update_freshness(bool fresh, time_point now) {
-    if (fresh != std::exchange(fresh_, fresh)) {
-        perform(core_.set_fresh(fresh, now), now);
-    }
-}
-
 void router_driver::accept(ticket_type ticket, const std::shared_ptr<answer_queue>& queue, accepted_request request) {
     const auto now = time().now();
     const auto& config = fleet().config();
@@ -77,7 +71,7 @@
         return;
     }
     // Between the first configuration and the next tick the core does not know yet that it is fresh.
-    update_freshness(fresh(now), now);
+    update_freshness(now);
     request_id id;
     auto actions = core_.accept(std::move(request), now, id);
     answers_.emplace(id, open_answer{ticket, queue});
@@ -130,8 +124,11 @@
     perform(core_.receive(from, body, now), now);
 }
 
-void router_driver::on_tick(bool fresh, time_point now) {
-    update_freshness(fresh, now);
+void router_driver::on_fresh(bool fresh, time_point now) {
+    perform(core_.set_fresh(fresh, now), now);
+}
+
+void router_driver::on_tick(time_point now) {
     refresh_exchange(now);
     perform(core_.tick(now), now);
     metrics().set("requests_open", static_cast<std::int64_t>(answers_.size()));
--- a/src/dandelionbay/node/router_driver.hpp
+++ b/src/dandelionbay/node/router_driver.hpp
@@ -22,7 +22,6 @@
     void accept(ticket_type ticket, const std::shared_ptr<answer_queue>& queue, accepted_request request);
     void cancel(ticket_type ticket);
     void refresh_exchange(time_point now);
-    void update_freshness(bool fresh, time_point now);
 
 protected:
     void on_config(const std::shared_ptr<const fleet_config>& config, time_point now) override;
@@ -30,7 +29,8 @@
     void on_link_up(const hello& peer, time_point now) override;
     void on_link_down(const host_id& peer, time_point now) override;
     void on_message(const host_id& from, const message& body, time_point now) override;
-    void on_tick(bool fresh, time_point now) override;
+    void on_fresh(bool fresh, time_point now) override;
+    void on_tick(time_point now) override;
     void on_begin_stop(time_point now) override;
 
 public:
@@ -67,7 +67,6 @@
     std::map<ticket_type, request_id> tickets_;
     std::vector<host_id> exchange_peers_;
     time_point next_exchange_{};
-    bool fresh_{false};
     std::atomic<bool> idle_{true};
 };
 
