Find the highest announced revision without std::views

Ruled out: a suppression; the algorithm with a projection does the same.

Change: std::ranges::max_element over the map.

Conclusion: the same behaviour, and the lint runs.

--- a/src/dandelionbay/config/config_adopter.cpp
+++ b/src/dandelionbay/config/config_adopter.cpp
@@ -1,7 +1,6 @@
 #include "dandelionbay/config/config_adopter.hpp"
 
 #include <algorithm>
-#include <ranges>
 
 namespace dandelionbay {
 
@@ -77,8 +76,8 @@
 
 void config_adopter::peer_lost(const host_id& peer) {
     if (announced_.erase(peer) > 0) {
-        const auto all = std::views::values(announced_);
-        highest_announced_ = all.empty() ? 0 : *std::ranges::max_element(all);
+        const auto highest = std::ranges::max_element(announced_, {}, [](const auto& it) { return it.second; });
+        highest_announced_ = highest != announced_.end() ? highest->second : 0;
     }
     asked_.erase(peer);
     if (open_.has_value() && open_->peer == peer) {
