Count evidence from a time not later than the sending

Cause: a link that stalls for up to 3 s delays heartbeats. Their evidence age counted from the arrival, so an old configuration could be trusted up to 3 s too long, more than the 1 s between the end of evidence (4 s) and the promise (5 s). The majority counted from arrivals too, and the age did not grow between the driver's announcement and the sending.

Ruled out: counting from the echoed heartbeat alone, which ages evidence by up to one heartbeat interval a hop; the smallest clock difference seen on a link, which is not a bound; a shorter limit for silent links, which leaves shorter stalls and breaks more links.

Change: a heartbeat carries its number on the link, the last number received and the time since that arrived. heartbeat_echo turns these into a time not later than the sending. Evidence and majority_heard count from it; liveness and hears_majority count from the arrival as before. Numbers are modulo 64 and read against the last echo, so no delay makes a heartbeat younger. A link sends a heartbeat when it is ready and answers the peer's first one, so that evidence counts soon. Busy links send one each 1.5 s instead of 2 s, because majority evidence takes two heartbeats to reach an agent. Protocol version 3.

Changes of existing tests: the calls have the new parameters. codec uses ages that are multiples of 32 ms, because the wire rounds them; its size limit of 9 bytes is unchanged. control_bytes uses a heartbeat with numbers; its limits are unchanged. hosts.beat also confirms a time, and one check was added.

--- a/bench/wire_bench.cpp
+++ b/bench/wire_bench.cpp
@@ -111,10 +111,10 @@
     decode(state, make_chunk(state.range(0)));
 }
 void heartbeat_encode(benchmark::State& state) {
-    encode(state, heartbeat{id.incarnation, 410, 2'000, false});
+    encode(state, heartbeat{id.incarnation, 410, 2'000, false, 5, 6, 500});
 }
 void heartbeat_decode(benchmark::State& state) {
-    decode(state, heartbeat{id.incarnation, 410, 2'000, false});
+    decode(state, heartbeat{id.incarnation, 410, 2'000, false, 5, 6, 500});
 }
 
 BENCHMARK(demand_encode)->Arg(1)->Arg(2)->Arg(4)->Arg(8);
--- a/src/dandelionbay/config/freshness.cpp
+++ b/src/dandelionbay/config/freshness.cpp
@@ -14,11 +14,11 @@
     renew(started);
 }
 
-void freshness::peer_evidence(std::uint32_t age_ms, time_point received) {
+void freshness::peer_evidence(std::uint32_t age_ms, time_point sent) {
     // Ages over the limit are of no use; dropping them also keeps the subtraction in range.
     const auto age = std::chrono::milliseconds{age_ms};
     if (age_ms != no_evidence && age < limit) {
-        renew(received - age);
+        renew(sent - age);
     }
 }
 
--- a/src/dandelionbay/config/freshness.hpp
+++ b/src/dandelionbay/config/freshness.hpp
@@ -40,9 +40,9 @@
     /**
      * @brief A peer told the age of its evidence, and its revision is not higher than the own one.
      * @param age_ms Age in ms, or no_evidence.
-     * @param received When the message arrived.
+     * @param sent A time not later than the sending, so that a message that was held up counts with its delay.
      */
-    void peer_evidence(std::uint32_t age_ms, time_point received);
+    void peer_evidence(std::uint32_t age_ms, time_point sent);
 
     /*! @brief A majority of the hosts is heard. @param since Result of membership::majority_heard(). */
     void majority_heard(std::optional<time_point> since);
--- a/src/dandelionbay/member/fwd.hpp
+++ b/src/dandelionbay/member/fwd.hpp
@@ -6,5 +6,6 @@
 struct member;
 class membership;
 class exchange_tree;
+class heartbeat_echo;
 
 } // namespace dandelionbay
--- a/src/dandelionbay/member/membership.cpp
+++ b/src/dandelionbay/member/membership.cpp
@@ -119,6 +119,12 @@
     return accept(from, incarnation, now) != nullptr;
 }
 
+void membership::confirmed(const host_id& from, time_point sent) {
+    if (const auto it = records_.find(from); it != records_.end()) {
+        it->second.confirmed = std::max(it->second.confirmed.value_or(sent), sent);
+    }
+}
+
 member_state membership::state(const host_id& host, time_point now) const {
     const auto it = records_.find(host);
     return it != records_.end() ? state_of(it->second, now) : member_state::gone;
@@ -146,7 +152,7 @@
 }
 
 bool membership::hears_majority(time_point now) const {
-    const auto since = majority_heard(now);
+    const auto since = majority_since(&record::heard, now);
     return since.has_value() && now - *since < suspect_after;
 }
 
@@ -165,14 +171,18 @@
 }
 
 std::optional<time_point> membership::majority_heard(time_point now) const {
+    return majority_since(&record::confirmed, now);
+}
+
+std::optional<time_point> membership::majority_since(std::optional<time_point> record::*what, time_point now) const {
     // A process that only knows the hosts it heard would find a majority of them in any part of a partition.
     if (!all_named_) {
         return std::nullopt;
     }
     std::vector<time_point> times{now};
     for (const auto& [host, it] : records_) {
-        if (host != self_.host && it.heard.has_value() && counts(it, now)) {
-            times.push_back(*it.heard);
+        if (host != self_.host && (it.*what).has_value() && counts(it, now)) {
+            times.push_back(*(it.*what));
         }
     }
     const auto needed = known(now) / 2 + 1;
--- a/src/dandelionbay/member/membership.hpp
+++ b/src/dandelionbay/member/membership.hpp
@@ -53,6 +53,7 @@
         incarnation_type incarnation{};
         std::uint64_t config_revision{};
         std::optional<time_point> heard{};
+        std::optional<time_point> confirmed{}; //!< It sent a heartbeat at this time or later.
         time_point known_since{};
         bool announced_leaving{};
         bool ever_listed{}; //!< Settings or the host list had it.
@@ -62,6 +63,8 @@
     [[nodiscard]] member_state state_of(const record& it, time_point now) const;
     [[nodiscard]] static bool counts(const record& it, time_point now);
     record* accept(const host_id& from, incarnation_type incarnation, time_point now);
+    [[nodiscard]] std::optional<time_point> majority_since(std::optional<time_point> record::*what,
+                                                           time_point now) const;
 
 public:
     /*! @brief A host that was not heard for this long is suspect. */
@@ -98,6 +101,10 @@
     /*! @brief Any other message arrived. @param from Its sender. @param incarnation Of the link's hello. */
     [[nodiscard]] bool heard(const host_id& from, incarnation_type incarnation, time_point now);
 
+    /*! @brief A heartbeat that heard() accepted was sent at a time or later. @param from Its sender. @param sent The
+     * time. */
+    void confirmed(const host_id& from, time_point sent);
+
     /*! @brief State of a host. @param host The host. @return It; gone for an unknown host. */
     [[nodiscard]] member_state state(const host_id& host, time_point now) const;
 
@@ -122,8 +129,8 @@
     [[nodiscard]] std::uint64_t majority_revision(std::uint64_t own, time_point now) const;
 
     /**
-     * @brief Since when at the latest a majority has been heard: the newest time such that more than half of the known
-     * hosts were heard at it or later.
+     * @brief The newest time such that more than half of the known hosts sent a heartbeat at it or later, as told to
+     * confirmed(); other messages do not count, because they may have been held up on their way.
      * @param now Current time.
      * @return The time, or nothing if a majority was never heard or neither the settings nor the host list named hosts.
      */
--- a/src/dandelionbay/net/link_events.hpp
+++ b/src/dandelionbay/net/link_events.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <optional>
+
+#include "dandelionbay/base/clock.hpp"
 #include "dandelionbay/base/ids.hpp"
 #include "dandelionbay/net/fwd.hpp"
 #include "dandelionbay/wire/message.hpp"
@@ -22,8 +25,13 @@
     /*! @brief A link broke, went silent or was replaced. @param peer The other side. */
     virtual void link_down(const host_id& peer) = 0;
 
-    /*! @brief A message other than hello arrived on a ready link. @param from Its sender. @param body The message. */
-    virtual void message_received(const host_id& from, message body) = 0;
+    /**
+     * @brief A message other than hello arrived on a ready link.
+     * @param from Its sender.
+     * @param body The message.
+     * @param sent Heartbeats only: a time not later than its sending, if one is known.
+     */
+    virtual void message_received(const host_id& from, message body, std::optional<time_point> sent) = 0;
 };
 
 } // namespace dandelionbay
--- a/src/dandelionbay/net/link_server.cpp
+++ b/src/dandelionbay/net/link_server.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cassert>
+#include <limits>
+#include <optional>
 #include <utility>
 
 #include <asio/ip/address.hpp>
@@ -80,7 +82,14 @@
     } else if (!it.peer().has_value()) {
         refuse(it, "hello_missing");
     } else {
-        events_->message_received(it.peer()->host, std::move(frame.body));
+        std::optional<time_point> sent;
+        if (const auto* beat = std::get_if<heartbeat>(&frame.body)) {
+            const auto found = peers_.find(it.peer()->host);
+            if (found != peers_.end() && found->second.ready.get() == &it) {
+                sent = found->second.echo.received(*beat, clock_->now());
+            }
+        }
+        events_->message_received(it.peer()->host, std::move(frame.body), sent);
     }
 }
 
@@ -107,10 +116,11 @@
     }
     state.ready = self;
     state.wait = options_.first_wait;
-    state.last_heartbeat = clock_->now();
-    state.announced = state_;
+    state.echo = heartbeat_echo{};
     counters_->add("link_opened_total");
     events_->link_up(peer);
+    // At once, so that the peer can echo it and evidence counts on the new link.
+    send_heartbeat(state, clock_->now());
 }
 
 void link_server::transmit(internal::link& it, const message& body) {
@@ -195,16 +205,28 @@
     });
 }
 
+void link_server::send_heartbeat(peer_state& peer, time_point now) {
+    auto beat = state_;
+    const auto since = std::chrono::ceil<std::chrono::milliseconds>(std::max(duration{}, now - state_at_)).count();
+    // The highest age says that there is no evidence.
+    beat.evidence_age_ms += static_cast<std::uint32_t>(
+        std::min<std::int64_t>(since, std::numeric_limits<std::uint32_t>::max() - beat.evidence_age_ms));
+    peer.echo.stamp(beat, now);
+    peer.last_heartbeat = now;
+    peer.announced = state_;
+    transmit(*peer.ready, beat);
+}
+
 void link_server::keep_alive(const host_id& host, peer_state& peer, time_point now) {
     if (peer.ready != nullptr) {
-        // On a busy link too, so that age and revision reach the other side.
+        // On a busy link too, so that age and revision reach the other side. While the store is down, an agent's
+        // evidence passes two heartbeats, agent to router and router to agent, and has to be renewed within the 4 s of
+        // freshness.
         const bool changed = peer.announced.config_revision != state_.config_revision ||
-                             peer.announced.leaving != state_.leaving ||
-                             now - peer.last_heartbeat >= 2 * options_.heartbeat;
+                             peer.announced.leaving != state_.leaving || peer.echo.reply_due() ||
+                             now - peer.last_heartbeat >= options_.heartbeat * 3 / 2;
         if (changed || now - peer.ready->last_sent() >= options_.heartbeat) {
-            peer.last_heartbeat = now;
-            peer.announced = state_;
-            transmit(*peer.ready, state_);
+            send_heartbeat(peer, now);
         }
     }
     const bool needed = peer.ready == nullptr || now - peer.ready->last_received() >= options_.redial;
@@ -285,7 +307,10 @@
 
 link_server::link_server(link_options options, hello self, const clock& time, counters& metrics, link_events& events)
     : options_{std::move(options)}, self_{std::move(self)}, clock_{&time}, counters_{&metrics}, events_{&events},
-      random_{options_.seed}, state_{self_.incarnation, self_.config_revision, 0, false} {}
+      random_{options_.seed}, state_{.incarnation = self_.incarnation,
+                                     .config_revision = self_.config_revision,
+                                     .evidence_age_ms = std::numeric_limits<std::uint32_t>::max()},
+      state_at_{time.now()} {}
 
 link_server::~link_server() {
     stop();
@@ -335,8 +360,11 @@
     asio::post(loop_, [this, hosts = std::move(hosts)] { apply_peers(hosts); });
 }
 
-void link_server::announce(const heartbeat& state) {
-    asio::post(loop_, [this, state] { state_ = state; });
+void link_server::announce(const heartbeat& state, time_point at) {
+    asio::post(loop_, [this, state, at] {
+        state_ = state;
+        state_at_ = at;
+    });
 }
 
 void link_server::send(const host_id& to, message body) {
--- a/src/dandelionbay/net/link_server.hpp
+++ b/src/dandelionbay/net/link_server.hpp
@@ -17,6 +17,7 @@
 #include "dandelionbay/base/clock.hpp"
 #include "dandelionbay/base/counters.hpp"
 #include "dandelionbay/kernel/kernel.hpp"
+#include "dandelionbay/member/heartbeat_echo.hpp"
 #include "dandelionbay/net/link.hpp"
 #include "dandelionbay/net/link_events.hpp"
 #include "dandelionbay/store/host_list.hpp"
@@ -53,6 +54,7 @@
         std::chrono::milliseconds wait{};
         time_point last_heartbeat{};
         heartbeat announced{};
+        heartbeat_echo echo{}; //!< Of the ready link.
     };
 
     using link_set = std::set<std::shared_ptr<internal::link>>;
@@ -70,6 +72,7 @@
     void refuse(internal::link& it, std::string_view reason);
     void transmit(internal::link& it, const message& body);
     void apply_peers(const std::vector<host_entry>& hosts);
+    void send_heartbeat(peer_state& peer, time_point now);
     void keep_alive(const host_id& host, peer_state& peer, time_point now);
     void drop_silent(time_point now);
     void count_traffic();
@@ -103,8 +106,8 @@
     /*! @brief Replaces the hosts to connect to. @param hosts All known hosts; this one is skipped. */
     void set_peers(std::vector<host_entry> hosts);
 
-    /*! @brief Replaces the content of the heartbeats. @param state It. */
-    void announce(const heartbeat& state);
+    /*! @brief Replaces the content of the heartbeats. @param state It. @param at Time of which its ages are. */
+    void announce(const heartbeat& state, time_point at);
 
     /*! @brief Sends a message; dropped if there is no ready link. @param to Receiver. @param body The message. */
     void send(const host_id& to, message body);
@@ -122,6 +125,7 @@
     std::map<host_id, peer_state> peers_;
     link_set strangers_; //!< Connections without the other side's hello.
     heartbeat state_;
+    time_point state_at_; //!< Time of which the ages in state_ are.
     std::int64_t control_sent_{};
     std::int64_t control_received_{};
     int ticks_to_close_{-1};
--- a/src/dandelionbay/node/fleet_state.cpp
+++ b/src/dandelionbay/node/fleet_state.cpp
@@ -72,13 +72,17 @@
     adopter_.peer_lost(peer);
 }
 
-fleet_change fleet_state::receive(const host_id& from, const message& body, time_point now) {
+fleet_change fleet_state::receive(const host_id& from, const message& body, time_point now,
+                                  std::optional<time_point> sent) {
     fleet_change change;
     if (const auto* beat = std::get_if<heartbeat>(&body)) {
         if (members_.heard(from, *beat, now)) {
             adopter_.announced(from, beat->config_revision);
-            if (beat->config_revision <= adopter_.revision()) {
-                freshness_.peer_evidence(beat->evidence_age_ms, now);
+            if (sent.has_value()) {
+                members_.confirmed(from, *sent);
+                if (beat->config_revision <= adopter_.revision()) {
+                    freshness_.peer_evidence(beat->evidence_age_ms, *sent);
+                }
             }
             ask_peers(change, now);
         }
@@ -117,7 +121,12 @@
 }
 
 heartbeat fleet_state::make_heartbeat(bool leaving, time_point now) const {
-    return {incarnation_, adopter_.revision(), freshness_.evidence_age_ms(now), leaving};
+    heartbeat beat;
+    beat.incarnation = incarnation_;
+    beat.config_revision = adopter_.revision();
+    beat.evidence_age_ms = freshness_.evidence_age_ms(now);
+    beat.leaving = leaving;
+    return beat;
 }
 
 std::vector<host_entry> fleet_state::peers() const {
--- a/src/dandelionbay/node/fleet_state.hpp
+++ b/src/dandelionbay/node/fleet_state.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -60,8 +61,14 @@
     /*! @brief A link is down. @param peer The other side. */
     void link_down(const host_id& peer);
 
-    /*! @brief A message arrived. @return With handled false if it is for the decision core. */
-    [[nodiscard]] fleet_change receive(const host_id& from, const message& body, time_point now);
+    /**
+     * @brief A message arrived.
+     * @param from Its sender. @param body It. @param now Current time.
+     * @param sent Result of heartbeat_echo::received() for a heartbeat; without it the heartbeat is no evidence.
+     * @return With handled false if it is for the decision core.
+     */
+    [[nodiscard]] fleet_change receive(const host_id& from, const message& body, time_point now,
+                                       std::optional<time_point> sent);
 
     /*! @brief Time passed. */
     [[nodiscard]] fleet_change tick(time_point now);
@@ -69,7 +76,7 @@
     /*! @brief Tells whether new work may be admitted; to be asked once for each tick. */
     [[nodiscard]] bool fresh(time_point now);
 
-    /*! @brief Content of the next heartbeats. @param leaving Whether this host is leaving. */
+    /*! @brief Content of the next heartbeats, for heartbeat_echo::stamp(). @param leaving Whether this host leaves. */
     [[nodiscard]] heartbeat make_heartbeat(bool leaving, time_point now) const;
 
     /*! @brief Hosts to connect to. @return Those of the settings and of the host list, ordered by host. */
--- a/src/dandelionbay/node/node_driver.cpp
+++ b/src/dandelionbay/node/node_driver.cpp
@@ -83,7 +83,7 @@
     note(log_level::info, "stop_begins", {});
     tasks_.post([this] {
         const auto now = clock_->now();
-        links_->announce(fleet_.make_heartbeat(true, now));
+        links_->announce(fleet_.make_heartbeat(true, now), now);
         on_begin_stop(now);
     });
 }
@@ -97,7 +97,7 @@
         counters_->set("config_revision", static_cast<std::int64_t>(fleet_.revision()));
         note(log_level::info, "config_in_force", {{"revision", std::to_string(fleet_.revision())}});
         on_config(change.config, now);
-        links_->announce(fleet_.make_heartbeat(stopping_, now));
+        links_->announce(fleet_.make_heartbeat(stopping_, now), now);
     }
 }
 
@@ -179,7 +179,7 @@
     if (now >= next_publish_) {
         next_publish_ = now + publish_interval;
         publish(now);
-        links_->announce(fleet_.make_heartbeat(stopping_, now));
+        links_->announce(fleet_.make_heartbeat(stopping_, now), now);
     }
     on_tick(now);
 }
@@ -262,10 +262,10 @@
     });
 }
 
-void node_driver::message_received(const host_id& from, message body) {
-    tasks_.post([this, from, body = std::move(body)] {
+void node_driver::message_received(const host_id& from, message body, std::optional<time_point> sent) {
+    tasks_.post([this, from, sent, body = std::move(body)] {
         const auto now = clock_->now();
-        const auto change = fleet_.receive(from, body, now);
+        const auto change = fleet_.receive(from, body, now, sent);
         apply(change, now);
         if (!change.handled) {
             on_message(from, body, now);
--- a/src/dandelionbay/node/node_driver.hpp
+++ b/src/dandelionbay/node/node_driver.hpp
@@ -129,7 +129,7 @@
 
     void link_up(const hello& peer) override;
     void link_down(const host_id& peer) override;
-    void message_received(const host_id& from, message body) override;
+    void message_received(const host_id& from, message body, std::optional<time_point> sent) override;
 
 private:
     struct snapshot {
--- a/src/dandelionbay/wire/fields.hpp
+++ b/src/dandelionbay/wire/fields.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <tuple>
 #include <type_traits>
 
@@ -12,6 +13,9 @@
 template<typename Type>
 inline constexpr bool always_false = false;
 
+/*! @brief Units of evidence age in a heartbeat that say that there is none. */
+inline constexpr std::uint32_t no_evidence_units = 127;
+
 /**
  * @brief Lists the members of a value.
  * @param it The value, const or not.
@@ -27,7 +31,8 @@
     } else if constexpr (std::is_same_v<value, hello>) {
         return std::tie(it.host, it.role, it.region, it.zone, it.incarnation, it.endpoint, it.config_revision);
     } else if constexpr (std::is_same_v<value, heartbeat>) {
-        return std::tie(it.incarnation, it.config_revision, it.evidence_age_ms, it.leaving);
+        // The leaving flag is packed together with the number.
+        return std::tie(it.incarnation, it.config_revision, it.evidence_age_ms, it.number, it.echo, it.echo_held_ms);
     } else if constexpr (std::is_same_v<value, team_demand>) {
         return std::tie(it.team, it.queued, it.counter, it.charged, it.suspects_only);
     } else if constexpr (std::is_same_v<value, demand>) {
--- a/src/dandelionbay/wire/message.hpp
+++ b/src/dandelionbay/wire/message.hpp
@@ -14,7 +14,7 @@
 namespace dandelionbay {
 
 /*! @brief Version of the frame format and the messages; hosts with different versions do not talk. */
-inline constexpr std::uint32_t protocol_version = 2;
+inline constexpr std::uint32_t protocol_version = 3;
 
 /*! @brief Role of a process in the fleet. */
 enum class host_role : std::uint8_t { router = 0, agent = 1 };
@@ -32,12 +32,27 @@
     friend bool operator==(const hello&, const hello&) = default;
 };
 
-/*! @brief Shows that the sender lives. */
+/*! @brief Heartbeats of a link are numbered modulo this; with the leaving flag a number takes one byte on the wire. */
+inline constexpr std::uint8_t heartbeat_numbers = 64;
+
+/*! @brief Echo of a sender that received no heartbeat on the link yet. */
+inline constexpr std::uint8_t no_echo = heartbeat_numbers;
+
+/*! @brief Unit of ages in a heartbeat on the wire, ms; 127 of them exceed the age at which evidence ends. */
+inline constexpr std::uint32_t heartbeat_age_unit_ms = 32;
+
+/*! @brief Longest time that a heartbeat tells to have held the echoed one, ms; a longer one is told as this. */
+inline constexpr std::uint32_t most_echo_held_ms = 127 * heartbeat_age_unit_ms;
+
+/*! @brief Shows that the sender lives. Ages are in ms; the wire rounds them to the safe side. */
 struct heartbeat {
     incarnation_type incarnation{};
     std::uint64_t config_revision{};
     std::uint32_t evidence_age_ms{}; //!< Age of the freshest evidence that the revision is the newest one.
     bool leaving{};
+    std::uint8_t number{};        //!< Of this heartbeat on its link, below heartbeat_numbers.
+    std::uint8_t echo{no_echo};   //!< Number of the last heartbeat that the sender received, or no_echo.
+    std::uint32_t echo_held_ms{}; //!< Time since the sender first received that number.
 
     friend bool operator==(const heartbeat&, const heartbeat&) = default;
 };
--- a/src/dandelionbay/wire/pack.hpp
+++ b/src/dandelionbay/wire/pack.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cmath>
 #include <cstdint>
 #include <limits>
@@ -36,7 +37,9 @@
     std::apply([&](const auto&... it) { (pack(out, it, link), ...); }, fields(value));
 }
 
-// The sender's incarnation is nil and the revision is the difference to the one in the sender's first message.
+// Each member but the revision takes one byte on a link: the sender's incarnation is nil, ages are rounded to the safe
+// side, up for evidence and down for the echo, and the leaving flag is the number's lowest bit. The highest age is
+// none. The revision is the difference to the one in the sender's first message.
 inline void pack_members(packer& out, const heartbeat& value, const link_context& link) {
     if (value.incarnation == link.sender.incarnation) {
         out.pack_nil();
@@ -44,8 +47,12 @@
         out.pack(value.incarnation);
     }
     out.pack(static_cast<std::int64_t>(value.config_revision - link.sender.config_revision));
-    out.pack(value.evidence_age_ms);
-    out.pack(value.leaving);
+    out.pack(value.evidence_age_ms / heartbeat_age_unit_ms >= no_evidence_units
+                 ? no_evidence_units
+                 : (value.evidence_age_ms + heartbeat_age_unit_ms - 1) / heartbeat_age_unit_ms);
+    out.pack(static_cast<std::uint32_t>(value.number) * 2 + (value.leaving ? 1 : 0));
+    out.pack(value.echo);
+    out.pack(std::min(value.echo_held_ms, most_echo_held_ms) / heartbeat_age_unit_ms);
 }
 
 template<typename Type>
--- a/src/dandelionbay/wire/unpack.hpp
+++ b/src/dandelionbay/wire/unpack.hpp
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <concepts>
 #include <cstdint>
+#include <limits>
 #include <span>
 #include <string>
 #include <tuple>
@@ -101,8 +102,19 @@
     value.incarnation =
         items[0].type == msgpack::type::NIL ? link.sender.incarnation : integer<incarnation_type>(items[0]);
     value.config_revision = link.sender.config_revision + static_cast<std::uint64_t>(integer<std::int64_t>(items[1]));
-    unpack(items[2], value.evidence_age_ms, link);
-    unpack(items[3], value.leaving, link);
+    const auto age = integer<std::uint32_t>(items[2]);
+    const auto number = integer<std::uint32_t>(items[3]);
+    unpack(items[4], value.echo, link);
+    const auto held = integer<std::uint32_t>(items[5]);
+    if (age > no_evidence_units || number >= 2U * heartbeat_numbers || value.echo > no_echo ||
+        held > most_echo_held_ms / heartbeat_age_unit_ms) {
+        throw malformed{"heartbeat's numbers out of range"};
+    }
+    value.evidence_age_ms =
+        age == no_evidence_units ? std::numeric_limits<std::uint32_t>::max() : age * heartbeat_age_unit_ms;
+    value.number = static_cast<std::uint8_t>(number / 2);
+    value.leaving = number % 2 != 0;
+    value.echo_held_ms = held * heartbeat_age_unit_ms;
 }
 
 template<typename Type>
--- a/test/dandelionbay/member/membership_test.cpp
+++ b/test/dandelionbay/member/membership_test.cpp
@@ -36,7 +36,11 @@
     membership view{router("h0"), routers(5), metrics, now};
 
     bool beat(const std::string& host, incarnation_type incarnation = 1, bool leaving = false) {
-        return view.heard(host_id{host}, heartbeat{.incarnation = incarnation, .leaving = leaving}, now);
+        const bool heard = view.heard(host_id{host}, heartbeat{.incarnation = incarnation, .leaving = leaving}, now);
+        if (heard) {
+            view.confirmed(host_id{host}, now);
+        }
+        return heard;
     }
 
     member_state state(const std::string& host) const { return view.state(host_id{host}, now); }
@@ -116,6 +120,9 @@
     beat("h2");
     EXPECT_TRUE(view.hears_majority(now)) << "three of five, this one included";
     EXPECT_EQ(view.majority_heard(now), now - seconds{1}) << "the oldest of the newest three";
+    auto other = view;
+    EXPECT_TRUE(other.heard(host_id{"h1"}, 1, now));
+    EXPECT_EQ(other.majority_heard(now), now - seconds{1}) << "the message may have been held up";
     now += seconds{2};
     EXPECT_FALSE(view.hears_majority(now)) << "a rack failed at once";
     now += seconds{3'600};
--- a/test/dandelionbay/net/link_server_test.cpp
+++ b/test/dandelionbay/net/link_server_test.cpp
@@ -18,7 +18,7 @@
 public:
     void link_up(const hello& peer) override { note("up " + peer.host.value); }
     void link_down(const host_id& peer) override { note("down " + peer.value); }
-    void message_received(const host_id& from, message body) override {
+    void message_received(const host_id& from, message body, std::optional<time_point> /*sent*/) override {
         if (const auto* text = std::get_if<config_document>(&body)) {
             note(from.value + ": " + text->document.substr(0, 20));
         } else if (const auto* beat = std::get_if<heartbeat>(&body); beat != nullptr && beat->config_revision > 0) {
@@ -107,7 +107,7 @@
     }
     {
         SCOPED_TRACE("a new revision is announced");
-        agent.server.announce(heartbeat{1, 7, 0, false});
+        agent.server.announce({.incarnation = 1, .config_revision = 7}, agent.time.now());
         EXPECT_TRUE(first.events.wait_for("a1 at 7") && second.events.wait_for("a1 at 7"));
     }
     {
--- a/test/dandelionbay/router/control_bytes_test.cpp
+++ b/test/dandelionbay/router/control_bytes_test.cpp
@@ -28,7 +28,7 @@
 // A heartbeat on an idle link, five days after its hello, with the highest evidence age at which a node serves alone.
 double heartbeats_per_link(const link_context& link) {
     const std::chrono::duration<double> interval = link_options{}.heartbeat;
-    return bytes(heartbeat{link.sender.incarnation, revision, 4'000, false}, link) / interval.count();
+    return bytes(heartbeat{link.sender.incarnation, revision, 4'000, false, 63, 63, 3'000}, link) / interval.count();
 }
 
 // Guards against heartbeats, demands and ledger rows that together exceed a router's limit; docs/CAPACITY.md shows that
--- a/test/dandelionbay/soak/sim_driver.cpp
+++ b/test/dandelionbay/soak/sim_driver.cpp
@@ -63,12 +63,13 @@
 }
 
 void sim_driver::link_up(const hello& peer) {
-    linked_.insert(peer.host);
+    linked_[peer.host] = heartbeat_echo{};
     const auto change = fleet_->link_up(peer, now());
     apply(change);
     if (change.handled) {
         on_link_up(peer);
     }
+    send_heartbeat(peer.host);
 }
 
 void sim_driver::link_down(const host_id& peer) {
@@ -78,8 +79,15 @@
 }
 
 void sim_driver::receive(const host_id& from, const message& body) {
-    const auto change = fleet_->receive(from, body, now());
+    std::optional<time_point> sent;
+    if (const auto* beat = std::get_if<heartbeat>(&body)) {
+        sent = linked_[from].received(*beat, now());
+    }
+    const auto change = fleet_->receive(from, body, now(), sent);
     apply(change);
+    if (linked_[from].reply_due()) {
+        send_heartbeat(from);
+    }
     if (!change.handled) {
         on_message(from, body);
     }
@@ -131,12 +139,17 @@
 }
 
 void sim_driver::send_heartbeats() {
-    const auto content = fleet_->make_heartbeat(stopping_, now());
-    for (const auto& peer : linked_) {
-        shared_->links.send(host(), peer, content);
+    for (const auto& [peer, echo] : linked_) {
+        send_heartbeat(peer);
     }
 }
 
+void sim_driver::send_heartbeat(const host_id& peer) {
+    auto beat = fleet_->make_heartbeat(stopping_, now());
+    linked_[peer].stamp(beat, now());
+    shared_->links.send(host(), peer, beat);
+}
+
 void sim_driver::announce_stop() {
     stopping_ = true;
     send_heartbeats();
--- a/test/dandelionbay/soak/sim_driver.hpp
+++ b/test/dandelionbay/soak/sim_driver.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <random>
-#include <set>
 
 #include "dandelionbay/base/counters.hpp"
+#include "dandelionbay/member/heartbeat_echo.hpp"
 #include "dandelionbay/node/fleet_state.hpp"
 #include "soak/checker.hpp"
 #include "soak/sim_link.hpp"
@@ -28,6 +29,7 @@
     void poll();
     void beat();
     void send_heartbeats();
+    void send_heartbeat(const host_id& peer);
     void apply(const fleet_change& change);
     void check_revision(bool fresh);
 
@@ -69,7 +71,7 @@
     hello self_;
     std::mt19937_64 random_;
     std::unique_ptr<fleet_state> fleet_;
-    std::set<host_id> linked_;
+    std::map<host_id, heartbeat_echo> linked_;
     bool stopping_{};
 };
 
--- a/test/dandelionbay/wire/codec_test.cpp
+++ b/test/dandelionbay/wire/codec_test.cpp
@@ -14,7 +14,7 @@
     const std::vector<grant_id> grants{{7, 1}, {7, 2}};
     const call request{"POST", "/v1/chat/completions", {{"Accept", "*/*"}}, std::string("\0\xff{}", 4)};
     return {hello{host_id{"a1"}, host_role::agent, region_id{"r"}, zone_id{"z"}, 9, endpoint_id{"e"}, 3},
-            heartbeat{9, 3, 250, true},
+            heartbeat{9, 3, 256, true, 63, 64, 4'064},
             demand{pool_id{"p"}, 4, {{team_id{"t"}, 5, 1.5, 1.0, false}, {team_id{"u"}, 1, -0.25, 1e300, true}}, 7.5},
             grant{pool_id{"p"}, grants, 3'000, true, {{pool_id{"p"}, team_id{"t"}, 12.0}}},
             recall{grants},
@@ -89,9 +89,9 @@
         SCOPED_TRACE("heartbeat: incarnation left out, revision as a difference, also a lower or the highest one");
         auto link = from_agent;
         link.sender.config_revision = 299'300;
-        EXPECT_LE(size(heartbeat{7, 299'301, 2'000, false}, link), 9U);
+        EXPECT_LE(size(heartbeat{7, 299'301, 2'000, false, 63, 63, 3'000}, link), 9U);
         for (const std::uint64_t revision : {0ULL, 299'299ULL, 299'301ULL, ~0ULL}) {
-            const message beat{heartbeat{8, revision, 2'000, true}};
+            const message beat{heartbeat{8, revision, 2'016, true, 1, 2, 32}};
             EXPECT_EQ(transfer(beat, link), beat);
         }
     }
