--- a/test/dandelionbay/soak/options.hpp
+++ b/test/dandelionbay/soak/options.hpp
@@ -28,6 +28,7 @@
     bool cold_endpoints{}; //!< Endpoints restart without warning.
     bool crashing_requests{};
     bool pauses{};
+    bool link_stalls{}; //!< Links hold messages back for up to 3 s.
     bool zone_moves{};
     bool callers_leave{};
     bool graceful_stops{};
--- a/test/dandelionbay/soak/run.cpp
+++ b/test/dandelionbay/soak/run.cpp
@@ -193,6 +193,7 @@
         repeat(chosen_.agent_restarts, 3s, 10s, [this] { restart_agent(); });
         repeat(chosen_.cold_endpoints, 2s, 9s, [this] { any_agent().endpoint().restart(); });
         repeat(chosen_.pauses, 3s, 10s, [this] { pause(); });
+        repeat(chosen_.link_stalls, 50ms, 500ms, [this] { stall_link(); });
         repeat(chosen_.zone_moves, 8s, 14s, [this] { move_zone(); });
         repeat(chosen_.graceful_stops, 6s, 15s, [this] { stop_router(); });
         repeat(chosen_.graceful_stops, 6s, 15s, [this] { stop_agent(); });
@@ -229,6 +230,14 @@
         }
     }
 
+    /*! @brief One direction of a link holds messages back for less than the 3 s after which the link is closed. */
+    void stall_link() {
+        const auto all = links_.ends();
+        const auto& [a, b] = all.at(draw(0, all.size() - 1));
+        const bool back = draw(0, 1) == 0;
+        links_.stall(back ? b : a, back ? a : b, events_.now() + draw_time(500ms, 3s));
+    }
+
     /*! @brief Takes a zone out and back. */
     void move_zone() {
         if (zone_moving_) {
@@ -438,6 +447,7 @@
     chosen.store_outages = sometimes();
     chosen.partitions = sometimes();
     chosen.hosts_in_settings = sometimes();
+    chosen.link_stalls = sometimes();
     return chosen;
 }
 
--- a/test/dandelionbay/soak/sim_link.cpp
+++ b/test/dandelionbay/soak/sim_link.cpp
@@ -118,6 +118,14 @@
     }
 }
 
+void sim_links::stall(const host_id& from, const host_id& to, time_point until) {
+    const auto ends = key(from, to);
+    if (const auto it = links_.find(ends); it != links_.end()) {
+        auto& way = from == ends.first ? it->second.forward : it->second.backward;
+        way.last_delivery = std::max(way.last_delivery, until);
+    }
+}
+
 void sim_links::pause(const host_id& host, time_point until) {
     paused_[host] = until;
 }
--- a/test/dandelionbay/soak/sim_link.hpp
+++ b/test/dandelionbay/soak/sim_link.hpp
@@ -60,6 +60,8 @@
     void break_link(const host_id& a, const host_id& b);
     /*! @brief Breaks all links of a host. */
     void break_links(const host_id& host);
+    /*! @brief Holds back what one host sends to another until a time; the order stays. */
+    void stall(const host_id& from, const host_id& to, time_point until);
     /*! @brief Keeps a link from standing, or lets it stand again. */
     void block(const host_id& a, const host_id& b, bool blocked);
     /*! @brief Runs something at a host, after its pause if it is paused. */
--- a/test/dandelionbay/soak/soak_main.cpp
+++ b/test/dandelionbay/soak/soak_main.cpp
@@ -24,6 +24,7 @@
                                                 {chosen.cold_endpoints, "cold_endpoints"},
                                                 {chosen.crashing_requests, "crashing_requests"},
                                                 {chosen.pauses, "pauses"},
+                                                {chosen.link_stalls, "link_stalls"},
                                                 {chosen.zone_moves, "zone_moves"},
                                                 {chosen.callers_leave, "callers_leave"},
                                                 {chosen.graceful_stops, "graceful_stops"},
