--- a/src/dandelionbay/node/node_driver.cpp
+++ b/src/dandelionbay/node/node_driver.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <thread>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -82,7 +83,7 @@
     note(log_level::info, "stop_begins", {});
     tasks_.post([this] {
         const auto now = clock_->now();
-        links_->announce(fleet_.make_heartbeat(true, now));
+        links_->announce(fleet_.make_heartbeat(true, now), now);
         on_begin_stop(now);
     });
 }
@@ -96,7 +97,7 @@
         counters_->set("config_revision", static_cast<std::int64_t>(fleet_.revision()));
         note(log_level::info, "config_in_force", {{"revision", std::to_string(fleet_.revision())}});
         on_config(change.config, now);
-        links_->announce(fleet_.make_heartbeat(stopping_, now));
+        links_->announce(fleet_.make_heartbeat(stopping_, now), now);
     }
 }
 
@@ -164,16 +165,23 @@
     snapshot_ = std::move(next);
 }
 
+void node_driver::update_freshness(time_point now) {
+    const bool fresh = fleet_.fresh(now);
+    if (fresh != std::exchange(fresh_, fresh)) {
+        on_fresh(fresh, now);
+    }
+}
+
 void node_driver::tick() {
     const auto now = clock_->now();
     apply(fleet_.tick(now), now);
-    const bool fresh = fleet_.fresh(now);
+    update_freshness(now);
     if (now >= next_publish_) {
         next_publish_ = now + publish_interval;
         publish(now);
-        links_->announce(fleet_.make_heartbeat(stopping_, now));
+        links_->announce(fleet_.make_heartbeat(stopping_, now), now);
     }
-    on_tick(fresh, now);
+    on_tick(now);
 }
 
 bool node_driver::may_be_alive(const host_id& host, incarnation_type life) const {
@@ -254,10 +262,10 @@
     });
 }
 
-void node_driver::message_received(const host_id& from, message body) {
-    tasks_.post([this, from, body = std::move(body)] {
+void node_driver::message_received(const host_id& from, message body, std::optional<time_point> sent) {
+    tasks_.post([this, from, sent, body = std::move(body)] {
         const auto now = clock_->now();
-        const auto change = fleet_.receive(from, body, now);
+        const auto change = fleet_.receive(from, body, now, sent);
         apply(change, now);
         if (!change.handled) {
             on_message(from, body, now);
