Move the TCP relay from the process tests to the stand-ins

Change: tcp_relay is in src/dandelionbay/standin and in namespace dandelionbay. The linter now covers it; the two casts to sockaddr became one function because the formatter parted a cast from its exemption.

--- a/src/dandelionbay/standin/fwd.hpp
+++ b/src/dandelionbay/standin/fwd.hpp
@@ -12,5 +12,6 @@
 class standin_engine;
 struct standin_service_options;
 class standin_service;
+class tcp_relay;
 
 } // namespace dandelionbay
--- a/test/dandelionbay/process/tcp_relay.cpp
+++ b/src/dandelionbay/standin/tcp_relay.cpp
@@ -1,4 +1,4 @@
-#include "dandelionbay/process/tcp_relay.hpp"
+#include "dandelionbay/standin/tcp_relay.hpp"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -12,7 +12,7 @@
 #include <cerrno>
 #include <vector>
 
-namespace dandelionbay::testing {
+namespace dandelionbay {
 
 namespace {
 
@@ -27,6 +27,11 @@
     return out;
 }
 
+[[nodiscard]] const sockaddr* as_sockaddr(const sockaddr_in& address) noexcept {
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): the socket interface takes sockaddr.
+    return reinterpret_cast<const sockaddr*>(&address);
+}
+
 void set_options(int fd) {
     const int on = 1;
     ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -77,8 +82,7 @@
     }
     const int target = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const auto to = address_of(address_, target_);
-    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): the socket interface takes sockaddr.
-    if (::connect(target, reinterpret_cast<const sockaddr*>(&to), sizeof(to)) != 0) {
+    if (::connect(target, as_sockaddr(to), sizeof(to)) != 0) {
         ::close(target);
         ::close(dialler);
         return;
@@ -145,9 +149,7 @@
     ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     const auto at = address_of(address, port);
     constexpr int backlog = 128;
-    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): the socket interface takes sockaddr.
-    listening_ =
-        ::bind(listener_, reinterpret_cast<const sockaddr*>(&at), sizeof(at)) == 0 && ::listen(listener_, backlog) == 0;
+    listening_ = ::bind(listener_, as_sockaddr(at), sizeof(at)) == 0 && ::listen(listener_, backlog) == 0;
     set_options(listener_);
     thread_ = std::thread{[this] { run(); }};
 }
@@ -167,4 +169,4 @@
     modes_[dialler] = mode;
 }
 
-} // namespace dandelionbay::testing
+} // namespace dandelionbay
--- a/test/dandelionbay/process/tcp_relay.hpp
+++ b/src/dandelionbay/standin/tcp_relay.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <thread>
 
-namespace dandelionbay::testing {
+namespace dandelionbay {
 
 /*! @brief What a relay does with a connection. */
 enum class relay_mode : std::uint8_t {
@@ -69,4 +69,4 @@
     std::thread thread_;
 };
 
-} // namespace dandelionbay::testing
+} // namespace dandelionbay
--- a/test/dandelionbay/process/process_fleet.hpp
+++ b/test/dandelionbay/process/process_fleet.hpp
@@ -14,7 +14,7 @@
 
 #include "dandelionbay/app/admin_client.hpp"
 #include "dandelionbay/process/child_process.hpp"
-#include "dandelionbay/process/tcp_relay.hpp"
+#include "dandelionbay/standin/tcp_relay.hpp"
 
 namespace dandelionbay::testing {
 
