Let the development fleet split its regions and restart its routers

Ruled out: cut connections for the split, because links between regions lose packets and go silent, which is the harder case; new ports for a restarted router, because a load balancer is set up with fixed addresses.

--- a/src/dandelionbay/app/dev_fleet.cpp
+++ b/src/dandelionbay/app/dev_fleet.cpp
@@ -28,6 +28,9 @@
 constexpr std::chrono::milliseconds balancer_delay{200};
 constexpr std::uint32_t caller_threads = 128;
 
+/*! The region without the store. */
+constexpr std::string_view east = "east";
+
 struct place {
     std::string_view name;
     std::string_view region;
@@ -97,18 +100,6 @@
                       false};
 }
 
-[[nodiscard]] node_options options_of(const host_entry& host, const std::vector<host_entry>& hosts,
-                                      std::uint16_t store_port) {
-    node_options out;
-    out.host = host.host;
-    out.region = host.region;
-    out.zone = host.zone;
-    out.peer_listen = host.peer;
-    out.store = socket_address{loopback, store_port};
-    out.hosts = hosts;
-    return out;
-}
-
 /*! Stops all nodes at the same time, because each stop waits for its running requests. */
 template<typename Node>
 void stop_all(std::vector<std::unique_ptr<Node>>& nodes) noexcept {
@@ -135,12 +126,28 @@
     for (const auto& it : order_services) {
         hosts_.push_back(entry_of(it, concat("agent-", it.name), host_role::agent));
     }
+    for (const auto& it : hosts_) {
+        peer_listen_.push_back(it.peer);
+    }
 }
 
 dev_fleet::~dev_fleet() {
     stop();
 }
 
+absl::Status dev_fleet::start_relays() {
+    if (!options_.relays) {
+        return absl::OkStatus();
+    }
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        hosts_[i].peer.port = free_port();
+        relays_.push_back(std::make_unique<tcp_relay>(loopback, hosts_[i].peer.port, peer_listen_[i].port));
+    }
+    return std::ranges::all_of(relays_, [](const auto& it) { return it->listening(); })
+               ? absl::OkStatus()
+               : absl::UnavailableError("a relay can't listen");
+}
+
 absl::Status dev_fleet::start_platform() {
     const auto rows = std::make_shared<table_map>();
     if (auto status = store_first_config(rows, document); !status.ok()) {
@@ -149,7 +156,25 @@
     standin_platform_options options;
     options.hosts = hosts_;
     platform_ = std::make_unique<standin_platform>(options, rows);
-    return platform_->start();
+    if (auto status = platform_->start(); !status.ok() || !options_.relays) {
+        return status;
+    }
+    east_store_port_ = free_port();
+    east_store_ = std::make_unique<tcp_relay>(loopback, east_store_port_, platform_->port());
+    return east_store_->listening() ? absl::OkStatus() : absl::UnavailableError("the store's relay can't listen");
+}
+
+node_options dev_fleet::common_options(std::size_t host) const {
+    const auto& self = hosts_.at(host);
+    node_options out;
+    out.host = self.host;
+    out.region = self.region;
+    out.zone = self.zone;
+    out.peer_listen = peer_listen_.at(host);
+    const bool relayed = east_store_ != nullptr && self.region.value == east;
+    out.store = socket_address{loopback, relayed ? east_store_port_ : platform_->port()};
+    out.hosts = hosts_;
+    return out;
 }
 
 absl::Status dev_fleet::start_endpoints() {
@@ -172,7 +197,7 @@
     const bool engine = index < engine_places.size();
     const auto& at = engine ? engine_places.at(index) : order_services.at(index - engine_places.size());
     agent_node_options options;
-    options.common = options_of(hosts_.at(router_places.size() + index), hosts_, platform_->port());
+    options.common = common_options(router_places.size() + index);
     options.endpoint = endpoint_id{std::string{at.name}};
     options.endpoint_address = socket_address{loopback, engine ? engines_.at(index)->port()
                                                                : services_.at(index - engine_places.size())->port()};
@@ -198,16 +223,21 @@
     return old;
 }
 
+std::unique_ptr<router_node> dev_fleet::make_router(std::size_t index, std::uint16_t port,
+                                                    std::uint16_t admin_port) const {
+    router_node_options options;
+    options.common = common_options(index);
+    options.caller_listen = socket_address{loopback, port};
+    options.admin_listen = socket_address{loopback, admin_port};
+    options.admin_token = options_.admin_token;
+    options.caller_threads = caller_threads;
+    options.balancer_delay = balancer_delay;
+    return std::make_unique<router_node>(options);
+}
+
 absl::Status dev_fleet::start_routers() {
     for (std::size_t i = 0; i < router_places.size(); ++i) {
-        router_node_options options;
-        options.common = options_of(hosts_.at(i), hosts_, platform_->port());
-        options.caller_listen = socket_address{loopback, i == 0 ? options_.port : std::uint16_t{0}};
-        options.admin_listen = socket_address{loopback, i == 0 ? options_.admin_port : std::uint16_t{0}};
-        options.admin_token = options_.admin_token;
-        options.caller_threads = caller_threads;
-        options.balancer_delay = balancer_delay;
-        routers_.push_back(std::make_unique<router_node>(options));
+        routers_.push_back(make_router(i, i == 0 ? options_.port : 0, i == 0 ? options_.admin_port : 0));
         if (auto status = routers_.back()->start(); !status.ok()) {
             return status;
         }
@@ -215,6 +245,36 @@
     return absl::OkStatus();
 }
 
+absl::StatusOr<std::unique_ptr<router_node>> dev_fleet::restart_router(std::size_t index) {
+    auto& router = routers_.at(index);
+    const auto port = router->caller_port();
+    const auto admin_port = router->admin_port();
+    router->stop();
+    auto old = std::exchange(router, make_router(index, port, admin_port));
+    if (auto status = router->start(); !status.ok()) {
+        return status;
+    }
+    if (auto status = wait_until_serving(); !status.ok()) {
+        return status;
+    }
+    return old;
+}
+
+void dev_fleet::split_regions(bool split) {
+    const auto mode = split ? relay_mode::stall : relay_mode::pass;
+    for (std::size_t i = 0; i < relays_.size(); ++i) {
+        // Only routers dial.
+        for (const auto& it : router_places) {
+            if (it.region != hosts_[i].region.value) {
+                relays_[i]->set(mode, std::string{it.name});
+            }
+        }
+    }
+    if (east_store_ != nullptr) {
+        east_store_->set(mode);
+    }
+}
+
 bool dev_fleet::serving() {
     return std::ranges::all_of(routers_, [&](const auto& router) {
         const auto nodes = router->view().nodes();
@@ -236,7 +296,10 @@
 }
 
 absl::Status dev_fleet::start() {
-    auto status = start_platform();
+    auto status = start_relays();
+    if (status.ok()) {
+        status = start_platform();
+    }
     if (status.ok()) {
         status = start_endpoints();
     }
@@ -249,6 +312,10 @@
     return status.ok() ? wait_until_serving() : status;
 }
 
+std::string dev_fleet::region_of_router(std::size_t index) {
+    return std::string{router_places.at(index).region};
+}
+
 std::vector<const standin_engine*> dev_fleet::engines_in(std::string_view zone) const {
     std::vector<const standin_engine*> out;
     for (std::size_t i = 0; i < engines_.size(); ++i) {
@@ -264,6 +331,8 @@
     stop_all(agents_);
     engines_.clear();
     services_.clear();
+    relays_.clear();
+    east_store_.reset();
     platform_.reset();
 }
 
--- a/src/dandelionbay/app/dev_fleet.hpp
+++ b/src/dandelionbay/app/dev_fleet.hpp
@@ -14,6 +14,7 @@
 #include "dandelionbay/standin/standin_engine.hpp"
 #include "dandelionbay/standin/standin_platform.hpp"
 #include "dandelionbay/standin/standin_service.hpp"
+#include "dandelionbay/standin/tcp_relay.hpp"
 
 namespace dandelionbay::app {
 
@@ -22,6 +23,7 @@
     std::uint16_t port{};       //!< Callers of the first router.
     std::uint16_t admin_port{}; //!< Operators of the first router.
     std::string admin_token{"dev-admin"};
+    bool relays{}; //!< Links and calls to the store pass relays, which split_regions() needs.
 
     friend bool operator==(const dev_options&, const dev_options&) = default;
 };
@@ -34,8 +36,12 @@
  */
 class dev_fleet {
     [[nodiscard]] absl::Status start_platform();
+    [[nodiscard]] absl::Status start_relays();
+    [[nodiscard]] node_options common_options(std::size_t host) const;
     [[nodiscard]] absl::Status start_endpoints();
     [[nodiscard]] std::unique_ptr<agent_node> make_agent(std::size_t index) const;
+    [[nodiscard]] std::unique_ptr<router_node> make_router(std::size_t index, std::uint16_t port,
+                                                           std::uint16_t admin_port) const;
     [[nodiscard]] absl::Status start_agents();
     [[nodiscard]] absl::Status start_routers();
     [[nodiscard]] absl::Status wait_until_serving();
@@ -78,12 +84,33 @@
      */
     [[nodiscard]] absl::StatusOr<std::unique_ptr<agent_node>> restart_agent(std::size_t index);
 
+    /**
+     * @brief Stops a router gracefully and starts its host again with a new life and the same ports.
+     * @param index Of the router in routers(), which must not be read meanwhile.
+     * @return The stopped router, or the error that kept the new one from starting or from hearing all hosts in 20 s.
+     */
+    [[nodiscard]] absl::StatusOr<std::unique_ptr<router_node>> restart_router(std::size_t index);
+
+    /**
+     * @brief Makes all connections between the regions silent, the east's connections to the store included, or lets
+     *        them move again. Needs dev_options::relays.
+     * @param split Whether the regions are split from now on.
+     */
+    void split_regions(bool split);
+
+    /*! @brief Region of a router. @param index Of the router in routers(). */
+    [[nodiscard]] static std::string region_of_router(std::size_t index);
+
     /*! @brief The model engine stand-ins of a zone. @param zone Name of the zone. @return Valid until stop(). */
     [[nodiscard]] std::vector<const standin_engine*> engines_in(std::string_view zone) const;
 
 private:
     dev_options options_;
-    std::vector<host_entry> hosts_;
+    std::vector<host_entry> hosts_;                  //!< With the addresses to dial: of the relays, if there are any.
+    std::vector<socket_address> peer_listen_;        //!< Where each of the hosts listens.
+    std::vector<std::unique_ptr<tcp_relay>> relays_; //!< One before each of the hosts.
+    std::unique_ptr<tcp_relay> east_store_;
+    std::uint16_t east_store_port_{};
     std::unique_ptr<standin_platform> platform_;
     std::vector<std::unique_ptr<standin_engine>> engines_;
     std::vector<std::unique_ptr<standin_service>> services_;
