Record the bench's service and refusals for each router

Cause: the recorder kept tokens, waiting calls, seconds and refusals for the whole fleet, so that a fault of one region could not be told from one of both.

Ruled out: a recorder for each router, because the report's quantiles and endings are those of the fleet.

Change: the recorder keeps them for each router and sums them up in the report, whose figures keep their meaning. A second of service counts refusals too.

Conclusion: figures by region are possible.

--- a/src/dandelionbay/bench/load_generator.cpp
+++ b/src/dandelionbay/bench/load_generator.cpp
@@ -47,11 +47,11 @@
 }
 
 /*! Records a refusal. Returns whether it says that the call did not run. */
-bool record_refusal(recorder& results, const std::string& body, int status) {
+bool record_refusal(recorder& results, std::size_t router, const std::string& body, int status) {
     const auto document = json::parse(body, nullptr, false);
     const bool not_run = document.is_object() && document.contains("error") && document["error"].is_object() &&
                          document["error"].value("executed", json{}) == "no";
-    results.refuse(refusal_code(body, status), not_run);
+    results.refuse(router, refusal_code(body, status), not_run, now());
     return not_run;
 }
 
@@ -78,21 +78,21 @@
                 results_->next_token_added(at - *last_ - *engine);
             }
         } else {
-            results_->answered(it_->team, sent_);
+            results_->answered(it_->router, it_->team, sent_);
             results_->first_token(it_->router, planned_, at);
-            results_->count_input(it_->team, input_of(*it_));
+            results_->count_input(it_->router, it_->team, input_of(*it_));
             if (engine) {
                 results_->first_token_added(at - planned_ - *engine);
             }
         }
         last_ = at;
-        results_->count_token(it_->team, at);
+        results_->count_token(it_->router, it_->team, at);
     }
 
 public:
     chat_answer(const arrival& it, time_point planned, recorder& results, engine_times& engines)
         : it_{&it}, planned_{planned}, sent_{now()}, results_{&results}, engines_{&engines} {
-        results_->sent(it.team, sent_);
+        results_->sent(it.router, it.team, sent_);
     }
 
     void feed(std::string_view data) {
@@ -109,17 +109,17 @@
     void finish(bool whole) {
         engines_->remove(it_->text + "\n");
         if (!last_) {
-            results_->answered(it_->team, sent_);
+            results_->answered(it_->router, it_->team, sent_);
         }
         if (status_ == 0) {
-            results_->end(ending::lost, now());
+            results_->end(it_->router, ending::lost, now());
         } else if (status_ != 200) {
-            (void)record_refusal(*results_, error_, status_);
+            (void)record_refusal(*results_, it_->router, error_, status_);
         } else if (!whole || !ended_) {
-            results_->end(ending::cut, now());
+            results_->end(it_->router, ending::cut, now());
         } else {
             const bool own = text_ == standin_engine::expected_answer(it_->text + "\n", it_->tokens);
-            results_->end(own ? ending::complete : ending::wrong, now());
+            results_->end(it_->router, own ? ending::complete : ending::wrong, now());
         }
     }
 
@@ -182,18 +182,18 @@
     };
     const auto result = send(ports_.at(it.router), request);
     if (result && status != 201) {
-        const bool not_run = record_refusal(*results_, result->body, status);
+        const bool not_run = record_refusal(*results_, it.router, result->body, status);
         results_->end_order(not_run ? "refused_not_run" : "refused_unknown");
         return;
     }
     if (!result) {
-        results_->end(status == 0 ? ending::lost : ending::cut, now());
+        results_->end(it.router, status == 0 ? ending::lost : ending::cut, now());
         results_->end_order("no_answer");
         return;
     }
     const auto answer = json::parse(result->body, nullptr, false);
     const bool own = answer.is_object() && answer.value("order", std::string{}) == it.text;
-    results_->end(own ? ending::complete : ending::wrong, now());
+    results_->end(it.router, own ? ending::complete : ending::wrong, now());
     results_->end_order(own ? "complete" : "wrong");
 }
 
@@ -202,7 +202,7 @@
         const auto& it = from.calls[n];
         std::this_thread::sleep_until(start_ + it.at);
         if (now() > limit_) {
-            results_->end(ending::unsent, now());
+            results_->end(it.router, ending::unsent, now());
         } else if (it.is_order()) {
             send_order(it);
         } else {
--- a/src/dandelionbay/bench/queue_model.cpp
+++ b/src/dandelionbay/bench/queue_model.cpp
@@ -121,7 +121,7 @@
     void send(std::size_t call) {
         const auto& it = plan_->at(call);
         calls_[call].sent = now();
-        results_.sent(it.team, now());
+        results_.sent(it.router, it.team, now());
         if (policy_ == queue_policy::round_robin) {
             auto& next = next_engine_.at(it.router);
             do {
@@ -136,7 +136,7 @@
 
     void arrive(std::size_t call) {
         if (plan_->at(call).is_order()) {
-            results_.end(ending::complete, now());
+            results_.end(plan_->at(call).router, ending::complete, now());
             return;
         }
         auto& from = lane_of(call);
@@ -149,7 +149,7 @@
             const auto call = from.unsent.front();
             from.unsent.pop_front();
             if (now_ > options_.last_send) {
-                results_.end(ending::unsent, now());
+                results_.end(plan_->at(call).router, ending::unsent, now());
                 continue;
             }
             ++from.outstanding;
@@ -161,20 +161,20 @@
         const auto& planned = plan_->at(call);
         auto& it = calls_[call];
         if (it.made == 0) {
-            results_.answered(planned.team, it.sent);
+            results_.answered(planned.router, planned.team, it.sent);
             results_.first_token(planned.router, time_point{planned.at}, now());
-            results_.count_input(planned.team, input_of(planned));
+            results_.count_input(planned.router, planned.team, input_of(planned));
         } else {
             results_.next_token(now() - it.last_token);
         }
         it.last_token = now();
-        results_.count_token(planned.team, now());
+        results_.count_token(planned.router, planned.team, now());
         if (++it.made < planned.tokens) {
             plan_event(now_ + token_interval(it.engine), call, true);
             return;
         }
         --engines_[it.engine].running;
-        results_.end(ending::complete, now());
+        results_.end(planned.router, ending::complete, now());
         --lane_of(call).outstanding;
         send_next(lane_of(call));
     }
--- a/src/dandelionbay/bench/recorder.hpp
+++ b/src/dandelionbay/bench/recorder.hpp
@@ -28,6 +28,7 @@
 struct second_of_service {
     std::uint64_t complete{};
     std::uint64_t tokens{};
+    std::uint64_t refused{};
 
     friend bool operator==(const second_of_service&, const second_of_service&) = default;
 };
@@ -49,17 +50,26 @@
         std::multiset<time_point> waiting{}; //!< When the calls without a first token were sent.
     };
 
-    [[nodiscard]] second_of_service* second_at(time_point now);
+    struct router_state {
+        std::vector<second_of_service> seconds{};
+        std::array<team_state, team_count> teams{};
+        std::map<std::string, std::uint64_t> refused{};
+        latency_histogram ttft{};
+    };
+
+    [[nodiscard]] second_of_service* second_at(std::size_t router, time_point now);
+    [[nodiscard]] std::vector<second_of_service> all_seconds() const;
 
 public:
     /*! @brief Starts. @param start Start of the load. @param seconds Length of the load. */
     recorder(time_point start, std::size_t seconds);
 
-    /*! @brief A chat call was sent. @param team Of the caller. @param now When. */
-    void sent(std::size_t team, time_point now);
+    /*! @brief A chat call was sent. @param router For which it was planned. @param team Of the caller. @param now When.
+     */
+    void sent(std::size_t router, std::size_t team, time_point now);
 
-    /*! @brief A call no longer waits for its first token. @param team Of the caller. @param sent When it was sent. */
-    void answered(std::size_t team, time_point sent);
+    /*! @brief A call no longer waits for its first token. @param sent When it was sent. */
+    void answered(std::size_t router, std::size_t team, time_point sent);
 
     /*! @brief The first token came. @param router Of the call. @param planned When it was due. @param now Current time.
      */
@@ -74,21 +84,23 @@
     /*! @brief A further token came. @param added Time since the previous one beyond the engine's own. */
     void next_token_added(duration added);
 
-    /*! @brief A call's first token came. @param team Of the caller. @param input Tokens of the prompt. */
-    void count_input(std::size_t team, std::uint32_t input);
+    /*! @brief A call's first token came. @param input Tokens of the prompt. */
+    void count_input(std::size_t router, std::size_t team, std::uint32_t input);
 
     /*! @brief Counts a token of a team. */
-    void count_token(std::size_t team, time_point now);
+    void count_token(std::size_t router, std::size_t team, time_point now);
 
     /*! @brief A call ended without refusal. */
-    void end(ending how, time_point now);
+    void end(std::size_t router, ending how, time_point now);
 
     /**
      * @brief A call was refused.
+     * @param router For which it was planned.
      * @param code Numeric result code, or the HTTP status if there is none.
      * @param not_run Whether the refusal says that the call did not run.
+     * @param now Current time.
      */
-    void refuse(const std::string& code, bool not_run);
+    void refuse(std::size_t router, const std::string& code, bool not_run, time_point now);
 
     /*! @brief An order ended; beside end() or refuse(). @param outcome How, as it is named in the report. */
     void end_order(const std::string& outcome);
@@ -96,23 +108,29 @@
     /*! @brief What each team has got. */
     [[nodiscard]] fairness_meter::sample sample(time_point now) const;
 
+    /*! @brief What each team has got of the calls for one router. */
+    [[nodiscard]] fairness_meter::sample sample(std::size_t router, time_point now) const;
+
+    /*! @brief Refusals so far of the calls for one router, by code. */
+    [[nodiscard]] std::map<std::string, std::uint64_t> refused(std::size_t router) const;
+
     /*! @brief Service by the second. */
     [[nodiscard]] std::vector<second_of_service> seconds() const;
 
+    /*! @brief Service by the second of the calls for one router. */
+    [[nodiscard]] std::vector<second_of_service> seconds(std::size_t router) const;
+
     /*! @brief All figures of the callers. @return JSON object. */
     [[nodiscard]] nlohmann::json report() const;
 
 private:
     const time_point start_;
     mutable std::mutex mutex_;
-    std::vector<second_of_service> seconds_;
-    std::array<team_state, team_count> teams_;
+    std::array<router_state, router_count> routers_;
     std::map<ending, std::uint64_t> endings_;
-    std::map<std::string, std::uint64_t> refused_;
     std::uint64_t refused_not_run_{0};
     std::map<std::string, std::uint64_t> orders_;
     latency_histogram ttft_;
-    std::array<latency_histogram, router_count> ttft_by_router_;
     latency_histogram inter_token_;
     latency_histogram ttft_added_;
     latency_histogram inter_token_added_;
