Add the bench scenario region-split

Cause: regions lose each other for minutes several times a year (design section 1.4), and no measurement showed what callers of each region see.

Ruled out: a split with the store reachable for both sides, in which both have evidence and serve, so that the isolated part of design section 8 would not be measured; cut connections, which tell both ends at once.

Change: under the load of steady the regions can't reach each other from 15% to 60% of the run and the east loses the store, which is in the west. The report's member split has service second by second for each region, and for the parts before, during and after the split the refusals by code, the fairness gap of the fleet and of each region and the control bytes, and the time from the rejoin until service is back.

--- a/src/dandelionbay/app/bench.cpp
+++ b/src/dandelionbay/app/bench.cpp
@@ -11,7 +11,7 @@
 #include "dandelionbay/bench/run.hpp"
 
 ABSL_FLAG(std::string, scenario, "steady",
-          "steady, skew, flood, dossiers, zone-move, cold, store-outage or rolling-restart");
+          "steady, skew, flood, dossiers, zone-move, cold, store-outage, region-split or rolling-restart");
 ABSL_FLAG(std::uint32_t, seconds, 10, "length of the load, from 1 to 3600");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the arrivals");
 ABSL_DECLARE_FLAG(bool, json);
@@ -54,7 +54,7 @@
         "--scenario=NAME [--seconds=N] [--seed=N] [--json] [--plot=FILE.html]",
         "Runs a development fleet in this process, sends it an open-loop load over HTTP and prints the figures as\n"
         "one JSON object; progress goes to standard error. Scenarios: steady, skew, flood, dossiers, zone-move, cold,\n"
-        "store-outage, rolling-restart.",
+        "store-outage, region-split, rolling-restart.",
         {"scenario", "seconds", "seed", "json", "plot"},
         run_bench};
 }
--- a/src/dandelionbay/bench/fleet_disturbance.cpp
+++ b/src/dandelionbay/bench/fleet_disturbance.cpp
@@ -23,6 +23,9 @@
 /*! Shares of the run at which the engine restarts, and the store goes and comes back. */
 constexpr double restart_share = 0.3;
 constexpr double store_back_share = 0.7;
+/*! Shares of the run at which the regions lose each other and rejoin. */
+constexpr double split_share = 0.15;
+constexpr double rejoin_share = 0.6;
 /*! Cold time of the restarted engine: four of the load reports that the agent sees. */
 constexpr std::chrono::seconds cold_time{2};
 
@@ -141,6 +144,18 @@
     }
 }
 
+void fleet_disturbance::split_regions() {
+    std::this_thread::sleep_until(at(split_share));
+    began_ = now();
+    fleet_->split_regions(true);
+    part_ = split_part::split;
+    print_("the regions lost each other");
+    std::this_thread::sleep_until(at(rejoin_share));
+    fleet_->split_regions(false);
+    part_ = split_part::after;
+    print_("the regions rejoined");
+}
+
 void fleet_disturbance::run() {
     switch (kind_) {
     case disturbance::none:
@@ -154,6 +169,9 @@
     case disturbance::store_outage:
         stop_store();
         break;
+    case disturbance::region_split:
+        split_regions();
+        break;
     case disturbance::host_restarts:
         restart_agents();
         restart_routers();
--- a/src/dandelionbay/bench/fleet_disturbance.hpp
+++ b/src/dandelionbay/bench/fleet_disturbance.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -16,6 +17,7 @@
 #include "dandelionbay/bench/queue_model.hpp"
 #include "dandelionbay/bench/recorder.hpp"
 #include "dandelionbay/bench/scenario.hpp"
+#include "dandelionbay/bench/split_meter.hpp"
 
 namespace dandelionbay::bench {
 
@@ -28,6 +30,7 @@
     void move_zone();
     void restart_engine();
     void stop_store();
+    void split_regions();
     void restart_agents();
     void restart_routers();
 
@@ -59,6 +62,9 @@
         return replaced_routers_;
     }
 
+    /*! @brief Part of the run for a split of the regions; may be called during run(). */
+    [[nodiscard]] split_part part() const noexcept { return part_; }
+
     /*! @brief Processor time of the replaced nodes' control work before they were stopped. */
     [[nodiscard]] duration replaced_cpu_time() const noexcept { return replaced_cpu_; }
 
@@ -82,6 +88,7 @@
     std::vector<std::unique_ptr<agent_node>> replaced_;
     std::vector<std::unique_ptr<router_node>> replaced_routers_;
     duration replaced_cpu_{0};
+    std::atomic<split_part> part_{split_part::before};
 };
 
 } // namespace dandelionbay::bench
--- a/src/dandelionbay/bench/fwd.hpp
+++ b/src/dandelionbay/bench/fwd.hpp
@@ -7,6 +7,7 @@
 struct engine_outage;
 struct second_of_service;
 struct queue_model_options;
+struct region_sample;
 struct scenario;
 
 class balancer;
@@ -17,5 +18,6 @@
 class latency_histogram;
 class load_generator;
 class recorder;
+class split_meter;
 
 } // namespace dandelionbay::bench
--- a/src/dandelionbay/bench/run.cpp
+++ b/src/dandelionbay/bench/run.cpp
@@ -16,6 +16,7 @@
 #include "dandelionbay/bench/load_generator.hpp"
 #include "dandelionbay/bench/queue_model.hpp"
 #include "dandelionbay/bench/recorder.hpp"
+#include "dandelionbay/bench/split_meter.hpp"
 
 namespace dandelionbay::bench {
 
@@ -120,7 +121,34 @@
         out["requests_per_s_of_central_queue"] = of_central("requests_per_s");
     }
 
-    void sample_service(time_point start, time_point end, const recorder& results) {
+    void add_to_split(const fleet_disturbance& during, const recorder& results, time_point at, duration step) {
+        std::array<region_sample, router_count> regions;
+        for (std::size_t i = 0; i < router_count; ++i) {
+            regions.at(i) = {results.sample(i, at), results.refused(i)};
+        }
+        const auto bytes = control_bytes(fleet_.routers()) + control_bytes(fleet_.agents());
+        split_.add(during.part(), regions, results.sample(at), step, bytes);
+    }
+
+    void add_split(json& out, const recorder& results) const {
+        out["split"] = nullptr;
+        if (options_.load.during != disturbance::region_split) {
+            return;
+        }
+        std::array<std::string, router_count> names;
+        json by_second;
+        for (std::size_t i = 0; i < router_count; ++i) {
+            names.at(i) = app::dev_fleet::region_of_router(i);
+            auto& region = by_second[names.at(i)] = json::array();
+            for (const auto& it : results.seconds(i)) {
+                region.push_back({{"complete", it.complete}, {"tokens", it.tokens}, {"refused", it.refused}});
+            }
+        }
+        out["split"] = split_.report(names, static_cast<double>(fleet_.routers().size() + fleet_.agents().size()));
+        out["split"]["service_by_second"] = std::move(by_second);
+    }
+
+    void sample_service(time_point start, time_point end, const recorder& results, const fleet_disturbance& during) {
         auto last = now();
         std::size_t printed = 0;
         while (last < end) {
@@ -132,6 +160,9 @@
                 slot_time_ += step.count() * standin_engine_options{}.slots;
             }
             fairness_.add(results.sample(at), at - last);
+            if (options_.load.during == disturbance::region_split) {
+                add_to_split(during, results, at, at - last);
+            }
             last = at;
             const auto seconds = results.seconds();
             if (at - start >= std::chrono::seconds{printed + 1} && printed < seconds.size()) {
@@ -154,7 +185,8 @@
 
 public:
     bench_run(const bench_options& options, std::ostream& progress)
-        : options_{options}, progress_{&progress}, fleet_{app::dev_options{}} {}
+        : options_{options}, progress_{&progress}, fleet_{app::dev_options{.relays = options.load.during ==
+                                                                                     disturbance::region_split}} {}
 
     [[nodiscard]] absl::StatusOr<json> run() {
         if (auto status = fleet_.start(); !status.ok()) {
@@ -181,7 +213,7 @@
         fleet_disturbance during{fleet_, options_.load.during, start, options_.length,
                                  [this](std::string_view line) { print(line); }};
         std::thread other{[&] { during.run(); }};
-        sample_service(start, end, results);
+        sample_service(start, end, results, during);
         other.join();
         const auto router_sent =
             control_bytes(fleet_.routers()) + control_bytes(during.replaced_routers()) - router_bytes;
@@ -212,6 +244,7 @@
         out["control_cpu_ratio"] = control_cpu.count() / (router_nodes + agents) / seconds;
         out["contended_s"] = std::chrono::duration<double>{fairness_.contended()}.count();
         during.add_figures(out, results.seconds());
+        add_split(out, results);
         add_baselines(out, plan, during);
         fleet_.stop();
         return out;
@@ -224,6 +257,7 @@
     engine_times engine_times_; // Before the fleet, whose engines use it.
     app::dev_fleet fleet_;
     fairness_meter fairness_;
+    split_meter split_;
     double running_time_{0};
     double slot_time_{0};
 };
--- a/src/dandelionbay/bench/scenario.cpp
+++ b/src/dandelionbay/bench/scenario.cpp
@@ -50,6 +50,8 @@
              std::chrono::seconds{1}},
     scenario{"cold", equal_teams(0.6), order_rate, disturbance::engine_restart, std::chrono::seconds{6}},
     scenario{"store-outage", equal_teams(0.5), order_rate, disturbance::store_outage, std::chrono::seconds{6}},
+    // The load of "steady": the east alone has less capacity than its half of the calls needs.
+    scenario{"region-split", equal_teams(0.6), order_rate, disturbance::region_split, std::chrono::seconds{16}},
     scenario{"rolling-restart", equal_teams(0.4), order_rate, disturbance::host_restarts, std::chrono::seconds{16}}};
 
 } // namespace
--- a/src/dandelionbay/bench/scenario.hpp
+++ b/src/dandelionbay/bench/scenario.hpp
@@ -32,6 +32,7 @@
     zone_move,      //!< A zone is taken out of service and back.
     engine_restart, //!< An engine restarts and is cold for a while.
     store_outage,   //!< The platform stand-in ends every call without an answer.
+    region_split,   //!< The regions can't reach each other for a part of the run.
     host_restarts   //!< All agents, then all routers stop gracefully and start again, one after the other.
 };
 
--- a/test/dandelionbay/bench/bench_test.cpp
+++ b/test/dandelionbay/bench/bench_test.cpp
@@ -10,6 +10,7 @@
 #include "dandelionbay/bench/fairness_meter.hpp"
 #include "dandelionbay/bench/latency_histogram.hpp"
 #include "dandelionbay/bench/recorder.hpp"
+#include "dandelionbay/bench/split_meter.hpp"
 
 namespace dandelionbay::bench {
 namespace {
@@ -188,6 +189,67 @@
     }
 }
 
+// Guards against figures of one part or region that contain another's, and against a return that counts from the split.
+TEST(bench, split_meter_keeps_parts_and_regions_apart) {
+    split_meter meter;
+    const auto add = [&](split_part part, std::int64_t west, std::int64_t east, std::uint64_t refused, double bytes) {
+        std::array<region_sample, router_count> now;
+        now[0].teams[0] = {west, true, 2 * west};
+        now[0].teams[1] = {0, true, 0};
+        now[1].teams[0] = {east, true, 2 * east};
+        if (refused > 0) {
+            now[1].refused["3004"] = refused;
+        }
+        meter.add(part, now, now[0].teams, 500ms, bytes);
+    };
+    add(split_part::before, 10, 10, 0, 100);
+    add(split_part::before, 15, 20, 0, 500);
+    add(split_part::split, 20, 20, 7, 600);
+    add(split_part::split, 40, 20, 9, 1'300);
+    add(split_part::after, 60, 20, 10, 1'400);
+    add(split_part::after, 70, 25, 10, 1'500);
+    add(split_part::after, 80, 35, 12, 1'700);
+    const auto it = meter.report({"west", "east"}, 2);
+    const auto& split = it["parts"][1];
+    EXPECT_EQ(split["part"], "split");
+    EXPECT_EQ(split["from_s"], 1.0);
+    EXPECT_EQ(split["until_s"], 2.0);
+    EXPECT_EQ(split["control_bytes_per_node_s"], 400);
+    EXPECT_EQ(split["regions"]["west"]["tokens"], 25);
+    EXPECT_EQ(split["regions"]["west"]["fairness"]["gap_tokens"], 20) << "from 20 ahead to 40 ahead";
+    EXPECT_EQ(split["regions"]["east"]["tokens"], 0);
+    EXPECT_EQ(split["regions"]["east"]["refused_by_code"], (nlohmann::json{{"3004", 9}}));
+    EXPECT_EQ(split["regions"]["east"]["fairness"]["contended_s"], 0.0);
+    EXPECT_EQ(it["parts"][2]["regions"]["east"]["refused_by_code"], (nlohmann::json{{"3004", 3}}));
+    EXPECT_EQ(it["rejoin"]["east"]["first_token_after_s"], 1.0);
+    EXPECT_EQ(it["rejoin"]["east"]["service_back_after_s"], 1.5) << "the last refusal";
+    EXPECT_EQ(it["rejoin"]["west"]["service_back_after_s"], 0.5);
+}
+
+// Guards against a split that cuts nothing, an isolated region that serves or refuses with a wrong promise, one that
+// the split of the other region stops, and a region that does not serve again after the rejoin.
+TEST(bench, region_split_run_stops_the_east_alone_and_brings_it_back) {
+    std::ostringstream progress;
+    const auto figures = run_bench({*find_scenario("region-split"), 16s, 1, 1s}, progress);
+    ASSERT_TRUE(figures.ok()) << figures.status();
+    const auto& split = (*figures)["split"];
+    ASSERT_EQ(split["parts"].size(), 3) << *figures;
+    const auto& regions = split["parts"][1]["regions"];
+    EXPECT_GT(regions["east"]["refused_by_code"].value("3004", 0), 0) << split;
+    EXPECT_GT(regions["west"]["tokens"], 0);
+    EXPECT_TRUE(regions["west"]["refused_by_code"].empty()) << split;
+    EXPECT_TRUE(split["rejoin"]["east"]["service_back_after_s"].is_number()) << split;
+    {
+        SCOPED_TRACE("nothing of the east completes once it refuses, 5 s after the split at 2.4 s, until 9.6 s");
+        EXPECT_EQ(split["service_by_second"]["east"][8]["complete"], 0) << split;
+        EXPECT_GT(split["service_by_second"]["west"][8]["complete"], 0) << split;
+        EXPECT_GT(split["service_by_second"]["east"][15]["complete"], 0) << split;
+    }
+    for (const auto* key : {"doubled", "wrong"}) {
+        EXPECT_EQ((*figures)[key], 0) << key << *figures;
+    }
+}
+
 // Guards against a restart of routers that breaks or refuses calls although a balancer sends them elsewhere, and
 // against a run that leaves the routers out (R9).
 TEST(bench, rolling_restart_run_replaces_all_hosts_and_breaks_no_answer) {
