Count a warm report that comes before the agent's configuration

Cause: a restarted agent reads its endpoint's state and its configuration at the same time. When the report came first, the ramp was raised to a quarter of 0 slots, and the configuration then set it to the cold bound: 1 slot instead of 2 of 8. A trial build that printed the ramp at each report showed it in 3 of 4 restarts of engine agents; the agents then had 2 of 8 slots each when the fourth one stopped.

Ruled out: slow links or stale configuration after the restart (the limit of each agent was in use up to the last slot while calls waited); a slow engine (it is warm).

Change: ramp_limiter keeps the raise until its slots are known; a reset before drops it. The new test read a limit of 1 instead of 2 before the change.

Conclusion: the report's order no longer costs half of the first slots.

--- a/src/dandelionbay/limit/ramp_limiter.cpp
+++ b/src/dandelionbay/limit/ramp_limiter.cpp
@@ -1,6 +1,7 @@
 #include "dandelionbay/limit/ramp_limiter.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace dandelionbay {
 
@@ -24,11 +25,15 @@
     // More slots than before have to be reached by the ramp; the position never stays above the slots.
     position_ = position_ <= old_bound ? cold_slots_ : std::max(position_, cold_slots_);
     position_ = std::min(position_, std::max(1U, slots_));
+    if (slots_ > 0 && std::exchange(raise_when_configured_, false)) {
+        raise_to_quarter();
+    }
 }
 
 void ramp_limiter::reset(time_point now) {
     position_ = std::min(cold_slots_, std::max(1U, slots_));
     reset_at_ = now;
+    raise_when_configured_ = false;
     raises_.clear();
 }
 
@@ -45,6 +50,7 @@
 }
 
 void ramp_limiter::raise_to_quarter() {
+    raise_when_configured_ = slots_ == 0;
     position_ = std::max(position_, slots_ / 4);
     raises_.clear();
 }
--- a/src/dandelionbay/limit/ramp_limiter.hpp
+++ b/src/dandelionbay/limit/ramp_limiter.hpp
@@ -41,7 +41,8 @@
     /*! @brief The endpoint takes work again after a pause: the ramp starts at a quarter of the slots at most. */
     void lower_to_quarter();
 
-    /*! @brief The endpoint is known to be warm: the ramp starts at a quarter of the slots at least. */
+    /*! @brief The endpoint is known to be warm: the ramp starts at a quarter of the slots at least. Before the slots
+     * are known it takes effect with them, unless a reset comes first. */
     void raise_to_quarter();
 
     /**
@@ -69,6 +70,7 @@
     duration expected_{std::chrono::milliseconds{500}};
     std::uint32_t position_{1};
     bool reported_cold_{};
+    bool raise_when_configured_{};
     time_point reset_at_{time_point::min()};
     std::deque<time_point> raises_{}; //!< Raises within the last doubling_time.
 };
--- a/test/dandelionbay/limit/limiter_test.cpp
+++ b/test/dandelionbay/limit/limiter_test.cpp
@@ -11,6 +11,21 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// Guards against a restarted agent that takes a warm endpoint for cold because its report came before the
+// configuration, and against one that goes by such a report after the endpoint became cold (R3).
+TEST(ramp_limiter, a_warm_report_before_the_configuration_counts_unless_the_endpoint_became_cold) {
+    ramp_limiter warm;
+    warm.raise_to_quarter();
+    EXPECT_EQ(warm.limit(), 0) << "no slots yet";
+    warm.configure(8, 1, milliseconds{500});
+    EXPECT_EQ(warm.limit(), 2);
+    ramp_limiter cold;
+    cold.raise_to_quarter();
+    cold.set_reported_cold(true, time_point{seconds{1}});
+    cold.configure(8, 1, milliseconds{500});
+    EXPECT_EQ(cold.limit(), 1);
+}
+
 // Guards against a cold endpoint that is given its full load within moments (R3).
 TEST(ramp_limiter, the_limit_at_most_doubles_in_any_two_seconds) {
     ramp_limiter ramp;
