--- a/src/dandelionbay/bench/fleet_disturbance.cpp
+++ b/src/dandelionbay/bench/fleet_disturbance.cpp
@@ -23,6 +23,9 @@
 /*! Shares of the run at which the engine restarts, and the store goes and comes back. */
 constexpr double restart_share = 0.3;
 constexpr double store_back_share = 0.7;
+/*! Shares of the run at which the regions lose each other and rejoin. */
+constexpr double split_share = 0.15;
+constexpr double rejoin_share = 0.6;
 /*! Cold time of the restarted engine: four of the load reports that the agent sees. */
 constexpr std::chrono::seconds cold_time{2};
 
@@ -127,6 +130,32 @@
     }
 }
 
+void fleet_disturbance::restart_routers() {
+    for (std::size_t i = 0; status_.ok() && i < fleet_->routers().size(); ++i) {
+        const auto cpu = fleet_->routers()[i]->control_cpu_time();
+        auto old = fleet_->restart_router(i);
+        if (!old.ok()) {
+            status_ = old.status();
+            return;
+        }
+        replaced_cpu_ += cpu;
+        replaced_routers_.push_back(std::move(*old));
+        print_(concat("router ", i + 1, " restarted"));
+    }
+}
+
+void fleet_disturbance::split_regions() {
+    std::this_thread::sleep_until(at(split_share));
+    began_ = now();
+    fleet_->split_regions(true);
+    part_ = split_part::split;
+    print_("the regions lost each other");
+    std::this_thread::sleep_until(at(rejoin_share));
+    fleet_->split_regions(false);
+    part_ = split_part::after;
+    print_("the regions rejoined");
+}
+
 void fleet_disturbance::run() {
     switch (kind_) {
     case disturbance::none:
@@ -140,8 +169,12 @@
     case disturbance::store_outage:
         stop_store();
         break;
-    case disturbance::agent_restarts:
+    case disturbance::region_split:
+        split_regions();
+        break;
+    case disturbance::host_restarts:
         restart_agents();
+        restart_routers();
         break;
     }
 }
@@ -165,6 +198,7 @@
     out["late_grants_window_s"] = std::chrono::duration<double>{late_window_}.count();
     out["cold_violations"] = cold_violations() - violations_before_;
     out["agents_restarted"] = replaced_.size();
+    out["routers_restarted"] = replaced_routers_.size();
     out["worst_second"] = nullptr;
     if (began_) {
         const auto second = std::chrono::floor<std::chrono::seconds>(*began_ - start_).count();
--- a/src/dandelionbay/bench/fleet_disturbance.hpp
+++ b/src/dandelionbay/bench/fleet_disturbance.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -16,6 +17,7 @@
 #include "dandelionbay/bench/queue_model.hpp"
 #include "dandelionbay/bench/recorder.hpp"
 #include "dandelionbay/bench/scenario.hpp"
+#include "dandelionbay/bench/split_meter.hpp"
 
 namespace dandelionbay::bench {
 
@@ -28,7 +30,9 @@
     void move_zone();
     void restart_engine();
     void stop_store();
+    void split_regions();
     void restart_agents();
+    void restart_routers();
 
 public:
     using printer = std::function<void(std::string_view)>;
@@ -53,7 +57,15 @@
     /*! @brief Agents that were replaced; stopped. */
     [[nodiscard]] const std::vector<std::unique_ptr<agent_node>>& replaced() const noexcept { return replaced_; }
 
-    /*! @brief Processor time of the replaced agents' control work before they were stopped. */
+    /*! @brief Routers that were replaced; stopped. */
+    [[nodiscard]] const std::vector<std::unique_ptr<router_node>>& replaced_routers() const noexcept {
+        return replaced_routers_;
+    }
+
+    /*! @brief Part of the run for a split of the regions; may be called during run(). */
+    [[nodiscard]] split_part part() const noexcept { return part_; }
+
+    /*! @brief Processor time of the replaced nodes' control work before they were stopped. */
     [[nodiscard]] duration replaced_cpu_time() const noexcept { return replaced_cpu_; }
 
     /*! @brief The time in which engines start no work, for the baselines. */
@@ -74,7 +86,9 @@
     std::optional<std::uint64_t> late_grants_;
     duration late_window_{0};
     std::vector<std::unique_ptr<agent_node>> replaced_;
+    std::vector<std::unique_ptr<router_node>> replaced_routers_;
     duration replaced_cpu_{0};
+    std::atomic<split_part> part_{split_part::before};
 };
 
 } // namespace dandelionbay::bench
--- a/src/dandelionbay/bench/scenario.hpp
+++ b/src/dandelionbay/bench/scenario.hpp
@@ -32,7 +32,8 @@
     zone_move,      //!< A zone is taken out of service and back.
     engine_restart, //!< An engine restarts and is cold for a while.
     store_outage,   //!< The platform stand-in ends every call without an answer.
-    agent_restarts  //!< All agents stop gracefully and start again, one after the other.
+    region_split,   //!< The regions can't reach each other for a part of the run.
+    host_restarts   //!< All agents, then all routers stop gracefully and start again, one after the other.
 };
 
 /*! @brief Load of one team. */
