Number the names on each connection

Cause: each frame repeated the names of teams, services, pools and routers; a team in a demand took 23 bytes and a submission 46 bytes besides the call.

Change: each direction of a connection has a table of names. The first frame with a name defines the next number, later frames send the number. The table starts empty, holds 2,048 names and 32 KiB, and leaves names in full when it is full. The decoder refuses undefined numbers, definitions of a known, empty or over-long name, and definitions beyond a bound. A definition is binary data, so that text stays a name without a number: a frame of encode_frame is valid on any link.

Ruled out: implicit definition by the first text (each stateless frame would become a redefinition); a hash map for each table (about 70 bytes a name, 700 tables at a router). A sorted array of numbers costs 2 bytes a name.

Existing checks: random_mutation_never_crashes sends the first message again behind the two others, so that numbers are mutated too; a_restarted_host_is_ dialled_again also sends demands. Nothing is relaxed.

--- a/bench/agent_bench.cpp
+++ b/bench/agent_bench.cpp
@@ -1,4 +1,5 @@
 #include <deque>
+#include <map>
 #include <memory>
 #include <utility>
 
@@ -23,7 +24,13 @@
             if (sent == nullptr) {
                 continue;
             }
-            bytes_ += count_bytes ? control_bytes(sent->body, link_to(sent->to)) : 0.0;
+            if (count_bytes) {
+                const auto [link, fresh] = links_.try_emplace(sent->to);
+                if (fresh) {
+                    link->second.set_link(link_to(sent->to));
+                }
+                bytes_ += control_bytes(link->second, sent->body);
+            }
             if (const auto* const leave = std::get_if<grant>(&sent->body)) {
                 for (const auto& id : leave->ids) {
                     held_.emplace_back(sent->to, id);
@@ -130,6 +137,7 @@
                      metrics_};
     std::deque<std::pair<host_id, grant_id>> held_{};
     std::vector<double> served_;
+    std::map<host_id, frame_encoder> links_{};
     std::size_t next_{};
     std::uint64_t version_{};
     std::uint64_t sequence_{};
--- a/bench/router_bench.cpp
+++ b/bench/router_bench.cpp
@@ -22,15 +22,22 @@
             if (sent == nullptr) {
                 continue;
             }
-            const link_context link{{.host = router_host(0), .role = host_role::router, .incarnation = 1},
-                                    {.host = sent->to, .role = host_role::agent, .incarnation = 1}};
+            double bytes = 0.0;
+            if (encode_all) {
+                const auto [link, fresh] = links_.try_emplace(sent->to);
+                if (fresh) {
+                    link->second.set_link({{.host = router_host(0), .role = host_role::router, .incarnation = 1},
+                                           {.host = sent->to, .role = host_role::agent, .incarnation = 1}});
+                }
+                bytes = control_bytes(link->second, sent->body);
+            }
             if (const auto* const work = std::get_if<submit>(&sent->body)) {
                 started_.emplace_back(sent->to, work->id);
-                submit_bytes += count_bytes ? control_bytes(sent->body, link) : 0.0;
+                submit_bytes += count_bytes ? bytes : 0.0;
             } else if (count_bytes) {
-                control += control_bytes(sent->body, link);
+                control += bytes;
                 if (const auto* const changed = std::get_if<ledger_rows>(&sent->body)) {
-                    note_rows(sent->to, *changed, link);
+                    note_rows(sent->to, *changed, bytes);
                 }
                 if (std::holds_alternative<demand>(sent->body)) {
                     ++demands;
@@ -42,8 +49,8 @@
         }
     }
 
-    void note_rows(const host_id& to, const ledger_rows& sent, const link_context& link) {
-        ledger_bytes += control_bytes(sent, link);
+    void note_rows(const host_id& to, const ledger_rows& sent, double bytes) {
+        ledger_bytes += bytes;
         rows += static_cast<std::int64_t>(sent.rows.size());
         for (const auto& row : sent.rows) {
             if (row.router == to) {
@@ -165,6 +172,7 @@
 
     /*! @brief Runs for some manual time with counted bytes; the byte budgets' burst is used up before. */
     void count(duration settle, duration time) {
+        encode_all = true;
         for (const auto until = now_ + settle; now_ < until;) {
             cycle();
         }
@@ -173,6 +181,7 @@
             cycle();
         }
         count_bytes = false;
+        encode_all = false;
     }
 
     [[nodiscard]] std::size_t distinct_rows() const { return row_sent_.size(); }
@@ -186,6 +195,7 @@
     [[nodiscard]] std::int64_t violations() const { return metrics_.total("invariant_violations_total"); }
 
     bool count_bytes{};
+    bool encode_all{}; //!< Names have numbers from the settling on, as they do on a link.
     bool hears{};
     std::int64_t rows{};
     double ledger_bytes{};
@@ -206,6 +216,7 @@
     time_point next_tick_{seconds{100}};
     router_core core_{{router_host(0), region_id{"r"}, zone_id{"z"}, 1, 1}, metrics_};
     std::deque<std::pair<host_id, request_id>> started_{};
+    std::map<host_id, frame_encoder> links_{};
     std::map<host_id, time_point> told_{};
     std::map<std::pair<host_id, std::pair<host_id, team_id>>, time_point> row_sent_{};
     std::vector<std::uint64_t> offsets_{};
--- a/bench/support.hpp
+++ b/bench/support.hpp
@@ -33,10 +33,9 @@
     return endpoint_id{"endpoint-" + std::to_string(100 + n)};
 }
 
-/*! @brief Bytes of a frame that are not the caller's call or its answer. @param body Message. @param link Context. */
-inline double control_bytes(const message& body, const link_context& link) {
-    const auto frame = encode_frame(body, link);
-    return static_cast<double>(frame.value().size() - payload_bytes(body));
+/*! @brief Bytes of a frame that are not the caller's call or its answer. @param link Of the frame's direction. */
+inline double control_bytes(frame_encoder& link, const message& body) {
+    return static_cast<double>(link.encode(body).value().size() - payload_bytes(body));
 }
 
 /*! @brief Bytes in use on the heap, blocks mapped on their own included. */
--- a/bench/wire_bench.cpp
+++ b/bench/wire_bench.cpp
@@ -42,6 +42,14 @@
     return {.id = id, .offset = 10'000, .data = std::string(static_cast<std::size_t>(data), 'x'), .output_tokens = 1};
 }
 
+ledger_rows make_rows(std::int64_t rows) {
+    ledger_rows out;
+    for (std::size_t n = 0; n < static_cast<std::size_t>(rows); ++n) {
+        out.rows.push_back({pool, team(n), id.router, id.incarnation, 5'000, 12'345.5, 200.5, 100});
+    }
+    return out;
+}
+
 // Both sides' first messages, as known on a link between the router and the agent that the messages above name.
 link_context link_of(const message& body) {
     const hello router{.host = id.router, .role = host_role::router, .incarnation = id.incarnation};
@@ -50,19 +58,26 @@
     return from_agent ? link_context{agent, router} : link_context{router, agent};
 }
 
+// Frames on a link that has carried the same names before.
 void encode(benchmark::State& state, const message& body) {
-    const auto link = link_of(body);
+    frame_encoder encoder;
+    encoder.set_link(link_of(body));
+    encoder.encode(body).IgnoreError();
     for (auto _ : state) {
-        benchmark::DoNotOptimize(encode_frame(body, link));
+        benchmark::DoNotOptimize(encoder.encode(body));
     }
-    state.counters["frame_bytes"] = static_cast<double>(encode_frame(body, link)->size());
+    state.counters["frame_bytes"] = static_cast<double>(encoder.encode(body)->size());
+    state.counters["frame_bytes_full_names"] = static_cast<double>(encode_frame(body, link_of(body))->size());
 }
 
 void decode(benchmark::State& state, const message& body) {
-    const auto link = link_of(body);
-    const auto frame = encode_frame(body, link).value();
+    frame_encoder encoder;
+    encoder.set_link(link_of(body));
     frame_decoder decoder;
-    decoder.set_link(link);
+    decoder.set_link(link_of(body));
+    decoder.feed(encoder.encode(body).value());
+    benchmark::DoNotOptimize(decoder.next());
+    const auto frame = encoder.encode(body).value();
     for (auto _ : state) {
         decoder.feed(frame);
         benchmark::DoNotOptimize(decoder.next());
@@ -81,6 +96,16 @@
 void grant_decode(benchmark::State& state) {
     decode(state, make_grant(state.range(0)));
 }
+void ledger_encode(benchmark::State& state) {
+    encode(state, make_rows(state.range(0)));
+}
+void ledger_size(benchmark::State& state) {
+    const message body{make_rows(state.range(0))};
+    frame_sizer sizer{link_of(body)};
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(sizer.add(body));
+    }
+}
 void submit_encode(benchmark::State& state) {
     encode(state, make_submit(state.range(0)));
 }
@@ -121,6 +146,8 @@
 BENCHMARK(demand_decode)->Arg(1)->Arg(2)->Arg(4)->Arg(8);
 BENCHMARK(grant_encode)->Arg(0)->Arg(2)->Arg(4)->Arg(8);
 BENCHMARK(grant_decode)->Arg(0)->Arg(2)->Arg(4)->Arg(8);
+BENCHMARK(ledger_encode)->Arg(1)->Arg(64);
+BENCHMARK(ledger_size)->Arg(1)->Arg(64);
 BENCHMARK(submit_encode)->Arg(100)->Arg(1'000)->Arg(10'000)->Arg(100'000);
 BENCHMARK(submit_decode)->Arg(100)->Arg(1'000)->Arg(10'000)->Arg(100'000);
 BENCHMARK(chunk_encode)->Arg(10)->Arg(50)->Arg(200)->Arg(1'000);
--- a/src/dandelionbay/wire/codec.cpp
+++ b/src/dandelionbay/wire/codec.cpp
@@ -44,7 +44,7 @@
 constexpr unsigned char length_more = 0x80U;
 
 template<std::size_t Type = 0>
-message unpack_body(std::size_t type, std::span<const msgpack::object> items, const link_context& link) {
+message unpack_body(std::size_t type, std::span<const msgpack::object> items, const frame_context& link) {
     if constexpr (Type == std::variant_size_v<message>) {
         throw malformed{"unknown message type"};
     } else {
@@ -62,7 +62,8 @@
 }
 
 // Number of the answer, data and the tokens unless there is one.
-chunk unpack_continuation(std::span<const msgpack::object> items, const internal::chunk_streams& streams) {
+chunk unpack_continuation(std::span<const msgpack::object> items, const frame_context& link,
+                          const chunk_streams& streams) {
     if (items.size() != 2 && items.size() != 3) {
         throw malformed{"wrong number of fields"};
     }
@@ -71,15 +72,15 @@
         throw malformed{"chunk continues an unknown answer"};
     }
     chunk piece{.id = stream->id, .offset = stream->offset, .output_tokens = 1};
-    unpack(items[1], piece.data, {});
+    unpack(items[1], piece.data, link);
     if (items.size() == 3) {
-        unpack(items[2], piece.output_tokens, {});
+        unpack(items[2], piece.output_tokens, link);
     }
     return piece;
 }
 
-message decode(std::string_view frame, const link_context& link, const internal::chunk_streams& streams) {
-    const msgpack::unpack_limit limits{max_elements, 0, max_frame_bytes, 0, 0, max_depth};
+message decode(std::string_view frame, const link_context& link, const chunk_streams& streams, name_table& names) {
+    const msgpack::unpack_limit limits{max_elements, 0, max_frame_bytes, name_table::longest, 0, max_depth};
     std::size_t end = 0;
     bool referenced = false;
     const auto handle = msgpack::unpack(frame.data(), frame.size(), end, referenced, &reference_all, nullptr, limits);
@@ -103,10 +104,11 @@
         }
         items = items.subspan(1);
     }
+    const frame_context context{link.sender, link.receiver, type == hello_type ? nullptr : &names};
     if (type == continuation_type) {
-        return unpack_continuation(items, streams);
+        return unpack_continuation(items, context, streams);
     }
-    return unpack_body(type, items, link);
+    return unpack_body(type, items, context);
 }
 
 std::size_t size_of(const std::vector<header_field>& headers) noexcept {
@@ -132,6 +134,30 @@
     return frame;
 }
 
+template<typename Packer>
+void pack_body(Packer& out, const message& body, const link_context& link, name_table* names) {
+    std::visit(
+        [&](const auto& it) {
+            constexpr auto members = std::tuple_size_v<decltype(internal::fields(it))>;
+            static_assert(members + 2 <= most_members, "the array's header has one byte");
+            constexpr bool first = std::is_same_v<std::decay_t<decltype(it)>, hello>;
+            out.pack_array(static_cast<std::uint32_t>(members + (first ? 2 : 1)));
+            out.pack(static_cast<std::uint32_t>(body.index()));
+            if constexpr (first) {
+                out.pack(protocol_version);
+            }
+            pack_members(out, it, frame_context{link.sender, link.receiver, first ? nullptr : names});
+        },
+        body);
+}
+
+absl::StatusOr<std::string> encode_body(const message& body, const link_context& link, name_table* names) {
+    msgpack::sbuffer buf;
+    msgpack::packer<msgpack::sbuffer> out{buf};
+    pack_body(out, body, link, names);
+    return framed(buf);
+}
+
 } // namespace
 
 namespace internal {
@@ -167,53 +193,49 @@
 } // namespace internal
 
 absl::StatusOr<std::string> encode_frame(const message& body, const link_context& link) {
-    msgpack::sbuffer buf;
-    packer out{buf};
-    std::visit(
-        [&](const auto& it) {
-            constexpr auto members = std::tuple_size_v<decltype(internal::fields(it))>;
-            static_assert(members + 2 <= most_members, "the array's header has one byte");
-            constexpr bool first = std::is_same_v<std::decay_t<decltype(it)>, hello>;
-            out.pack_array(static_cast<std::uint32_t>(members + (first ? 2 : 1)));
-            out.pack(static_cast<std::uint32_t>(body.index()));
-            if constexpr (first) {
-                out.pack(protocol_version);
-            }
-            pack_members(out, it, link);
-        },
-        body);
-    return framed(buf);
+    return encode_body(body, link, nullptr);
 }
 
 absl::StatusOr<std::string> frame_encoder::encode(const message& body) {
+    const auto known = names_.size();
     const auto* const piece = std::get_if<chunk>(&body);
-    if (piece == nullptr) {
-        return encode_frame(body, link_);
-    }
-    const auto number = streams_.find(*piece);
+    const auto number = piece != nullptr ? streams_.find(*piece) : std::nullopt;
     absl::StatusOr<std::string> frame;
     if (number.has_value()) {
         msgpack::sbuffer buf;
-        packer out{buf};
+        msgpack::packer<msgpack::sbuffer> out{buf};
         const bool one_token = piece->output_tokens == 1;
         out.pack_array(one_token ? 3 : 4);
         out.pack(static_cast<std::uint32_t>(continuation_type));
         out.pack(static_cast<std::uint32_t>(*number));
-        pack(out, piece->data, link_);
+        pack(out, piece->data, frame_context{link_.sender, link_.receiver, nullptr});
         if (!one_token) {
             out.pack(piece->output_tokens);
         }
         frame = framed(buf);
     } else {
-        frame = encode_frame(body, link_);
+        frame = encode_body(body, link_, &names_);
     }
-    // A frame that is too long is not sent, so the receiver does not note it either.
-    if (frame.ok()) {
+    if (!frame.ok()) {
+        // A frame that is too long is not sent, so the receiver notes neither its names nor its answer.
+        names_.truncate(known);
+    } else if (piece != nullptr) {
         streams_.note(*piece);
     }
     return frame;
 }
 
+std::size_t frame_sizer::add(const message& body) {
+    byte_counter count;
+    msgpack::packer<byte_counter> out{count};
+    pack_body(out, body, link_, &names_);
+    auto size = count.size + 1;
+    for (auto rest = count.size; rest >= length_more; rest >>= length_bits) {
+        ++size;
+    }
+    return size;
+}
+
 std::size_t payload_bytes(const message& body) noexcept {
     if (const auto* work = std::get_if<submit>(&body)) {
         const auto& it = work->request;
@@ -273,7 +295,7 @@
         }
         const auto frame = std::string_view{buffer_}.substr(offset_ + length, size);
         offset_ += length + size;
-        decoded_frame item{decode(frame, link_, streams_), length + size};
+        decoded_frame item{decode(frame, link_, streams_, names_), length + size};
         if (const auto* const piece = std::get_if<chunk>(&item.body)) {
             streams_.note(*piece);
         }
--- a/src/dandelionbay/wire/codec.hpp
+++ b/src/dandelionbay/wire/codec.hpp
@@ -10,6 +10,7 @@
 
 #include "absl/status/statusor.h"
 #include "dandelionbay/wire/message.hpp"
+#include "dandelionbay/wire/name_table.hpp"
 
 namespace dandelionbay {
 
@@ -66,7 +67,7 @@
 } // namespace internal
 
 /**
- * @brief Encodes a message as a frame.
+ * @brief Encodes a message as a frame that stands for itself: names are in full and get no numbers.
  * @param body The message.
  * @param link First messages of both sides; empty before they are known.
  * @return Length field and msgpack array, or InvalidArgument if the frame would be longer than max_frame_bytes.
@@ -80,7 +81,7 @@
     void set_link(link_context link) { link_ = std::move(link); }
 
     /**
-     * @brief Encodes a message; a chunk that continues an answer is shorter than with encode_frame.
+     * @brief Encodes a message, with numbers for known names and answers. Defines numbers for new names.
      * @param body The message.
      * @return As encode_frame.
      */
@@ -89,6 +90,25 @@
 private:
     link_context link_{};
     internal::chunk_streams streams_{};
+    internal::name_table names_{};
+};
+
+/**
+ * @brief Computes the sizes of the frames of one direction of a link without encoding them.
+ *
+ * Exact if it is given all messages that name something, in the order in which the link sends them.
+ */
+class frame_sizer {
+public:
+    /*! @brief Begins with an empty table of names. @param link As used by the encoder. */
+    explicit frame_sizer(link_context link) : link_{std::move(link)} {}
+
+    /*! @brief Notes the names of a message. @param body The message; not a chunk. @return Bytes of its frame. */
+    [[nodiscard]] std::size_t add(const message& body);
+
+private:
+    link_context link_;
+    internal::name_table names_{};
 };
 
 /**
@@ -136,6 +156,7 @@
     std::size_t offset_{};
     link_context link_{};
     internal::chunk_streams streams_{};
+    internal::name_table names_{};
 };
 
 } // namespace dandelionbay
--- a/src/dandelionbay/wire/field_traits.hpp
+++ b/src/dandelionbay/wire/field_traits.hpp
@@ -8,13 +8,20 @@
 
 namespace dandelionbay::internal {
 
+/*! @brief What a field's encoding depends on beside its value. */
+struct frame_context {
+    const hello& sender;   // NOLINT(cppcoreguidelines-avoid-const-or-ref-data-members)
+    const hello& receiver; // NOLINT(cppcoreguidelines-avoid-const-or-ref-data-members)
+    name_table* names;     //!< Null if names have no numbers.
+};
+
 /*! @brief First message of the sender if it is a router, else of the receiver. */
-[[nodiscard]] inline const hello& router_of(const link_context& link) noexcept {
+[[nodiscard]] inline const hello& router_of(const frame_context& link) noexcept {
     return link.sender.role == host_role::router ? link.sender : link.receiver;
 }
 
 /*! @brief First message of the sender if it is an agent, else of the receiver. */
-[[nodiscard]] inline const hello& agent_of(const link_context& link) noexcept {
+[[nodiscard]] inline const hello& agent_of(const frame_context& link) noexcept {
     return link.sender.role == host_role::agent ? link.sender : link.receiver;
 }
 
--- a/src/dandelionbay/wire/fwd.hpp
+++ b/src/dandelionbay/wire/fwd.hpp
@@ -22,6 +22,7 @@
 struct decoded_frame;
 class frame_decoder;
 class frame_encoder;
+class frame_sizer;
 struct link_context;
 
 } // namespace dandelionbay
--- a/src/dandelionbay/wire/message.hpp
+++ b/src/dandelionbay/wire/message.hpp
@@ -14,7 +14,7 @@
 namespace dandelionbay {
 
 /*! @brief Version of the frame format and the messages; hosts with different versions do not talk. */
-inline constexpr std::uint32_t protocol_version = 2;
+inline constexpr std::uint32_t protocol_version = 3;
 
 /*! @brief Role of a process in the fleet. */
 enum class host_role : std::uint8_t { router = 0, agent = 1 };
--- a/src/dandelionbay/wire/pack.hpp
+++ b/src/dandelionbay/wire/pack.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cmath>
+#include <cstddef>
 #include <cstdint>
 #include <limits>
 #include <string>
@@ -14,9 +15,16 @@
 
 namespace dandelionbay::internal {
 
-using packer = msgpack::packer<msgpack::sbuffer>;
+/*! @brief Buffer that counts what a msgpack packer writes, and keeps nothing. */
+struct byte_counter {
+    /*! @brief Counts bytes. @param n Number of bytes. */
+    void write(const char* /*data*/, std::size_t n) noexcept { size += n; }
 
-inline void pack_real(packer& out, double value) {
+    std::size_t size{};
+};
+
+template<typename Packer>
+void pack_real(Packer& out, double value) {
     // The library packs whole numbers as integers, which are never longer than a float.
     if (std::abs(value) <= std::numeric_limits<float>::max() && value != std::trunc(value) &&
         static_cast<double>(static_cast<float>(value)) == value) {
@@ -27,17 +35,18 @@
 }
 
 /*! @brief Appends a field. @param out Buffer. @param value The field. @param link What the hellos said. */
-template<typename Type>
-void pack(packer& out, const Type& value, const link_context& link);
+template<typename Packer, typename Type>
+void pack(Packer& out, const Type& value, const frame_context& link);
 
 /*! @brief Appends all fields of a message or a part of one, without an array header. */
-template<typename Type>
-void pack_members(packer& out, const Type& value, const link_context& link) {
+template<typename Packer, typename Type>
+void pack_members(Packer& out, const Type& value, const frame_context& link) {
     std::apply([&](const auto&... it) { (pack(out, it, link), ...); }, fields(value));
 }
 
 // The sender's incarnation is nil and the revision is the difference to the one in the sender's first message.
-inline void pack_members(packer& out, const heartbeat& value, const link_context& link) {
+template<typename Packer>
+void pack_members(Packer& out, const heartbeat& value, const frame_context& link) {
     if (value.incarnation == link.sender.incarnation) {
         out.pack_nil();
     } else {
@@ -48,8 +57,25 @@
     out.pack(value.leaving);
 }
 
-template<typename Type>
-void pack(packer& out, const Type& value, const link_context& link) {
+// A name is its number, or binary data if this frame defines its number, or text without a number.
+template<typename Packer>
+void pack_name(Packer& out, const std::string& name, const frame_context& link) {
+    if (link.names != nullptr) {
+        if (const auto number = link.names->find(name); number.has_value()) {
+            out.pack(static_cast<std::uint32_t>(*number));
+            return;
+        }
+        if (link.names->add(name)) {
+            out.pack_bin(static_cast<std::uint32_t>(name.size()));
+            out.pack_bin_body(name.data(), static_cast<std::uint32_t>(name.size()));
+            return;
+        }
+    }
+    pack(out, name, link);
+}
+
+template<typename Packer, typename Type>
+void pack(Packer& out, const Type& value, const frame_context& link) {
     if constexpr (std::is_same_v<Type, double>) {
         pack_real(out, value);
     } else if constexpr (std::is_same_v<Type, bool> || std::is_arithmetic_v<Type>) {
@@ -61,7 +87,7 @@
         out.pack_str(static_cast<std::uint32_t>(value.size()));
         out.pack_str_body(value.data(), static_cast<std::uint32_t>(value.size()));
     } else if constexpr (is_name<Type>) {
-        pack(out, value.value, link);
+        pack_name(out, value.value, link);
     } else if constexpr (is_vector<Type>) {
         out.pack_array(static_cast<std::uint32_t>(value.size()));
         for (const auto& it : value) {
--- a/src/dandelionbay/wire/unpack.hpp
+++ b/src/dandelionbay/wire/unpack.hpp
@@ -77,10 +77,10 @@
 /*! @brief Reads a field, strictly. @param from It. @param value Receives it. @param link What the hellos said. Throws
  *  malformed. */
 template<typename Type>
-void unpack(const msgpack::object& from, Type& value, const link_context& link);
+void unpack(const msgpack::object& from, Type& value, const frame_context& link);
 
 template<typename Members>
-void unpack_each(std::span<const msgpack::object> items, Members& members, const link_context& link) {
+void unpack_each(std::span<const msgpack::object> items, Members& members, const frame_context& link) {
     if (items.size() != std::tuple_size_v<Members>) {
         throw malformed{"wrong number of fields"};
     }
@@ -89,12 +89,12 @@
 }
 
 template<typename Type>
-void unpack_members(std::span<const msgpack::object> items, Type& value, const link_context& link) {
+void unpack_members(std::span<const msgpack::object> items, Type& value, const frame_context& link) {
     auto members = fields(value);
     unpack_each(items, members, link);
 }
 
-inline void unpack_members(std::span<const msgpack::object> items, heartbeat& value, const link_context& link) {
+inline void unpack_members(std::span<const msgpack::object> items, heartbeat& value, const frame_context& link) {
     if (items.size() != std::tuple_size_v<decltype(fields(value))>) {
         throw malformed{"wrong number of fields"};
     }
@@ -105,8 +105,25 @@
     unpack(items[3], value.leaving, link);
 }
 
+inline void unpack_name(const msgpack::object& from, std::string& name, const frame_context& link) {
+    if (link.names != nullptr && from.type == msgpack::type::POSITIVE_INTEGER) {
+        const auto known = link.names->at(from.via.u64);
+        if (!known.has_value()) {
+            throw malformed{"undefined number of a name"};
+        }
+        name = *known;
+    } else if (link.names != nullptr && from.type == msgpack::type::BIN) {
+        name.assign(from.via.bin.ptr, from.via.bin.size);
+        if (!link.names->add(name)) {
+            throw malformed{"name that can't be defined: known, empty or too long, or too many"};
+        }
+    } else {
+        unpack(from, name, link);
+    }
+}
+
 template<typename Type>
-void unpack(const msgpack::object& from, Type& value, const link_context& link) {
+void unpack(const msgpack::object& from, Type& value, const frame_context& link) {
     if constexpr (std::is_same_v<Type, bool>) {
         if (from.type != msgpack::type::BOOLEAN) {
             throw malformed{"boolean expected"};
@@ -125,7 +142,7 @@
         }
         value.assign(from.via.str.ptr, from.via.str.size);
     } else if constexpr (is_name<Type>) {
-        unpack(from, value.value, link);
+        unpack_name(from, value.value, link);
     } else if constexpr (is_vector<Type>) {
         const auto items = elements(from);
         value.resize(items.size());
--- a/test/dandelionbay/net/link_server_test.cpp
+++ b/test/dandelionbay/net/link_server_test.cpp
@@ -19,6 +19,9 @@
     void link_up(const hello& peer) override { note("up " + peer.host.value); }
     void link_down(const host_id& peer) override { note("down " + peer.value); }
     void message_received(const host_id& from, message body) override {
+        if (const auto* wish = std::get_if<demand>(&body)) {
+            note(from.value + " demands " + wish->pool.value);
+        }
         if (const auto* text = std::get_if<config_document>(&body)) {
             note(from.value + ": " + text->document.substr(0, 20));
         } else if (const auto* beat = std::get_if<heartbeat>(&body); beat != nullptr && beat->config_revision > 0) {
@@ -119,19 +122,26 @@
     }
 }
 
-// Guards against links that do not come back after a restart, and against an older life that takes a link over.
+// Guards against links that do not come back after a restart, against an older life that takes a link over, and against
+// numbers of names that outlive their connection.
 TEST(link_server, a_restarted_host_is_dialled_again) {
     host router{"r1", host_role::router};
     auto agent = std::make_unique<host>("a1", host_role::agent, 1);
     const auto port = agent->server.port();
     router.server.set_peers({agent->entry("a1", host_role::agent)});
     ASSERT_TRUE(router.events.wait_for("up a1"));
+    for (int n = 0; n < 2; ++n) {
+        router.server.send(host_id{"a1"}, demand{pool_id{"p"}});
+    }
+    EXPECT_TRUE(agent->events.wait_for("r1 demands p", 2));
     agent.reset();
     ASSERT_TRUE(router.events.wait_for("down a1"));
     host again{"a1", host_role::agent, 2};
     EXPECT_NE(again.server.port(), port);
     router.server.set_peers({again.entry("a1", host_role::agent)});
     EXPECT_TRUE(router.events.wait_for("up a1", 2));
+    router.server.send(host_id{"a1"}, demand{pool_id{"p"}});
+    EXPECT_TRUE(again.events.wait_for("r1 demands p"));
 }
 
 /*! @brief Plain socket in the place of a host. */
--- a/test/dandelionbay/wire/codec_test.cpp
+++ b/test/dandelionbay/wire/codec_test.cpp
@@ -1,5 +1,6 @@
 #include "dandelionbay/wire/codec.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <random>
 
@@ -150,6 +151,128 @@
     }
 }
 
+// Guards against a name that turns into another one or is refused: mixed frames of both sides, more names than a table
+// holds, names that are too long for it, frames that are too long to be sent, and sizes that differ from the frames.
+TEST(codec, names_have_numbers_on_a_link) {
+    for (const auto& link : {link_context{}, from_router, from_agent}) {
+        std::mt19937_64 random{20'261'203};
+        frame_encoder encoder;
+        frame_decoder decoder;
+        frame_sizer sizer{link};
+        encoder.set_link(link);
+        decoder.set_link(link);
+        const auto size = [&](const message& body) {
+            const auto frame = encoder.encode(body).value();
+            decoder.feed(frame);
+            EXPECT_EQ(decoder.next().value(), (decoded_frame{body, frame.size()}));
+            if (!std::holds_alternative<chunk>(body)) {
+                EXPECT_EQ(sizer.add(body), frame.size());
+            }
+            return frame.size();
+        };
+        const auto round = [&](std::size_t names) {
+            demand wish{pool_id{"p"}, random(), {}, 7.5};
+            ledger_rows rows;
+            for (int n = 0; n < 8; ++n) {
+                const team_id team{"team-" + std::to_string(random() % names)};
+                wish.teams.push_back({team, 5, 1.5, 1.0, false});
+                rows.rows.push_back({pool_id{"p"}, team, host_id{"r" + std::to_string(n)}, 9, 2, 3.5, 0.5, 6});
+            }
+            size(wish);
+            size(rows);
+            size(submit{id, {}, wish.teams[0].team, service_id{"s"}});
+            decoder.feed(encode_frame(wish, link).value());
+            EXPECT_EQ(decoder.next().value()->body, message{wish});
+        };
+        for (int n = 0; n < 2; ++n) {
+            std::ranges::for_each(samples(), size);
+        }
+        const message known{demand{pool_id{"p"}, 1, {{team_id{"early"}, 1, 0.0, 0.0, false}}}};
+        const auto first = size(known);
+        EXPECT_EQ(size(known), first - 6);
+        const std::string wide(internal::name_table::longest + 1, 'w');
+        EXPECT_EQ(size(demand{pool_id{wide}, 1}), size(demand{pool_id{wide}, 1}));
+        const submit too_long{.team = team_id{"unsent"}, .request = {.body = std::string(max_frame_bytes, 'x')}};
+        EXPECT_FALSE(encoder.encode(too_long).ok());
+        for (int n = 0; n < 1'000; ++n) {
+            round(n < 100 ? 20 : 3 * internal::name_table::most);
+        }
+        const message late{demand{pool_id{"p"}, 1, {{team_id{"late"}, 1, 0.0, 0.0, false}}}};
+        EXPECT_EQ(size(late), size(late));
+        EXPECT_EQ(size(known), first - 6);
+    }
+}
+
+// Guards against names of an earlier connection in a new one, whose other side does not know them.
+TEST(codec, a_new_link_starts_without_names) {
+    const message body{demand{pool_id{"p"}, 4, {{team_id{"t"}, 5, 1.5, 1.0, false}}, 7.5}};
+    frame_encoder before;
+    const auto first = before.encode(body).value();
+    const auto second = before.encode(body).value();
+    EXPECT_EQ(frame_encoder{}.encode(body).value(), first);
+    frame_decoder after;
+    after.feed(second);
+    EXPECT_TRUE(absl::IsInvalidArgument(after.next().status()));
+}
+
+// Guards against a peer that names something undefined, defines a name twice, or fills the memory with names.
+TEST(codec, broken_numbers_of_names_are_refused) {
+    // A demand for a pool without teams; the pool is what the case is about.
+    const auto demand_for = [](const std::string& pool) {
+        const auto body = "\x95\x02" + pool + std::string("\x01\x90\x00", 3);
+        return std::string{static_cast<char>(body.size())} + body;
+    };
+    const auto definition = [](const std::string& name) {
+        return "\xc4" + std::string{static_cast<char>(name.size())} + name;
+    };
+    frame_encoder encoder;
+    const auto first = encoder.encode(demand{pool_id{"p"}, 1}).value();
+    ASSERT_EQ(first, demand_for(definition("p")));
+    const auto status = [&](const std::string& pool) {
+        frame_decoder decoder;
+        decoder.feed(first + demand_for(pool));
+        EXPECT_TRUE(decoder.next().ok());
+        return decoder.next().status();
+    };
+    for (const auto& good : {std::string(1, '\0'), std::string("\xa1p"), definition("q"),
+                             definition(std::string(internal::name_table::longest, 'x'))}) {
+        EXPECT_TRUE(status(good).ok()) << good;
+    }
+    for (const auto& bad : {std::string("\x01"), std::string("\xff"),
+                            std::string("\xcf\xff\xff\xff\xff\xff\xff\xff\xff"), definition("p"), definition(""),
+                            definition(std::string(internal::name_table::longest + 1, 'x')), std::string("\xc0")}) {
+        EXPECT_TRUE(absl::IsInvalidArgument(status(bad))) << bad;
+    }
+    {
+        SCOPED_TRACE("hello has no numbers, so that its content does not depend on the table");
+        const auto good = frame_of(hello{host_id{"a"}});
+        const auto at = good.find("\xa1\x61");
+        for (const std::string_view host : {std::string_view{"\x00", 1}, std::string_view{"\xc4\x01\x61"}}) {
+            auto bad = std::string{good}.replace(at, 2, host);
+            bad[0] = static_cast<char>(bad.size() - 1);
+            frame_decoder decoder;
+            decoder.feed(first + bad);
+            EXPECT_TRUE(decoder.next().ok());
+            EXPECT_TRUE(absl::IsInvalidArgument(decoder.next().status()));
+        }
+    }
+    for (const std::size_t length : {std::size_t{5}, internal::name_table::longest}) {
+        SCOPED_TRACE("definitions beyond the bound of names or of their bytes");
+        frame_decoder decoder;
+        std::size_t defined = 0;
+        absl::Status last;
+        while (last.ok() && defined <= internal::name_table::most) {
+            auto name = std::to_string(10'000 + defined);
+            name.resize(length, 'x');
+            decoder.feed(demand_for(definition(name)));
+            last = decoder.next().status();
+            defined += last.ok() ? 1 : 0;
+        }
+        EXPECT_TRUE(absl::IsInvalidArgument(last));
+        EXPECT_EQ(defined, std::min(internal::name_table::most, internal::name_table::most_bytes / length));
+    }
+}
+
 // Guards against payload that is counted as control traffic, which is billed and limited.
 TEST(codec, calls_and_answers_are_payload) {
     const auto all = samples();
@@ -227,9 +350,10 @@
         frame_encoder encoder;
         encoder.set_link(link);
         std::string bytes;
-        // The chunks, so that the short form of the second one is mutated too.
+        // The chunks and the repeated messages, so that the short forms of answers and names are mutated too.
+        const auto& one = all[random() % all.size()];
         const auto parts = round % 4 < 2 ? std::vector<message>{chunk{id, 0, "ab", 1}, chunk{id, 2, "cd", 2}}
-                                         : std::vector{all[random() % all.size()], all[random() % all.size()]};
+                                         : std::vector{one, all[random() % all.size()], one};
         for (const auto& body : parts) {
             bytes += encoder.encode(body).value();
         }
