Charge the byte paces with the size of the frame on its link

Cause: the router encoded each demand and each message of ledger rows to charge its pace, and the link encoded it again.

Ruled out: bytes reported by the link, which arrive after a round of demands to 340 agents was already decided, and another event for each frame.

Change: the core has a frame_sizer for each link, begun anew with each link_up and given all messages to that host.

The round of demands stays far from 1 s: 2,500 B/s for 340 agents are 7.4 bytes each, less than any demand.

--- a/src/dandelionbay/router/internal/limits.hpp
+++ b/src/dandelionbay/router/internal/limits.hpp
@@ -16,7 +16,7 @@
 /*! Most teams named in a demand; with many agents fewer are named, so that each agent hears more often. */
 inline constexpr std::size_t demand_teams = 8;
 inline constexpr std::size_t least_demand_teams = 2;
-/*! Demand bytes per second, counted as encoded. With the same amount for ledger rows and 349 heartbeats of 11 bytes it
+/*! Demand bytes per second, counted as sent. With the same amount for ledger rows and 349 heartbeats of 11 bytes it
  * stays under the 9 KB/s of a node. */
 inline constexpr double demand_bytes_per_second = 2'500.0;
 inline constexpr double demand_burst = 16'000.0;
@@ -32,7 +32,7 @@
 inline constexpr std::size_t exchange_rows = 64;
 /*! Unchanged rows appended to an exchange. */
 inline constexpr std::size_t repair_rows = 2;
-/*! Size of an encoded team in a demand with a name of usual length; decides only how many teams are named. */
+/*! Size of an encoded team in a demand with its name in full; decides only how many teams are named. */
 inline constexpr double team_bytes = 24.0;
 
 /*! A grant is not used in its last part, which covers a round trip of 40 ms between regions and scheduling delays. */
--- a/src/dandelionbay/router/internal/state.hpp
+++ b/src/dandelionbay/router/internal/state.hpp
@@ -21,6 +21,7 @@
 #include "dandelionbay/router/internal/limits.hpp"
 #include "dandelionbay/router/internal/records.hpp"
 #include "dandelionbay/router/router_core.hpp"
+#include "dandelionbay/wire/codec.hpp"
 
 namespace dandelionbay {
 
@@ -93,8 +94,6 @@
     [[nodiscard]] bool asks_far(const pool_record& pool, time_point now) const;
     [[nodiscard]] static bool differs(const pool_record& pool, const internal::told_demand& told,
                                       const std::vector<team_demand>& teams, bool exactly);
-    // Bytes of the frame of a message from this router.
-    [[nodiscard]] double encoded_bytes(const message& body) const;
     void tell(pool_record& pool, agent_record& agent, std::vector<team_demand> teams, time_point now);
     void piggyback(pool_record& pool, agent_record& agent, time_point now);
 
@@ -109,7 +108,9 @@
     void forget_agents();
     void check_invariants();
 
-    void send(const host_id& to, message body);
+    void open_link(const hello& peer);
+    // Returns the bytes of the message's frame; zero if there is no link, which then drops the message.
+    double send(const host_id& to, message body);
     void check(bool holds, std::string_view reason);
     [[nodiscard]] actions finish_event(time_point now);
 
@@ -149,6 +150,7 @@
     std::map<host_id, agent_record> agents_;
     // Cleared whenever a link or the configuration changes.
     mutable std::map<std::pair<pool_id, std::uint64_t>, host_id> suspect_homes_;
+    std::map<host_id, frame_sizer> links_; // each is given all messages to its host, as the link's encoder is
     std::set<host_id> routers_up_;
     std::set<host_id> exchange_peers_;
     std::set<host_id> peers_told_all_;  // peers that were told that they have all rows
--- a/src/dandelionbay/router/internal/state_event.cpp
+++ b/src/dandelionbay/router/internal/state_event.cpp
@@ -13,8 +13,11 @@
       demand_pace_{demand_bytes_per_second, demand_burst, time_point{}}, exchange_pace_{exchange_bytes_per_second,
                                                                                         exchange_burst, time_point{}} {}
 
-void router_core::state::send(const host_id& to, message body) {
+double router_core::state::send(const host_id& to, message body) {
+    const auto link = links_.find(to);
+    const auto bytes = link == links_.end() ? 0 : link->second.add(body);
     out_.emplace_back(send_message{to, std::move(body)});
+    return static_cast<double>(bytes);
 }
 
 void router_core::state::check(bool holds, std::string_view reason) {
@@ -175,8 +178,7 @@
         if (count > 0) {
             metrics_->add("ledger_rows_sent_total", {}, static_cast<counters::value_type>(count));
             message body{std::move(rows)};
-            exchange_pace_.charge(encoded_bytes(body), now);
-            send(host, std::move(body));
+            exchange_pace_.charge(send(host, std::move(body)), now);
             exchange_turn_ = host;
         }
         // An empty message marks the end of the first full exchange.
--- a/src/dandelionbay/router/internal/state_link.cpp
+++ b/src/dandelionbay/router/internal/state_link.cpp
@@ -2,7 +2,6 @@
 #include <cmath>
 
 #include "dandelionbay/router/internal/state.hpp"
-#include "dandelionbay/wire/codec.hpp"
 
 namespace dandelionbay {
 
@@ -86,7 +85,14 @@
     next_demand_ = std::min(next_demand_, now);
 }
 
+void router_core::state::open_link(const hello& peer) {
+    // A new connection has no numbers for names.
+    const hello self{.host = settings_.host, .role = host_role::router, .incarnation = settings_.incarnation};
+    links_.insert_or_assign(peer.host, frame_sizer{{self, peer}});
+}
+
 router_core::actions router_core::state::link_up(const hello& peer, time_point now) {
+    open_link(peer);
     if (peer.role == host_role::agent) {
         agent_up(peer, now);
     } else if (peer.host != settings_.host) {
@@ -106,6 +112,7 @@
 }
 
 router_core::actions router_core::state::link_down(const host_id& peer, time_point now) {
+    links_.erase(peer);
     if (routers_up_.erase(peer) > 0) {
         ledger_.remove_peer(peer);
         peers_told_all_.erase(peer);
@@ -200,12 +207,6 @@
     });
 }
 
-double router_core::state::encoded_bytes(const message& body) const {
-    const hello self{.host = settings_.host, .role = host_role::router, .incarnation = settings_.incarnation};
-    const auto frame = encode_frame(body, {self, {}});
-    return frame.ok() ? static_cast<double>(frame->size()) : 0.0;
-}
-
 void router_core::state::tell(pool_record& pool, agent_record& agent, std::vector<team_demand> teams, time_point now) {
     auto& told = agent.told[pool.id];
     told.teams = teams;
@@ -213,8 +214,7 @@
     told.known = true;
     metrics_->add("demands_sent_total");
     message body{demand{pool.id, ++demand_version_, std::move(teams), pool.gap(exchange_delay)}};
-    demand_pace_.charge(encoded_bytes(body), now);
-    send(agent.host, std::move(body));
+    demand_pace_.charge(send(agent.host, std::move(body)), now);
 }
 
 void router_core::state::piggyback(pool_record& pool, agent_record& agent, time_point now) {
--- a/test/dandelionbay/router/control_bytes_test.cpp
+++ b/test/dandelionbay/router/control_bytes_test.cpp
@@ -1,7 +1,12 @@
+#include <map>
+#include <memory>
+#include <vector>
+
 #include <gtest/gtest.h>
 
 #include "dandelionbay/net/link_server.hpp"
 #include "dandelionbay/router/internal/limits.hpp"
+#include "dandelionbay/router/router_core.hpp"
 #include "dandelionbay/wire/codec.hpp"
 
 namespace dandelionbay {
@@ -38,6 +43,64 @@
     EXPECT_LE(heartbeats + internal::demand_bytes_per_second + internal::exchange_bytes_per_second, limit);
 }
 
+// Guards against paces that charge other sizes than those that the links send: bytes over the limit or left unused.
+TEST(control_bytes, demands_and_ledger_are_sent_at_their_paces) {
+    auto config = std::make_shared<fleet_config>();
+    config->revision = 1;
+    config->zones = {{.id = zone_id{"z"}, .region = region_id{"r"}}};
+    config->pools = {{.id = pool_id{"bay-assist"}}};
+    config->services = {{.id = service_id{"s"}, .pool = pool_id{"bay-assist"}, .queue_timeout_ms = 3'600'000}};
+    for (int n = 0; n < 100; ++n) {
+        config->teams.push_back({.id = team_id{"team-" + std::to_string(n)}});
+    }
+    counters metrics;
+    router_core core{{router.host, region_id{"r"}, zone_id{"z"}, life, 1}, metrics};
+    std::map<host_id, frame_encoder> links;
+    std::map<std::size_t, double> sent;
+    const auto take = [&](const router_core::actions& todo) {
+        for (const auto& it : todo) {
+            if (const auto* const out = std::get_if<send_message>(&it); out != nullptr) {
+                sent[out->body.index()] += static_cast<double>(links.at(out->to).encode(out->body).value().size());
+            }
+        }
+    };
+    time_point now{std::chrono::seconds{100}};
+    std::vector<hello> peers{{host_id{"router-11"}, host_role::router, region_id{"r"}, zone_id{"z"}, life, {}, 1}};
+    for (int n = 0; n < static_cast<int>(agents); ++n) {
+        const endpoint_id endpoint{"e" + std::to_string(n)};
+        config->endpoints.push_back({.id = endpoint, .zone = zone_id{"z"}});
+        peers.push_back(
+            {host_id{"agent-" + std::to_string(n)}, host_role::agent, region_id{"r"}, zone_id{"z"}, life, endpoint, 1});
+    }
+    take(core.apply(config, now));
+    take(core.set_fresh(true, now));
+    for (const auto& it : peers) {
+        links[it.host].set_link({router, it});
+        take(core.link_up(it, now));
+    }
+    take(core.set_exchange_peers({peers[0].host}, now));
+    const auto run = [&](std::size_t from, std::size_t to) {
+        for (auto n = from; n < to; ++n) {
+            request_id id;
+            take(core.accept({.team = config->teams[n % 100].id, .service = service_id{"s"}, .fingerprint = n}, now,
+                             id));
+            if (n >= 300) {
+                take(core.receive(peers[1 + n % 340].host, grant{pool_id{"bay-assist"}, {{life, n}}, 3'000, false, {}},
+                                  now));
+                now += std::chrono::milliseconds{4};
+                take(core.tick(now));
+            }
+        }
+    };
+    // Uses up the bursts of both paces.
+    run(0, 15'300);
+    sent.clear();
+    run(15'300, 20'300);
+    const double seconds = 20.0;
+    EXPECT_NEAR(sent[message{demand{}}.index()] / seconds, internal::demand_bytes_per_second, 125.0);
+    EXPECT_NEAR(sent[message{ledger_rows{}}.index()] / seconds, internal::exchange_bytes_per_second, 125.0);
+}
+
 // Guards against an agent whose traffic without tokens exceeds the limit; docs/CAPACITY.md shows that tokens exceed it.
 TEST(control_bytes, an_agent_without_tokens_is_within_the_limit) {
     const request_id id{router.host, router.incarnation, 1ULL << 32U};
