--- a/src/dandelionbay/wire/name_table.hpp
+++ b/src/dandelionbay/wire/name_table.hpp
@@ -21,7 +21,7 @@
     /*! @brief Most names; room for the 1,000 teams of design section 1.4 and the hosts, services and pools. */
     static constexpr std::size_t most = 2'048;
 
-    /*! @brief Most bytes of all names. A router with 349 links has three tables for each, with 47 MB of content at most. */
+    /*! @brief Most bytes of all names. A router has three tables for each of 349 links, 47 MB of content at most. */
     static constexpr std::size_t most_bytes = std::size_t{32} << 10U;
 
     /*! @brief Longest name in bytes; the configuration accepts no longer ones. */
