Refuse orders at an isolated router before their claim

Cause: a call under a claim was claimed before the router's core could refuse it for its stale configuration. A cut-off router can't reach the store, so its caller waited for the store's time limit and got 3005 (store_unavailable) instead of 3004 (configuration_stale).

Ruled out: a check in the claim service, which knows nothing of the configuration; a call to the router's thread for each order, because the flag that the core was last told of is at most one tick (20 ms) old and the core checks again when the request is accepted.

Change: caller_gate has config_fresh(), which caller_front asks before the claim. The flag is brought up to date before callers see the first configuration. The claim, its settlement and the check in the core are as before, so the promise of at most one run rests on the same code. A resend of an order that has run is refused in the same way while the router is isolated, as it was with 3005 before.

Tests: caller_api.an_isolated_router_refuses_orders_before_their_claim fails without the check (status 201 instead of 503). The process test accepted 3004 or 3005 for orders and now accepts 3004 only; with that it failed without the check (3005).

All tests of caller_api and fleet pass.

Conclusion: orders are refused at once with 3004, not run, Retry-After 1 s.

--- a/src/dandelionbay/http/caller_gate.hpp
+++ b/src/dandelionbay/http/caller_gate.hpp
@@ -47,6 +47,9 @@
     /*! @brief Tells whether the process is stopping. */
     [[nodiscard]] virtual bool stopping() const noexcept = 0;
 
+    /*! @brief Tells whether the router admits new work; false while its configuration may be out of date. */
+    [[nodiscard]] virtual bool config_fresh() const noexcept = 0;
+
     /*! @brief Takes a request in. @param request Its team and service exist. @return Its answer. */
     [[nodiscard]] virtual std::shared_ptr<answer_source> submit(accepted_request request) = 0;
 };
--- a/src/dandelionbay/http/caller_services.cpp
+++ b/src/dandelionbay/http/caller_services.cpp
@@ -136,6 +136,12 @@
         refuse(response, result_code::malformed_request, "the Idempotency-Key is longer than 255 bytes");
         return;
     }
+    // Before the claim: a cut-off router would wait for the store in vain, only to refuse the call afterwards.
+    if (!gate_->config_fresh()) {
+        counters_->add("refused_total", describe(result_code::configuration_stale).name);
+        refuse(response, result_code::configuration_stale);
+        return;
+    }
     if (claims_ == nullptr) {
         refuse(response, result_code::store_unavailable);
         return;
--- a/src/dandelionbay/node/router_driver.cpp
+++ b/src/dandelionbay/node/router_driver.cpp
@@ -63,7 +63,7 @@
 }
 
 void router_driver::update_freshness(bool fresh, time_point now) {
-    if (fresh != std::exchange(fresh_, fresh)) {
+    if (fresh != fresh_.exchange(fresh)) {
         perform(core_.set_fresh(fresh, now), now);
     }
 }
@@ -76,7 +76,7 @@
         (void)queue->push(answer_end{{}, result_code::unknown_service, executed::no, {}});
         return;
     }
-    // Between the first configuration and the next tick the core does not know yet that it is fresh.
+    // After a pause of the process this may run before the tick that tells the core.
     update_freshness(fresh(now), now);
     request_id id;
     auto actions = core_.accept(std::move(request), now, id);
@@ -112,6 +112,8 @@
 
 void router_driver::on_config(const std::shared_ptr<const fleet_config>& config, time_point now) {
     perform(core_.apply(config, now), now);
+    // Callers see the configuration from here on; until the next tick their orders would be refused as stale.
+    update_freshness(fresh(now), now);
     const std::lock_guard lock{config_mutex_};
     config_ = config;
 }
--- a/src/dandelionbay/node/router_driver.hpp
+++ b/src/dandelionbay/node/router_driver.hpp
@@ -45,6 +45,7 @@
 
     [[nodiscard]] std::shared_ptr<const fleet_config> config() const override;
     [[nodiscard]] bool stopping() const noexcept override { return is_stopping(); }
+    [[nodiscard]] bool config_fresh() const noexcept override { return fresh_; }
     [[nodiscard]] std::shared_ptr<answer_source> submit(accepted_request request) override;
 
     /*! @brief Tells whether no request is left, as of the last tick. */
@@ -67,7 +68,7 @@
     std::map<ticket_type, request_id> tickets_;
     std::vector<host_id> exchange_peers_;
     time_point next_exchange_{};
-    bool fresh_{false};
+    std::atomic<bool> fresh_{false}; //!< As told to the core; read by callers' threads.
     std::atomic<bool> idle_{true};
 };
 
--- a/test/dandelionbay/http/caller_front_test.cpp
+++ b/test/dandelionbay/http/caller_front_test.cpp
@@ -36,6 +36,7 @@
 
     std::shared_ptr<const fleet_config> config() const override { return config_; }
     bool stopping() const noexcept override { return stopped; }
+    bool config_fresh() const noexcept override { return admits; }
 
     std::shared_ptr<answer_source> submit(accepted_request request) override {
         const std::lock_guard lock{mutex};
@@ -52,6 +53,7 @@
     std::vector<accepted_request> requests;
     std::atomic<int> cancelled{0};
     std::atomic<bool> stopped{false};
+    std::atomic<bool> admits{true};
 
 private:
     std::shared_ptr<const fleet_config> config_;
@@ -315,5 +317,25 @@
     }
 }
 
+// Guards against an order that waits for the store at a router which admits no work, and is then refused for the store.
+TEST_F(caller_api, an_isolated_router_refuses_orders_before_their_claim) {
+    const auto order = [&] {
+        return client().Post("/services/desk/orders", {{"Idempotency-Key", "k"}}, "{}", "application/json");
+    };
+    gate.script = {answer_head{{}, 201, {}}, answer_data{{}, "done"},
+                   answer_end{{}, result_code::ok, executed::yes, {}}};
+    gate.admits = false;
+    const auto refused = order();
+    ASSERT_TRUE(refused);
+    expect_error(refused, result_code::configuration_stale, executed::no);
+    EXPECT_EQ(refused->get_header_value("Retry-After"), "1");
+    EXPECT_EQ(metrics.get("refused_total", "configuration_stale"), 1);
+    EXPECT_EQ(guard.log, "");
+    EXPECT_TRUE(gate.requests.empty());
+    gate.admits = true;
+    EXPECT_EQ(order()->body, "done");
+    EXPECT_EQ(guard.log, "begin k;finish done;");
+}
+
 } // namespace
 } // namespace dandelionbay
--- a/test/dandelionbay/process/region_split_test.cpp
+++ b/test/dandelionbay/process/region_split_test.cpp
@@ -22,7 +22,7 @@
     }
 }
 
-/*! The east refuses chats at once; orders too, or as it can't claim them. Nothing of it runs. */
+/*! The east refuses chats and orders at once; orders are not held up by their claim. Nothing of it runs. */
 void expect_isolated(const process_fleet& fleet) {
     for (const bool stream : {true, false}) {
         const auto chat = send_chat(fleet, "router-2", "isolated", stream);
@@ -31,9 +31,12 @@
         EXPECT_TRUE(chat.not_run()) << chat.executed;
         EXPECT_TRUE(chat.retry_after);
     }
+    const auto sent = std::chrono::steady_clock::now();
     const auto order = send_order(fleet, "router-2", "isolated");
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - sent);
+    ::testing::Test::RecordProperty("isolated_order_ms", std::to_string(wait.count()));
     EXPECT_EQ(order.status, 503);
-    EXPECT_TRUE(order.code == 3004 || order.code == 3005) << order.code;
+    EXPECT_EQ(order.code, 3004);
     EXPECT_TRUE(order.not_run()) << order.executed;
     EXPECT_TRUE(order.retry_after);
     EXPECT_FALSE(fleet.order_runs().contains("isolated"));
