Share the credit of the teams ahead between router and agent

Cause: the rule that teams ahead get one turn for each full credit of half their share stood in repayment and in agent_grants.

Ruled out: moving the agent's whole choice into repayment; the agent chooses among routers and books the choice only when the grant is issued.

Change: ahead_credit tells whether a turn is due and books a choice; both use it.

--- a/src/dandelionbay/agent/agent_grants.cpp
+++ b/src/dandelionbay/agent/agent_grants.cpp
@@ -185,7 +185,7 @@
     }
     first.share_ahead = best->share_ahead = part / all;
     const auto credit = credit_ahead_.find(first.pool);
-    const bool turn = credit != credit_ahead_.end() && credit->second + first.share_ahead / 2.0 >= 1.0;
+    const bool turn = credit != credit_ahead_.end() && credit->second.due(first.share_ahead);
     return turn ? *best : first;
 }
 
@@ -248,7 +248,11 @@
     if (!spare) {
         pool_turns_[to.pool] = grant_order_;
         auto& credit = credit_ahead_[to.pool];
-        credit = to.share_ahead > 0.0 ? credit + to.share_ahead / 2.0 - (to.ahead ? 1.0 : 0.0) : 0.0;
+        if (to.share_ahead > 0.0) {
+            credit.book(to.share_ahead, to.ahead);
+        } else {
+            credit = {};
+        }
     }
     metrics_.add("grants_total", spare ? "spare" : to.remote ? "other_region" : "demand");
     auto& note = new_grants_[{to.router, {to.pool, spare}}];
--- a/src/dandelionbay/agent/agent_state.hpp
+++ b/src/dandelionbay/agent/agent_state.hpp
@@ -17,6 +17,7 @@
 #include "dandelionbay/agent/demand_board.hpp"
 #include "dandelionbay/agent/floor_book.hpp"
 #include "dandelionbay/agent/grant_book.hpp"
+#include "dandelionbay/fair/ahead_credit.hpp"
 #include "dandelionbay/limit/byte_budget.hpp"
 #include "dandelionbay/limit/crash_register.hpp"
 #include "dandelionbay/limit/ramp_limiter.hpp"
@@ -252,7 +253,7 @@
     internal::floor_book floors_{};
     internal::grant_book grants_;
     std::map<pool_id, std::uint64_t> pool_turns_{}; //!< Position of each pool's last grant in the order of all grants.
-    std::map<pool_id, double> credit_ahead_{}; //!< Part of a grant that the teams ahead have earned, as in repayment.
+    std::map<pool_id, ahead_credit> credit_ahead_{};
     std::uint64_t grant_order_{};
     std::map<std::pair<host_id, std::pair<pool_id, bool>>, grant> new_grants_{}; //!< To be sent after the event.
     byte_budget remote_budget_;
--- a/src/dandelionbay/fair/fwd.hpp
+++ b/src/dandelionbay/fair/fwd.hpp
@@ -10,6 +10,7 @@
 class team_queues;
 class cost_model;
 class cost_account;
+class ahead_credit;
 class repayment;
 
 } // namespace dandelionbay
--- a/src/dandelionbay/fair/repayment.cpp
+++ b/src/dandelionbay/fair/repayment.cpp
@@ -29,16 +29,13 @@
     }
     const double bound = lowest->first + gap;
     if (!queues.lowest_above(groups, bound)) {
-        credit_ = 0.0;
+        credit_ = {};
         turns_.clear();
         return lowest;
     }
-    credit_ += share_ahead_ / 2.0;
-    if (credit_ < 1.0) {
-        return lowest;
-    }
-    credit_ -= 1.0;
-    return next_ahead(queues, groups, bound);
+    const bool ahead = credit_.due(share_ahead_);
+    credit_.book(share_ahead_, ahead);
+    return ahead ? next_ahead(queues, groups, bound) : lowest;
 }
 
 } // namespace dandelionbay
--- a/src/dandelionbay/fair/repayment.hpp
+++ b/src/dandelionbay/fair/repayment.hpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "dandelionbay/base/ids.hpp"
+#include "dandelionbay/fair/ahead_credit.hpp"
 #include "dandelionbay/fair/fwd.hpp"
 #include "dandelionbay/fair/team_queues.hpp"
 
@@ -47,7 +48,7 @@
 
 private:
     double share_ahead_{0.5};
-    double credit_{};
+    ahead_credit credit_{};
     weight_map weights_{};
     std::map<team_id, double> turns_{}; //!< Turns of each team ahead over its weight.
     double latest_turn_{};              //!< Turns of the team that was chosen last, before its choice.
