--- a/src/dandelionbay/bench/fairness_meter.hpp
+++ b/src/dandelionbay/bench/fairness_meter.hpp
@@ -24,7 +24,7 @@
 struct widest_gap {
     std::size_t first{}; //!< The team that got more between the two moments.
     std::size_t second{};
-    duration from{}; //!< Time of all samples up to the moment at which the first was furthest behind the second.
+    duration from{};  //!< Time of all samples up to the moment at which the first was furthest behind the second.
     duration until{}; //!< The same for the moment at which it was furthest ahead.
 
     friend bool operator==(const widest_gap&, const widest_gap&) = default;
