Give teams ahead their turns between routers by weight

Cause: an agent gave the turns of the teams ahead to the router with the oldest grant, so a team of three times the weight got as many as another.

Ruled out: turns by router with the sum of its teams' weights, because the teams ahead of a router change with each demand.

Change: ahead_turns, taken out of repayment unchanged, orders the teams by turns over weight; the agent keeps one for each pool and clears it with the credit. The own region still goes first, and the last grant still decides between routers of one team. A team of the own region therefore still goes before one that waits only in another region, whatever their weights.

Test: agent_grants.teams_ahead_at_other_routers_take_turns_by_weight has teams of weights 1 and 3 ahead at routers of their own. Before: 133 grants each. After: 3 to 1 within the test's 10%.

Conclusion: turns between routers of one region follow the weights. Not tested with a fleet after a partition.

--- a/src/dandelionbay/agent/agent_grants.cpp
+++ b/src/dandelionbay/agent/agent_grants.cpp
@@ -140,6 +140,7 @@
             }
         }
     }
+    const auto turns = ahead_turns_.find(first.pool);
     std::set<team_id> ahead;
     std::optional<candidate> best;
     for (const auto& key : routers_ahead) {
@@ -159,10 +160,11 @@
                              .remote = link.remote,
                              .other_zone = link.other_zone,
                              .last_grant = link.last_grant,
-                             .ahead = true};
-            // Routers with teams ahead take turns: by the counter, the team that is furthest ahead would wait for all.
+                             .ahead = true,
+                             .turn = turns != ahead_turns_.end() ? turns->second.position(team) : 0.0};
+            // They take turns by weight: by the counter, the team that is furthest ahead would wait for all.
             const auto order = [](const candidate& n) {
-                return std::tie(n.remote, n.last_grant, n.counter, n.other_zone, n.router);
+                return std::tie(n.remote, n.turn, n.last_grant, n.counter, n.other_zone, n.router);
             };
             if (it.waiting() > grants_.held(key.first, key.second, team) &&
                 unmet(key.first, key.second, work, suspects_allowed) > 0 &&
@@ -250,8 +252,12 @@
         auto& credit = credit_ahead_[to.pool];
         if (to.share_ahead > 0.0) {
             credit.book(to.share_ahead, to.ahead);
+            if (to.ahead) {
+                ahead_turns_[to.pool].take(to.team, weight(to.team));
+            }
         } else {
             credit = {};
+            ahead_turns_[to.pool].clear();
         }
     }
     metrics_.add("grants_total", spare ? "spare" : to.remote ? "other_region" : "demand");
--- a/src/dandelionbay/agent/agent_state.hpp
+++ b/src/dandelionbay/agent/agent_state.hpp
@@ -18,6 +18,7 @@
 #include "dandelionbay/agent/floor_book.hpp"
 #include "dandelionbay/agent/grant_book.hpp"
 #include "dandelionbay/fair/ahead_credit.hpp"
+#include "dandelionbay/fair/ahead_turns.hpp"
 #include "dandelionbay/limit/byte_budget.hpp"
 #include "dandelionbay/limit/crash_register.hpp"
 #include "dandelionbay/limit/ramp_limiter.hpp"
@@ -114,6 +115,7 @@
         std::uint64_t last_grant{};
         double share_ahead{}; //!< Share of the weights of teams ahead that only routers without owed teams have.
         bool ahead{};         //!< Chosen for such a team.
+        double turn{};        //!< Position of such a team among the others.
     };
 
     struct broken_run {
@@ -254,6 +256,7 @@
     internal::grant_book grants_;
     std::map<pool_id, std::uint64_t> pool_turns_{}; //!< Position of each pool's last grant in the order of all grants.
     std::map<pool_id, ahead_credit> credit_ahead_{};
+    std::map<pool_id, ahead_turns> ahead_turns_{};
     std::uint64_t grant_order_{};
     std::map<std::pair<host_id, std::pair<pool_id, bool>>, grant> new_grants_{}; //!< To be sent after the event.
     byte_budget remote_budget_;
--- a/src/dandelionbay/fair/repayment.cpp
+++ b/src/dandelionbay/fair/repayment.cpp
@@ -9,15 +9,10 @@
                                                  std::span<const team_queues::group_type> groups, double bound) {
     auto teams = queues.first(groups, queues.backlogged());
     std::erase_if(teams, [bound](const auto& it) { return it.first <= bound; });
-    // A team that was not ahead before starts level with the others, so that it gets no turns for the time without it.
-    const auto turn = [this](const auto& it) {
-        const auto known = turns_.find(it.second);
-        return known != turns_.end() ? known->second : latest_turn_;
-    };
-    const auto next = std::ranges::min_element(teams, {}, turn);
+    const auto next =
+        std::ranges::min_element(teams, {}, [this](const auto& it) { return turns_.position(it.second); });
     const auto weight = weights_.find(next->second);
-    latest_turn_ = turn(*next);
-    turns_[next->second] = latest_turn_ + 1.0 / (weight != weights_.end() ? weight->second : 1.0);
+    turns_.take(next->second, weight != weights_.end() ? weight->second : 1.0);
     return *next;
 }
 
--- a/src/dandelionbay/fair/repayment.hpp
+++ b/src/dandelionbay/fair/repayment.hpp
@@ -7,6 +7,7 @@
 
 #include "dandelionbay/base/ids.hpp"
 #include "dandelionbay/fair/ahead_credit.hpp"
+#include "dandelionbay/fair/ahead_turns.hpp"
 #include "dandelionbay/fair/fwd.hpp"
 #include "dandelionbay/fair/team_queues.hpp"
 
@@ -50,8 +51,7 @@
     double share_ahead_{0.5};
     ahead_credit credit_{};
     weight_map weights_{};
-    std::map<team_id, double> turns_{}; //!< Turns of each team ahead over its weight.
-    double latest_turn_{};              //!< Turns of the team that was chosen last, before its choice.
+    ahead_turns turns_{};
 };
 
 } // namespace dandelionbay
--- a/test/dandelionbay/agent/agent_grant_test.cpp
+++ b/test/dandelionbay/agent/agent_grant_test.cpp
@@ -1,3 +1,5 @@
+#include <array>
+
 #include "dandelionbay/agent/agent_harness.hpp"
 
 namespace dandelionbay {
@@ -206,5 +208,37 @@
     EXPECT_GT(grants("r1"), 0);
 }
 
+// Guards against turns of the teams ahead by router, which give a team of three times the weight no more grants.
+TEST_F(agent_grants, teams_ahead_at_other_routers_take_turns_by_weight) {
+    config.teams = {{.id = team_id{"owed"}}, {.id = team_id{"team"}}, {.id = team_id{"other"}, .weight = 3.0}};
+    ++config.revision;
+    apply();
+    const std::array routers{std::pair{"r1", "owed"}, std::pair{"r2", "team"}, std::pair{"r3", "other"}};
+    for (const auto& [router, team] : routers) {
+        link(router);
+    }
+    std::map<std::string, int> turns;
+    for (int n = 0; n < 400; ++n) {
+        for (const auto& [router, team] : routers) {
+            receive(router, demand{.pool = pool_id{"pool"},
+                                   .version = ++version,
+                                   .teams = {wants(team, 30, router == std::string{"r1"} ? 0 : 1e6)},
+                                   .gap = 1'000});
+        }
+        for (const auto& [router, team] : routers) {
+            if (grants(router) > 0) {
+                auto it = make(router, pop(router));
+                it.team = team_id{team};
+                receive(router, it);
+                complete(it.id);
+                ++turns[team];
+            }
+        }
+        advance(milliseconds{20});
+    }
+    EXPECT_GT(turns["team"], 0);
+    EXPECT_NEAR(turns["other"], 3 * turns["team"], 0.3 * turns["team"]);
+}
+
 } // namespace
 } // namespace dandelionbay
