Check service kind and body limit of a call in one place

Cause: the check of the service's kind and of its body limit stood in post_chat and in call_service.

Ruled out: a look-up inside the check, because chats find their service by model and plain calls by name.

Change: caller_front::check_offer serves both; codes and order are as before.

The new cases were not run against the code before this change.

Conclusion: one check instead of two.

--- a/src/dandelionbay/http/caller_front.cpp
+++ b/src/dandelionbay/http/caller_front.cpp
@@ -80,6 +80,19 @@
     return identity{std::move(config), team};
 }
 
+bool caller_front::check_offer(const service_config* offer, service_kind kind, std::size_t body_bytes,
+                               httplib::Response& response) {
+    if (offer == nullptr || offer->kind != kind) {
+        refuse(response, kind == service_kind::model ? result_code::unknown_model : result_code::unknown_service);
+        return false;
+    }
+    if (body_bytes > offer->max_body_bytes) {
+        refuse(response, result_code::request_too_large);
+        return false;
+    }
+    return true;
+}
+
 void caller_front::get_models(const httplib::Request& request, httplib::Response& response) {
     const auto caller = authenticate(request, response);
     if (!caller) {
@@ -124,12 +137,7 @@
         return;
     }
     const auto* offer = caller->config->service_by_model(parsed->model);
-    if (offer == nullptr || offer->kind != service_kind::model) {
-        refuse(response, result_code::unknown_model);
-        return;
-    }
-    if (request.body.size() > offer->max_body_bytes) {
-        refuse(response, result_code::request_too_large);
+    if (!check_offer(offer, service_kind::model, request.body.size(), response)) {
         return;
     }
     accepted_request work;
--- a/src/dandelionbay/http/caller_front.hpp
+++ b/src/dandelionbay/http/caller_front.hpp
@@ -47,6 +47,10 @@
     void refuse(httplib::Response& response, const answer_end& why, std::string_view text = {});
     void refuse(httplib::Response& response, result_code code, std::string_view text = {});
 
+    /*! Refuses a call if the service is null or of another kind, or if the body exceeds its limit. */
+    [[nodiscard]] bool check_offer(const service_config* offer, service_kind kind, std::size_t body_bytes,
+                                   httplib::Response& response);
+
     void get_models(const httplib::Request& request, httplib::Response& response);
     void get_health(httplib::Response& response) const;
     void post_chat(const httplib::Request& request, httplib::Response& response);
--- a/src/dandelionbay/http/caller_services.cpp
+++ b/src/dandelionbay/http/caller_services.cpp
@@ -185,12 +185,7 @@
         return;
     }
     const auto* offer = caller->config->find(service_id{target->name});
-    if (offer == nullptr || offer->kind != service_kind::plain) {
-        refuse(response, result_code::unknown_service);
-        return;
-    }
-    if (request.body.size() > offer->max_body_bytes) {
-        refuse(response, result_code::request_too_large);
+    if (!check_offer(offer, service_kind::plain, request.body.size(), response)) {
         return;
     }
     accepted_request work;
--- a/test/dandelionbay/http/caller_front_test.cpp
+++ b/test/dandelionbay/http/caller_front_test.cpp
@@ -30,6 +30,7 @@
         desk.id = service_id{"desk"};
         desk.kind = service_kind::plain;
         desk.not_repeatable = {{"POST", "/orders"}};
+        chat.max_body_bytes = desk.max_body_bytes = 30'000;
         it->services = {chat, desk};
         config_ = it;
     }
@@ -167,6 +168,12 @@
         expect_error(post_text(std::string(30'000, '[')), result_code::malformed_request, executed::no);
         expect_error(post_text(R"({"model":"z","messages":[{}]})"), result_code::unknown_model, executed::no);
         expect_error(client().Get("/services/none/x"), result_code::unknown_service, executed::no);
+        expect_error(client().Get("/services/chat/x"), result_code::unknown_service, executed::no);
+        const std::string large(30'001, 'x');
+        expect_error(client().Put("/services/desk/x", large, "text/plain"), result_code::request_too_large,
+                     executed::no);
+        expect_error(post_text(R"({"model":"m","messages":[{"role":"user","content":")" + large + R"("}]})"),
+                     result_code::request_too_large, executed::no);
         expect_error(client().Get("/services/desk/a/%2e%2e/b"), result_code::malformed_request, executed::no);
         expect_error(client().Get("/nothing"), result_code::object_not_found, executed::no);
     }
