--- a/src/dandelionbay/node/node_driver.cpp
+++ b/src/dandelionbay/node/node_driver.cpp
@@ -167,7 +167,7 @@
 
 void node_driver::update_freshness(time_point now) {
     const bool fresh = fleet_.fresh(now);
-    if (fresh != std::exchange(fresh_, fresh)) {
+    if (fresh != fresh_.exchange(fresh)) {
         on_fresh(fresh, now);
     }
 }
--- a/src/dandelionbay/node/node_driver.hpp
+++ b/src/dandelionbay/node/node_driver.hpp
@@ -71,6 +71,9 @@
     [[nodiscard]] const fleet_state& fleet() const noexcept { return fleet_; }
     /*! @brief Judges whether new work may be admitted; calls on_fresh() on a change. @param now Current time. */
     void update_freshness(time_point now);
+
+    /*! @brief What on_fresh() was told last, or is being told; may be called from any thread. */
+    [[nodiscard]] bool told_fresh() const noexcept { return fresh_; }
     [[nodiscard]] const node_options& options() const noexcept { return options_; }
 
 public:
@@ -147,7 +150,7 @@
     table_store* store_;
     host_list* hosts_;
     fleet_state fleet_;
-    bool fresh_{false}; //!< What on_fresh() was told last.
+    std::atomic<bool> fresh_{false}; //!< What on_fresh() was told last.
     std::atomic<bool> stopping_{false};
     std::atomic<std::uint64_t> revision_{0}; //!< In force; read by the thread that polls.
     time_point next_publish_{};
--- a/src/dandelionbay/node/router_driver.hpp
+++ b/src/dandelionbay/node/router_driver.hpp
@@ -45,6 +45,7 @@
 
     [[nodiscard]] std::shared_ptr<const fleet_config> config() const override;
     [[nodiscard]] bool stopping() const noexcept override { return is_stopping(); }
+    [[nodiscard]] bool config_fresh() const noexcept override { return told_fresh(); }
     [[nodiscard]] std::shared_ptr<answer_source> submit(accepted_request request) override;
 
     /*! @brief Tells whether no request is left, as of the last tick. */
--- a/test/dandelionbay/http/caller_front_test.cpp
+++ b/test/dandelionbay/http/caller_front_test.cpp
@@ -30,12 +30,14 @@
         desk.id = service_id{"desk"};
         desk.kind = service_kind::plain;
         desk.not_repeatable = {{"POST", "/orders"}};
+        chat.max_body_bytes = desk.max_body_bytes = 30'000;
         it->services = {chat, desk};
         config_ = it;
     }
 
     std::shared_ptr<const fleet_config> config() const override { return config_; }
     bool stopping() const noexcept override { return stopped; }
+    bool config_fresh() const noexcept override { return admits; }
 
     std::shared_ptr<answer_source> submit(accepted_request request) override {
         const std::lock_guard lock{mutex};
@@ -52,6 +54,7 @@
     std::vector<accepted_request> requests;
     std::atomic<int> cancelled{0};
     std::atomic<bool> stopped{false};
+    std::atomic<bool> admits{true};
 
 private:
     std::shared_ptr<const fleet_config> config_;
@@ -165,6 +168,12 @@
         expect_error(post_text(std::string(30'000, '[')), result_code::malformed_request, executed::no);
         expect_error(post_text(R"({"model":"z","messages":[{}]})"), result_code::unknown_model, executed::no);
         expect_error(client().Get("/services/none/x"), result_code::unknown_service, executed::no);
+        expect_error(client().Get("/services/chat/x"), result_code::unknown_service, executed::no);
+        const std::string large(30'001, 'x');
+        expect_error(client().Put("/services/desk/x", large, "text/plain"), result_code::request_too_large,
+                     executed::no);
+        expect_error(post_text(R"({"model":"m","messages":[{"role":"user","content":")" + large + R"("}]})"),
+                     result_code::request_too_large, executed::no);
         expect_error(client().Get("/services/desk/a/%2e%2e/b"), result_code::malformed_request, executed::no);
         expect_error(client().Get("/nothing"), result_code::object_not_found, executed::no);
     }
@@ -315,5 +324,25 @@
     }
 }
 
+// Guards against an order that waits for the store at a router which admits no work, and is then refused for the store.
+TEST_F(caller_api, an_isolated_router_refuses_orders_before_their_claim) {
+    const auto order = [&] {
+        return client().Post("/services/desk/orders", {{"Idempotency-Key", "k"}}, "{}", "application/json");
+    };
+    gate.script = {answer_head{{}, 201, {}}, answer_data{{}, "done"},
+                   answer_end{{}, result_code::ok, executed::yes, {}}};
+    gate.admits = false;
+    const auto refused = order();
+    ASSERT_TRUE(refused);
+    expect_error(refused, result_code::configuration_stale, executed::no);
+    EXPECT_EQ(refused->get_header_value("Retry-After"), "1");
+    EXPECT_EQ(metrics.get("refused_total", "configuration_stale"), 1);
+    EXPECT_EQ(guard.log, "");
+    EXPECT_TRUE(gate.requests.empty());
+    gate.admits = true;
+    EXPECT_EQ(order()->body, "done");
+    EXPECT_EQ(guard.log, "begin k;finish done;");
+}
+
 } // namespace
 } // namespace dandelionbay
