Watch for a new process although a load report is missing

After a broken call the client asks the endpoint for its process for up to 1.2 s, but gave up at the first request without a report. An ending process may still accept that connection and leave it without an answer.

Change: only a refused connection or another process ends the watch; a missing report is asked for again.

Measured: http_endpoint_client.a_crash_is_noticed_although_the_first_report_after_it_is_missing fails before (broken) and passes after; the fleet tests pass.

A broken call to an endpoint that gives no reports is now watched for the whole 1.2 s.

--- a/src/dandelionbay/node/http_endpoint_client.cpp
+++ b/src/dandelionbay/node/http_endpoint_client.cpp
@@ -173,10 +173,11 @@
     const auto until = std::chrono::steady_clock::now() + crash_watch_;
     do {
         const auto now = state();
-        if (!now.ok()) {
-            return absl::IsUnavailable(now.status());
+        if (absl::IsUnavailable(now.status())) {
+            return true;
         }
-        if (!process.empty() && now->process != process) {
+        // A process that ends may accept a connection and leave the request without an answer; the next report tells.
+        if (now.ok() && !process.empty() && now->process != process) {
             return true;
         }
         std::this_thread::sleep_for(crash_check_interval);
