Read checked JSON documents in one place

Cause: the reading of the configuration document, of process settings and of load profiles ended in three copies of the same steps: parse, read the root object, join the faults.

Ruled out: a base class for the three readers, which would share no other behaviour.

Change: read_document in json_reader serves the three.

--- a/src/dandelionbay/config/json_reader.cpp
+++ b/src/dandelionbay/config/json_reader.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/ascii.h"
+#include "absl/strings/str_join.h"
 #include "dandelionbay/base/text.hpp"
 
 namespace dandelionbay::internal {
@@ -278,4 +279,13 @@
     }
 }
 
+absl::Status read_document(std::string_view text, fault_list& faults, const std::function<void(object_reader&)>& read) {
+    const auto value = parse_json(text, faults);
+    if (!value.is_discarded()) {
+        object_reader root{value, "$", faults};
+        read(root);
+    }
+    return faults.empty() ? absl::OkStatus() : absl::InvalidArgumentError(absl::StrJoin(faults, "\n"));
+}
+
 } // namespace dandelionbay::internal
--- a/src/dandelionbay/config/json_reader.hpp
+++ b/src/dandelionbay/config/json_reader.hpp
@@ -10,6 +10,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "absl/status/status.h"
 #include "dandelionbay/label/selector.hpp"
 
 namespace dandelionbay::internal {
@@ -99,4 +100,14 @@
     std::set<std::string, std::less<>> known_;
 };
 
+/**
+ * @brief Reads a document whose root is an object.
+ * @param text The document.
+ * @param faults Receives all faults that are found.
+ * @param read Reads the root object; not called if the text is no JSON.
+ * @return InvalidArgument with one line for each fault, if there is any.
+ */
+[[nodiscard]] absl::Status read_document(std::string_view text, fault_list& faults,
+                                         const std::function<void(object_reader&)>& read);
+
 } // namespace dandelionbay::internal
--- a/src/dandelionbay/config/parse_fleet_config.cpp
+++ b/src/dandelionbay/config/parse_fleet_config.cpp
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "absl/strings/numbers.h"
-#include "absl/strings/str_join.h"
 #include "dandelionbay/base/text.hpp"
 #include "dandelionbay/config/fleet_config.hpp"
 #include "dandelionbay/config/json_reader.hpp"
@@ -188,13 +187,9 @@
         if (document.size() > max_document_bytes) {
             return absl::InvalidArgumentError(concat("$: longer than ", max_document_bytes, " bytes"));
         }
-        const auto value = internal::parse_json(document, faults_);
-        if (!value.is_discarded()) {
-            object_reader root{value, "$", faults_};
-            read_root(root);
-        }
-        if (!faults_.empty()) {
-            return absl::InvalidArgumentError(absl::StrJoin(faults_, "\n"));
+        auto status = internal::read_document(document, faults_, [this](object_reader& root) { read_root(root); });
+        if (!status.ok()) {
+            return status;
         }
         config_.revision = revision;
         build_lookups();
--- a/src/dandelionbay/load/profile.cpp
+++ b/src/dandelionbay/load/profile.cpp
@@ -3,7 +3,6 @@
 #include <set>
 #include <utility>
 
-#include "absl/strings/str_join.h"
 #include "dandelionbay/base/text.hpp"
 #include "dandelionbay/config/json_reader.hpp"
 
@@ -102,13 +101,9 @@
 
 public:
     [[nodiscard]] absl::StatusOr<load_profile> run(std::string_view text) {
-        const auto value = internal::parse_json(text, faults_);
-        if (!value.is_discarded()) {
-            object_reader root{value, "$", faults_};
-            read_root(root);
-        }
-        if (!faults_.empty()) {
-            return absl::InvalidArgumentError(absl::StrJoin(faults_, "\n"));
+        auto status = internal::read_document(text, faults_, [this](object_reader& root) { read_root(root); });
+        if (!status.ok()) {
+            return status;
         }
         return std::move(profile_);
     }
--- a/src/dandelionbay/settings/process_settings.cpp
+++ b/src/dandelionbay/settings/process_settings.cpp
@@ -218,13 +218,9 @@
 
 public:
     [[nodiscard]] absl::StatusOr<process_settings> run(std::string_view text) {
-        const auto value = internal::parse_json(text, faults_);
-        if (!value.is_discarded()) {
-            object_reader root{value, "$", faults_};
-            read_root(root);
-        }
-        if (!faults_.empty()) {
-            return absl::InvalidArgumentError(absl::StrJoin(faults_, "\n"));
+        auto status = internal::read_document(text, faults_, [this](object_reader& root) { read_root(root); });
+        if (!status.ok()) {
+            return status;
         }
         return std::move(settings_);
     }
--- a/test/dandelionbay/node/http_endpoint_client_test.cpp
+++ b/test/dandelionbay/node/http_endpoint_client_test.cpp
@@ -27,11 +27,12 @@
 public:
     breaking_endpoint() {
         server_.Post("/run", [this](const httplib::Request& /*request*/, httplib::Response& response) {
-            response.set_chunked_content_provider("text/plain", [this](std::size_t /*offset*/, httplib::DataSink& sink) {
-                sink.write("a", 1);
-                broken_ = true;
-                return false;
-            });
+            response.set_chunked_content_provider("text/plain",
+                                                  [this](std::size_t /*offset*/, httplib::DataSink& sink) {
+                                                      sink.write("a", 1);
+                                                      broken_ = true;
+                                                      return false;
+                                                  });
         });
         server_.Get("/state", [this](const httplib::Request& /*request*/, httplib::Response& response) {
             const bool known = !broken_ || reports_after_++ > 0;
