--- a/src/dandelionbay/bench/fleet_disturbance.cpp
+++ b/src/dandelionbay/bench/fleet_disturbance.cpp
@@ -114,34 +114,28 @@
     print_("the store is up");
 }
 
-void fleet_disturbance::restart_agents() {
-    std::this_thread::sleep_until(at(out_share));
-    began_ = now();
-    for (std::size_t i = 0; i < fleet_->agents().size(); ++i) {
-        const auto cpu = fleet_->agents()[i]->control_cpu_time();
-        auto old = fleet_->restart_agent(i);
+template<typename Node, typename Restart>
+void fleet_disturbance::restart_each(const std::vector<std::unique_ptr<Node>>& nodes, std::string_view kind,
+                                     std::vector<std::unique_ptr<Node>>& replaced, Restart restart) {
+    for (std::size_t i = 0; status_.ok() && i < nodes.size(); ++i) {
+        const auto cpu = nodes[i]->control_cpu_time();
+        auto old = restart(i);
         if (!old.ok()) {
             status_ = old.status();
             return;
         }
         replaced_cpu_ += cpu;
-        replaced_.push_back(std::move(*old));
-        print_(concat("agent ", i + 1, " restarted"));
+        replaced.push_back(std::move(*old));
+        print_(concat(kind, " ", i + 1, " restarted"));
     }
 }
 
-void fleet_disturbance::restart_routers() {
-    for (std::size_t i = 0; status_.ok() && i < fleet_->routers().size(); ++i) {
-        const auto cpu = fleet_->routers()[i]->control_cpu_time();
-        auto old = fleet_->restart_router(i);
-        if (!old.ok()) {
-            status_ = old.status();
-            return;
-        }
-        replaced_cpu_ += cpu;
-        replaced_routers_.push_back(std::move(*old));
-        print_(concat("router ", i + 1, " restarted"));
-    }
+void fleet_disturbance::restart_hosts() {
+    std::this_thread::sleep_until(at(out_share));
+    began_ = now();
+    restart_each(fleet_->agents(), "agent", replaced_, [this](std::size_t i) { return fleet_->restart_agent(i); });
+    restart_each(fleet_->routers(), "router", replaced_routers_,
+                 [this](std::size_t i) { return fleet_->restart_router(i); });
 }
 
 void fleet_disturbance::split_regions() {
@@ -173,8 +167,7 @@
         split_regions();
         break;
     case disturbance::host_restarts:
-        restart_agents();
-        restart_routers();
+        restart_hosts();
         break;
     }
 }
--- a/src/dandelionbay/bench/fleet_disturbance.hpp
+++ b/src/dandelionbay/bench/fleet_disturbance.hpp
@@ -31,8 +31,10 @@
     void restart_engine();
     void stop_store();
     void split_regions();
-    void restart_agents();
-    void restart_routers();
+    void restart_hosts();
+    template<typename Node, typename Restart>
+    void restart_each(const std::vector<std::unique_ptr<Node>>& nodes, std::string_view kind,
+                      std::vector<std::unique_ptr<Node>>& replaced, Restart restart);
 
 public:
     using printer = std::function<void(std::string_view)>;
