--- a/src/dandelionbay/app/serve.cpp
+++ b/src/dandelionbay/app/serve.cpp
@@ -1,3 +1,4 @@
+#include <csignal>
 #include <iostream>
 #include <memory>
 
@@ -8,9 +9,11 @@
 #include "dandelionbay/base/event_log.hpp"
 #include "dandelionbay/base/text.hpp"
 #include "dandelionbay/node/agent_node.hpp"
+#include "dandelionbay/node/gateway_node.hpp"
 #include "dandelionbay/node/router_node.hpp"
 #include "dandelionbay/node/start_watch.hpp"
 #include "dandelionbay/settings/process_settings.hpp"
+#include "platform/binding.hpp"
 
 ABSL_DECLARE_FLAG(std::string, settings);
 
@@ -18,7 +21,8 @@
 
 namespace {
 
-[[nodiscard]] event_log_options log_options(const process_settings& settings, const node_options& node) {
+[[nodiscard]] event_log_options log_options(const process_settings& settings, const host_id& host,
+                                            const zone_id& zone) {
     auto level = log_level::info;
     if (settings.log.level == "debug") {
         level = log_level::debug;
@@ -27,7 +31,7 @@
     } else if (settings.log.level == "error") {
         level = log_level::error;
     }
-    return event_log_options{level, settings.log.output, node.host, node.zone};
+    return event_log_options{level, settings.log.output, host, zone};
 }
 
 /*! Waits until a node is ready. Returns start_state::waiting if a signal to stop came first. */
@@ -62,25 +66,41 @@
     return exit_ok;
 }
 
+[[nodiscard]] int serve_gateway(const process_settings& settings) {
+    struct sigaction ignore {};
+    ignore.sa_handler = SIG_IGN; // NOLINT(cppcoreguidelines-pro-type-union-access): the system's own structure.
+    sigaction(SIGPIPE, &ignore, nullptr);
+    const auto& place = settings.gateway.place;
+    gateway_node node{settings.gateway, platform::make_binding(),
+                      std::make_shared<event_log>(log_options(settings, place.host, place.zone))};
+    const auto status = node.run([] { std::cout << "ready" << std::endl; }); // Flushed: scripts wait for this line.
+    return status.ok() ? exit_ok : failure(from_absl(status.message()));
+}
+
 [[nodiscard]] int run_serve(const argument_list& args) {
     const auto path = absl::GetFlag(FLAGS_settings);
     if (!args.empty() || path.empty()) {
         return usage_error("serve needs --settings=FILE and no other arguments");
     }
-    const stop_signal signal;
     const auto settings = load_settings(path);
     if (!settings.ok()) {
         return usage_error(concat(path, ":\n", from_absl(settings.status().message())));
     }
+    if (settings->role == process_role::gateway) {
+        return serve_gateway(*settings);
+    }
+    const stop_signal signal;
     if (settings->role == process_role::router) {
         node_environment environment;
-        environment.log = std::make_shared<event_log>(log_options(*settings, settings->router.common));
+        environment.log = std::make_shared<event_log>(log_options(*settings, settings->router.common.host,
+                                                                   settings->router.common.zone));
         router_node router{settings->router, environment};
         return serve_until_stopped(router, signal, *environment.log);
     }
     if (settings->role == process_role::agent) {
         node_environment environment;
-        environment.log = std::make_shared<event_log>(log_options(*settings, settings->agent.common));
+        environment.log = std::make_shared<event_log>(log_options(*settings, settings->agent.common.host,
+                                                                   settings->agent.common.zone));
         agent_node agent{settings->agent, environment};
         return serve_until_stopped(agent, signal, *environment.log);
     }
@@ -92,7 +112,7 @@
 command serve_command() {
     return {"serve",
             "--settings=FILE",
-            "Serves as an entry router or an endpoint agent until SIGTERM; prints \"ready\" when it serves.",
+            "Serves as a gateway, an entry router or an endpoint agent until SIGTERM; prints \"ready\" when it serves.",
             {"settings"},
             run_serve};
 }
--- a/src/dandelionbay/base/clock.hpp
+++ b/src/dandelionbay/base/clock.hpp
@@ -33,6 +33,12 @@
     [[nodiscard]] time_point now() const noexcept override;
 };
 
+/*! @brief The machine's clock since its start, which also counts the time for which the machine was suspended. */
+class boot_clock final : public clock {
+public:
+    [[nodiscard]] time_point now() const noexcept override;
+};
+
 /*! @brief Clock that stands still until it is advanced. */
 class manual_clock final : public clock {
 public:
--- a/src/dandelionbay/base/fwd.hpp
+++ b/src/dandelionbay/base/fwd.hpp
@@ -9,7 +9,12 @@
 class clock;
 class manual_clock;
 class monotonic_clock;
+class boot_clock;
+struct socket_address;
 class counters;
+class bounded_log;
+class event_log;
+class latency_histogram;
 enum class result_code : unsigned short;
 enum class executed : unsigned char;
 
--- a/src/dandelionbay/bench/latency_histogram.hpp
+++ b/src/dandelionbay/base/latency_histogram.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
+#include <string>
+#include <string_view>
+
 #include <boost/histogram.hpp>
 #include <nlohmann/json.hpp>
 
 #include "dandelionbay/base/clock.hpp"
-#include "dandelionbay/bench/fwd.hpp"
 
-namespace dandelionbay::bench {
+namespace dandelionbay {
 
 /*! @brief Distribution of times from 10 us to 10 min with a resolution of 1%; not safe for use by several threads. */
 class latency_histogram {
@@ -25,9 +27,13 @@
     /*! @brief Summarises. @return Object with count, p50, p95 and p99 in ms. */
     [[nodiscard]] nlohmann::json summary() const;
 
+    /*! @brief Writes it in the text exposition format. @param name Metric name. @return Lines; times in seconds. */
+    [[nodiscard]] std::string render(std::string_view name) const;
+
 private:
     histogram_type histogram_;
     double count_{0};
+    double sum_ms_{0};
 };
 
-} // namespace dandelionbay::bench
+} // namespace dandelionbay
--- a/src/dandelionbay/bench/fwd.hpp
+++ b/src/dandelionbay/bench/fwd.hpp
@@ -15,7 +15,6 @@
 class fleet_disturbance;
 class fair_queue;
 class fairness_meter;
-class latency_histogram;
 class load_generator;
 class recorder;
 class split_meter;
--- a/src/dandelionbay/bench/recorder.hpp
+++ b/src/dandelionbay/bench/recorder.hpp
@@ -11,7 +11,7 @@
 #include "dandelionbay/base/clock.hpp"
 #include "dandelionbay/bench/fairness_meter.hpp"
 #include "dandelionbay/bench/fwd.hpp"
-#include "dandelionbay/bench/latency_histogram.hpp"
+#include "dandelionbay/base/latency_histogram.hpp"
 
 namespace dandelionbay::bench {
 
--- /dev/null
+++ b/src/dandelionbay/dispatch/endpoint_load.cpp
@@ -0,0 +1,138 @@
+#include "dandelionbay/dispatch/endpoint_load.hpp"
+
+#include <algorithm>
+
+namespace dandelionbay {
+
+namespace {
+
+/*! Shorter readings tell little about the rate: the fixed part of the first event's time dominates. */
+constexpr double learning_tokens = 4'000.0;
+constexpr double slowest_rate = 4.0;
+constexpr double quickest_rate = 200.0;
+
+[[nodiscard]] double to_ms(duration it) noexcept {
+    return std::chrono::duration<double, std::milli>{it}.count();
+}
+
+} // namespace
+
+double endpoint_load::unread_tokens(time_point now) const {
+    // The endpoint has been reading the oldest prompt since it finished the one before.
+    const double progress = unread_ > 0.0 ? std::min(unread_, to_ms(now - reading_since_) * rate_ / 2.0) : 0.0;
+    double sum = unread_ - progress;
+    for (const auto& [peer, it] : peers_) {
+        if (now - it.at < peer_report_kept) {
+            sum += it.work.unread_tokens;
+        }
+    }
+    return sum;
+}
+
+void endpoint_load::learn(const running_call& call, time_point now) {
+    const double took = std::max(1.0, to_ms(now - call.sent_at) - fixed_first_ms);
+    const double tokens = call.ahead_ms * rate_;
+    if (tokens >= learning_tokens) {
+        const double sample = std::clamp(tokens / took, rate_ / 2.0, rate_ * 2.0);
+        rate_ = std::clamp(rate_ + newest_share * (sample - rate_), slowest_rate, quickest_rate);
+    }
+    excess_ms_ += newest_share * (std::max(0.0, took - call.ahead_ms * 1.5) - excess_ms_);
+}
+
+void endpoint_load::sent(ticket_id ticket, const call_load& load, time_point now) {
+    const double ahead = backlog_ms(now) + reading_ms(load.unread_tokens);
+    if (unread_ <= 0.0) {
+        reading_since_ = now;
+    }
+    running_[ticket] = running_call{load, now, ahead, false};
+    unread_ += load.unread_tokens;
+    memory_ += load.memory_tokens;
+}
+
+void endpoint_load::started(ticket_id ticket, time_point now) {
+    const auto it = running_.find(ticket);
+    if (it == running_.end() || it->second.started) {
+        return;
+    }
+    it->second.started = true;
+    unread_ = std::max(0.0, unread_ - it->second.load.unread_tokens);
+    reading_since_ = now;
+    learn(it->second, now);
+    failures_ = 0;
+    failure_rate_ -= newest_share * failure_rate_;
+}
+
+void endpoint_load::ended(ticket_id ticket, bool failed, time_point now) {
+    const auto it = running_.find(ticket);
+    if (it == running_.end()) {
+        return;
+    }
+    if (!it->second.started) {
+        unread_ = std::max(0.0, unread_ - it->second.load.unread_tokens);
+        reading_since_ = now;
+    }
+    memory_ = std::max(0.0, memory_ - it->second.load.memory_tokens);
+    running_.erase(it);
+    if (running_.empty()) {
+        unread_ = 0.0; // Rounding must not add up.
+        memory_ = 0.0;
+    }
+    if (failed) {
+        failure_rate_ += newest_share * (1.0 - failure_rate_);
+    }
+}
+
+void endpoint_load::heard(time_point now) noexcept {
+    heard_ = now;
+}
+
+void endpoint_load::unreachable(time_point now) noexcept {
+    const auto pause = first_ejection * (1U << std::min(failures_, 4U));
+    ejected_until_ = now + std::min(longest_ejection, duration{pause});
+    ++failures_;
+}
+
+void endpoint_load::report(const host_id& peer, const endpoint_work& work, time_point now) {
+    peers_[peer] = peer_work{work, now};
+}
+
+endpoint_work endpoint_load::own(time_point now) const {
+    const double progress = unread_ > 0.0 ? std::min(unread_, to_ms(now - reading_since_) * rate_ / 2.0) : 0.0;
+    return endpoint_work{unread_ - progress, static_cast<std::uint32_t>(running_.size()), memory_};
+}
+
+double endpoint_load::backlog_ms(time_point now) const {
+    return unread_tokens(now) / rate_;
+}
+
+std::uint32_t endpoint_load::calls(time_point now) const {
+    auto sum = static_cast<std::uint32_t>(running_.size());
+    for (const auto& [peer, it] : peers_) {
+        sum += now - it.at < peer_report_kept ? it.work.calls : 0;
+    }
+    return sum;
+}
+
+double endpoint_load::memory_tokens(time_point now) const {
+    double sum = memory_;
+    for (const auto& [peer, it] : peers_) {
+        sum += now - it.at < peer_report_kept ? it.work.memory_tokens : 0.0;
+    }
+    return sum;
+}
+
+bool endpoint_load::stalled(time_point now) const {
+    if (running_.empty()) {
+        return false;
+    }
+    time_point oldest = time_point::max();
+    double expected_ms = 0.0;
+    for (const auto& [ticket, it] : running_) {
+        oldest = std::min(oldest, it.sent_at);
+        expected_ms = std::max(expected_ms, it.started ? 0.0 : it.ahead_ms);
+    }
+    const auto expected = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{expected_ms});
+    return now - std::max(oldest, heard_) > silence_limit + expected;
+}
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/dispatch/fwd.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+namespace dandelionbay {
+
+class cold_pacer;
+class dispatcher;
+class dispatch_listener;
+class endpoint_load;
+class kept_parts;
+class retry_window;
+class team_usage;
+struct endpoint_choice;
+struct part_use;
+struct work_item;
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/dispatch/team_usage.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "dandelionbay/base/clock.hpp"
+#include "dandelionbay/base/ids.hpp"
+#include "dandelionbay/dispatch/fwd.hpp"
+
+namespace dandelionbay {
+
+/*! @brief Service that a team got in the current window. */
+struct team_service {
+    team_id team{};
+    double cost{};
+
+    friend bool operator==(const team_service&, const team_service&) = default;
+};
+
+/**
+ * @brief Service of each team in a sliding window, fleet-wide: what this router dispatched and what its peers told.
+ *
+ * Teams are served in the order of their service, which gives max-min shares; only recent service counts, so that a
+ * team neither pays for a past flood nor saves up idle time.
+ */
+class team_usage {
+    struct charge {
+        time_point at{};
+        team_id team{};
+        double cost{};
+    };
+
+    void expire(time_point now);
+
+public:
+    /*! @brief Length of the window. */
+    static constexpr duration window = std::chrono::seconds{4}; // The time over which shares are to be even.
+
+    /*! @brief Counts dispatched work. @param team Its team. @param cost Prompt tokens plus twice the generated ones. */
+    void add(const team_id& team, double cost, time_point now);
+
+    /*! @brief Replaces what a peer reported. @param peer Its name. @param teams Its own part. @param now Time. */
+    void report(const host_id& peer, const std::vector<team_service>& teams, time_point now);
+
+    /*! @brief Service of a team. @param now Time. @return Cost units in the window. */
+    [[nodiscard]] double used(const team_id& team, time_point now);
+
+    /*! @brief This router's own part, for its peers. */
+    [[nodiscard]] std::vector<team_service> own(time_point now);
+
+private:
+    struct peer_report {
+        time_point at{};
+        std::map<team_id, double> teams{};
+    };
+
+    std::deque<charge> charges_{};
+    std::map<team_id, double> own_{};
+    std::map<host_id, peer_report> peers_{};
+};
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/gateway/registry_view.cpp
@@ -0,0 +1,160 @@
+#include "dandelionbay/gateway/registry_view.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace dandelionbay {
+
+namespace {
+
+/*! An endpoint that refused a connection is trusted again without a new entry after this time: two registrations. */
+constexpr duration unverified_limit = std::chrono::milliseconds{2500};
+
+/*! An absent entry counts as lost in a store outage if the store failed within this time before. */
+constexpr duration outage_memory = std::chrono::seconds{5};
+
+[[nodiscard]] std::optional<duration> age_of(const std::optional<time_point>& at, time_point now) noexcept {
+    if (!at) {
+        return std::nullopt;
+    }
+    return std::max(duration{}, now - *at);
+}
+
+} // namespace
+
+bool registry_view::adopt(std::shared_ptr<const route_config> next) {
+    if (next == nullptr || (config_ != nullptr && next->version <= config_->version)) {
+        return false;
+    }
+    config_ = std::move(next);
+    return true;
+}
+
+void registry_view::note_returned_zones(const operator_state& next) {
+    const auto still_out = [&](const zone_id& zone) {
+        return std::ranges::any_of(next.zones_out, [&](const zone_out& it) { return it.zone == zone; });
+    };
+    for (auto& [id, it] : endpoints_) {
+        if (zones_out_.contains(it.entry.zone) && !still_out(it.entry.zone)) {
+            // The zone's endpoints may have turned cold meanwhile; only an entry written afterwards tells.
+            it.unverified_below = next.as_of;
+            it.unverified_since = time_point::max();
+        }
+    }
+}
+
+bool registry_view::confirm(const operator_state& next, time_point read_at) {
+    if (next.as_of < operators_.as_of) {
+        return false;
+    }
+    note_returned_zones(next);
+    zones_out_.clear();
+    for (const auto& it : next.zones_out) {
+        zones_out_.insert(it.zone);
+    }
+    operators_ = next;
+    if (config_ == nullptr || config_->version < next.config_version) {
+        return false;
+    }
+    operators_read_ = std::max(operators_read_.value_or(read_at), read_at);
+    return true;
+}
+
+void registry_view::merge_entries(const endpoint_list& next, time_point now) {
+    std::set<endpoint_id> seen;
+    for (const auto& entry : next.entries) {
+        seen.insert(entry.id);
+        auto& known = endpoints_[entry.id];
+        const bool changed = known.entry.row_version != entry.row_version;
+        const bool restarted = known.entry.started != entry.started && known.entry.started != 0;
+        known.present = true;
+        if (known.await_read) {
+            known.await_read = false;
+            known.unverified_below = next.as_of + 1;
+        }
+        if (!changed) {
+            continue;
+        }
+        known.entry = entry;
+        if (entry.cold_for > duration{}) {
+            known.cold_until = now + entry.cold_for;
+        } else if (restarted || entry.row_version >= known.unverified_below) {
+            known.cold_until = time_point{};
+        }
+    }
+    for (auto& [id, it] : endpoints_) {
+        if (it.present && !seen.contains(id)) {
+            it.present = false;
+            it.missing_since = now;
+        }
+    }
+}
+
+bool registry_view::merge(const endpoint_list& next, time_point read_at, time_point now) {
+    if (next.as_of < list_.as_of) {
+        return false;
+    }
+    merge_entries(next, now);
+    list_ = next;
+    endpoints_read_ = std::max(endpoints_read_.value_or(read_at), read_at);
+    expire(now);
+    return true;
+}
+
+void registry_view::store_failed(time_point now) {
+    store_failed_ = now;
+}
+
+void registry_view::expire(time_point now) {
+    std::erase_if(endpoints_, [&](const auto& item) {
+        const auto& it = item.second;
+        if (it.present) {
+            return false;
+        }
+        const bool after_outage = store_failed_ && it.missing_since - *store_failed_ < outage_memory;
+        // An entry that said that it leaves, or that vanished while the store answered, is gone at once.
+        return !after_outage || it.entry.leaving || now - it.missing_since >= limits_.lapse_grace;
+    });
+}
+
+void registry_view::note_refused(const endpoint_id& id, time_point now) {
+    if (const auto it = endpoints_.find(id); it != endpoints_.end()) {
+        it->second.await_read = true;
+        it->second.unverified_below = std::numeric_limits<std::uint64_t>::max();
+        it->second.unverified_since = now;
+    }
+}
+
+void registry_view::note_cold(const endpoint_id& id, duration cold_for, time_point now) {
+    if (const auto it = endpoints_.find(id); it != endpoints_.end()) {
+        it->second.cold_until = std::max(it->second.cold_until, now + cold_for);
+    }
+}
+
+bool registry_view::keys_fresh(time_point now) const noexcept {
+    const auto age = operator_age(now);
+    return age && *age < limits_.keys;
+}
+
+std::optional<duration> registry_view::operator_age(time_point now) const noexcept {
+    return age_of(operators_read_, now);
+}
+
+std::optional<duration> registry_view::endpoints_age(time_point now) const noexcept {
+    return age_of(endpoints_read_, now);
+}
+
+bool registry_view::takes_work(const known_endpoint& it) const {
+    return !it.entry.leaving && !zones_out_.contains(it.entry.zone);
+}
+
+bool registry_view::cold(const known_endpoint& it, time_point now) const noexcept {
+    if (now < it.cold_until) {
+        return true;
+    }
+    const bool unverified = it.entry.row_version < it.unverified_below;
+    return unverified && (it.unverified_since == time_point::max() || now - it.unverified_since < unverified_limit);
+}
+
+} // namespace dandelionbay
--- a/src/dandelionbay/load/tally.hpp
+++ b/src/dandelionbay/load/tally.hpp
@@ -9,7 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "dandelionbay/base/clock.hpp"
-#include "dandelionbay/bench/latency_histogram.hpp"
+#include "dandelionbay/base/latency_histogram.hpp"
 #include "dandelionbay/bench/recorder.hpp"
 #include "dandelionbay/load/fwd.hpp"
 
@@ -25,9 +25,9 @@
         std::uint64_t no_free_thread{};
         std::map<bench::ending, std::uint64_t> endings{};
         std::map<std::string, std::uint64_t> refused{};
-        bench::latency_histogram latency{};
-        bench::latency_histogram ttft{};
-        bench::latency_histogram inter_token{};
+        latency_histogram latency{};
+        latency_histogram ttft{};
+        latency_histogram inter_token{};
     };
 
     [[nodiscard]] bench::second_of_service* second_at(time_point now);
--- a/src/dandelionbay/net/link.cpp
+++ b/src/dandelionbay/net/link.cpp
@@ -2,8 +2,8 @@
 
 #include <utility>
 
-#include <asio/buffer.hpp>
-#include <asio/write.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
 
 namespace dandelionbay::internal {
 
@@ -30,7 +30,7 @@
 }
 
 void link::read() {
-    socket_.async_read_some(asio::buffer(buf_), [self = shared_from_this()](const asio::error_code& ec, std::size_t n) {
+    socket_.async_read_some(boost::asio::buffer(buf_), [self = shared_from_this()](const boost::system::error_code& ec, std::size_t n) {
         if (self->closed_) {
             return;
         }
@@ -48,8 +48,8 @@
 
 void link::write() {
     writing_.swap(pending_);
-    asio::async_write(socket_, asio::buffer(writing_),
-                      [self = shared_from_this()](const asio::error_code& ec, std::size_t /*n*/) {
+    boost::asio::async_write(socket_, boost::asio::buffer(writing_),
+                      [self = shared_from_this()](const boost::system::error_code& ec, std::size_t /*n*/) {
                           if (self->closed_) {
                               return;
                           }
@@ -65,11 +65,11 @@
                       });
 }
 
-link::link(asio::ip::tcp::socket socket, link_owner& owner, const clock& time)
+link::link(boost::asio::ip::tcp::socket socket, link_owner& owner, const clock& time)
     : socket_{std::move(socket)}, owner_{&owner}, clock_{&time}, last_received_{time.now()}, last_sent_{time.now()} {}
 
-void link::connect(const asio::ip::tcp::endpoint& to) {
-    socket_.async_connect(to, [self = shared_from_this()](const asio::error_code& ec) {
+void link::connect(const boost::asio::ip::tcp::endpoint& to) {
+    socket_.async_connect(to, [self = shared_from_this()](const boost::system::error_code& ec) {
         if (self->closed_) {
             return;
         }
@@ -82,8 +82,8 @@
 }
 
 void link::open() {
-    asio::error_code ec;
-    socket_.set_option(asio::ip::tcp::no_delay{true}, ec);
+    boost::system::error_code ec;
+    socket_.set_option(boost::asio::ip::tcp::no_delay{true}, ec);
     if (ec) {
         fail("connection_lost");
         return;
@@ -115,7 +115,7 @@
 
 void link::close() noexcept {
     closed_ = true;
-    asio::error_code ec;
+    boost::system::error_code ec;
     socket_.close(ec);
 }
 
--- a/src/dandelionbay/net/link.hpp
+++ b/src/dandelionbay/net/link.hpp
@@ -7,8 +7,8 @@
 #include <string>
 #include <string_view>
 
-#include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
 #include "dandelionbay/base/clock.hpp"
 #include "dandelionbay/net/fwd.hpp"
@@ -50,10 +50,10 @@
 
 public:
     /*! @brief Wraps a socket. @param socket Open or not. @param owner Must outlive the link. @param now Time. */
-    link(asio::ip::tcp::socket socket, link_owner& owner, const clock& time);
+    link(boost::asio::ip::tcp::socket socket, link_owner& owner, const clock& time);
 
     /*! @brief Connects. @param to The other side's address. */
-    void connect(const asio::ip::tcp::endpoint& to);
+    void connect(const boost::asio::ip::tcp::endpoint& to);
 
     /*! @brief Starts to read; the socket is connected. */
     void open();
@@ -89,7 +89,7 @@
     void set_dialled(host_id host) { dialled_ = std::move(host); }
 
 private:
-    asio::ip::tcp::socket socket_;
+    boost::asio::ip::tcp::socket socket_;
     link_owner* owner_;
     const clock* clock_;
     frame_decoder decoder_;
--- a/src/dandelionbay/net/link_server.cpp
+++ b/src/dandelionbay/net/link_server.cpp
@@ -6,8 +6,8 @@
 #include <optional>
 #include <utility>
 
-#include <asio/ip/address.hpp>
-#include <asio/post.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
 
 #include "absl/status/status.h"
 #include "absl/strings/str_cat.h"
@@ -139,13 +139,13 @@
     }
 }
 
-std::shared_ptr<internal::link> link_server::make_link(asio::ip::tcp::socket socket) {
+std::shared_ptr<internal::link> link_server::make_link(boost::asio::ip::tcp::socket socket) {
     return std::make_shared<internal::link>(std::move(socket), static_cast<internal::link_owner&>(*this), *clock_);
 }
 
 void link_server::accept() {
     accepting_ = true;
-    acceptor_.async_accept([this](const asio::error_code& ec, asio::ip::tcp::socket socket) {
+    acceptor_.async_accept([this](const boost::system::error_code& ec, boost::asio::ip::tcp::socket socket) {
         accepting_ = false;
         if (!acceptor_.is_open()) {
             return;
@@ -167,14 +167,14 @@
 }
 
 void link_server::dial(const host_id& host, peer_state& to) {
-    asio::error_code ec;
-    const auto address = asio::ip::make_address(to.address.ip, ec);
+    boost::system::error_code ec;
+    const auto address = boost::asio::ip::make_address(to.address.ip, ec);
     if (ec) {
         counters_->add("link_closed_total", "bad_address");
         delay_dial(to);
         return;
     }
-    to.dialling = make_link(asio::ip::tcp::socket{loop_});
+    to.dialling = make_link(boost::asio::ip::tcp::socket{loop_});
     to.dialling->set_dialled(host);
     to.dialling->connect({address, to.address.port});
 }
@@ -279,7 +279,7 @@
 
 void link_server::schedule_tick() {
     timer_.expires_after(tick_interval);
-    timer_.async_wait([this](const asio::error_code& ec) {
+    timer_.async_wait([this](const boost::system::error_code& ec) {
         if (!ec) {
             tick();
         }
@@ -318,21 +318,21 @@
 
 absl::Status link_server::start(kernel& /*host*/) {
     assert(!thread_.joinable() && "a link server starts once");
-    asio::error_code ec;
-    const auto address = asio::ip::make_address(options_.listen.ip, ec);
+    boost::system::error_code ec;
+    const auto address = boost::asio::ip::make_address(options_.listen.ip, ec);
     if (ec) {
         return absl::InvalidArgumentError(absl::StrCat("peer address ", options_.listen.ip, " is not an IP number"));
     }
-    const asio::ip::tcp::endpoint local{address, options_.listen.port};
+    const boost::asio::ip::tcp::endpoint local{address, options_.listen.port};
     acceptor_.open(local.protocol(), ec);
     if (!ec) {
-        acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address{true}, ec);
+        acceptor_.set_option(boost::asio::ip::tcp::acceptor::reuse_address{true}, ec);
     }
     if (!ec) {
         acceptor_.bind(local, ec);
     }
     if (!ec) {
-        acceptor_.listen(asio::ip::tcp::acceptor::max_listen_connections, ec);
+        acceptor_.listen(boost::asio::ip::tcp::acceptor::max_listen_connections, ec);
     }
     if (ec) {
         return absl::UnavailableError(
@@ -347,8 +347,8 @@
 
 void link_server::stop() noexcept {
     if (thread_.joinable()) {
-        asio::post(loop_, [this] {
-            asio::error_code ec;
+        boost::asio::post(loop_, [this] {
+            boost::system::error_code ec;
             acceptor_.close(ec);
             ticks_to_close_ = ticks_to_flush;
         });
@@ -357,18 +357,18 @@
 }
 
 void link_server::set_peers(std::vector<host_entry> hosts) {
-    asio::post(loop_, [this, hosts = std::move(hosts)] { apply_peers(hosts); });
+    boost::asio::post(loop_, [this, hosts = std::move(hosts)] { apply_peers(hosts); });
 }
 
 void link_server::announce(const heartbeat& state, time_point at) {
-    asio::post(loop_, [this, state, at] {
+    boost::asio::post(loop_, [this, state, at] {
         state_ = state;
         state_at_ = at;
     });
 }
 
 void link_server::send(const host_id& to, message body) {
-    asio::post(loop_, [this, to, body = std::move(body)] {
+    boost::asio::post(loop_, [this, to, body = std::move(body)] {
         const auto it = peers_.find(to);
         if (it == peers_.end() || it->second.ready == nullptr) {
             counters_->add("link_messages_dropped_total", "no_link");
--- a/src/dandelionbay/net/link_server.hpp
+++ b/src/dandelionbay/net/link_server.hpp
@@ -10,9 +10,9 @@
 #include <thread>
 #include <vector>
 
-#include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "dandelionbay/base/clock.hpp"
 #include "dandelionbay/base/counters.hpp"
@@ -63,7 +63,7 @@
     void frame_received(internal::link& it, decoded_frame frame) override;
     void failed(internal::link& it, std::string_view reason) override;
 
-    [[nodiscard]] std::shared_ptr<internal::link> make_link(asio::ip::tcp::socket socket);
+    [[nodiscard]] std::shared_ptr<internal::link> make_link(boost::asio::ip::tcp::socket socket);
     void accept();
     void dial(const host_id& host, peer_state& to);
     void delay_dial(peer_state& to);
@@ -119,9 +119,9 @@
     counters* counters_;
     link_events* events_;
     std::mt19937_64 random_;
-    asio::io_context loop_{1};
-    asio::ip::tcp::acceptor acceptor_{loop_};
-    asio::steady_timer timer_{loop_};
+    boost::asio::io_context loop_{1};
+    boost::asio::ip::tcp::acceptor acceptor_{loop_};
+    boost::asio::steady_timer timer_{loop_};
     std::map<host_id, peer_state> peers_;
     link_set strangers_; //!< Connections without the other side's hello.
     heartbeat state_;
--- /dev/null
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -0,0 +1,206 @@
+#include "dandelionbay/node/gateway_node.hpp"
+
+#include <csignal>
+#include <utility>
+
+#include "dandelionbay/base/text.hpp"
+
+namespace dandelionbay {
+
+namespace {
+
+/*! Parts of a bound after which the store is read again, so that a call that fails once leaves time for others. */
+constexpr int parts_of_bound = 5;
+/*! Part of a bound for which facts are trusted; the rest covers the way to the endpoint. */
+constexpr double trusted_share = 0.9;
+/*! Time before the kill at which a stop ends what still runs, so that the process can end in order. */
+constexpr duration stop_margin = std::chrono::milliseconds{900};
+
+[[nodiscard]] freshness_limits freshness_of(const gateway_bounds& bounds) {
+    freshness_limits out;
+    out.keys = std::chrono::duration_cast<duration>(bounds.key_withdrawal * trusted_share);
+    return out;
+}
+
+[[nodiscard]] std::string age_text(const std::optional<duration>& age) {
+    return age ? std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*age).count()) : "none";
+}
+
+} // namespace
+
+gateway_node::gateway_node(gateway_options options, platform_binding platform, std::shared_ptr<event_log> log)
+    : options_{std::move(options)}, platform_{std::move(platform)}, log_{std::move(log), clock_},
+      view_{freshness_of(options_.bounds)},
+      proxy_{proxy_environment{&loop_, &clock_, &log_, &metrics_, &view_, platform_.protocol.get()},
+             proxy_options{options_.caller_listen, options_.place, options_.dispatch, options_.retry}},
+      board_{options_.place.host, static_cast<std::uint64_t>(clock_.now().time_since_epoch().count()),
+             options_.peer_listen, view_, proxy_.dispatch(), platform_.read_config},
+      links_{peer_environment{&loop_, &clock_, &log_, &metrics_, &board_}, options_.peer_listen,
+             [this](const peer_change& change) { peers_changed(change); }},
+      ready_{loop_, [this](std::string_view path) { return page_of(path); }},
+      status_{loop_, [this](std::string_view path) { return page_of(path); }}, signals_{loop_, SIGTERM, SIGINT},
+      stop_timer_{loop_} {
+    registry_options store;
+    store.address = options_.store;
+    store.host = options_.place.host;
+    store.peer_address = options_.peer_listen;
+    store.list_interval = options_.bounds.leaving / parts_of_bound;
+    store.watch = options_.bounds.config * 2 / parts_of_bound;
+    registry_ = platform_.make_registry(loop_, clock_, log_, metrics_, store, *this);
+    for (const auto& peer : options_.first_peers) {
+        board_.introduce(peer, clock_.now());
+    }
+}
+
+absl::Status gateway_node::run(const std::function<void()>& started) {
+    for (const auto& step : {std::function<absl::Status()>{[this] { return proxy_.start(); }},
+                             std::function<absl::Status()>{[this] { return links_.start(); }},
+                             std::function<absl::Status()>{[this] { return ready_.start(options_.ready_listen); }},
+                             std::function<absl::Status()>{[this] { return status_.start(options_.metrics_listen); }}}) {
+        if (const auto status = step(); !status.ok()) {
+            log_.write(log_level::error, "start_failed", {{"reason", std::string{from_absl(status.message())}}});
+            return status;
+        }
+    }
+    wait_for_signal();
+    registry_->start();
+    log_.write(log_level::info, "started");
+    started();
+    loop_.run();
+    log_.write(log_level::info, "stopped", {{"lines_left_out", std::to_string(log_.left_out())}});
+    return absl::OkStatus();
+}
+
+void gateway_node::wait_for_signal() {
+    signals_.async_wait([this](boost::system::error_code ec, int signal) {
+        if (!ec) {
+            log_.write(log_level::info, "stop_requested", {{"signal", std::to_string(signal)}});
+            begin_stop();
+        }
+    });
+}
+
+status_server::page gateway_node::page_of(std::string_view path) {
+    if (path == "/metrics") {
+        return {200, render_metrics()};
+    }
+    return ready() ? status_server::page{200, "ready\n"} : status_server::page{503, "not ready\n"};
+}
+
+std::string gateway_node::render_metrics() {
+    const auto now = clock_.now();
+    metrics_.set("open_calls", static_cast<counters::value_type>(proxy_.open_calls()));
+    metrics_.set("waiting_calls", static_cast<counters::value_type>(proxy_.dispatch().waiting()));
+    metrics_.set("endpoints_known", static_cast<counters::value_type>(view_.endpoints().size()));
+    metrics_.set("config_version", view_.config() == nullptr
+                                       ? 0
+                                       : static_cast<counters::value_type>(view_.config()->version));
+    metrics_.set("config_age_us", view_.operator_age(now).value_or(duration{-1}).count());
+    metrics_.set("log_lines_left_out", static_cast<counters::value_type>(log_.left_out()));
+    return metrics_.render() + proxy_.first_answer().render("dandelionbay_first_answer_seconds") +
+           proxy_.whole_answer().render("dandelionbay_whole_answer_seconds");
+}
+
+void gateway_node::begin_stop() {
+    if (proxy_.draining()) {
+        return;
+    }
+    proxy_.drain();
+    log_.write(log_level::info, "stopping", {{"open_calls", std::to_string(proxy_.open_calls())}});
+    continue_stop(clock_.now());
+}
+
+void gateway_node::continue_stop(time_point since) {
+    const auto passed = clock_.now() - since;
+    const bool quiet = passed >= balancer_delay && proxy_.close_idle() == 0 && proxy_.open_calls() == 0;
+    if (quiet || passed >= options_.bounds.stop_grace - stop_margin) {
+        end();
+        return;
+    }
+    stop_timer_.expires_after(stop_interval);
+    stop_timer_.async_wait([this, since](boost::system::error_code ec) {
+        if (!ec) {
+            continue_stop(since);
+        }
+    });
+}
+
+void gateway_node::end() {
+    log_.write(log_level::info, "ending", {{"open_calls", std::to_string(proxy_.open_calls())}});
+    proxy_.stop();
+    links_.stop();
+    registry_->stop();
+    // The last writes get a moment; then the process ends whatever is left.
+    constexpr std::chrono::milliseconds last_writes{150};
+    stop_timer_.expires_after(last_writes);
+    stop_timer_.async_wait([this](boost::system::error_code /*ec*/) { loop_.stop(); });
+}
+
+void gateway_node::peers_changed(const peer_change& change) {
+    if (change.peer_found) {
+        log_.write(log_level::info, "peer_found", {{"routers", std::to_string(proxy_.dispatch().routers())}});
+    }
+    if (change.config_adopted) {
+        log_.write(log_level::info, "config_adopted",
+                   {{"version", std::to_string(view_.config()->version)}, {"from", "peer"}});
+    }
+    if (change.list_renewed) {
+        metrics_.add("lists_from_peers_total");
+    }
+}
+
+void gateway_node::on_config(std::shared_ptr<const route_config> config, std::string text) {
+    if (view_.adopt(std::move(config))) {
+        board_.set_config_text(std::move(text));
+        log_.write(log_level::info, "config_adopted",
+                   {{"version", std::to_string(view_.config()->version)}, {"from", "registry"}});
+    }
+}
+
+void gateway_node::on_operators(const operator_state& state, time_point read_at) {
+    if (state.zones_out != view_.operators().zones_out) {
+        std::string zones;
+        for (const auto& it : state.zones_out) {
+            zones += concat(zones.empty() ? "" : ",", it.zone.value);
+        }
+        log_.write(log_level::info, "zones_out", {{"zones", zones}, {"as_of", std::to_string(state.as_of)}});
+    }
+    view_.confirm(state, read_at);
+    proxy_.pump();
+}
+
+void gateway_node::on_endpoints(const endpoint_list& list, time_point read_at) {
+    const auto now = clock_.now();
+    const auto known = view_.endpoints().size();
+    view_.merge(list, read_at, now);
+    proxy_.dispatch().refresh(now);
+    if (view_.endpoints().size() != known) {
+        log_.write(log_level::info, "endpoints_changed",
+                   {{"known", std::to_string(view_.endpoints().size())}, {"before", std::to_string(known)}});
+    }
+    proxy_.pump();
+}
+
+void gateway_node::on_router(const socket_address& peer) {
+    board_.introduce(peer, clock_.now());
+}
+
+void gateway_node::on_registry_failed(std::string_view call, std::string_view reason) {
+    const auto now = clock_.now();
+    view_.store_failed(now);
+    metrics_.add("registry_failures_total", call);
+    if (!std::exchange(registry_failed_, true)) {
+        log_.write(log_level::warn, "registry_lost",
+                   {{"call", std::string{call}},
+                    {"reason", std::string{reason}},
+                    {"config_age_ms", age_text(view_.operator_age(now))}});
+    }
+}
+
+void gateway_node::on_registry_back() {
+    if (std::exchange(registry_failed_, false)) {
+        log_.write(log_level::info, "registry_back", {{"config_age_ms", age_text(view_.operator_age(clock_.now()))}});
+    }
+}
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/node/gateway_node.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "absl/status/status.h"
+#include "dandelionbay/base/bounded_log.hpp"
+#include "dandelionbay/base/clock.hpp"
+#include "dandelionbay/base/counters.hpp"
+#include "dandelionbay/gateway/registry_view.hpp"
+#include "dandelionbay/gateway/registry.hpp"
+#include "dandelionbay/node/fwd.hpp"
+#include "dandelionbay/node/gateway_options.hpp"
+#include "dandelionbay/peer/peer_board.hpp"
+#include "dandelionbay/peer/peer_links.hpp"
+#include "dandelionbay/proxy/proxy.hpp"
+#include "dandelionbay/proxy/status_server.hpp"
+
+namespace dandelionbay {
+
+/*! @brief Makes the parts that depend on the platform. */
+struct platform_binding {
+    using registry_maker = std::function<std::unique_ptr<registry>(boost::asio::io_context&, const clock&, bounded_log&,
+                                                                   counters&, const registry_options&,
+                                                                   registry_listener&)>;
+
+    std::shared_ptr<const call_protocol> protocol{};
+    registry_maker make_registry{};
+    peer_board::config_reader read_config{};
+};
+
+/**
+ * @brief One gateway: the data path, the registry, the peers and the status pages on one event loop.
+ */
+class gateway_node final : public registry_listener {
+    [[nodiscard]] status_server::page page_of(std::string_view path);
+    [[nodiscard]] std::string render_metrics();
+    void begin_stop();
+    void continue_stop(time_point since);
+    void end();
+    void wait_for_signal();
+    void peers_changed(const peer_change& change);
+
+public:
+    /*! @brief Time after the start of a stop for which idle connections stay open: the balancer needs it to notice. */
+    static constexpr duration balancer_delay = std::chrono::milliseconds{3'200};
+    /*! @brief Interval of looking whether a stop is complete. */
+    static constexpr std::chrono::milliseconds stop_interval{50};
+
+    /*! @brief Creates it. @param options Settings. @param platform The platform's parts. @param log Log, or null. */
+    gateway_node(gateway_options options, platform_binding platform, std::shared_ptr<event_log> log);
+
+    /*! @brief Serves until SIGTERM or SIGINT. @param started Called once it listens. @return An error if it can't. */
+    [[nodiscard]] absl::Status run(const std::function<void()>& started);
+
+    /*! @brief Asks it to stop; to be called on its event loop. */
+    void stop() { begin_stop(); }
+
+    /*! @brief Its event loop. */
+    [[nodiscard]] boost::asio::io_context& loop() noexcept { return loop_; }
+
+    /*! @brief Tells whether it can serve callers. */
+    [[nodiscard]] bool ready() const noexcept { return view_.complete() && !proxy_.draining(); }
+
+    void on_config(std::shared_ptr<const route_config> config, std::string text) override;
+    void on_operators(const operator_state& state, time_point read_at) override;
+    void on_endpoints(const endpoint_list& list, time_point read_at) override;
+    void on_router(const socket_address& peer) override;
+    void on_registry_failed(std::string_view call, std::string_view reason) override;
+    void on_registry_back() override;
+
+private:
+    gateway_options options_;
+    platform_binding platform_;
+    boot_clock clock_{};
+    boost::asio::io_context loop_{1};
+    bounded_log log_;
+    counters metrics_{};
+    registry_view view_;
+    proxy proxy_;
+    peer_board board_;
+    peer_links links_;
+    std::unique_ptr<registry> registry_;
+    status_server ready_;
+    status_server status_;
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer stop_timer_;
+    bool registry_failed_{};
+};
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/peer/peer_board.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "dandelionbay/base/clock.hpp"
+#include "dandelionbay/dispatch/dispatcher.hpp"
+#include "dandelionbay/gateway/registry_view.hpp"
+#include "dandelionbay/peer/peer_state.hpp"
+
+namespace dandelionbay {
+
+/*! @brief What a message changed. */
+struct peer_change {
+    bool config_adopted{};
+    bool evidence_renewed{};
+    bool list_renewed{};
+    bool peer_found{};
+
+    friend bool operator==(const peer_change&, const peer_change&) = default;
+};
+
+/**
+ * @brief Decides what a router tells its peers and what it believes of what they tell.
+ *
+ * A peer's evidence counts from a moment that is not after its reading: the message was sent after the receiver's own
+ * stamp, which it echoes, had arrived there. A message that was delayed therefore never makes evidence look newer.
+ */
+class peer_board {
+    struct peer {
+        std::uint64_t incarnation{};
+        socket_address address{};
+        time_point heard{};
+        bool leaving{};
+        std::int64_t stamp_us{};       //!< Newest stamp of the peer.
+        time_point stamp_at{};         //!< When it arrived.
+        time_point confirmed{};        //!< Sending of the newest message that the peer says it received.
+        std::uint64_t config_version{};
+        std::int64_t list_age_us{-1};
+        std::vector<part_use> untold{}; //!< Uses of parts that it was not told yet.
+    };
+
+    [[nodiscard]] static std::int64_t age_us(const std::optional<duration>& age) noexcept;
+    void take_evidence(const peer_state& in, peer_change& out, time_point now);
+    void take_loads(const peer_state& in, time_point now);
+    void follow_routers(time_point now);
+
+public:
+    /*! @brief Reads the text of a configuration. */
+    using config_reader = std::function<absl::StatusOr<route_config>(const std::string&)>;
+
+    /*! @brief A peer that was not heard for this time may be gone; it still counts as sending to endpoints. */
+    static constexpr duration silent_after = std::chrono::seconds{1};
+    /*! @brief Messages that are not confirmed within this time count as lost: several intervals and a round trip. */
+    static constexpr duration confirmed_within = std::chrono::milliseconds{1'200};
+    /*! @brief A peer that was not heard for this time is forgotten. */
+    static constexpr duration forgotten_after = std::chrono::seconds{20};
+    /*! @brief A peer whose list of endpoints is older than this gets a newer one. */
+    static constexpr duration list_stale = std::chrono::milliseconds{1'200};
+    /*! @brief Uses of parts kept for a peer that is not heard. */
+    static constexpr std::size_t most_untold = 500;
+
+    /*! @brief Creates it. @param self This router. @param incarnation Of this process. @param address For peers. */
+    peer_board(host_id self, std::uint64_t incarnation, socket_address address, registry_view& view, dispatcher& dispatch,
+               config_reader reader);
+
+    /*! @brief Learns of another router's address. */
+    void introduce(const socket_address& address, time_point now);
+
+    /*! @brief Keeps the text of the configuration in force, to hand it on. */
+    void set_config_text(std::string text) { config_text_ = std::move(text); }
+
+    /*! @brief This process is about to end. */
+    void leave() noexcept { leaving_ = true; }
+
+    /*! @brief Composes the message for a peer. @param to Its address. @param now Time. */
+    [[nodiscard]] peer_state compose(const socket_address& to, time_point now);
+
+    /*! @brief Takes a message over. @param in The message. @param now Time of its arrival. */
+    peer_change receive(const peer_state& in, time_point now);
+
+    /*! @brief Collects what the next messages tell, and forgets peers. To be called before each round of messages. */
+    void begin_round(time_point now);
+
+    /*! @brief Addresses of the other routers. */
+    [[nodiscard]] std::vector<socket_address> addresses() const;
+
+    /*! @brief Tells whether a peer has confirmed no message lately: its connection may have gone silent. */
+    [[nodiscard]] bool unconfirmed(const socket_address& to, time_point now) const;
+
+    /*! @brief Number of peers heard lately. */
+    [[nodiscard]] std::size_t live(time_point now) const;
+
+private:
+    host_id self_;
+    std::uint64_t incarnation_;
+    socket_address address_;
+    registry_view* view_;
+    dispatcher* dispatch_;
+    config_reader reader_;
+    std::string config_text_{};
+    bool leaving_{};
+    std::map<host_id, peer> peers_{};
+    std::map<socket_address, time_point> introduced_{}; //!< Addresses, and when they were last heard of.
+};
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/peer/peer_links.cpp
@@ -0,0 +1,237 @@
+#include "dandelionbay/peer/peer_links.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+#include <vector>
+
+#include "dandelionbay/base/text.hpp"
+
+namespace dandelionbay {
+
+namespace {
+
+using boost::system::error_code;
+
+constexpr std::size_t length_bytes = 4;
+constexpr unsigned bits_per_byte = 8;
+
+[[nodiscard]] std::string with_length(const std::string& body) {
+    std::string out;
+    out.reserve(length_bytes + body.size());
+    for (std::size_t n = 0; n < length_bytes; ++n) {
+        out.push_back(static_cast<char>(body.size() >> (bits_per_byte * n) & 0xFFU));
+    }
+    return out + body;
+}
+
+[[nodiscard]] std::size_t read_length(std::string_view bytes) {
+    std::size_t out = 0;
+    for (std::size_t n = 0; n < length_bytes; ++n) {
+        out |= static_cast<std::size_t>(static_cast<unsigned char>(bytes[n])) << (bits_per_byte * n);
+    }
+    return out;
+}
+
+} // namespace
+
+/*! Connection to one peer, made again after it ended. */
+class peer_links::sender final : public channel_owner {
+public:
+    sender(peer_links& owner, socket_address to) : owner_{&owner}, to_{std::move(to)} {}
+    sender(const sender&) = delete;
+    sender(sender&&) = delete;
+    sender& operator=(const sender&) = delete;
+    sender& operator=(sender&&) = delete;
+    ~sender() override { drop(); }
+
+    /*! Sends the newest state, unless an older one is still on its way. */
+    void send(time_point now) {
+        if (channel_ == nullptr) {
+            if (now >= next_dial_) {
+                dial(now);
+            }
+            return;
+        }
+        if (!connected_) {
+            return;
+        }
+        if (now - dialled_ > stuck_limit && owner_->environment_.board->unconfirmed(to_, now)) {
+            owner_->environment_.metrics->add("peer_redials_total");
+            drop(); // It may have gone silent while new connections work.
+            dial(now);
+            return;
+        }
+        if (channel_->unsent() > 0) {
+            return;
+        }
+        const auto bytes = with_length(encode(owner_->environment_.board->compose(to_, now)));
+        owner_->environment_.metrics->add("peer_bytes_sent_total", {}, static_cast<counters::value_type>(bytes.size()));
+        channel_->write(bytes);
+    }
+
+    void on_connected() override { connected_ = true; }
+
+    void on_bytes(std::string_view bytes) override {
+        static_cast<void>(bytes); // Peers answer on connections of their own.
+    }
+
+    void on_end(channel_end end) override {
+        static_cast<void>(end);
+        drop();
+    }
+
+private:
+    void dial(time_point now) {
+        next_dial_ = now + redial_pause;
+        dialled_ = now;
+        channel_ = std::make_shared<channel>(channel::tcp::socket{*owner_->environment_.loop}, *this);
+        channel_->connect(to_, connect_limit);
+    }
+
+    void drop() {
+        connected_ = false;
+        if (auto it = std::exchange(channel_, nullptr); it != nullptr) {
+            it->close();
+        }
+    }
+
+    peer_links* owner_;
+    socket_address to_;
+    std::shared_ptr<channel> channel_{};
+    time_point next_dial_{};
+    time_point dialled_{};
+    bool connected_{};
+};
+
+/*! Connection from one peer. */
+class peer_links::receiver final : public channel_owner, public std::enable_shared_from_this<receiver> {
+public:
+    receiver(peer_links& owner, channel::tcp::socket socket)
+        : owner_{&owner}, channel_{std::make_shared<channel>(std::move(socket), *this)} {}
+    receiver(const receiver&) = delete;
+    receiver(receiver&&) = delete;
+    receiver& operator=(const receiver&) = delete;
+    receiver& operator=(receiver&&) = delete;
+    ~receiver() override { channel_->close(); }
+
+    void start() { channel_->open(); }
+
+    void on_bytes(std::string_view bytes) override {
+        const auto self = shared_from_this();
+        buf_.append(bytes);
+        while (buf_.size() >= length_bytes) {
+            const auto n = read_length(buf_);
+            if (n > longest_peer_state) {
+                fail("length");
+                return;
+            }
+            if (buf_.size() < length_bytes + n) {
+                return;
+            }
+            const auto state = decode_peer_state(std::string_view{buf_}.substr(length_bytes, n));
+            buf_.erase(0, length_bytes + n);
+            if (!state.ok()) {
+                fail(from_absl(state.status().message()));
+                return;
+            }
+            owner_->received(*state);
+        }
+    }
+
+    void on_end(channel_end end) override {
+        static_cast<void>(end);
+        owner_->receivers_.erase(shared_from_this());
+    }
+
+private:
+    void fail(std::string_view reason) {
+        owner_->environment_.log->write(log_level::warn, "peer_message_refused", {{"reason", std::string{reason}}});
+        owner_->environment_.metrics->add("peer_messages_refused_total");
+        channel_->close();
+        owner_->receivers_.erase(shared_from_this());
+    }
+
+    peer_links* owner_;
+    std::shared_ptr<channel> channel_;
+    std::string buf_{};
+};
+
+peer_links::peer_links(peer_environment environment, socket_address listen, change_handler changed)
+    : environment_{environment}, listen_{std::move(listen)}, changed_{std::move(changed)},
+      acceptor_{*environment_.loop}, timer_{*environment_.loop} {}
+
+peer_links::~peer_links() = default;
+
+absl::Status peer_links::start() {
+    if (const auto ec = listen_on(acceptor_, listen_)) {
+        return absl::UnavailableError(concat("cannot listen on ", listen_.ip, ":", listen_.port, ": ", ec.message()));
+    }
+    accept();
+    tick();
+    return absl::OkStatus();
+}
+
+void peer_links::accept() {
+    acceptor_.async_accept([this](error_code ec, channel::tcp::socket socket) {
+        if (stopped_) {
+            return;
+        }
+        if (ec) {
+            environment_.log->write(log_level::warn, "accept_failed", {{"reason", ec.message()}});
+        } else {
+            const auto it = std::make_shared<receiver>(*this, std::move(socket));
+            receivers_.insert(it);
+            it->start();
+        }
+        accept();
+    });
+}
+
+std::chrono::milliseconds peer_links::interval() const {
+    return std::max(shortest_interval, interval_per_peer * static_cast<int>(senders_.size()));
+}
+
+void peer_links::tick() {
+    timer_.expires_after(interval());
+    timer_.async_wait([this](error_code ec) {
+        if (ec || stopped_) {
+            return;
+        }
+        send_round();
+        tick();
+    });
+}
+
+void peer_links::send_round() {
+    const auto now = environment_.time->now();
+    environment_.board->begin_round(now);
+    const auto addresses = environment_.board->addresses();
+    std::erase_if(senders_, [&](const auto& it) { return std::ranges::find(addresses, it.first) == addresses.end(); });
+    for (const auto& address : addresses) {
+        auto& it = senders_[address];
+        if (it == nullptr) {
+            it = std::make_shared<sender>(*this, address);
+        }
+        it->send(now);
+    }
+    environment_.metrics->set("peers_live", static_cast<counters::value_type>(environment_.board->live(now)));
+}
+
+void peer_links::received(const peer_state& in) {
+    const auto change = environment_.board->receive(in, environment_.time->now());
+    changed_(change);
+}
+
+void peer_links::stop() {
+    environment_.board->leave();
+    send_round();
+    stopped_ = true;
+    error_code ec; // The process ends; a listener that can't be closed goes with it.
+    acceptor_.close(ec);
+    timer_.cancel();
+    senders_.clear();
+    receivers_.clear();
+}
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/peer/peer_links.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "absl/status/status.h"
+#include "dandelionbay/base/bounded_log.hpp"
+#include "dandelionbay/base/clock.hpp"
+#include "dandelionbay/base/counters.hpp"
+#include "dandelionbay/peer/peer_board.hpp"
+#include "dandelionbay/proxy/channel.hpp"
+
+namespace dandelionbay {
+
+/*! @brief What the links share with the rest of the router. */
+struct peer_environment {
+    boost::asio::io_context* loop{};
+    const clock* time{};
+    bounded_log* log{};
+    counters* metrics{};
+    peer_board* board{};
+};
+
+/**
+ * @brief TCP connections among routers: each router sends on connections that it makes and receives on those that it
+ * accepts. A message is its length in four bytes, lowest first, and msgpack.
+ */
+class peer_links {
+    class sender;
+    class receiver;
+
+    void accept();
+    void tick();
+    void send_round();
+    void received(const peer_state& in);
+    [[nodiscard]] std::chrono::milliseconds interval() const;
+
+public:
+    /*! @brief Called after a message changed something. */
+    using change_handler = std::function<void(const peer_change&)>;
+
+    /*! @brief Shortest interval of messages to a peer; a prompt takes about as long to be read. */
+    static constexpr std::chrono::milliseconds shortest_interval{80};
+    /*! @brief Time that each peer adds to the interval, so that a router's messages do not grow with the fleet. */
+    static constexpr std::chrono::milliseconds interval_per_peer{12};
+    /*! @brief Longest time to make a connection. */
+    static constexpr std::chrono::milliseconds connect_limit{500};
+    /*! @brief Time after a failed connection before the next one. */
+    static constexpr std::chrono::milliseconds redial_pause{300};
+    /*! @brief A connection whose messages are not confirmed is made anew after this time. */
+    static constexpr std::chrono::milliseconds stuck_limit{1'500};
+
+    /*! @brief Creates them. @param environment All members outlive it. @param listen Address for peers. */
+    peer_links(peer_environment environment, socket_address listen, change_handler changed);
+    peer_links(const peer_links&) = delete;
+    peer_links(peer_links&&) = delete;
+    peer_links& operator=(const peer_links&) = delete;
+    peer_links& operator=(peer_links&&) = delete;
+    ~peer_links();
+
+    /*! @brief Listens and begins to send. @return Unavailable if the address can't be bound. */
+    [[nodiscard]] absl::Status start();
+
+    /*! @brief Sends a last round and ends. */
+    void stop();
+
+private:
+    peer_environment environment_;
+    socket_address listen_;
+    change_handler changed_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer timer_;
+    std::map<socket_address, std::shared_ptr<sender>> senders_{};
+    std::set<std::shared_ptr<receiver>> receivers_{};
+    bool stopped_{};
+};
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/peer/peer_state.cpp
@@ -0,0 +1,180 @@
+#include "dandelionbay/peer/peer_state.hpp"
+
+#include <map>
+#include <tuple>
+
+#include <msgpack.hpp>
+
+#include "dandelionbay/base/text.hpp"
+
+namespace dandelionbay {
+
+namespace {
+
+using address_row = std::tuple<std::string, std::uint16_t>;
+using zone_row = std::tuple<std::string, std::uint64_t>;
+using load_row = std::tuple<std::string, double, std::uint32_t, double>;
+using use_row = std::tuple<std::uint32_t, std::uint64_t, std::uint32_t>; // The endpoint is a position in the names.
+using team_row = std::tuple<std::string, double>;
+using endpoint_row = std::tuple<std::string, std::string, std::string, address_row, std::uint32_t, bool, std::int64_t,
+                                std::uint64_t, std::uint64_t>;
+using clock_row = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
+using operators_row = std::tuple<std::uint64_t, std::uint64_t, std::vector<zone_row>, std::int64_t>;
+using list_row = std::tuple<std::uint64_t, std::int64_t, bool, std::vector<endpoint_row>>;
+using uses_row = std::tuple<std::vector<std::string>, std::vector<use_row>>;
+using message_row =
+    std::tuple<std::uint32_t, std::string, std::uint64_t, address_row, bool, clock_row, operators_row, list_row,
+               std::vector<load_row>, uses_row, std::vector<team_row>, std::vector<address_row>, std::string>;
+
+/*! Version of this format; routers of one fleet may be replaced one after the other. */
+constexpr std::uint32_t format_version = 1;
+
+[[nodiscard]] address_row row_of(const socket_address& it) {
+    return {it.ip, it.port};
+}
+
+[[nodiscard]] socket_address address_of(const address_row& row) {
+    return {std::get<0>(row), std::get<1>(row)};
+}
+
+[[nodiscard]] endpoint_row row_of(const endpoint_entry& it) {
+    return {it.id.value, it.service.value, it.zone.value, row_of(it.address), it.slots,
+            it.leaving,  it.cold_for.count(), it.started, it.row_version};
+}
+
+[[nodiscard]] endpoint_entry entry_of(const endpoint_row& row) {
+    const auto& [id, service, zone, address, slots, leaving, cold_us, started, version] = row;
+    return {endpoint_id{id}, service_id{service}, zone_id{zone}, address_of(address), slots,
+            leaving,         duration{cold_us},   started,       version};
+}
+
+[[nodiscard]] uses_row row_of(const std::vector<part_use>& uses) {
+    uses_row out;
+    auto& [names, rows] = out;
+    std::map<endpoint_id, std::uint32_t> positions;
+    for (const auto& it : uses) {
+        const auto [position, added] = positions.try_emplace(it.endpoint, static_cast<std::uint32_t>(names.size()));
+        if (added) {
+            names.push_back(it.endpoint.value);
+        }
+        rows.emplace_back(position->second, it.part.id, it.part.tokens);
+    }
+    return out;
+}
+
+[[nodiscard]] std::vector<part_use> uses_of(const uses_row& row) {
+    const auto& [names, rows] = row;
+    std::vector<part_use> out;
+    for (const auto& [position, id, tokens] : rows) {
+        if (position < names.size()) {
+            out.push_back(part_use{endpoint_id{names[position]}, prompt_part{id, tokens}});
+        }
+    }
+    return out;
+}
+
+[[nodiscard]] operators_row row_of(const operator_state& it, std::int64_t age_us) {
+    std::vector<zone_row> zones;
+    for (const auto& zone : it.zones_out) {
+        zones.emplace_back(zone.zone.value, zone.row_version);
+    }
+    return {it.as_of, it.config_version, zones, age_us};
+}
+
+[[nodiscard]] list_row list_of(const peer_state& it) {
+    list_row out{it.list_as_of, it.list_age_us, it.list.has_value(), {}};
+    if (it.list) {
+        for (const auto& entry : it.list->entries) {
+            std::get<3>(out).push_back(row_of(entry));
+        }
+    }
+    return out;
+}
+
+[[nodiscard]] peer_state state_of(const message_row& row) {
+    const auto& [version, host, incarnation, address, leaving, clocks, operators, list, loads, uses, teams, peers, text] =
+        row;
+    peer_state out;
+    out.host = host_id{host};
+    out.incarnation = incarnation;
+    out.address = address_of(address);
+    out.leaving = leaving;
+    std::tie(out.sent_us, out.echo_us, out.echo_held_us) = clocks;
+    out.operators.as_of = std::get<0>(operators);
+    out.operators.config_version = std::get<1>(operators);
+    for (const auto& [zone, row_version] : std::get<2>(operators)) {
+        out.operators.zones_out.push_back(zone_out{zone_id{zone}, row_version});
+    }
+    out.operators_age_us = std::get<3>(operators);
+    out.list_as_of = std::get<0>(list);
+    out.list_age_us = std::get<1>(list);
+    if (std::get<2>(list)) {
+        out.list.emplace();
+        out.list->as_of = out.list_as_of;
+        for (const auto& entry : std::get<3>(list)) {
+            out.list->entries.push_back(entry_of(entry));
+        }
+    }
+    for (const auto& [endpoint, unread, calls, memory] : loads) {
+        out.loads.push_back(peer_load{endpoint_id{endpoint}, endpoint_work{unread, calls, memory}});
+    }
+    out.part_uses = uses_of(uses);
+    for (const auto& [team, cost] : teams) {
+        out.teams.push_back(team_service{team_id{team}, cost});
+    }
+    for (const auto& peer : peers) {
+        out.peers.push_back(address_of(peer));
+    }
+    out.config_text = text;
+    return out;
+}
+
+} // namespace
+
+std::string encode(const peer_state& it) {
+    std::vector<load_row> loads;
+    for (const auto& load : it.loads) {
+        loads.emplace_back(load.endpoint.value, load.work.unread_tokens, load.work.calls, load.work.memory_tokens);
+    }
+    std::vector<team_row> teams;
+    for (const auto& team : it.teams) {
+        teams.emplace_back(team.team.value, team.cost);
+    }
+    std::vector<address_row> peers;
+    for (const auto& peer : it.peers) {
+        peers.push_back(row_of(peer));
+    }
+    const message_row row{format_version,
+                          it.host.value,
+                          it.incarnation,
+                          row_of(it.address),
+                          it.leaving,
+                          clock_row{it.sent_us, it.echo_us, it.echo_held_us},
+                          row_of(it.operators, it.operators_age_us),
+                          list_of(it),
+                          loads,
+                          row_of(it.part_uses),
+                          teams,
+                          peers,
+                          it.config_text};
+    msgpack::sbuffer buf;
+    msgpack::pack(buf, row);
+    return {buf.data(), buf.size()};
+}
+
+absl::StatusOr<peer_state> decode_peer_state(std::string_view bytes) {
+    try {
+        const auto object = msgpack::unpack(bytes.data(), bytes.size());
+        const auto row = object.get().as<message_row>();
+        if (std::get<0>(row) != format_version) {
+            return absl::InvalidArgumentError(concat("format version ", std::get<0>(row)));
+        }
+        return state_of(row);
+    } catch (const msgpack::unpack_error& error) {
+        return absl::InvalidArgumentError(error.what());
+    } catch (const msgpack::type_error& error) {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/peer/peer_state.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "dandelionbay/dispatch/dispatcher.hpp"
+#include "dandelionbay/gateway/endpoint_entry.hpp"
+#include "dandelionbay/gateway/registry_view.hpp"
+#include "dandelionbay/peer/fwd.hpp"
+
+namespace dandelionbay {
+
+/*! @brief A router's own work at one endpoint. */
+struct peer_load {
+    endpoint_id endpoint{};
+    endpoint_work work{};
+
+    friend bool operator==(const peer_load&, const peer_load&) = default;
+};
+
+/*! @brief What one router tells another. All of it replaces what it told before, except the uses of parts. */
+struct peer_state {
+    host_id host{};
+    std::uint64_t incarnation{};
+    socket_address address{};          //!< Where the sender listens for its peers.
+    bool leaving{};                 //!< The sender is about to end.
+    std::int64_t sent_us{};         //!< The sender's clock at the sending.
+    std::int64_t echo_us{};         //!< The newest such time that the sender has from the receiver; 0 for none.
+    std::int64_t echo_held_us{};    //!< Time since that arrived.
+    operator_state operators{};
+    std::int64_t operators_age_us{-1}; //!< Age of that evidence at the sending; -1 for none.
+    std::uint64_t list_as_of{};
+    std::int64_t list_age_us{-1};
+    std::vector<peer_load> loads{};
+    std::vector<part_use> part_uses{};
+    std::vector<team_service> teams{};
+    std::vector<socket_address> peers{};  //!< Other routers that the sender knows.
+    std::string config_text{};         //!< The configuration, if the receiver's is older; else empty.
+    std::optional<endpoint_list> list{}; //!< The endpoints, if the receiver's list is older.
+
+    friend bool operator==(const peer_state&, const peer_state&) = default;
+};
+
+/*! @brief Longest message, in bytes: a configuration of a thousand routes and teams takes a tenth of it. */
+inline constexpr std::size_t longest_peer_state = std::size_t{8} << 20U;
+
+/*! @brief Encodes a message. @return msgpack bytes without length. */
+[[nodiscard]] std::string encode(const peer_state& it);
+
+/*! @brief Decodes a message. @param bytes As from encode(). @return It, or InvalidArgument. */
+[[nodiscard]] absl::StatusOr<peer_state> decode_peer_state(std::string_view bytes);
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/proxy/call_protocol.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "dandelionbay/base/clock.hpp"
+#include "dandelionbay/base/ids.hpp"
+#include "dandelionbay/gateway/call_terms.hpp"
+#include "dandelionbay/proxy/fwd.hpp"
+#include "dandelionbay/proxy/http_message.hpp"
+
+namespace dandelionbay {
+
+/*! @brief What the router tells an endpoint about a call. */
+struct forward_terms {
+    endpoint_id endpoint{};              //!< Another endpoint at this address must not run it.
+    team_id team{};                      //!< Empty for calls without a team.
+    duration time_left{};
+    std::optional<std::uint64_t> resume_after{};
+
+    friend bool operator==(const forward_terms&, const forward_terms&) = default;
+};
+
+/*! @brief What an endpoint's answer says besides status and body. */
+struct answer_terms {
+    std::string id{};      //!< The caller's name for the attempt that it answers; empty if it does not say.
+    bool sealed{};         //!< It bears the endpoint's signature.
+    bool not_run{};        //!< The endpoint says that it did not run the call.
+    bool wrong_endpoint{}; //!< Another endpoint has this address.
+    bool encoded{};        //!< The body is not the endpoint's own.
+    std::optional<duration> cold_for{};
+    std::optional<duration> idle_timeout{}; //!< Time after which the endpoint closes an idle connection.
+
+    friend bool operator==(const answer_terms&, const answer_terms&) = default;
+};
+
+/*! @brief Names and formats of what callers and endpoints put into header fields. */
+class call_protocol {
+public:
+    call_protocol() = default;
+    call_protocol(const call_protocol&) = delete;
+    call_protocol(call_protocol&&) = delete;
+    call_protocol& operator=(const call_protocol&) = delete;
+    call_protocol& operator=(call_protocol&&) = delete;
+    virtual ~call_protocol() = default;
+
+    /*! @brief Reads what a caller asks for. @param fields Header of its request. */
+    [[nodiscard]] virtual call_terms read_call(const field_list& fields) const = 0;
+
+    /*! @brief Replaces in a caller's header what the router sets itself. @param fields Header to be sent on. */
+    virtual void write_call(field_list& fields, const forward_terms& terms) const = 0;
+
+    /*! @brief Reads an answer. @param head Its head. */
+    [[nodiscard]] virtual answer_terms read_answer(const response_head& head) const = 0;
+};
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/proxy/caller_connection.cpp
@@ -0,0 +1,197 @@
+#include "dandelionbay/proxy/caller_connection.hpp"
+
+#include <utility>
+
+#include "dandelionbay/http/error_body.hpp"
+#include "dandelionbay/proxy/exchange.hpp"
+#include "dandelionbay/proxy/proxy.hpp"
+
+namespace dandelionbay {
+
+namespace {
+
+/*! Limits that hold before a configuration is known. */
+[[nodiscard]] caller_limits limits_of(const proxy& owner) {
+    const auto& config = owner.environment().view->config();
+    return config == nullptr ? caller_limits{} : config->limits;
+}
+
+/*! Part of the idle time that callers may use that is added before a connection is closed. */
+constexpr int idle_margin_divisor = 10;
+
+} // namespace
+
+caller_connection::caller_connection(proxy& owner, channel::tcp::socket socket, time_point now)
+    : owner_{&owner}, channel_{std::make_shared<channel>(std::move(socket), *this)}, since_{now} {
+    const auto limits = limits_of(owner);
+    reader_ = std::make_unique<request_reader>(limits.max_header_bytes, limits.max_body_bytes);
+}
+
+caller_connection::~caller_connection() {
+    if (!channel_->finishing()) {
+        channel_->close();
+    }
+}
+
+void caller_connection::start() {
+    channel_->open();
+}
+
+void caller_connection::on_bytes(std::string_view bytes) {
+    const auto self = shared_from_this();
+    reader_->append(bytes);
+    if (exchange_ != nullptr) {
+        if (reader_->buffered() > read_ahead) {
+            channel_->pause_reading(true);
+        }
+        return;
+    }
+    read_requests();
+}
+
+void caller_connection::read_requests() {
+    if (in_read_) {
+        return; // Answered within take_request(): the loop below goes on.
+    }
+    in_read_ = true;
+    while (exchange_ == nullptr && !channel_->ended()) {
+        if (!reading_ && reader_->begun()) {
+            reading_ = true;
+            since_ = owner_->now();
+        }
+        const auto result = reader_->read();
+        if (result == read_result::complete) {
+            take_request();
+            continue;
+        }
+        if (result == read_result::incomplete) {
+            if (reader_->asks_to_continue()) {
+                channel_->write("HTTP/1.1 100 Continue\r\n\r\n");
+            }
+            break;
+        }
+        if (result == read_result::malformed) {
+            reject(400);
+        } else {
+            reject(result == read_result::header_too_long ? 431 : 413);
+        }
+        break;
+    }
+    in_read_ = false;
+}
+
+void caller_connection::take_request() {
+    const auto arrived = since_;
+    auto request = reader_->take();
+    reading_ = false;
+    keep_ = request.keep_alive;
+    exchange_ = owner_->open_exchange(*this, std::move(request), arrived);
+    const auto call = exchange_;
+    call->start();
+}
+
+void caller_connection::reject(int status) {
+    keep_ = false;
+    owner_->environment().metrics->add("rejected_total", std::to_string(status));
+    owner_->environment().log->write(log_level::warn, "request_rejected", {{"status", std::to_string(status)}});
+    response_head head;
+    head.status = status;
+    respond(std::move(head), {});
+}
+
+void caller_connection::respond(response_head head, std::string_view body) {
+    const auto self = shared_from_this();
+    keep_ = keep_ && !owner_->draining();
+    head.fields.emplace_back("Content-Length", std::to_string(body.size()));
+    if (!keep_) {
+        head.fields.emplace_back("Connection", "close");
+    }
+    channel_->write(write_head(head) + std::string{body});
+    end_answer();
+}
+
+void caller_connection::begin(response_head head) {
+    keep_ = keep_ && !owner_->draining();
+    head.fields.emplace_back("Transfer-Encoding", "chunked");
+    if (!keep_) {
+        head.fields.emplace_back("Connection", "close");
+    }
+    channel_->write(write_head(head));
+}
+
+void caller_connection::send(std::string_view bytes) {
+    if (!bytes.empty()) {
+        channel_->write(write_chunk(bytes));
+    }
+}
+
+void caller_connection::end() {
+    const auto self = shared_from_this();
+    channel_->write(last_chunk);
+    end_answer();
+}
+
+void caller_connection::end_answer() {
+    exchange_.reset();
+    reusing_ = true;
+    since_ = owner_->now();
+    if (!keep_) {
+        channel_->finish();
+        owner_->close_caller(shared_from_this());
+        return;
+    }
+    channel_->pause_reading(false);
+    read_requests();
+}
+
+void caller_connection::cut() {
+    const auto self = shared_from_this();
+    exchange_.reset();
+    channel_->finish(); // What was sent arrives; without its last chunk the answer is not complete.
+    owner_->close_caller(self);
+}
+
+void caller_connection::on_written() {
+    if (exchange_ != nullptr) {
+        exchange_->caller_ready();
+    }
+}
+
+void caller_connection::on_end(channel_end end) {
+    static_cast<void>(end);
+    const auto self = shared_from_this();
+    if (const auto call = std::exchange(exchange_, nullptr); call != nullptr) {
+        call->caller_gone();
+    }
+    owner_->close_caller(self);
+}
+
+bool caller_connection::check(time_point now) {
+    if (exchange_ != nullptr) {
+        return true;
+    }
+    const auto limits = limits_of(*owner_);
+    if (reading_) {
+        const auto limit = reader_->header_done() ? limits.idle_timeout : limits.header_timeout;
+        if (now - since_ > limit) {
+            reject(408);
+            return false;
+        }
+        return true;
+    }
+    if (now - since_ > limits.idle_timeout + limits.idle_timeout / idle_margin_divisor) {
+        channel_->finish();
+        return false;
+    }
+    return true;
+}
+
+bool caller_connection::close_idle() {
+    if (exchange_ != nullptr || reading_) {
+        return false;
+    }
+    channel_->finish();
+    return true;
+}
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/proxy/caller_connection.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "dandelionbay/base/clock.hpp"
+#include "dandelionbay/proxy/channel.hpp"
+#include "dandelionbay/proxy/fwd.hpp"
+#include "dandelionbay/proxy/http_reader.hpp"
+
+namespace dandelionbay {
+
+class proxy;
+
+/*! @brief Connection of a caller: its requests, one after the other, and their answers. */
+class caller_connection final : public channel_owner, public std::enable_shared_from_this<caller_connection> {
+    void read_requests();
+    void take_request();
+    void reject(int status);
+    void end_answer();
+
+public:
+    /*! @brief Bytes of following requests that are read while one is answered. */
+    static constexpr std::size_t read_ahead = std::size_t{64} << 10U;
+
+    /*! @brief Wraps an accepted socket. @param owner Outlives it. */
+    caller_connection(proxy& owner, channel::tcp::socket socket, time_point now);
+    caller_connection(const caller_connection&) = delete;
+    caller_connection(caller_connection&&) = delete;
+    caller_connection& operator=(const caller_connection&) = delete;
+    caller_connection& operator=(caller_connection&&) = delete;
+    ~caller_connection() override;
+
+    /*! @brief Starts to read. */
+    void start();
+
+    /*! @brief Sends a whole answer. @param head Without framing. @param body Its body. */
+    void respond(response_head head, std::string_view body);
+
+    /*! @brief Sends the head of an answer whose body follows in pieces. */
+    void begin(response_head head);
+
+    /*! @brief Sends a piece of the body. */
+    void send(std::string_view bytes);
+
+    /*! @brief The body is complete. */
+    void end();
+
+    /*! @brief Ends the connection in the middle of an answer, so that it can't look complete. */
+    void cut();
+
+    /*! @brief Looks at time limits. @param now Time. @return False if it is closed. */
+    [[nodiscard]] bool check(time_point now);
+
+    /*! @brief Closes it if no request is being read or answered. @return True if it is closed. */
+    bool close_idle();
+
+    /*! @brief Bytes that the caller has not taken yet. */
+    [[nodiscard]] std::size_t unsent() const noexcept { return channel_->unsent(); }
+
+    void on_bytes(std::string_view bytes) override;
+    void on_end(channel_end end) override;
+    void on_written() override;
+
+private:
+    proxy* owner_;
+    std::shared_ptr<channel> channel_;
+    std::unique_ptr<request_reader> reader_;
+    std::shared_ptr<exchange> exchange_{};
+    time_point since_;  //!< Start of the wait for a request, or of its reading.
+    bool reading_{};    //!< A request has begun.
+    bool keep_{true};   //!< The connection stays open after the answer.
+    bool reusing_{};    //!< It served a request before.
+    bool in_read_{};
+};
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/proxy/channel.cpp
@@ -0,0 +1,228 @@
+#include "dandelionbay/proxy/channel.hpp"
+
+#include <array>
+#include <utility>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+namespace dandelionbay {
+
+namespace {
+
+using boost::system::error_code;
+namespace asio = boost::asio;
+
+/*! Buffer of all channels; the event loop has one thread. */
+[[nodiscard]] std::array<char, channel::read_bytes>& shared_buffer() {
+    thread_local std::array<char, channel::read_bytes> buf{};
+    return buf;
+}
+
+} // namespace
+
+asio::ip::tcp::endpoint to_endpoint(const socket_address& it) {
+    error_code ec;
+    return {asio::ip::make_address(it.ip, ec), it.port};
+}
+
+error_code listen_on(asio::ip::tcp::acceptor& acceptor, const socket_address& at) {
+    error_code ec;
+    const auto endpoint = to_endpoint(at);
+    acceptor.open(endpoint.protocol(), ec);
+    if (!ec) {
+        acceptor.set_option(asio::socket_base::reuse_address{true}, ec);
+        acceptor.bind(endpoint, ec);
+    }
+    if (!ec) {
+        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    return ec;
+}
+
+channel::channel(tcp::socket socket, channel_owner& owner) : socket_{std::move(socket)}, owner_{&owner} {}
+
+void channel::set_options() {
+    error_code ec; // A socket without an option still works; the time limits of its owner hold.
+    socket_.non_blocking(true, ec);
+    socket_.set_option(tcp::no_delay{true}, ec);
+    socket_.set_option(asio::socket_base::keep_alive{true}, ec);
+    const auto set = [&](int name, int value) {
+        static_cast<void>(setsockopt(socket_.native_handle(), IPPROTO_TCP, name, &value, sizeof(value)));
+    };
+    set(TCP_KEEPIDLE, probe_interval_s);
+    set(TCP_KEEPINTVL, probe_interval_s);
+    set(TCP_KEEPCNT, probes);
+    set(TCP_USER_TIMEOUT, unacknowledged_limit_ms);
+}
+
+void channel::connect(const socket_address& to, std::chrono::milliseconds limit) {
+    error_code ec;
+    const auto endpoint = to_endpoint(to);
+    socket_.open(endpoint.protocol(), ec);
+    if (ec) {
+        asio::post(socket_.get_executor(), [self = shared_from_this()] { self->fail(channel_end::unreachable); });
+        return;
+    }
+    set_options();
+    timer_ = std::make_unique<asio::steady_timer>(socket_.get_executor());
+    timer_->expires_after(limit);
+    timer_->async_wait([self = shared_from_this()](error_code cancelled) {
+        if (!cancelled && !self->connected_) {
+            self->fail(channel_end::unreachable);
+        }
+    });
+    socket_.async_connect(endpoint, [self = shared_from_this()](error_code failed) {
+        if (self->ended_) {
+            return;
+        }
+        if (self->timer_ != nullptr) {
+            self->timer_->cancel();
+        }
+        if (failed) {
+            self->fail(channel_end::unreachable);
+            return;
+        }
+        self->connected_ = true;
+        self->owner_->on_connected();
+        if (!self->ended_) {
+            self->wait_readable();
+            self->flush();
+        }
+    });
+}
+
+void channel::open() {
+    set_options();
+    connected_ = true;
+    wait_readable();
+}
+
+void channel::wait_readable() {
+    if (reading_ || paused_ || ended_ || !connected_) {
+        return;
+    }
+    reading_ = true;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
+        self->reading_ = false;
+        if (!ec && !self->ended_) {
+            self->on_readable();
+        }
+    });
+}
+
+void channel::on_readable() {
+    auto& buf = shared_buffer();
+    error_code ec;
+    const auto n = socket_.read_some(asio::buffer(buf), ec);
+    if (ec == asio::error::would_block) {
+        wait_readable();
+        return;
+    }
+    if (ec) {
+        fail(ec == asio::error::eof ? channel_end::closed : channel_end::broken);
+        return;
+    }
+    if (!finishing_) {
+        owner_->on_bytes({buf.data(), n});
+    }
+    wait_readable();
+}
+
+void channel::write(std::string_view bytes) {
+    if (ended_ || finishing_) {
+        return;
+    }
+    pending_.append(bytes);
+    if (connected_ && !writing_) {
+        flush();
+    }
+}
+
+void channel::flush() {
+    error_code ec;
+    std::size_t sent = 0;
+    while (sent < pending_.size()) {
+        const auto n = socket_.write_some(asio::buffer(pending_.data() + sent, pending_.size() - sent), ec);
+        if (ec) {
+            break;
+        }
+        sent += n;
+    }
+    pending_.erase(0, sent);
+    if (ec && ec != asio::error::would_block) {
+        // The reason is found by reading: an answer may have come before the reset.
+        pending_.clear();
+        wait_readable();
+        return;
+    }
+    if (!pending_.empty()) {
+        wait_writable();
+    } else if (finishing_) {
+        close();
+    }
+}
+
+void channel::wait_writable() {
+    writing_ = true;
+    socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code ec) {
+        self->writing_ = false;
+        if (ec || self->ended_) {
+            return;
+        }
+        self->flush();
+        if (!self->ended_ && !self->finishing_ && self->pending_.empty()) {
+            self->owner_->on_written();
+        }
+    });
+}
+
+void channel::pause_reading(bool paused) {
+    paused_ = paused;
+    wait_readable();
+}
+
+void channel::finish() {
+    if (ended_) {
+        return;
+    }
+    finishing_ = true;
+    if (pending_.empty()) {
+        close();
+    }
+}
+
+void channel::close() noexcept {
+    ended_ = true;
+    if (timer_ != nullptr) {
+        timer_->cancel();
+    }
+    error_code ec; // A socket that is not connected any more can't be shut down.
+    socket_.shutdown(tcp::socket::shutdown_both, ec);
+    socket_.close(ec);
+}
+
+void channel::fail(channel_end end) {
+    if (ended_) {
+        return;
+    }
+    const bool silent = finishing_;
+    close();
+    if (!silent) {
+        owner_->on_end(end);
+    }
+}
+
+bool channel::readable_now() {
+    if (ended_ || !connected_) {
+        return true;
+    }
+    char byte = 0;
+    const auto n = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/proxy/channel.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "dandelionbay/gateway/endpoint_entry.hpp"
+#include "dandelionbay/proxy/fwd.hpp"
+
+namespace dandelionbay {
+
+/*! @brief Why a channel ended. */
+enum class channel_end : std::uint8_t {
+    unreachable, //!< No connection was made; nothing was sent.
+    closed,      //!< The other side ended it in order.
+    broken       //!< It was reset or failed.
+};
+
+/*! @brief Uses a channel; called on the event loop's thread, never from within a call to the channel. */
+class channel_owner {
+public:
+    channel_owner() = default;
+    channel_owner(const channel_owner&) = delete;
+    channel_owner(channel_owner&&) = delete;
+    channel_owner& operator=(const channel_owner&) = delete;
+    channel_owner& operator=(channel_owner&&) = delete;
+    virtual ~channel_owner() = default;
+
+    /*! @brief An outgoing connection was made. */
+    virtual void on_connected() {}
+
+    /*! @brief Bytes arrived. @param bytes Valid during the call only. */
+    virtual void on_bytes(std::string_view bytes) = 0;
+
+    /*! @brief The channel ended by itself; it calls nothing any more. @param end How. */
+    virtual void on_end(channel_end end) = 0;
+
+    /*! @brief All that was written is on its way. */
+    virtual void on_written() {}
+};
+
+/**
+ * @brief One TCP connection on the event loop.
+ *
+ * Reads into a buffer that all channels share, so an idle connection takes no memory for one, and writes at once what
+ * the socket takes.
+ */
+class channel final : public std::enable_shared_from_this<channel> {
+    void wait_readable();
+    void wait_writable();
+    void on_readable();
+    void flush();
+    void fail(channel_end end);
+    void set_options();
+
+public:
+    using tcp = boost::asio::ip::tcp;
+
+    /*! @brief Bytes that one read takes at most. */
+    static constexpr std::size_t read_bytes = std::size_t{32} << 10U;
+    /*! @brief A connection whose data is not acknowledged for this time is broken, in ms. */
+    static constexpr int unacknowledged_limit_ms = 3'000;
+    /*! @brief Idle time before the first keep-alive probe, and between probes, in s. */
+    static constexpr int probe_interval_s = 1;
+    /*! @brief Unanswered probes after which a connection is broken. */
+    static constexpr int probes = 3;
+
+    /*! @brief Wraps a socket. @param socket Open or not. @param owner Must outlive the channel or call detach(). */
+    channel(tcp::socket socket, channel_owner& owner);
+
+    /*! @brief Connects. @param to The other side. @param limit Longest time. */
+    void connect(const socket_address& to, std::chrono::milliseconds limit);
+
+    /*! @brief Starts to read an accepted connection. */
+    void open();
+
+    /*! @brief Writes bytes, now or as soon as the socket takes them. */
+    void write(std::string_view bytes);
+
+    /*! @brief Stops or continues to read. */
+    void pause_reading(bool paused);
+
+    /*! @brief Ends the connection after all that was written is sent; the owner hears nothing any more. */
+    void finish();
+
+    /*! @brief Ends the connection at once; the owner hears nothing any more. */
+    void close() noexcept;
+
+    /*! @brief Bytes that wait to be sent. */
+    [[nodiscard]] std::size_t unsent() const noexcept { return pending_.size(); }
+
+    /*! @brief Tells whether it only sends what is left; it does not need its owner any more. */
+    [[nodiscard]] bool finishing() const noexcept { return finishing_; }
+
+    /*! @brief Tells whether it was closed or ended. */
+    [[nodiscard]] bool ended() const noexcept { return ended_; }
+
+    /*! @brief Tells whether bytes or an end wait to be read on a connection on which nothing is due. */
+    [[nodiscard]] bool readable_now();
+
+private:
+    tcp::socket socket_;
+    channel_owner* owner_;
+    std::unique_ptr<boost::asio::steady_timer> timer_{}; // While connecting.
+    std::string pending_{};
+    bool connected_{};
+    bool reading_{};
+    bool writing_{};
+    bool paused_{};
+    bool finishing_{};
+    bool ended_{};
+};
+
+/*! @brief Converts an address. @return The library's form, or an unspecified address if it is not valid. */
+[[nodiscard]] boost::asio::ip::tcp::endpoint to_endpoint(const socket_address& it);
+
+/*! @brief Opens a listener. @param acceptor It. @param at Address. @return What failed, or nothing. */
+[[nodiscard]] boost::system::error_code listen_on(boost::asio::ip::tcp::acceptor& acceptor, const socket_address& at);
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -0,0 +1,502 @@
+#include "dandelionbay/proxy/exchange.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_format.h"
+#include "dandelionbay/base/text.hpp"
+#include "dandelionbay/http/error_body.hpp"
+#include "dandelionbay/proxy/caller_connection.hpp"
+#include "dandelionbay/proxy/proxy.hpp"
+
+namespace dandelionbay {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/*! Calls that name no time limit get the route's. */
+constexpr duration default_time_left = std::chrono::hours{1};
+/*! A connection that was idle for longer may just be closing; a call that can't be repeated takes a fresh one. */
+constexpr duration short_idle = milliseconds{500};
+/*! When a call that no endpoint has run may come again. */
+constexpr duration usual_return = milliseconds{500};
+/*! Time beyond the expected one after which a repeatable call counts as lost: about twice the usual target. */
+constexpr duration lost_stream = milliseconds{1'200};
+constexpr duration lost_call = milliseconds{700};
+
+[[nodiscard]] std::string to_text(duration it) {
+    return std::to_string(std::chrono::duration_cast<milliseconds>(it).count());
+}
+
+[[nodiscard]] duration from_ms(double ms) {
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{ms});
+}
+
+/*! Statuses that tell a caller that its call has not run. */
+[[nodiscard]] bool promises_not_run(int status) noexcept {
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace
+
+exchange::exchange(proxy& owner, caller_connection& caller, http_request request, ticket_id ticket, time_point arrived)
+    : owner_{&owner}, caller_{&caller}, request_{std::move(request)}, ticket_{ticket}, arrived_{arrived} {}
+
+duration exchange::time_left(time_point now) const noexcept {
+    return limit_ - now;
+}
+
+bool exchange::admit(time_point now) {
+    const auto& view = *owner_->environment().view;
+    terms_ = owner_->environment().protocol->read_call(request_.fields);
+    config_ = view.config();
+    if (config_ == nullptr) {
+        refuse(503, result_code::configuration_stale, usual_return);
+        return false;
+    }
+    if (owner_->buffered_bytes() > owner_->options().max_buffered_bytes) {
+        refuse(503, result_code::router_queue_full, usual_return);
+        return false;
+    }
+    if (terms_.id.empty()) {
+        refuse(400, result_code::malformed_request, {});
+        return false;
+    }
+    route_ = config_->find_route(request_.host, request_.path());
+    const bool keys_fresh = view.keys_fresh(now);
+    if (!keys_fresh && (route_ == nullptr || !route_->is_public)) {
+        refuse(503, result_code::configuration_stale, usual_return);
+        return false;
+    }
+    if (route_ == nullptr) {
+        refuse(404, result_code::unknown_service, {});
+        return false;
+    }
+    if (!route_->is_public && !config_->teams.empty()) {
+        const auto* const team = config_->find_team(terms_.key);
+        if (team == nullptr) {
+            refuse(401, result_code::invalid_token, {});
+            return false;
+        }
+        team_ = team->id;
+        team_regions_ = team->home_regions;
+    }
+    limit_ = arrived_ + std::min(terms_.time_left.value_or(default_time_left), route_->time_limit);
+    service_ = owner_->pick_service(*route_);
+    last_event_ = terms_.resume_after;
+    return true;
+}
+
+void exchange::start() {
+    const auto now = owner_->now();
+    if (!admit(now)) {
+        return;
+    }
+    owner_->repeats(service_).call(now);
+    submit(now);
+}
+
+void exchange::submit(time_point now) {
+    stage_ = stage::waiting;
+    work_item item;
+    item.ticket = ticket_;
+    item.team = team_;
+    item.service = service_;
+    item.parts = terms_.parts;
+    item.prompt_tokens = terms_.prompt_tokens;
+    item.output_tokens = terms_.output_tokens;
+    item.target = route_->target_latency;
+    item.arrived = arrived_;
+    item.repeatable = route_->idempotent();
+    item.route_regions = route_->home_regions;
+    item.team_regions = team_regions_;
+    item.excluded = excluded_;
+    owner_->dispatch().submit(std::move(item), now);
+}
+
+duration exchange::fresh_connection_limit() const noexcept {
+    if (route_->idempotent()) {
+        return duration::max();
+    }
+    return route_->kind == call_kind::unsafe ? duration{} : short_idle;
+}
+
+std::string exchange::request_bytes(const endpoint_choice& choice, time_point now) const {
+    field_list fields = request_.fields;
+    remove_hop_fields(fields);
+    std::erase_if(fields, [](const auto& it) { return same_field(it.first, "Expect"); });
+    owner_->environment().protocol->write_call(
+        fields, forward_terms{choice.endpoint, team_, std::max(duration{}, time_left(now)), last_event_});
+    std::string out = concat(request_.method, " ", request_.target, " HTTP/1.1\r\n");
+    for (const auto& [name, value] : fields) {
+        out += concat(name, ": ", value, "\r\n");
+    }
+    if (!request_.body.empty() || request_.method == "POST" || request_.method == "PUT") {
+        out += concat("Content-Length: ", request_.body.size(), "\r\n");
+    }
+    out += "\r\n";
+    out += request_.body;
+    return out;
+}
+
+void exchange::placed(const endpoint_choice& choice) {
+    const auto now = owner_->now();
+    stage_ = stage::running;
+    choice_ = choice;
+    sent_at_ = now;
+    ++sends_;
+    ++runs_;
+    head_.reset();
+    body_.clear();
+    scanner_.clear();
+    streaming_ = false;
+    paused_ = false;
+    owner_->environment().log->write(
+        log_level::info, "call_placed",
+        {{"request", terms_.id},
+         {"endpoint", choice.endpoint.value},
+         {"send", std::to_string(sends_)},
+         {"waited_ms", to_text(now - arrived_)},
+         {"backlog_ms", std::to_string(static_cast<int>(choice.backlog_ms))},
+         {"unread_tokens", std::to_string(static_cast<int>(choice.unread_tokens))},
+         {"cold", choice.cold ? "yes" : "no"},
+         {"list_age_ms", to_text(owner_->environment().view->endpoints_age(now).value_or(duration{}))}});
+    client_ = owner_->connect(choice, fresh_connection_limit());
+    client_->send(request_bytes(choice, now), request_.method == "HEAD", this);
+}
+
+void exchange::refused(const refusal& why) {
+    if (begun_) {
+        give_up("no_endpoint");
+        return;
+    }
+    if (runs_ > 0) {
+        refuse(502, result_code::outcome_unknown, {});
+        return;
+    }
+    refuse(503, why.code, why.retry_after);
+}
+
+bool exchange::on_head(const response_head& head) {
+    const auto& env = owner_->environment();
+    const auto answer = env.protocol->read_answer(head);
+    if (!answer.id.empty() && answer.id != terms_.id) {
+        env.metrics->add("foreign_answers_total");
+        return false;
+    }
+    const auto now = owner_->now();
+    owner_->dispatch().heard(choice_.endpoint, now);
+    head_ = head;
+    answer_ = answer;
+    if (answer_.cold_for) {
+        env.view->note_cold(choice_.endpoint, *answer_.cold_for, now);
+    }
+    streaming_ = route_->kind == call_kind::streaming && head.status / 100 == 2 && answer_.sealed && !answer_.encoded;
+    return true;
+}
+
+void exchange::begin_stream() {
+    begun_ = true;
+    first_event_at_ = owner_->now();
+    owner_->first_answer().add(*first_event_at_ - arrived_);
+    if (caller_ != nullptr) {
+        auto head = *head_;
+        remove_hop_fields(head.fields);
+        caller_->begin(std::move(head));
+    }
+}
+
+void exchange::send_events() {
+    while (auto event = scanner_.next()) {
+        if (event->id && last_event_ && *event->id <= *last_event_) {
+            continue; // The caller has it from an earlier run.
+        }
+        if (event->id && last_event_ && begun_ && *event->id != *last_event_ + 1) {
+            owner_->environment().metrics->add("stream_gaps_total");
+            on_failed(request_failure::garbage);
+            return;
+        }
+        owner_->dispatch().started(ticket_, owner_->now());
+        if (event->id) {
+            last_event_ = event->id;
+        }
+        if (!begun_) {
+            begin_stream();
+        }
+        sent_at_ = owner_->now();
+        if (caller_ != nullptr) {
+            caller_->send(event->text);
+        }
+    }
+    if (caller_ != nullptr && client_ != nullptr && caller_->unsent() > unsent_limit) {
+        paused_ = true;
+        client_->pause_reading(true);
+    }
+}
+
+void exchange::on_body(std::string bytes) {
+    owner_->dispatch().heard(choice_.endpoint, owner_->now());
+    if (streaming_) {
+        scanner_.append(bytes);
+        send_events();
+        return;
+    }
+    body_ += bytes;
+    if (body_.size() > held_bytes) {
+        on_failed(request_failure::garbage);
+    }
+}
+
+void exchange::on_complete() {
+    if (stage_ != stage::running) {
+        return;
+    }
+    if (streaming_) {
+        complete_stream();
+    } else {
+        complete_whole();
+    }
+}
+
+void exchange::complete_stream() {
+    const auto rest = scanner_.rest();
+    owner_->dispatch().started(ticket_, owner_->now());
+    end_attempt(false);
+    if (!begun_) {
+        begin_stream();
+    }
+    if (caller_ != nullptr) {
+        caller_->send(rest);
+        std::exchange(caller_, nullptr)->end();
+    }
+    finish("served", head_->status);
+}
+
+void exchange::complete_whole() {
+    const int status = head_->status;
+    if (answer_.not_run || answer_.wrong_endpoint) {
+        --runs_;
+        if (answer_.wrong_endpoint) {
+            owner_->dispatch().unreachable(choice_.endpoint, owner_->now());
+        }
+        end_attempt(!answer_.wrong_endpoint);
+        try_again(answer_.wrong_endpoint ? "wrong_endpoint" : "rejected", true);
+        return;
+    }
+    const bool success = status / 100 == 2;
+    if (success && (!answer_.sealed || answer_.encoded)) {
+        end_attempt(true);
+        try_again("unsigned_answer", true);
+        return;
+    }
+    if (!success && promises_not_run(status)) {
+        end_attempt(true); // The endpoint does not say that it has not run, so this must not be passed on.
+        try_again("unclear_refusal", true);
+        return;
+    }
+    if (status >= 500 && status != 504 && route_->idempotent() && !begun_ && runs_ < route_->max_attempts &&
+        caller_ != nullptr && time_left(owner_->now()) > least_time &&
+        owner_->repeats(service_).take(owner_->dispatch().routers(), owner_->now())) {
+        end_attempt(true);
+        excluded_.insert(choice_.endpoint);
+        owner_->environment().metrics->add("repeats_total", "endpoint_error");
+        submit(owner_->now());
+        return;
+    }
+    answer_whole();
+}
+
+void exchange::answer_whole() {
+    const int status = head_->status;
+    owner_->dispatch().started(ticket_, owner_->now());
+    end_attempt(status >= 500);
+    if (begun_) { // A resumed stream was answered by something else.
+        give_up("endpoint_error");
+        return;
+    }
+    auto head = *head_;
+    remove_hop_fields(head.fields);
+    owner_->first_answer().add(owner_->now() - arrived_);
+    if (caller_ != nullptr) {
+        std::exchange(caller_, nullptr)->respond(std::move(head), body_);
+    }
+    finish(status / 100 == 2 ? "served" : "failed_by_endpoint", status);
+}
+
+void exchange::on_failed(request_failure why) {
+    if (stage_ != stage::running) {
+        return;
+    }
+    const auto now = owner_->now();
+    if (why == request_failure::not_sent) {
+        --runs_;
+        owner_->dispatch().unreachable(choice_.endpoint, now);
+        owner_->environment().view->note_refused(choice_.endpoint, now);
+        end_attempt(true);
+        try_again("unreachable", false);
+        return;
+    }
+    end_attempt(true);
+    try_again(why == request_failure::broken ? "connection_broken" : "garbage", true);
+}
+
+void exchange::end_attempt(bool failed) {
+    const auto now = owner_->now();
+    owner_->dispatch().ended(ticket_, failed, now);
+    if (client_ == nullptr) {
+        return;
+    }
+    auto client = std::exchange(client_, nullptr);
+    if (client->busy()) {
+        client->close();
+        return;
+    }
+    owner_->pool().put(std::move(client), answer_.idle_timeout.value_or(duration{}), now);
+}
+
+void exchange::try_again(std::string_view reason, bool counted) {
+    const auto now = owner_->now();
+    owner_->environment().log->write(log_level::warn, "attempt_failed",
+                                     {{"request", terms_.id},
+                                      {"endpoint", choice_.endpoint.value},
+                                      {"reason", std::string{reason}},
+                                      {"may_have_run", std::to_string(runs_)},
+                                      {"after_ms", to_text(now - arrived_)}});
+    excluded_.insert(choice_.endpoint);
+    const bool allowed = runs_ == 0 || (route_->idempotent() && runs_ < route_->max_attempts);
+    if (!allowed || caller_ == nullptr || sends_ >= most_sends || time_left(now) <= least_time) {
+        give_up(reason);
+        return;
+    }
+    if (counted && !owner_->repeats(service_).take(owner_->dispatch().routers(), now)) {
+        owner_->environment().metrics->add("repeats_refused_total", reason);
+        give_up(reason);
+        return;
+    }
+    owner_->environment().metrics->add("repeats_total", reason);
+    submit(now);
+}
+
+void exchange::give_up(std::string_view reason) {
+    if (begun_) {
+        if (caller_ != nullptr) {
+            std::exchange(caller_, nullptr)->cut();
+        }
+        owner_->environment().metrics->add("streams_cut_total", reason);
+        finish(reason, 0);
+        return;
+    }
+    if (runs_ == 0) {
+        refuse(503, result_code::endpoint_unavailable, usual_return);
+    } else {
+        refuse(502, result_code::endpoint_failed, {});
+    }
+}
+
+void exchange::refuse(int status, result_code code, duration retry_after) {
+    if (caller_ != nullptr) {
+        response_head head;
+        head.status = status;
+        head.fields.emplace_back("Content-Type", "application/json");
+        if (retry_after > duration{}) {
+            head.fields.emplace_back("Retry-After",
+                                     absl::StrFormat("%.2f", std::chrono::duration<double>{retry_after}.count()));
+        }
+        const auto state = runs_ == 0 ? executed::no : executed::unknown;
+        std::exchange(caller_, nullptr)->respond(std::move(head), error_body(code, state));
+    }
+    owner_->environment().metrics->add("refused_total", describe(code).name);
+    finish(describe(code).name, status);
+}
+
+void exchange::caller_gone() {
+    caller_ = nullptr;
+    if (stage_ == stage::waiting) {
+        owner_->dispatch().withdraw(ticket_);
+        finish("caller_gone", 0);
+        return;
+    }
+    if (stage_ == stage::running && (route_->idempotent() || route_->kind == call_kind::streaming)) {
+        end_attempt(false);
+        finish("caller_gone", 0);
+    }
+    // A call that can't be repeated runs to its end: a booking that is broken off helps nobody.
+}
+
+void exchange::caller_ready() {
+    if (paused_ && client_ != nullptr) {
+        paused_ = false;
+        client_->pause_reading(false);
+    }
+}
+
+void exchange::check(time_point now) {
+    if (stage_ == stage::done) {
+        return;
+    }
+    if (now >= limit_) {
+        if (stage_ == stage::waiting) {
+            owner_->dispatch().withdraw(ticket_);
+        } else {
+            end_attempt(false);
+        }
+        if (begun_) {
+            give_up("time_limit");
+        } else {
+            refuse(504, result_code::deadline_exceeded, {});
+        }
+        return;
+    }
+    const bool movable = stage_ == stage::running && route_->idempotent() && runs_ < route_->max_attempts &&
+                         caller_ != nullptr && !paused_ && time_left(now) > least_time;
+    if (!movable) {
+        return;
+    }
+    const auto limit = (route_->kind == call_kind::streaming ? lost_stream : lost_call) +
+                       (begun_ ? duration{} : from_ms(choice_.backlog_ms * 1.5 + choice_.unread_tokens / 20.0));
+    if (now - sent_at_ > limit || owner_->dispatch().load(choice_.endpoint).stalled(now)) {
+        end_attempt(true);
+        try_again("silent", true);
+    }
+}
+
+void exchange::abandon() {
+    if (stage_ == stage::done) {
+        return;
+    }
+    if (stage_ == stage::waiting) {
+        owner_->dispatch().withdraw(ticket_);
+    } else {
+        end_attempt(false);
+    }
+    give_up("stopping");
+}
+
+void exchange::finish(std::string_view outcome, int status) {
+    stage_ = stage::done;
+    const auto now = owner_->now();
+    const auto& env = owner_->environment();
+    if (outcome == "served") {
+        owner_->whole_answer().add(now - arrived_);
+    }
+    env.metrics->add("calls_total", outcome);
+    env.log->write(log_level::info, "call_ended",
+                   {{"request", terms_.id},
+                    {"outcome", std::string{outcome}},
+                    {"status", std::to_string(status)},
+                    {"route", route_ == nullptr ? "" : route_->name},
+                    {"team", team_.value},
+                    {"service", service_.value},
+                    {"endpoint", choice_.endpoint.value},
+                    {"sends", std::to_string(sends_)},
+                    {"may_have_run", std::to_string(runs_)},
+                    {"first_ms", first_event_at_ ? to_text(*first_event_at_ - arrived_) : ""},
+                    {"total_ms", to_text(now - arrived_)},
+                    {"waiting_calls", std::to_string(owner_->dispatch().waiting())},
+                    {"config", config_ == nullptr ? "" : std::to_string(config_->version)},
+                    {"config_age_ms", to_text(env.view->operator_age(now).value_or(duration{-1'000}))}});
+    owner_->close_exchange(ticket_);
+}
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "dandelionbay/dispatch/dispatcher.hpp"
+#include "dandelionbay/proxy/call_protocol.hpp"
+#include "dandelionbay/proxy/http_connection.hpp"
+#include "dandelionbay/proxy/event_scanner.hpp"
+#include "dandelionbay/proxy/fwd.hpp"
+
+namespace dandelionbay {
+
+class proxy;
+
+/**
+ * @brief One call of a caller: from its request through one or more endpoints to the end of its answer.
+ *
+ * Whether an endpoint may have run the call is kept with it, so that a refusal that says "not run" is true and a call
+ * that may not be repeated is sent again only while no endpoint can have run it.
+ */
+class exchange final : public response_handler, public std::enable_shared_from_this<exchange> {
+    enum class stage : std::uint8_t { waiting, running, done };
+
+    [[nodiscard]] bool admit(time_point now);
+    void submit(time_point now);
+    [[nodiscard]] std::string request_bytes(const endpoint_choice& choice, time_point now) const;
+    [[nodiscard]] duration fresh_connection_limit() const noexcept;
+    void send_events();
+    void begin_stream();
+    void complete_stream();
+    void complete_whole();
+    void answer_whole();
+    void end_attempt(bool failed);
+    void drop_client() noexcept;
+    void try_again(std::string_view reason, bool counted);
+    void give_up(std::string_view reason);
+    void refuse(int status, result_code code, duration retry_after);
+    void finish(std::string_view outcome, int status);
+    [[nodiscard]] duration time_left(time_point now) const noexcept;
+
+public:
+    /*! @brief Answers up to this size are held back until they are complete; a stream is not. */
+    static constexpr std::size_t held_bytes = std::size_t{8} << 20U;
+    /*! @brief Endpoints that are asked before the call ends as not run. */
+    static constexpr std::uint32_t most_sends = 4;
+    /*! @brief A call with less time left is not sent again. */
+    static constexpr duration least_time = std::chrono::milliseconds{60};
+    /*! @brief Unsent bytes to the caller at which the endpoint's stream is not read on. */
+    static constexpr std::size_t unsent_limit = std::size_t{128} << 10U;
+
+    /*! @brief Creates it. @param owner Outlives it. @param caller Null once the caller is gone. */
+    exchange(proxy& owner, caller_connection& caller, http_request request, ticket_id ticket, time_point arrived);
+
+    /*! @brief Decides about the call; the answer may come at once. */
+    void start();
+
+    /*! @brief An endpoint was chosen. */
+    void placed(const endpoint_choice& choice);
+
+    /*! @brief No endpoint can serve it in time. */
+    void refused(const refusal& why);
+
+    /*! @brief The caller closed its connection. */
+    void caller_gone();
+
+    /*! @brief The caller took what was written. */
+    void caller_ready();
+
+    /*! @brief Looks at time limits. @param now Time. */
+    void check(time_point now);
+
+    /*! @brief Ends it because the process stops. */
+    void abandon();
+
+    [[nodiscard]] bool on_head(const response_head& head) override;
+    void on_body(std::string bytes) override;
+    void on_complete() override;
+    void on_failed(request_failure why) override;
+
+    /*! @brief Bytes of the request's body. */
+    [[nodiscard]] std::size_t body_bytes() const noexcept { return request_.body.size(); }
+
+    /*! @brief Its name within the router. */
+    [[nodiscard]] ticket_id ticket() const noexcept { return ticket_; }
+
+private:
+    proxy* owner_;
+    caller_connection* caller_;
+    http_request request_;
+    ticket_id ticket_;
+    time_point arrived_;
+    call_terms terms_{};
+    std::shared_ptr<const route_config> config_{};
+    const route* route_{};
+    team_id team_{};
+    service_id service_{};
+    std::vector<region_id> team_regions_{};
+    time_point limit_{};
+    stage stage_{stage::waiting};
+    std::set<endpoint_id> excluded_{};
+    std::uint32_t sends_{};
+    std::uint32_t runs_{};      //!< Endpoints that may have run it.
+    endpoint_choice choice_{};
+    std::shared_ptr<http_connection> client_{};
+    std::optional<response_head> head_{};
+    answer_terms answer_{};
+    std::string body_{};
+    event_scanner scanner_{};
+    bool streaming_{};          //!< The answer is passed on event by event.
+    bool begun_{};              //!< The caller has the head of the answer.
+    std::optional<std::uint64_t> last_event_{};
+    std::optional<time_point> first_event_at_{};
+    time_point sent_at_{};
+    bool paused_{};
+};
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/proxy/http_connection.cpp
@@ -0,0 +1,155 @@
+#include "dandelionbay/proxy/http_connection.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionbay {
+
+http_connection::http_connection(boost::asio::io_context& loop, const socket_address& to, std::chrono::milliseconds limit)
+    : to_{to}, limit_{limit}, channel_{std::make_shared<channel>(channel::tcp::socket{loop}, *this)} {}
+
+http_connection::~http_connection() {
+    channel_->close();
+}
+
+void http_connection::start() {
+    channel_->connect(to_, limit_);
+}
+
+void http_connection::send(std::string_view bytes, bool without_body, response_handler* handler) {
+    handler_ = handler;
+    busy_ = true;
+    foreign_ = false;
+    keep_ = true;
+    reader_.expect(without_body);
+    channel_->write(bytes);
+}
+
+void http_connection::close() noexcept {
+    handler_ = nullptr;
+    busy_ = false;
+    channel_->close();
+}
+
+bool http_connection::reusable() {
+    return connected_ && !busy_ && keep_ && reader_.buffered() == 0 && !channel_->ended() && !channel_->readable_now();
+}
+
+void http_connection::on_connected() {
+    connected_ = true;
+}
+
+void http_connection::on_bytes(std::string_view bytes) {
+    const auto self = shared_from_this(); // The handler may drop this connection.
+    if (!busy_) {
+        close(); // Bytes that nobody asked for.
+        return;
+    }
+    reader_.append(bytes);
+    read_answers();
+}
+
+void http_connection::read_answers() {
+    while (busy_ && !channel_->ended()) {
+        const auto result = reader_.read();
+        if (result != read_result::incomplete && result != read_result::complete) {
+            fail(request_failure::garbage);
+            return;
+        }
+        deliver(result);
+        if (result == read_result::incomplete) {
+            return;
+        }
+    }
+}
+
+void http_connection::deliver(read_result result) {
+    if (const auto head = reader_.take_head()) {
+        keep_ = keep_ && head->keep_alive;
+        foreign_ = handler_ != nullptr && !handler_->on_head(*head);
+    }
+    auto body = reader_.take_body();
+    if (!body.empty() && !foreign_ && handler_ != nullptr) {
+        handler_->on_body(std::move(body));
+    }
+    if (result == read_result::complete && busy_) {
+        complete();
+    }
+}
+
+void http_connection::complete() {
+    if (foreign_) {
+        foreign_ = false;
+        reader_.expect(false);
+        return;
+    }
+    busy_ = false;
+    if (auto* const handler = std::exchange(handler_, nullptr); handler != nullptr) {
+        handler->on_complete();
+    }
+}
+
+void http_connection::fail(request_failure why) {
+    channel_->close();
+    busy_ = false;
+    if (auto* const handler = std::exchange(handler_, nullptr); handler != nullptr) {
+        handler->on_failed(why);
+    }
+}
+
+void http_connection::on_end(channel_end end) {
+    const auto self = shared_from_this();
+    if (!busy_) {
+        return;
+    }
+    if (end == channel_end::closed && !foreign_ && reader_.end()) {
+        keep_ = false;
+        deliver(read_result::complete);
+        return;
+    }
+    fail(end == channel_end::unreachable ? request_failure::not_sent : request_failure::broken);
+}
+
+std::shared_ptr<http_connection> endpoint_pool::take(const socket_address& to, duration longest_idle, time_point now) {
+    const auto it = idle_.find(to);
+    if (it == idle_.end()) {
+        return nullptr;
+    }
+    auto& list = it->second;
+    while (!list.empty()) {
+        auto last = std::move(list.back());
+        list.pop_back();
+        const auto idle = now - last.since;
+        if (idle >= longest_idle || idle >= last.keep || !last.client->reusable()) {
+            last.client->close();
+            continue;
+        }
+        return std::move(last.client);
+    }
+    return nullptr;
+}
+
+void endpoint_pool::put(std::shared_ptr<http_connection> client, duration keep, time_point now) {
+    const auto limit = keep > duration{} ? std::max(duration{}, keep - keep_margin) : default_keep;
+    auto& list = idle_[client->address()];
+    if (limit == duration{} || list.size() >= most_idle || !client->reusable()) {
+        client->close();
+        return;
+    }
+    list.push_back(idle_client{std::move(client), now, limit});
+}
+
+void endpoint_pool::expire(time_point now) {
+    for (auto it = idle_.begin(); it != idle_.end();) {
+        std::erase_if(it->second, [&](const idle_client& idle) {
+            if (now - idle.since < idle.keep) {
+                return false;
+            }
+            idle.client->close();
+            return true;
+        });
+        it = it->second.empty() ? idle_.erase(it) : std::next(it);
+    }
+}
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/proxy/http_connection.hpp
@@ -0,0 +1,138 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "dandelionbay/base/clock.hpp"
+#include "dandelionbay/proxy/channel.hpp"
+#include "dandelionbay/proxy/fwd.hpp"
+#include "dandelionbay/proxy/http_reader.hpp"
+
+namespace dandelionbay {
+
+/*! @brief How a request failed. */
+enum class request_failure : std::uint8_t {
+    not_sent, //!< No connection was made; the request can't have run.
+    broken,   //!< The connection ended before the answer was complete.
+    garbage   //!< What came is no answer.
+};
+
+/*! @brief Receives the answer of one request. */
+class response_handler {
+public:
+    response_handler() = default;
+    response_handler(const response_handler&) = delete;
+    response_handler(response_handler&&) = delete;
+    response_handler& operator=(const response_handler&) = delete;
+    response_handler& operator=(response_handler&&) = delete;
+    virtual ~response_handler() = default;
+
+    /*! @brief Tells whether an answer belongs to the request; others are read and dropped. */
+    [[nodiscard]] virtual bool on_head(const response_head& head) = 0;
+
+    /*! @brief A piece of the body arrived. */
+    virtual void on_body(std::string bytes) = 0;
+
+    /*! @brief The answer is complete. The handler is forgotten before the call. */
+    virtual void on_complete() = 0;
+
+    /*! @brief The request failed. The handler is forgotten before the call. */
+    virtual void on_failed(request_failure why) = 0;
+};
+
+/*! @brief HTTP client connection that carries one request at a time. */
+class http_connection final : public channel_owner, public std::enable_shared_from_this<http_connection> {
+    void read_answers();
+    void deliver(read_result result);
+    void complete();
+    void fail(request_failure why);
+
+public:
+    /*! @brief Connects. @param loop Event loop. @param to The other side. @param limit Longest time to connect. */
+    http_connection(boost::asio::io_context& loop, const socket_address& to, std::chrono::milliseconds limit);
+    http_connection(const http_connection&) = delete;
+    http_connection(http_connection&&) = delete;
+    http_connection& operator=(const http_connection&) = delete;
+    http_connection& operator=(http_connection&&) = delete;
+    ~http_connection() override;
+
+    /*! @brief Starts to connect; to be called once, after construction. */
+    void start();
+
+    /*! @brief Sends a request. @param bytes It. @param without_body Its answer has no body. @param handler Or null. */
+    void send(std::string_view bytes, bool without_body, response_handler* handler);
+
+    /*! @brief Forgets the handler; the connection reads on to the answer's end unless it is closed. */
+    void detach() noexcept { handler_ = nullptr; }
+
+    /*! @brief Ends the connection. */
+    void close() noexcept;
+
+    /*! @brief Stops or continues to read. */
+    void pause_reading(bool paused) { channel_->pause_reading(paused); }
+
+    /*! @brief Tells whether the connection was ever made. */
+    [[nodiscard]] bool connected() const noexcept { return connected_; }
+
+    /*! @brief Tells whether it can take another request now: nothing is due and nothing has come. */
+    [[nodiscard]] bool reusable();
+
+    /*! @brief Tells whether a request is unanswered. */
+    [[nodiscard]] bool busy() const noexcept { return busy_; }
+
+    /*! @brief The other side. */
+    [[nodiscard]] const socket_address& address() const noexcept { return to_; }
+
+    void on_connected() override;
+    void on_bytes(std::string_view bytes) override;
+    void on_end(channel_end end) override;
+
+private:
+    socket_address to_;
+    std::chrono::milliseconds limit_;
+    std::shared_ptr<channel> channel_;
+    response_reader reader_{};
+    response_handler* handler_{};
+    bool connected_{};
+    bool busy_{};
+    bool foreign_{};  //!< The answer that is read belongs to another request.
+    bool keep_{true}; //!< The other side keeps the connection open after the answer.
+};
+
+/*! @brief Connections to endpoints that are idle. */
+class endpoint_pool {
+    struct idle_client {
+        std::shared_ptr<http_connection> client{};
+        time_point since{};
+        duration keep{};
+    };
+
+public:
+    /*! @brief Idle connections kept for one address. */
+    static constexpr std::size_t most_idle = 24;
+    /*! @brief Idle time after which a connection is closed if the endpoint names none. */
+    static constexpr duration default_keep = std::chrono::seconds{3};
+    /*! @brief Time before the endpoint's own limit at which a connection is not used any more. */
+    static constexpr duration keep_margin = std::chrono::milliseconds{400};
+
+    /*! @brief Takes an idle connection. @param to Address. @param freshest Longest idle time. @return Or null. */
+    [[nodiscard]] std::shared_ptr<http_connection> take(const socket_address& to, duration longest_idle, time_point now);
+
+    /*! @brief Keeps a connection. @param keep Time for which the endpoint keeps it; zero if it does not say. */
+    void put(std::shared_ptr<http_connection> client, duration keep, time_point now);
+
+    /*! @brief Closes connections that were idle for too long. */
+    void expire(time_point now);
+
+private:
+    std::map<socket_address, std::vector<idle_client>> idle_{};
+};
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/proxy/http_reader.cpp
@@ -0,0 +1,224 @@
+#include "dandelionbay/proxy/http_reader.hpp"
+
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "absl/strings/ascii.h"
+#include "dandelionbay/base/text.hpp"
+
+namespace dandelionbay {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+/*! Header of an answer; endpoints send a few hundred bytes. */
+constexpr std::uint32_t max_response_header = 65'536;
+/*! Whole body of an answer; a length above it is taken for garbage. */
+constexpr std::uint64_t max_response_body = std::uint64_t{64} << 20U;
+
+[[nodiscard]] std::string text_of(boost::beast::string_view it) {
+    return {it.data(), it.size()};
+}
+
+template<typename Fields>
+[[nodiscard]] field_list fields_of(const Fields& from) {
+    field_list out;
+    for (const auto& field : from) {
+        out.emplace_back(text_of(field.name_string()), text_of(field.value()));
+    }
+    return out;
+}
+
+/*! Feeds a parser with what was received and removes what it took. */
+template<typename Parser>
+[[nodiscard]] read_result feed(Parser& parser, std::string& in) {
+    while (!parser.is_done()) {
+        if (in.empty()) {
+            return read_result::incomplete;
+        }
+        error_code ec;
+        const auto n = parser.put(boost::asio::buffer(in), ec);
+        in.erase(0, n);
+        if (ec == http::error::need_more) {
+            return read_result::incomplete;
+        }
+        if (ec == http::error::header_limit) {
+            return read_result::header_too_long;
+        }
+        if (ec == http::error::body_limit) {
+            return read_result::body_too_long;
+        }
+        if (ec) {
+            return read_result::malformed;
+        }
+    }
+    return read_result::complete;
+}
+
+/*! Host name without port, in lower case. */
+[[nodiscard]] std::string host_name(std::string text) {
+    const auto colon = text.rfind(':');
+    if (colon != std::string::npos && text.find(']', colon) == std::string::npos) {
+        text.resize(colon);
+    }
+    absl::AsciiStrToLower(&text);
+    return text;
+}
+
+} // namespace
+
+class request_reader::state {
+public:
+    using parser_type = http::request_parser<http::string_body>;
+
+    state(std::uint32_t header, std::uint64_t body) : max_header{header}, max_body{body} { reset(); }
+
+    void reset() {
+        parser.emplace();
+        parser->header_limit(max_header);
+        parser->body_limit(max_body);
+        parser->eager(true);
+        asked = false;
+    }
+
+    std::uint32_t max_header;
+    std::uint64_t max_body;
+    std::optional<parser_type> parser{};
+    std::string in{};
+    bool asked{};
+};
+
+request_reader::request_reader(std::uint32_t max_header, std::uint64_t max_body)
+    : state_{std::make_unique<state>(max_header, max_body)} {}
+
+request_reader::~request_reader() = default;
+
+void request_reader::append(std::string_view bytes) {
+    state_->in.append(bytes);
+}
+
+read_result request_reader::read() {
+    return feed(*state_->parser, state_->in);
+}
+
+http_request request_reader::take() {
+    auto& parser = *state_->parser;
+    const bool keep = parser.keep_alive();
+    auto message = parser.release();
+    http_request out;
+    out.method = text_of(message.method_string());
+    out.target = text_of(message.target());
+    out.host = host_name(text_of(message[http::field::host]));
+    out.fields = fields_of(message);
+    out.body = std::move(message.body());
+    out.keep_alive = keep;
+    state_->reset();
+    return out;
+}
+
+bool request_reader::asks_to_continue() {
+    auto& it = *state_;
+    if (it.asked || !it.parser->is_header_done() || it.parser->is_done()) {
+        return false;
+    }
+    it.asked = true;
+    return boost::beast::iequals(it.parser->get()[http::field::expect], "100-continue");
+}
+
+bool request_reader::begun() const noexcept {
+    return !state_->in.empty() || state_->parser->got_some();
+}
+
+bool request_reader::header_done() const noexcept {
+    return state_->parser->is_header_done();
+}
+
+std::size_t request_reader::buffered() const noexcept {
+    return state_->in.size();
+}
+
+class response_reader::state {
+public:
+    using parser_type = http::response_parser<http::string_body>;
+
+    void reset() {
+        parser.emplace();
+        parser->header_limit(max_response_header);
+        parser->body_limit(max_response_body);
+        parser->eager(true);
+        parser->skip(without_body);
+        head_taken = false;
+    }
+
+    /*! An interim answer comes before the real one. */
+    [[nodiscard]] bool interim() const {
+        return parser->is_header_done() && parser->get().result_int() < 200;
+    }
+
+    std::optional<parser_type> parser{};
+    std::string in{};
+    bool without_body{};
+    bool head_taken{};
+};
+
+response_reader::response_reader() : state_{std::make_unique<state>()} {
+    state_->reset();
+}
+
+response_reader::~response_reader() = default;
+
+void response_reader::expect(bool without_body) {
+    state_->without_body = without_body;
+    state_->reset();
+}
+
+void response_reader::append(std::string_view bytes) {
+    state_->in.append(bytes);
+}
+
+read_result response_reader::read() {
+    auto result = feed(*state_->parser, state_->in);
+    while (result == read_result::complete && state_->interim()) {
+        state_->reset();
+        result = feed(*state_->parser, state_->in);
+    }
+    return result;
+}
+
+bool response_reader::end() {
+    if (!state_->parser->is_header_done() || state_->interim()) {
+        return false;
+    }
+    error_code ec;
+    state_->parser->put_eof(ec);
+    return !ec && state_->parser->is_done();
+}
+
+std::optional<response_head> response_reader::take_head() {
+    const auto& parser = *state_->parser;
+    if (state_->head_taken || !parser.is_header_done() || state_->interim()) {
+        return std::nullopt;
+    }
+    state_->head_taken = true;
+    response_head out;
+    out.status = static_cast<int>(parser.get().result_int());
+    out.reason = text_of(parser.get().reason());
+    out.fields = fields_of(parser.get());
+    out.keep_alive = parser.keep_alive();
+    return out;
+}
+
+std::string response_reader::take_body() {
+    return std::exchange(state_->parser->get().body(), std::string{});
+}
+
+std::size_t response_reader::buffered() const noexcept {
+    return state_->in.size();
+}
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -0,0 +1,184 @@
+#include "dandelionbay/proxy/proxy.hpp"
+
+#include <utility>
+#include <vector>
+
+#include "dandelionbay/base/text.hpp"
+#include "dandelionbay/proxy/caller_connection.hpp"
+#include "dandelionbay/proxy/exchange.hpp"
+
+namespace dandelionbay {
+
+namespace {
+
+using boost::system::error_code;
+
+/*! Idle connections and forgotten endpoints are looked at this often; their limits are over a second. */
+constexpr duration housekeeping_interval = std::chrono::milliseconds{200};
+
+} // namespace
+
+proxy::proxy(proxy_environment environment, proxy_options options)
+    : environment_{environment}, options_{std::move(options)},
+      dispatcher_{*environment_.view, options_.place, options_.dispatch, *this,
+                  static_cast<std::uint64_t>(environment_.time->now().time_since_epoch().count())},
+      random_{static_cast<std::uint64_t>(environment_.time->now().time_since_epoch().count())},
+      acceptor_{*environment_.loop}, timer_{*environment_.loop} {}
+
+absl::Status proxy::start() {
+    if (const auto ec = listen_on(acceptor_, options_.listen)) {
+        return absl::UnavailableError(concat("cannot listen on ", options_.listen.ip, ":", options_.listen.port, ": ",
+                                             ec.message()));
+    }
+    accept();
+    tick();
+    return absl::OkStatus();
+}
+
+void proxy::accept() {
+    acceptor_.async_accept([this](error_code ec, channel::tcp::socket socket) {
+        if (stopped_) {
+            return;
+        }
+        if (ec) {
+            environment_.log->write(log_level::warn, "accept_failed", {{"reason", ec.message()}});
+        } else if (callers_.size() >= options_.max_connections) {
+            environment_.metrics->add("connections_refused_total");
+            socket.close(ec);
+        } else {
+            const auto it = std::make_shared<caller_connection>(*this, std::move(socket), now());
+            callers_.insert(it);
+            it->start();
+        }
+        accept();
+    });
+}
+
+void proxy::tick() {
+    timer_.expires_after(tick_interval);
+    timer_.async_wait([this](error_code ec) {
+        if (ec || stopped_) {
+            return;
+        }
+        check_all(now());
+        tick();
+    });
+}
+
+void proxy::check_all(time_point now) {
+    std::vector<std::shared_ptr<exchange>> open;
+    open.reserve(exchanges_.size());
+    for (const auto& [ticket, it] : exchanges_) {
+        open.push_back(it);
+    }
+    for (const auto& it : open) {
+        it->check(now);
+    }
+    dispatcher_.pump(now);
+    if (now - expired_ < housekeeping_interval) {
+        return;
+    }
+    expired_ = now;
+    environment_.view->expire(now);
+    dispatcher_.refresh(now);
+    pool_.expire(now);
+    const auto callers = std::vector<std::shared_ptr<caller_connection>>{callers_.begin(), callers_.end()};
+    for (const auto& it : callers) {
+        if (!it->check(now)) {
+            callers_.erase(it);
+        }
+    }
+}
+
+std::size_t proxy::close_idle() {
+    std::erase_if(callers_, [](const auto& it) { return it->close_idle(); });
+    return callers_.size();
+}
+
+void proxy::stop() {
+    error_code ec;
+    acceptor_.close(ec);
+    timer_.cancel();
+    const auto open = exchanges_;
+    for (const auto& [ticket, it] : open) {
+        it->abandon();
+    }
+    stopped_ = true;
+    callers_.clear();
+}
+
+std::shared_ptr<exchange> proxy::open_exchange(caller_connection& caller, http_request request, time_point arrived) {
+    buffered_ += request.body.size();
+    const auto ticket = ++last_ticket_;
+    auto it = std::make_shared<exchange>(*this, caller, std::move(request), ticket, arrived);
+    exchanges_.emplace(ticket, it);
+    return it;
+}
+
+void proxy::close_exchange(ticket_id ticket) {
+    const auto it = exchanges_.find(ticket);
+    if (it == exchanges_.end()) {
+        return;
+    }
+    buffered_ -= it->second->body_bytes();
+    exchanges_.erase(it);
+    pump(); // Room at an endpoint may have become free.
+}
+
+void proxy::close_caller(const std::shared_ptr<caller_connection>& it) {
+    callers_.erase(it);
+}
+
+std::shared_ptr<http_connection> proxy::connect(const endpoint_choice& to, duration longest_idle) {
+    if (auto it = pool_.take(to.address, longest_idle, now()); it != nullptr) {
+        return it;
+    }
+    environment_.metrics->add("endpoint_connections_total");
+    auto it = std::make_shared<http_connection>(*environment_.loop, to.address, connect_limit);
+    it->start();
+    return it;
+}
+
+void proxy::pump() {
+    if (!stopped_) {
+        dispatcher_.pump(now());
+    }
+}
+
+retry_window& proxy::repeats(const service_id& service) {
+    return repeats_.try_emplace(service, options_.retry).first->second;
+}
+
+service_id proxy::pick_service(const route& it) {
+    if (it.services.empty()) {
+        return {};
+    }
+    double total = 0.0;
+    for (const auto& share : it.services) {
+        total += share.weight;
+    }
+    double point = std::uniform_real_distribution<double>{0.0, total}(random_);
+    for (const auto& share : it.services) {
+        point -= share.weight;
+        if (point < 0.0) {
+            return share.service;
+        }
+    }
+    return it.services.back().service;
+}
+
+void proxy::placed(ticket_id ticket, const endpoint_choice& choice) {
+    if (const auto it = exchanges_.find(ticket); it != exchanges_.end()) {
+        const auto call = it->second;
+        call->placed(choice);
+    }
+}
+
+void proxy::refused(ticket_id ticket, const refusal& why) {
+    if (const auto it = exchanges_.find(ticket); it != exchanges_.end()) {
+        const auto call = it->second;
+        call->refused(why);
+    }
+}
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "absl/status/status.h"
+#include "dandelionbay/base/bounded_log.hpp"
+#include "dandelionbay/base/clock.hpp"
+#include "dandelionbay/base/counters.hpp"
+#include "dandelionbay/base/latency_histogram.hpp"
+#include "dandelionbay/dispatch/dispatcher.hpp"
+#include "dandelionbay/dispatch/retry_window.hpp"
+#include "dandelionbay/gateway/registry_view.hpp"
+#include "dandelionbay/proxy/call_protocol.hpp"
+#include "dandelionbay/proxy/http_connection.hpp"
+#include "dandelionbay/proxy/fwd.hpp"
+
+namespace dandelionbay {
+
+/*! @brief Settings of the data path. */
+struct proxy_options {
+    socket_address listen{};
+    router_place place{};
+    dispatch_limits dispatch{};
+    retry_limits retry{};
+    std::uint64_t max_buffered_bytes{std::uint64_t{24} << 20U}; //!< Bodies of all open requests together.
+    std::size_t max_connections{3'000};                         //!< Connections of callers.
+};
+
+/*! @brief What all parts of the data path share. */
+struct proxy_environment {
+    boost::asio::io_context* loop{};
+    const clock* time{};
+    bounded_log* log{};
+    counters* metrics{};
+    registry_view* view{};
+    const call_protocol* protocol{};
+};
+
+/**
+ * @brief The data path of a router: callers' connections, their calls, and connections to endpoints, on one event loop.
+ */
+class proxy final : public dispatch_listener {
+    void accept();
+    void tick();
+    void check_all(time_point now);
+
+public:
+    /*! @brief Interval of looking at time limits and waiting calls; a caller does not notice a delay this short. */
+    static constexpr std::chrono::milliseconds tick_interval{20};
+    /*! @brief Longest time to make a connection to an endpoint: several round trips between regions. */
+    static constexpr std::chrono::milliseconds connect_limit{400};
+
+    /*! @brief Creates it. @param environment All members outlive it. @param options Settings. */
+    proxy(proxy_environment environment, proxy_options options);
+
+    /*! @brief Listens. @return Unavailable if the address can't be bound. */
+    [[nodiscard]] absl::Status start();
+
+    /*! @brief Announces the end of connections to callers; those that come still are served. */
+    void drain() noexcept { draining_ = true; }
+
+    /*! @brief Closes connections on which nothing happens. @return Connections that are still busy. */
+    std::size_t close_idle();
+
+    /*! @brief Ends everything. */
+    void stop();
+
+    /*! @brief Tells whether it is about to end. */
+    [[nodiscard]] bool draining() const noexcept { return draining_; }
+
+    /*! @brief A caller's request is complete. @return The new exchange; started by the caller of this. */
+    [[nodiscard]] std::shared_ptr<exchange> open_exchange(caller_connection& caller, http_request request,
+                                                          time_point arrived);
+
+    /*! @brief An exchange ended. */
+    void close_exchange(ticket_id ticket);
+
+    /*! @brief A caller's connection ended. */
+    void close_caller(const std::shared_ptr<caller_connection>& it);
+
+    /*! @brief Takes an idle connection to an endpoint or makes a new one. */
+    [[nodiscard]] std::shared_ptr<http_connection> connect(const endpoint_choice& to, duration longest_idle);
+
+    /*! @brief The network, the fleet or the clock moved on: decides about waiting calls. */
+    void pump();
+
+    /*! @brief Repeats of calls at a service. */
+    [[nodiscard]] retry_window& repeats(const service_id& service);
+
+    /*! @brief Picks a service by the route's weights. */
+    [[nodiscard]] service_id pick_service(const route& it);
+
+    [[nodiscard]] const proxy_environment& environment() const noexcept { return environment_; }
+    [[nodiscard]] const proxy_options& options() const noexcept { return options_; }
+    [[nodiscard]] dispatcher& dispatch() noexcept { return dispatcher_; }
+    [[nodiscard]] endpoint_pool& pool() noexcept { return pool_; }
+    [[nodiscard]] time_point now() const noexcept { return environment_.time->now(); }
+    [[nodiscard]] std::size_t open_calls() const noexcept { return exchanges_.size(); }
+
+    /*! @brief Bytes of bodies that open requests hold. */
+    [[nodiscard]] std::uint64_t buffered_bytes() const noexcept { return buffered_; }
+
+    /*! @brief Time to the first event or to the whole answer, and time to the end, of answered calls. */
+    [[nodiscard]] latency_histogram& first_answer() noexcept { return first_answer_; }
+    [[nodiscard]] latency_histogram& whole_answer() noexcept { return whole_answer_; }
+
+    void placed(ticket_id ticket, const endpoint_choice& choice) override;
+    void refused(ticket_id ticket, const refusal& why) override;
+
+private:
+    proxy_environment environment_;
+    proxy_options options_;
+    dispatcher dispatcher_;
+    endpoint_pool pool_{};
+    std::mt19937_64 random_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer timer_;
+    std::set<std::shared_ptr<caller_connection>> callers_{};
+    std::unordered_map<ticket_id, std::shared_ptr<exchange>> exchanges_{};
+    std::map<service_id, retry_window> repeats_{};
+    latency_histogram first_answer_{};
+    latency_histogram whole_answer_{};
+    ticket_id last_ticket_{};
+    std::uint64_t buffered_{};
+    time_point expired_{};
+    bool draining_{};
+    bool stopped_{};
+};
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/proxy/status_server.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "absl/status/status.h"
+#include "dandelionbay/gateway/endpoint_entry.hpp"
+
+namespace dandelionbay {
+
+/*! @brief Answers GET requests about the process: readiness and metrics. */
+class status_server {
+    class client;
+
+    void accept();
+
+public:
+    /*! @brief Answer to a path. */
+    struct page {
+        int status{};
+        std::string text{};
+    };
+    using page_source = std::function<page(std::string_view path)>;
+
+    /*! @brief Connections at a time; the balancer and a scraper need one each. */
+    static constexpr std::size_t most_clients = 32;
+
+    /*! @brief Creates it. @param source Gives the pages. */
+    status_server(boost::asio::io_context& loop, page_source source);
+    status_server(const status_server&) = delete;
+    status_server(status_server&&) = delete;
+    status_server& operator=(const status_server&) = delete;
+    status_server& operator=(status_server&&) = delete;
+    ~status_server();
+
+    /*! @brief Listens. @return Unavailable if the address can't be bound. */
+    [[nodiscard]] absl::Status start(const socket_address& listen);
+
+    /*! @brief Ends. */
+    void stop();
+
+private:
+    page_source source_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::set<std::shared_ptr<client>> clients_{};
+    bool stopped_{};
+};
+
+} // namespace dandelionbay
--- a/src/dandelionbay/settings/process_settings.cpp
+++ b/src/dandelionbay/settings/process_settings.cpp
@@ -8,9 +8,6 @@
 #include <sstream>
 #include <utility>
 
-#include <arpa/inet.h>
-
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_join.h"
 #include "dandelionbay/base/text.hpp"
 #include "dandelionbay/config/json_reader.hpp"
@@ -26,6 +23,7 @@
 constexpr std::int64_t max_limit_ms = 3'600'000;
 /*! Each caller connection holds one thread; more threads than this would not fit the 128 MB of a node. */
 constexpr std::int64_t max_caller_threads = 4'096;
+constexpr double max_retry_slack = 1'000'000.0;
 constexpr std::int64_t max_standin_slots = 100'000;
 constexpr std::int64_t max_standin_tokens = 1'000'000;
 
@@ -37,7 +35,7 @@
 
 constexpr std::array roles{
     choice<process_role>{"router", process_role::router}, choice<process_role>{"agent", process_role::agent},
-    choice<process_role>{"platform", process_role::platform}, choice<process_role>{"engine", process_role::engine},
+    choice<process_role>{"gateway", process_role::gateway}, choice<process_role>{"platform", process_role::platform}, choice<process_role>{"engine", process_role::engine},
     choice<process_role>{"service", process_role::service}};
 constexpr std::array host_roles{choice<host_role>{"router", host_role::router},
                                 choice<host_role>{"agent", host_role::agent}};
@@ -48,11 +46,6 @@
 constexpr std::array outputs{choice<std::string_view>{"stderr", "stderr"},
                              choice<std::string_view>{"stdout", "stdout"}};
 
-[[nodiscard]] bool is_ip(const std::string& text, int family) noexcept {
-    std::array<unsigned char, sizeof(in6_addr)> address{};
-    return inet_pton(family, text.c_str(), address.data()) == 1;
-}
-
 /*! @brief Reads one settings object; the result is of use only if no fault was found. */
 class settings_reader {
     template<typename Enum, std::size_t Size, typename Out>
@@ -166,6 +159,58 @@
         read_limits(root, [&](object_reader& limits) { read_node_limits(limits, out.common); });
     }
 
+    void read_zones(object_reader& root, router_place& out) {
+        const auto* const value = root.child("zones", presence::required);
+        if (value == nullptr || !value->is_object()) {
+            root.fault("zones", "expected an object with the region of each zone");
+            return;
+        }
+        for (const auto& [zone, region] : value->items()) {
+            if (!region.is_string()) {
+                root.fault(concat("zones.", zone), "expected the name of a region");
+                continue;
+            }
+            out.zones.emplace(zone_id{zone}, region_id{region.get<std::string>()});
+        }
+    }
+
+    void read_gateway_limits(object_reader& limits, gateway_options& out) {
+        const auto read = [&](std::string_view key, duration& into) {
+            auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(into);
+            read_ms(limits, key, 1, ms);
+            into = ms;
+        };
+        read("key_withdrawal_ms", out.bounds.key_withdrawal);
+        read("leaving_ms", out.bounds.leaving);
+        read("config_ms", out.bounds.config);
+        read("stop_grace_ms", out.bounds.stop_grace);
+        read("retry_window_ms", out.retry.window);
+        limits.number("retry_ratio", presence::optional, out.retry.ratio, 0.0, 1.0);
+        limits.number("retry_slack", presence::optional, out.retry.slack, 0.0, max_retry_slack);
+    }
+
+    void read_gateway(object_reader& root, gateway_options& out) {
+        root.name("host", presence::required, out.place.host.value);
+        root.name("zone", presence::required, out.place.zone.value);
+        root.name("region", presence::required, out.place.region.value);
+        read_zones(root, out.place);
+        read_address(root, "caller_listen", out.caller_listen);
+        read_address(root, "ready_listen", out.ready_listen);
+        read_address(root, "peer_listen", out.peer_listen);
+        read_address(root, "metrics_listen", out.metrics_listen);
+        read_address(root, "store", out.store);
+        root.each("first_peers", presence::optional, [&](const json& value, const std::string& path) {
+            const auto address = value.is_string() ? parse_address(value.get<std::string>())
+                                                   : absl::StatusOr<socket_address>{absl::InvalidArgumentError("text")};
+            if (!address.ok()) {
+                faults_.push_back(concat(path, ": ", from_absl(address.status().message())));
+                return;
+            }
+            out.first_peers.push_back(*address);
+        });
+        read_limits(root, [&](object_reader& limits) { read_gateway_limits(limits, out); });
+    }
+
     void read_platform(object_reader& root, standin_platform_options& out) {
         read_address(root, "listen", out.listen);
         root.text("fleet_config", presence::optional, settings_.fleet_config);
@@ -203,6 +248,9 @@
         case process_role::agent:
             read_agent(root, settings_.agent);
             break;
+        case process_role::gateway:
+            read_gateway(root, settings_.gateway);
+            break;
         case process_role::platform:
             read_platform(root, settings_.platform);
             break;
@@ -237,26 +285,6 @@
     return it != roles.end() ? it->name : "unknown";
 }
 
-absl::StatusOr<socket_address> parse_address(std::string_view text) {
-    const auto colon = text.rfind(':');
-    std::uint32_t port = 0;
-    if (colon == std::string_view::npos || !absl::SimpleAtoi(to_absl(text.substr(colon + 1)), &port) || port == 0 ||
-        port > 65'535) {
-        return absl::InvalidArgumentError("expected IP address, colon and a port from 1 to 65535");
-    }
-    const bool bracketed = text.starts_with('[') && colon > 0 && text[colon - 1] == ']';
-    const std::string ip{bracketed ? text.substr(1, colon - 2) : text.substr(0, colon)};
-    if (!is_ip(ip, bracketed ? AF_INET6 : AF_INET)) {
-        return absl::InvalidArgumentError(R"(expected an IP address such as "10.0.0.1:80" or "[::1]:80")");
-    }
-    return socket_address{ip, static_cast<std::uint16_t>(port)};
-}
-
-std::string to_string(const socket_address& address) {
-    const bool v6 = address.ip.find(':') != std::string::npos;
-    return concat(v6 ? "[" : "", address.ip, v6 ? "]:" : ":", address.port);
-}
-
 absl::StatusOr<process_settings> check_settings(std::string_view text) {
     return settings_reader{}.run(text);
 }
--- a/src/dandelionbay/settings/process_settings.hpp
+++ b/src/dandelionbay/settings/process_settings.hpp
@@ -5,6 +5,8 @@
 #include <string_view>
 
 #include "absl/status/statusor.h"
+#include "dandelionbay/base/socket_address.hpp"
+#include "dandelionbay/node/gateway_options.hpp"
 #include "dandelionbay/node/node_options.hpp"
 #include "dandelionbay/settings/fwd.hpp"
 #include "dandelionbay/standin/standin_engine.hpp"
@@ -14,7 +16,7 @@
 namespace dandelionbay {
 
 /*! @brief What a process does. The last three are stand-ins for systems of the platform. */
-enum class process_role : std::uint8_t { router, agent, platform, engine, service };
+enum class process_role : std::uint8_t { router, agent, gateway, platform, engine, service };
 
 /*! @brief Name of a role. @param role The role. @return The text used in settings. */
 [[nodiscard]] std::string_view to_string(process_role role) noexcept;
@@ -32,6 +34,7 @@
     process_role role{process_role::router};
     router_node_options router{};
     agent_node_options agent{};
+    gateway_options gateway{};
     standin_platform_options platform{};
     standin_engine_options engine{};
     standin_service_options service{};
@@ -41,16 +44,6 @@
     friend bool operator==(const process_settings&, const process_settings&) = default;
 };
 
-/**
- * @brief Parses an address.
- * @param text IP address and port: "10.0.0.1:80" or "[::1]:80"; no host names.
- * @return The address, or InvalidArgument.
- */
-[[nodiscard]] absl::StatusOr<socket_address> parse_address(std::string_view text);
-
-/*! @brief Writes an address. @param address The address. @return Text that parse_address() takes. */
-[[nodiscard]] std::string to_string(const socket_address& address);
-
 /**
  * @brief Parses and checks settings.
  * @param text JSON text.
--- a/src/dandelionbay/store/fwd.hpp
+++ b/src/dandelionbay/store/fwd.hpp
@@ -4,7 +4,7 @@
 
 struct table_row;
 class table_store;
-struct socket_address;
+
 struct host_entry;
 class host_list;
 class table_map;
--- a/src/dandelionbay/store/host_list.hpp
+++ b/src/dandelionbay/store/host_list.hpp
@@ -6,21 +6,12 @@
 
 #include "absl/status/statusor.h"
 #include "dandelionbay/base/ids.hpp"
+#include "dandelionbay/base/socket_address.hpp"
 #include "dandelionbay/store/fwd.hpp"
 #include "dandelionbay/wire/message.hpp"
 
 namespace dandelionbay {
 
-/*! @brief IP address and TCP port. */
-struct socket_address {
-    std::string ip{};
-    std::uint16_t port{};
-
-    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads a defaulted <=>.
-    friend auto operator<=>(const socket_address&, const socket_address&) = default;
-    friend bool operator==(const socket_address&, const socket_address&) = default;
-};
-
 /*! @brief Host as the platform lists it; may be out of date. */
 struct host_entry {
     host_id host{};
--- a/test/dandelionbay/bench/bench_test.cpp
+++ b/test/dandelionbay/bench/bench_test.cpp
@@ -8,7 +8,7 @@
 
 #include "dandelionbay/bench/engine_times.hpp"
 #include "dandelionbay/bench/fairness_meter.hpp"
-#include "dandelionbay/bench/latency_histogram.hpp"
+#include "dandelionbay/base/latency_histogram.hpp"
 #include "dandelionbay/bench/recorder.hpp"
 #include "dandelionbay/bench/split_meter.hpp"
 
--- a/test/dandelionbay/http/caller_front_test.cpp
+++ b/test/dandelionbay/http/caller_front_test.cpp
@@ -1,9 +1,9 @@
 #include "dandelionbay/http/caller_front.hpp"
 
-#include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
-#include <asio/read.hpp>
-#include <asio/write.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 
 #include <functional>
 #include <mutex>
@@ -109,13 +109,13 @@
 
     /*! @brief Sends bytes and reads until the connection ends. */
     std::string exchange(const std::string& bytes) const {
-        asio::io_context loop;
-        asio::ip::tcp::socket socket{loop};
-        socket.connect({asio::ip::make_address("127.0.0.1"), front.port()});
-        asio::error_code ec;
-        asio::write(socket, asio::buffer(bytes), ec);
+        boost::asio::io_context loop;
+        boost::asio::ip::tcp::socket socket{loop};
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), front.port()});
+        boost::system::error_code ec;
+        boost::asio::write(socket, boost::asio::buffer(bytes), ec);
         std::string answer;
-        asio::read(socket, asio::dynamic_buffer(answer), ec);
+        boost::asio::read(socket, boost::asio::dynamic_buffer(answer), ec);
         return answer;
     }
 
@@ -256,11 +256,11 @@
 
 // Guards against work that goes on for callers who have left.
 TEST_F(caller_api, a_caller_that_leaves_cancels_its_request) {
-    asio::io_context loop;
+    boost::asio::io_context loop;
     const auto leave = [&] {
-        asio::ip::tcp::socket socket{loop};
-        socket.connect({asio::ip::make_address("127.0.0.1"), front.port()});
-        asio::write(socket, asio::buffer(post(body(true))));
+        boost::asio::ip::tcp::socket socket{loop};
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), front.port()});
+        boost::asio::write(socket, boost::asio::buffer(post(body(true))));
         std::this_thread::sleep_for(50ms);
     };
     {
--- a/test/dandelionbay/net/link_server_test.cpp
+++ b/test/dandelionbay/net/link_server_test.cpp
@@ -4,9 +4,9 @@
 #include <functional>
 #include <mutex>
 
-#include <asio/connect.hpp>
-#include <asio/read.hpp>
-#include <asio/write.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 namespace dandelionbay {
@@ -147,27 +147,27 @@
 /*! @brief Plain socket in the place of a host. */
 class raw_peer {
 public:
-    raw_peer() : acceptor_{loop_, {asio::ip::make_address("127.0.0.1"), 0}} {}
+    raw_peer() : acceptor_{loop_, {boost::asio::ip::make_address("127.0.0.1"), 0}} {}
 
     host_entry entry(const std::string& name) const {
         return {host_id{name}, host_role::agent, {}, {}, {"127.0.0.1", acceptor_.local_endpoint().port()}, false};
     }
 
-    asio::ip::tcp::socket take() { return acceptor_.accept(); }
+    boost::asio::ip::tcp::socket take() { return acceptor_.accept(); }
 
-    asio::ip::tcp::socket dial(std::uint16_t port) {
-        asio::ip::tcp::socket socket{loop_};
-        socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    boost::asio::ip::tcp::socket dial(std::uint16_t port) {
+        boost::asio::ip::tcp::socket socket{loop_};
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), port});
         return socket;
     }
 
 private:
-    asio::io_context loop_;
-    asio::ip::tcp::acceptor acceptor_;
+    boost::asio::io_context loop_;
+    boost::asio::ip::tcp::acceptor acceptor_;
 };
 
-void say(asio::ip::tcp::socket& socket, const message& body) {
-    asio::write(socket, asio::buffer(encode_frame(body).value()));
+void say(boost::asio::ip::tcp::socket& socket, const message& body) {
+    boost::asio::write(socket, boost::asio::buffer(encode_frame(body).value()));
 }
 
 // Guards against waiting for ever on a connection that is open and silent: accepted and never answered, or silent
@@ -194,13 +194,13 @@
 TEST(link_server, a_bad_connection_is_closed_and_counted) {
     host agent{"a1", host_role::agent};
     raw_peer peer;
-    const auto closed = [](asio::ip::tcp::socket& socket) {
-        asio::error_code ec;
+    const auto closed = [](boost::asio::ip::tcp::socket& socket) {
+        boost::system::error_code ec;
         std::array<char, 4'096> buf{};
         while (!ec) {
-            socket.read_some(asio::buffer(buf), ec);
+            socket.read_some(boost::asio::buffer(buf), ec);
         }
-        return ec == asio::error::eof || ec == asio::error::connection_reset;
+        return ec == boost::asio::error::eof || ec == boost::asio::error::connection_reset;
     };
     auto good = peer.dial(agent.server.port());
     say(good, hello{host_id{"r1"}, host_role::router, {}, {}, 5, {}, 0});
@@ -208,7 +208,7 @@
     const auto check = [&](const std::string& bytes, const std::string& reason) {
         SCOPED_TRACE(reason);
         auto bad = peer.dial(agent.server.port());
-        asio::write(bad, asio::buffer(bytes));
+        boost::asio::write(bad, boost::asio::buffer(bytes));
         EXPECT_TRUE(closed(bad));
         EXPECT_TRUE(agent.wait_count("link_closed_total", reason));
     };
