--- a/src/dandelionbay/app/serve.cpp
+++ b/src/dandelionbay/app/serve.cpp
@@ -66,13 +66,20 @@
     return exit_ok;
 }
 
-[[nodiscard]] int serve_gateway(const process_settings& settings) {
+[[nodiscard]] int serve_gateway(const process_settings& settings, const std::string& path) {
     struct sigaction ignore {};
     ignore.sa_handler = SIG_IGN; // NOLINT(cppcoreguidelines-pro-type-union-access): the system's own structure.
     sigaction(SIGPIPE, &ignore, nullptr);
     const auto& place = settings.gateway.place;
     gateway_node node{settings.gateway, platform::make_binding(),
-                      std::make_shared<event_log>(log_options(settings, place.host, place.zone))};
+                      std::make_shared<event_log>(log_options(settings, place.host, place.zone)),
+                      [path]() -> absl::StatusOr<gateway_options> {
+                          auto next = load_settings(path);
+                          if (!next.ok()) {
+                              return next.status();
+                          }
+                          return std::move(next->gateway);
+                      }};
     const auto status = node.run([] { std::cout << "ready" << std::endl; }); // Flushed: scripts wait for this line.
     return status.ok() ? exit_ok : failure(from_absl(status.message()));
 }
@@ -87,7 +94,7 @@
         return usage_error(concat(path, ":\n", from_absl(settings.status().message())));
     }
     if (settings->role == process_role::gateway) {
-        return serve_gateway(*settings);
+        return serve_gateway(*settings, path);
     }
     const stop_signal signal;
     if (settings->role == process_role::router) {
--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -91,7 +91,14 @@
     return load.pacer().allows(share, now);
 }
 
-dispatcher::candidate dispatcher::weigh(const work_item& item, const registry_view::known_endpoint& it, time_point now) {
+double dispatcher::reading_ahead_ms(const work_item& item, time_point now) {
+    const auto floor = usage_.least_denied(now);
+    const bool yields = usage_.used(item.team, now) > floor * limits_.yield_margin + cost_of(item);
+    return limits_.reading_ahead_ms * (yields ? limits_.yield_share : 1.0);
+}
+
+dispatcher::candidate dispatcher::weigh(const work_item& item, const registry_view::known_endpoint& it,
+                                        double ahead_ms, time_point now) {
     auto& load = loads_[it.entry.id];
     const auto* const service = view_->config()->find_service(it.entry.service);
     candidate out{&it, &load};
@@ -105,7 +112,7 @@
         const auto memory = static_cast<double>(service->engine->memory_tokens) * limits_.memory_share;
         const bool fits = load.memory_tokens(now) <= 0.0 ||
                           load.memory_tokens(now) + item.prompt_tokens + item.output_tokens <= memory;
-        out.ready = out.wait_ms <= limits_.reading_ahead_ms && calls < slots && fits;
+        out.ready = out.wait_ms <= ahead_ms && calls < slots && fits;
     } else {
         out.wait_ms = calls < slots ? 0.0 : plain_call_ms * (calls - slots + 1) / slots;
         out.score = out.wait_ms + plain_call_ms * calls / slots;
@@ -128,6 +135,7 @@
     candidate out;
     out.score = std::numeric_limits<double>::max();
     candidate fallback = out;
+    const auto ahead_ms = reading_ahead_ms(item, now);
     for (const auto& [id, it] : view_->endpoints()) {
         if (it.entry.service != item.service || !view_->takes_work(it) || !in_regions(item, it.entry.zone) ||
             item.excluded.contains(id)) {
@@ -137,7 +145,7 @@
         if (load.ejected(now) || load.stalled(now)) {
             continue;
         }
-        const auto next = weigh(item, it, now);
+        const auto next = weigh(item, it, ahead_ms, now);
         // A cold endpoint whose pace is used up is no reason to wait: the others are.
         if (next.cold && !next.ready) {
             if (next.score < fallback.score) {
@@ -189,7 +197,7 @@
     const auto base = std::clamp(from_ms(limits_.reading_ahead_ms + drain_ms), shortest_return, longest_return);
     std::uniform_real_distribution<double> spread{0.8, 1.3};
     const auto after = std::chrono::duration_cast<duration>(base * spread(random_));
-    static_cast<void>(now);
+    usage_.deny(call.item.team, cost_of(call.item), now);
     listener_->refused(call.item.ticket, refusal{code, after});
 }
 
--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -78,6 +78,8 @@
 /*! @brief Limits of the dispatcher. */
 struct dispatch_limits {
     double reading_ahead_ms{140.0}; //!< Reading queued at an engine beyond which work waits here, where it is ordered.
+    double yield_share{0.4};        //!< Part of that for a team which got more than one that is refused work.
+    double yield_margin{1.2};       //!< How much more it must have got: reports of peers are a little old.
     double memory_share{0.85};      //!< Share of an engine's memory that calls in flight may come to occupy.
     double reading_weight{1.4};     //!< Reading costs the calls behind it too.
     double zone_cost_ms{12.0};      //!< Aversion to another zone of the region: its round trip and its traffic.
@@ -124,7 +126,9 @@
     [[nodiscard]] bool in_regions(const work_item& item, const zone_id& zone) const;
     [[nodiscard]] double distance_ms(const zone_id& zone) const;
     [[nodiscard]] bool pace_allows(const registry_view::known_endpoint& it, endpoint_load& load, time_point now) const;
-    [[nodiscard]] candidate weigh(const work_item& item, const registry_view::known_endpoint& it, time_point now);
+    [[nodiscard]] double reading_ahead_ms(const work_item& item, time_point now);
+    [[nodiscard]] candidate weigh(const work_item& item, const registry_view::known_endpoint& it, double ahead_ms,
+                                  time_point now);
     [[nodiscard]] candidate best(const work_item& item, time_point now);
     void place(const work_item& item, const candidate& to, time_point now);
     void refuse(const waiting_call& call, result_code code, time_point now);
--- a/src/dandelionbay/dispatch/team_usage.cpp
+++ b/src/dandelionbay/dispatch/team_usage.cpp
@@ -1,13 +1,17 @@
 #include "dandelionbay/dispatch/team_usage.hpp"
 
+#include <algorithm>
+#include <limits>
+
 namespace dandelionbay {
 
 void team_usage::expire(time_point now) {
     while (!charges_.empty() && now - charges_.front().at >= window) {
         const auto& oldest = charges_.front();
         if (const auto it = own_.find(oldest.team); it != own_.end()) {
-            it->second -= oldest.cost;
-            if (it->second < 1.0) {
+            it->second.used -= oldest.amount.used;
+            it->second.denied -= oldest.amount.denied;
+            if (it->second.used < 1.0 && it->second.denied < 1.0) {
                 own_.erase(it);
             }
         }
@@ -16,9 +20,19 @@
     std::erase_if(peers_, [&](const auto& it) { return now - it.second.at >= window; });
 }
 
+void team_usage::charge_team(const team_id& team, const account& amount, time_point now) {
+    charges_.push_back(charge{now, team, amount});
+    auto& it = own_[team];
+    it.used += amount.used;
+    it.denied += amount.denied;
+}
+
 void team_usage::add(const team_id& team, double cost, time_point now) {
-    charges_.push_back(charge{now, team, cost});
-    own_[team] += cost;
+    charge_team(team, account{cost, 0.0}, now);
+}
+
+void team_usage::deny(const team_id& team, double cost, time_point now) {
+    charge_team(team, account{0.0, cost}, now);
 }
 
 void team_usage::report(const host_id& peer, const std::vector<team_service>& teams, time_point now) {
@@ -26,29 +40,52 @@
     it.at = now;
     it.teams.clear();
     for (const auto& part : teams) {
-        it.teams.emplace(part.team, part.cost);
+        it.teams.emplace(part.team, account{part.cost, part.denied});
+    }
+}
+
+std::map<team_id, team_usage::account> team_usage::totals() const {
+    auto out = own_;
+    for (const auto& [peer, it] : peers_) {
+        for (const auto& [team, part] : it.teams) {
+            auto& sum = out[team];
+            sum.used += part.used;
+            sum.denied += part.denied;
+        }
     }
+    return out;
 }
 
 double team_usage::used(const team_id& team, time_point now) {
     expire(now);
-    const auto part = [&](const std::map<team_id, double>& teams) {
+    const auto part = [&](const std::map<team_id, account>& teams) {
         const auto it = teams.find(team);
-        return it == teams.end() ? 0.0 : it->second;
+        return it == teams.end() ? 0.0 : it->second.used;
     };
     double sum = part(own_);
-    for (const auto& [name, it] : peers_) {
+    for (const auto& [peer, it] : peers_) {
         sum += part(it.teams);
     }
     return sum;
 }
 
+double team_usage::least_denied(time_point now) {
+    expire(now);
+    double out = std::numeric_limits<double>::infinity();
+    for (const auto& [team, it] : totals()) {
+        if (it.denied > denied_share * it.used) {
+            out = std::min(out, it.used);
+        }
+    }
+    return out;
+}
+
 std::vector<team_service> team_usage::own(time_point now) {
     expire(now);
     std::vector<team_service> out;
     out.reserve(own_.size());
-    for (const auto& [team, cost] : own_) {
-        out.push_back(team_service{team, cost});
+    for (const auto& [team, it] : own_) {
+        out.push_back(team_service{team, it.used, it.denied});
     }
     return out;
 }
--- a/src/dandelionbay/dispatch/team_usage.hpp
+++ b/src/dandelionbay/dispatch/team_usage.hpp
@@ -11,10 +11,11 @@
 
 namespace dandelionbay {
 
-/*! @brief Service that a team got in the current window. */
+/*! @brief Service that a team got, and was refused, in the current window. */
 struct team_service {
     team_id team{};
     double cost{};
+    double denied{};
 
     friend bool operator==(const team_service&, const team_service&) = default;
 };
@@ -26,38 +27,57 @@
  * team neither pays for a past flood nor saves up idle time.
  */
 class team_usage {
+    struct account {
+        double used{};
+        double denied{};
+    };
     struct charge {
         time_point at{};
         team_id team{};
-        double cost{};
+        account amount{};
     };
 
     void expire(time_point now);
+    void charge_team(const team_id& team, const account& amount, time_point now);
+    [[nodiscard]] std::map<team_id, account> totals() const;
 
 public:
     /*! @brief Length of the window. */
     static constexpr duration window = std::chrono::seconds{4}; // The time over which shares are to be even.
 
+    /*! @brief A team counts as refused if that is more than this share of what it got. */
+    static constexpr double denied_share = 0.05;
+
     /*! @brief Counts dispatched work. @param team Its team. @param cost Prompt tokens plus twice the generated ones. */
     void add(const team_id& team, double cost, time_point now);
 
+    /*! @brief Counts refused work. @param team Its team. @param cost As in add(). */
+    void deny(const team_id& team, double cost, time_point now);
+
     /*! @brief Replaces what a peer reported. @param peer Its name. @param teams Its own part. @param now Time. */
     void report(const host_id& peer, const std::vector<team_service>& teams, time_point now);
 
     /*! @brief Service of a team. @param now Time. @return Cost units in the window. */
     [[nodiscard]] double used(const team_id& team, time_point now);
 
+    /**
+     * @brief Service of the least served team that was refused work.
+     * @param now Time.
+     * @return Cost units; infinite if no team was. A team above it has to leave room for that one.
+     */
+    [[nodiscard]] double least_denied(time_point now);
+
     /*! @brief This router's own part, for its peers. */
     [[nodiscard]] std::vector<team_service> own(time_point now);
 
 private:
     struct peer_report {
         time_point at{};
-        std::map<team_id, double> teams{};
+        std::map<team_id, account> teams{};
     };
 
     std::deque<charge> charges_{};
-    std::map<team_id, double> own_{};
+    std::map<team_id, account> own_{};
     std::map<host_id, peer_report> peers_{};
 };
 
--- a/src/dandelionbay/gateway/route_config.hpp
+++ b/src/dandelionbay/gateway/route_config.hpp
@@ -51,6 +51,7 @@
 struct engine_profile {
     std::uint32_t slots{64};
     std::uint64_t memory_tokens{}; //!< Tokens that running calls and kept parts share.
+    std::uint32_t tokens_per_event{1};
 
     friend bool operator==(const engine_profile&, const engine_profile&) = default;
 };
--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -28,7 +28,8 @@
 
 } // namespace
 
-gateway_node::gateway_node(gateway_options options, platform_binding platform, std::shared_ptr<event_log> log)
+gateway_node::gateway_node(gateway_options options, platform_binding platform, std::shared_ptr<event_log> log,
+                           settings_reader reader)
     : options_{std::move(options)}, platform_{std::move(platform)}, log_{std::move(log), clock_},
       view_{freshness_of(options_.bounds)},
       proxy_{proxy_environment{&loop_, &clock_, &log_, &metrics_, &view_, platform_.protocol.get()},
@@ -38,8 +39,8 @@
       links_{peer_environment{&loop_, &clock_, &log_, &metrics_, &board_}, options_.peer_listen,
              [this](const peer_change& change) { peers_changed(change); }},
       ready_{loop_, [this](std::string_view path) { return page_of(path); }},
-      status_{loop_, [this](std::string_view path) { return page_of(path); }}, signals_{loop_, SIGTERM, SIGINT},
-      stop_timer_{loop_} {
+      status_{loop_, [this](std::string_view path) { return page_of(path); }}, signals_{loop_, SIGTERM, SIGINT, SIGHUP},
+      stop_timer_{loop_}, settings_timer_{loop_}, reader_{std::move(reader)} {
     registry_options store;
     store.address = options_.store;
     store.host = options_.place.host;
@@ -63,6 +64,7 @@
         }
     }
     wait_for_signal();
+    watch_settings();
     registry_->start();
     log_.write(log_level::info, "started");
     started();
@@ -73,13 +75,50 @@
 
 void gateway_node::wait_for_signal() {
     signals_.async_wait([this](boost::system::error_code ec, int signal) {
-        if (!ec) {
+        if (ec) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            reload();
+        } else {
             log_.write(log_level::info, "stop_requested", {{"signal", std::to_string(signal)}});
             begin_stop();
         }
+        wait_for_signal();
     });
 }
 
+void gateway_node::watch_settings() {
+    settings_timer_.expires_after(settings_interval);
+    settings_timer_.async_wait([this](boost::system::error_code ec) {
+        if (!ec) {
+            reload();
+            watch_settings();
+        }
+    });
+}
+
+void gateway_node::reload() {
+    if (!reader_) {
+        return;
+    }
+    auto next = reader_();
+    if (!next.ok()) {
+        log_.write(log_level::error, "settings_refused", {{"reason", std::string{from_absl(next.status().message())}}});
+        return;
+    }
+    if (*next == options_) {
+        return;
+    }
+    for (const auto& peer : next->first_peers) {
+        board_.introduce(peer, clock_.now());
+    }
+    auto applied = options_;
+    applied.first_peers = next->first_peers;
+    log_.write(log_level::info, "settings_reloaded", {{"restart_needed", applied == *next ? "no" : "yes"}});
+    options_ = *std::move(next);
+}
+
 status_server::page gateway_node::page_of(std::string_view path) {
     if (path == "/metrics") {
         return {200, render_metrics()};
@@ -105,9 +144,10 @@
     if (proxy_.draining()) {
         return;
     }
-    proxy_.drain();
+    const auto now = clock_.now();
+    proxy_.drain(now + options_.bounds.stop_grace - stop_margin);
     log_.write(log_level::info, "stopping", {{"open_calls", std::to_string(proxy_.open_calls())}});
-    continue_stop(clock_.now());
+    continue_stop(now);
 }
 
 void gateway_node::continue_stop(time_point since) {
@@ -130,6 +170,7 @@
     proxy_.stop();
     links_.stop();
     registry_->stop();
+    settings_timer_.cancel();
     // The last writes get a moment; then the process ends whatever is left.
     constexpr std::chrono::milliseconds last_writes{150};
     stop_timer_.expires_after(last_writes);
--- a/src/dandelionbay/node/gateway_node.hpp
+++ b/src/dandelionbay/node/gateway_node.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "absl/status/status.h"
+#include "absl/status/statusor.h"
 #include "dandelionbay/base/bounded_log.hpp"
 #include "dandelionbay/base/clock.hpp"
 #include "dandelionbay/base/counters.hpp"
@@ -44,6 +45,8 @@
     void continue_stop(time_point since);
     void end();
     void wait_for_signal();
+    void reload();
+    void watch_settings();
     void peers_changed(const peer_change& change);
 
 public:
@@ -52,8 +55,16 @@
     /*! @brief Interval of looking whether a stop is complete. */
     static constexpr std::chrono::milliseconds stop_interval{50};
 
-    /*! @brief Creates it. @param options Settings. @param platform The platform's parts. @param log Log, or null. */
-    gateway_node(gateway_options options, platform_binding platform, std::shared_ptr<event_log> log);
+    /*! @brief Interval of looking whether the settings changed without a signal. */
+    static constexpr std::chrono::seconds settings_interval{5};
+
+    /*! @brief Reads the settings again. */
+    using settings_reader = std::function<absl::StatusOr<gateway_options>()>;
+
+    /*! @brief Creates it. @param options Settings. @param platform The platform's parts. @param log Log, or null.
+     *  @param reader Reads the settings again; may be empty. */
+    gateway_node(gateway_options options, platform_binding platform, std::shared_ptr<event_log> log,
+                 settings_reader reader = {});
 
     /*! @brief Serves until SIGTERM or SIGINT. @param started Called once it listens. @return An error if it can't. */
     [[nodiscard]] absl::Status run(const std::function<void()>& started);
@@ -90,6 +101,8 @@
     status_server status_;
     boost::asio::signal_set signals_;
     boost::asio::steady_timer stop_timer_;
+    boost::asio::steady_timer settings_timer_;
+    settings_reader reader_;
     bool registry_failed_{};
 };
 
--- a/src/dandelionbay/peer/peer_state.cpp
+++ b/src/dandelionbay/peer/peer_state.cpp
@@ -15,7 +15,7 @@
 using zone_row = std::tuple<std::string, std::uint64_t>;
 using load_row = std::tuple<std::string, double, std::uint32_t, double>;
 using use_row = std::tuple<std::uint32_t, std::uint64_t, std::uint32_t>; // The endpoint is a position in the names.
-using team_row = std::tuple<std::string, double>;
+using team_row = std::tuple<std::string, double, double>;
 using endpoint_row = std::tuple<std::string, std::string, std::string, address_row, std::uint32_t, bool, std::int64_t,
                                 std::uint64_t, std::uint64_t>;
 using clock_row = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
@@ -119,8 +119,8 @@
         out.loads.push_back(peer_load{endpoint_id{endpoint}, endpoint_work{unread, calls, memory}});
     }
     out.part_uses = uses_of(uses);
-    for (const auto& [team, cost] : teams) {
-        out.teams.push_back(team_service{team_id{team}, cost});
+    for (const auto& [team, cost, denied] : teams) {
+        out.teams.push_back(team_service{team_id{team}, cost, denied});
     }
     for (const auto& peer : peers) {
         out.peers.push_back(address_of(peer));
@@ -138,7 +138,7 @@
     }
     std::vector<team_row> teams;
     for (const auto& team : it.teams) {
-        teams.emplace_back(team.team.value, team.cost);
+        teams.emplace_back(team.team.value, team.cost, team.denied);
     }
     std::vector<address_row> peers;
     for (const auto& peer : it.peers) {
--- a/src/dandelionbay/proxy/caller_connection.cpp
+++ b/src/dandelionbay/proxy/caller_connection.cpp
@@ -135,7 +135,7 @@
     exchange_.reset();
     reusing_ = true;
     since_ = owner_->now();
-    if (!keep_) {
+    if (!keep_ || owner_->draining()) { // An answer that began before the stop did not announce the end.
         channel_->finish();
         owner_->close_caller(shared_from_this());
         return;
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -21,6 +21,8 @@
 constexpr duration short_idle = milliseconds{500};
 /*! When a call that no endpoint has run may come again. */
 constexpr duration usual_return = milliseconds{500};
+/*! When a call that this process can't finish may come again; it reaches another process. */
+constexpr duration short_return = milliseconds{50};
 /*! Time beyond the expected one after which a repeatable call counts as lost: about twice the usual target. */
 constexpr duration lost_stream = milliseconds{1'200};
 constexpr duration lost_call = milliseconds{700};
@@ -84,6 +86,10 @@
     }
     limit_ = arrived_ + std::min(terms_.time_left.value_or(default_time_left), route_->time_limit);
     service_ = owner_->pick_service(*route_);
+    if (!owner_->can_finish(*route_, service_, terms_.output_tokens)) {
+        refuse(503, result_code::stopping, short_return);
+        return false;
+    }
     last_event_ = terms_.resume_after;
     return true;
 }
@@ -223,6 +229,8 @@
         }
         if (!begun_) {
             begin_stream();
+        } else {
+            owner_->note_event_gap(owner_->now() - sent_at_);
         }
         sent_at_ = owner_->now();
         if (caller_ != nullptr) {
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -113,7 +113,7 @@
     bool begun_{};              //!< The caller has the head of the answer.
     std::optional<std::uint64_t> last_event_{};
     std::optional<time_point> first_event_at_{};
-    time_point sent_at_{};
+    time_point sent_at_{}; //!< When it was sent, or its newest event came.
     bool paused_{};
 };
 
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -14,6 +14,9 @@
 using boost::system::error_code;
 
 /*! Idle connections and forgotten endpoints are looked at this often; their limits are over a second. */
+/*! How much slower than lately a stream may become before the process ends. */
+constexpr double gap_margin = 1.5;
+constexpr double newest_gap_share = 0.02;
 constexpr duration housekeeping_interval = std::chrono::milliseconds{200};
 
 } // namespace
@@ -90,6 +93,24 @@
     }
 }
 
+bool proxy::can_finish(const route& it, const service_id& service, std::uint32_t output_tokens) const {
+    if (!draining_) {
+        return true;
+    }
+    const auto* const known = environment_.view->config()->find_service(service);
+    double expected_ms = std::chrono::duration<double, std::milli>{it.target_latency}.count();
+    if (known != nullptr && known->engine) {
+        expected_ms += event_gap_ms_ * gap_margin * output_tokens / known->engine->tokens_per_event;
+    }
+    return now() + std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{expected_ms}) <
+           ends_at_;
+}
+
+void proxy::note_event_gap(duration gap) noexcept {
+    const double ms = std::chrono::duration<double, std::milli>{gap}.count();
+    event_gap_ms_ += newest_gap_share * (ms - event_gap_ms_);
+}
+
 std::size_t proxy::close_idle() {
     std::erase_if(callers_, [](const auto& it) { return it->close_idle(); });
     return callers_.size();
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -67,8 +67,18 @@
     /*! @brief Listens. @return Unavailable if the address can't be bound. */
     [[nodiscard]] absl::Status start();
 
-    /*! @brief Announces the end of connections to callers; those that come still are served. */
-    void drain() noexcept { draining_ = true; }
+    /*! @brief Announces the end of connections to callers; calls that come still are served if they can end before.
+     *  @param until When the process ends. */
+    void drain(time_point until) noexcept {
+        draining_ = true;
+        ends_at_ = until;
+    }
+
+    /*! @brief Tells whether a call that starts now is likely to be over before the process ends. */
+    [[nodiscard]] bool can_finish(const route& it, const service_id& service, std::uint32_t output_tokens) const;
+
+    /*! @brief Two events of a stream came one after the other. */
+    void note_event_gap(duration gap) noexcept;
 
     /*! @brief Closes connections on which nothing happens. @return Connections that are still busy. */
     std::size_t close_idle();
@@ -134,6 +144,8 @@
     ticket_id last_ticket_{};
     std::uint64_t buffered_{};
     time_point expired_{};
+    double event_gap_ms_{50.0}; //!< Moving average; an engine's step takes 5 ms and more, and an event some steps.
+    time_point ends_at_{};
     bool draining_{};
     bool stopped_{};
 };
--- a/src/dandelionbay/settings/process_settings.cpp
+++ b/src/dandelionbay/settings/process_settings.cpp
@@ -23,6 +23,8 @@
 constexpr std::int64_t max_limit_ms = 3'600'000;
 /*! Each caller connection holds one thread; more threads than this would not fit the 128 MB of a node. */
 constexpr std::int64_t max_caller_threads = 4'096;
+constexpr double max_policy_ms = 60'000.0;
+constexpr double max_policy_factor = 100.0;
 constexpr double max_retry_slack = 1'000'000.0;
 constexpr std::int64_t max_standin_slots = 100'000;
 constexpr std::int64_t max_standin_tokens = 1'000'000;
@@ -189,6 +191,23 @@
         limits.number("retry_slack", presence::optional, out.retry.slack, 0.0, max_retry_slack);
     }
 
+    /*! Policy of the dispatcher; the defaults fit engines that read 40 to 50 tokens in a ms. */
+    void read_dispatch(object_reader& root, dispatch_limits& out) {
+        const auto* const value = root.child("dispatch", presence::optional);
+        if (value == nullptr) {
+            return;
+        }
+        object_reader reader{*value, root.path_of("dispatch"), faults_};
+        reader.number("reading_ahead_ms", presence::optional, out.reading_ahead_ms, 1.0, max_policy_ms);
+        reader.number("yield_share", presence::optional, out.yield_share, 0.0, 1.0);
+        reader.number("yield_margin", presence::optional, out.yield_margin, 1.0, max_policy_factor);
+        reader.number("memory_share", presence::optional, out.memory_share, 0.0, 1.0);
+        reader.number("reading_weight", presence::optional, out.reading_weight, 0.0, max_policy_factor);
+        reader.number("zone_cost_ms", presence::optional, out.zone_cost_ms, 0.0, max_policy_ms);
+        reader.number("region_cost_ms", presence::optional, out.region_cost_ms, 0.0, max_policy_ms);
+        reader.finish();
+    }
+
     void read_gateway(object_reader& root, gateway_options& out) {
         root.name("host", presence::required, out.place.host.value);
         root.name("zone", presence::required, out.place.zone.value);
@@ -209,6 +228,7 @@
             out.first_peers.push_back(*address);
         });
         read_limits(root, [&](object_reader& limits) { read_gateway_limits(limits, out); });
+        read_dispatch(root, out.dispatch);
     }
 
     void read_platform(object_reader& root, standin_platform_options& out) {
