Let the least served team go first at endpoints that all routers share

Each router ordered only its own queue, and predicted its queue's wait as if all routers had queues as long.

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "dandelionbay/dispatch/dispatcher.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -91,14 +92,28 @@
     return load.pacer().allows(share, now);
 }
 
-double dispatcher::reading_ahead_ms(const work_item& item, time_point now) {
-    const auto floor = usage_.least_denied(now);
-    const bool yields = usage_.used(item.team, now) > floor * limits_.yield_margin + cost_of(item);
-    return limits_.reading_ahead_ms * (yields ? limits_.yield_share : 1.0);
+dispatcher::standing dispatcher::standing_of(const work_item& item, time_point now) {
+    const double least = usage_.least_denied(now) * limits_.yield_margin + cost_of(item);
+    if (usage_.used(item.team, now) > least) {
+        return standing::above;
+    }
+    return std::isfinite(least) ? standing::least : standing::usual;
+}
+
+double dispatcher::reading_ahead_ms(standing team) const noexcept {
+    switch (team) {
+    case standing::least:
+        return limits_.reading_ahead_ms * limits_.least_share;
+    case standing::above:
+        return limits_.reading_ahead_ms * limits_.yield_share;
+    case standing::usual:
+        break;
+    }
+    return limits_.reading_ahead_ms;
 }
 
 dispatcher::candidate dispatcher::weigh(const work_item& item, const registry_view::known_endpoint& it,
-                                        double ahead_ms, time_point now) {
+                                        standing team, time_point now) {
     auto& load = loads_[it.entry.id];
     const auto* const service = view_->config()->find_service(it.entry.service);
     candidate out{&it, &load};
@@ -108,7 +123,9 @@
         const double kept = load.parts().kept_tokens(item.parts);
         out.unread_tokens = std::max(0.0, item.prompt_tokens - kept);
         out.wait_ms = load.backlog_ms(now);
-        out.score = out.wait_ms + limits_.reading_weight * load.reading_ms(out.unread_tokens);
+        const double weight = team == standing::least ? limits_.least_reading_weight : limits_.reading_weight;
+        out.score = out.wait_ms + weight * load.reading_ms(out.unread_tokens);
+        const double ahead_ms = reading_ahead_ms(team);
         const auto memory = static_cast<double>(service->engine->memory_tokens) * limits_.memory_share;
         const bool fits = load.memory_tokens(now) <= 0.0 ||
                           load.memory_tokens(now) + item.prompt_tokens + item.output_tokens <= memory;
@@ -131,11 +148,12 @@
     return out;
 }
 
-dispatcher::candidate dispatcher::best(const work_item& item, time_point now) {
-    candidate out;
-    out.score = std::numeric_limits<double>::max();
-    candidate fallback = out;
-    const auto ahead_ms = reading_ahead_ms(item, now);
+dispatcher::choices dispatcher::consider(const work_item& item, time_point now) {
+    choices out;
+    out.team = standing_of(item, now);
+    out.best.score = std::numeric_limits<double>::max();
+    out.best_ready = out.best;
+    candidate fallback = out.best;
     for (const auto& [id, it] : view_->endpoints()) {
         if (it.entry.service != item.service || !view_->takes_work(it) || !in_regions(item, it.entry.zone) ||
             item.excluded.contains(id)) {
@@ -145,7 +163,7 @@
         if (load.ejected(now) || load.stalled(now)) {
             continue;
         }
-        const auto next = weigh(item, it, ahead_ms, now);
+        const auto next = weigh(item, it, out.team, now);
         // A cold endpoint whose pace is used up is no reason to wait: the others are.
         if (next.cold && !next.ready) {
             if (next.score < fallback.score) {
@@ -153,11 +171,17 @@
             }
             continue;
         }
-        if (next.score < out.score) {
-            out = next;
+        if (next.score < out.best.score) {
+            out.best = next;
         }
+        if (next.ready && next.score < out.best_ready.score) {
+            out.best_ready = next;
+        }
+    }
+    if (out.best.known == nullptr) {
+        out.best = fallback;
     }
-    return out.known != nullptr ? out : fallback;
+    return out;
 }
 
 void dispatcher::place(const work_item& item, const candidate& to, time_point now) {
@@ -189,11 +213,46 @@
     return sum;
 }
 
+double dispatcher::peers_queued_ms(const service_id& service, time_point now) const {
+    double sum = 0.0;
+    for (const auto& [peer, it] : peer_queues_) {
+        if (now - it.at >= endpoint_load::peer_report_kept) {
+            continue;
+        }
+        for (const auto& queue : it.queues) {
+            sum += queue.service == service ? queue.reading_ms : 0.0;
+        }
+    }
+    return sum;
+}
+
+double dispatcher::endpoint_share(const service_id& service, standing team, time_point now) const {
+    const auto endpoints = static_cast<double>(std::max<std::size_t>(1, endpoints_of(service)));
+    if (team == standing::least) {
+        return endpoints; // The calls at other routers give way.
+    }
+    const double own = std::max(limits_.least_wait_ms, queued_ms(service));
+    return endpoints * own / (own + peers_queued_ms(service, now));
+}
+
+std::vector<service_queue> dispatcher::queues() const {
+    std::map<service_id, double> sums;
+    for (const auto& [ticket, it] : waiting_) {
+        sums[it.item.service] += it.best_reading_ms;
+    }
+    std::vector<service_queue> out;
+    for (const auto& [service, ms] : sums) {
+        out.push_back(service_queue{service, ms});
+    }
+    return out;
+}
+
+void dispatcher::report_queues(const host_id& peer, std::vector<service_queue> queues, time_point now) {
+    peer_queues_[peer] = peer_queues{std::move(queues), now};
+}
+
 void dispatcher::refuse(const waiting_call& call, result_code code, time_point now) {
-    const auto endpoints = static_cast<double>(std::max<std::size_t>(1, endpoints_of(call.item.service)));
-    // Other routers' queues are as long as this one's, and they serve the same endpoints.
-    const double drain_ms =
-        queued_ms(call.item.service) * static_cast<double>(std::max<std::size_t>(1, routers_.size())) / endpoints;
+    const double drain_ms = queued_ms(call.item.service) / endpoint_share(call.item.service, standing::usual, now);
     const auto base = std::clamp(from_ms(limits_.reading_ahead_ms + drain_ms), shortest_return, longest_return);
     std::uniform_real_distribution<double> spread{0.8, 1.3};
     const auto after = std::chrono::duration_cast<duration>(base * spread(random_));
@@ -207,7 +266,7 @@
         refuse(waiting_call{std::move(item), now, 0.0}, result_code::router_queue_full, now);
         return;
     }
-    const auto first = best(item, now);
+    const auto first = consider(item, now).best;
     if (first.known != nullptr && first.ready && waiting_.empty()) {
         place(item, first, now);
         return;
@@ -217,7 +276,7 @@
         to_ms(item.target) - reading - endpoint_load::fixed_first_ms - limits_.reading_ahead_ms;
     const auto hold = std::max(limits_.least_hold, from_ms(slack));
     const auto give_up = std::max(item.arrived + hold, now + limits_.least_hold / 2);
-    waiting_.emplace(ticket, waiting_call{std::move(item), give_up, std::max(5.0, reading)});
+    waiting_.emplace(ticket, waiting_call{std::move(item), give_up, std::max(limits_.least_wait_ms, reading)});
     pump(now);
 }
 
@@ -273,10 +332,8 @@
     std::vector<ticket_id> late;
     for (const auto ticket : order(now)) {
         const auto& it = waiting_.at(ticket);
-        const auto endpoints = static_cast<double>(std::max<std::size_t>(1, endpoints_of(it.item.service)));
         auto& ahead = ahead_ms[it.item.service];
-        const double share = static_cast<double>(routers_.size()) / endpoints;
-        if (now + from_ms(ahead * share) > it.give_up) {
+        if (now + from_ms(ahead / endpoint_share(it.item.service, standing_of(it.item, now), now)) > it.give_up) {
             late.push_back(ticket);
             continue;
         }
@@ -311,14 +368,17 @@
         if (it == waiting_.end()) {
             continue; // Withdrawn by a decision before it.
         }
-        const auto choice = best(it->second.item, now);
+        const auto found = consider(it->second.item, now);
+        const bool late = now >= it->second.give_up;
+        // Waiting for the endpoint that keeps the prompt's start ends with the wait; the least served go elsewhere then.
+        const auto& choice = late && found.team != standing::above ? found.best_ready : found.best;
         if (choice.known != nullptr && choice.ready) {
             const auto call = waiting_.extract(it);
             place(call.mapped().item, choice, now);
-        } else if (now >= it->second.give_up) {
+        } else if (late) {
             const auto call = waiting_.extract(it);
-            refuse(call.mapped(), choice.known == nullptr ? result_code::no_endpoint_in_service
-                                                          : result_code::queue_timeout, now);
+            refuse(call.mapped(), found.best.known == nullptr ? result_code::no_endpoint_in_service
+                                                              : result_code::queue_timeout, now);
         }
     }
     if (!waiting_.empty()) {
@@ -330,6 +390,7 @@
     std::erase_if(loads_, [&](const auto& item) {
         return !view_->endpoints().contains(item.first) && item.second.own(now).calls == 0;
     });
+    std::erase_if(peer_queues_, [&](const auto& it) { return now - it.second.at >= endpoint_load::peer_report_kept; });
     if (view_->config() == nullptr) {
         return;
     }
--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -52,6 +52,14 @@
     friend bool operator==(const part_use&, const part_use&) = default;
 };
 
+/*! @brief Work that waits for a service at one router. */
+struct service_queue {
+    service_id service{};
+    double reading_ms{};
+
+    friend bool operator==(const service_queue&, const service_queue&) = default;
+};
+
 /*! @brief Why a call was not placed, and when it may be. */
 struct refusal {
     result_code code{result_code::no_endpoint_in_service};
@@ -78,13 +86,16 @@
 /*! @brief Limits of the dispatcher. */
 struct dispatch_limits {
     double reading_ahead_ms{140.0}; //!< Reading queued at an engine beyond which work waits here, where it is ordered.
-    double yield_share{0.4};        //!< Part of that for a team which got more than one that is refused work.
+    double least_share{1.5};        //!< Multiple of that for the least served team that is refused work.
+    double yield_share{0.2};        //!< Part of that for a team which got more than one that is refused work.
     double yield_margin{1.2};       //!< How much more it must have got: reports of peers are a little old.
     double memory_share{0.85};      //!< Share of an engine's memory that calls in flight may come to occupy.
-    double reading_weight{1.4};     //!< Reading costs the calls behind it too.
+    double reading_weight{5.0};     //!< Reading costs the calls behind it too, and evicts what others share.
+    double least_reading_weight{5.0}; //!< The same for the least served team, which need not wait for kept parts.
     double zone_cost_ms{12.0};      //!< Aversion to another zone of the region: its round trip and its traffic.
     double region_cost_ms{160.0};   //!< Aversion to another region: its round trip and the narrow, dear link.
     duration least_hold{std::chrono::milliseconds{70}}; //!< A call may wait this long in any case.
+    double least_wait_ms{5.0};      //!< A waiting call counts at least as this much reading.
     std::size_t most_queued{2'000}; //!< Bound of memory and of the time that one round of decisions takes.
 
     friend bool operator==(const dispatch_limits&, const dispatch_limits&) = default;
@@ -122,14 +133,27 @@
         bool ready{};
         bool cold{};
     };
+    /*! A team's service among those of the teams that are refused work. */
+    enum class standing : std::uint8_t { usual, above, least };
+    struct choices {
+        candidate best{};       //!< The one to wait for, if it is not ready.
+        candidate best_ready{}; //!< The best of those that can take the call now.
+        standing team{};
+    };
+
+    struct peer_queues {
+        std::vector<service_queue> queues{};
+        time_point at{};
+    };
 
     [[nodiscard]] bool in_regions(const work_item& item, const zone_id& zone) const;
     [[nodiscard]] double distance_ms(const zone_id& zone) const;
     [[nodiscard]] bool pace_allows(const registry_view::known_endpoint& it, endpoint_load& load, time_point now) const;
-    [[nodiscard]] double reading_ahead_ms(const work_item& item, time_point now);
-    [[nodiscard]] candidate weigh(const work_item& item, const registry_view::known_endpoint& it, double ahead_ms,
+    [[nodiscard]] standing standing_of(const work_item& item, time_point now);
+    [[nodiscard]] double reading_ahead_ms(standing team) const noexcept;
+    [[nodiscard]] candidate weigh(const work_item& item, const registry_view::known_endpoint& it, standing team,
                                   time_point now);
-    [[nodiscard]] candidate best(const work_item& item, time_point now);
+    [[nodiscard]] choices consider(const work_item& item, time_point now);
     void place(const work_item& item, const candidate& to, time_point now);
     void refuse(const waiting_call& call, result_code code, time_point now);
     [[nodiscard]] std::vector<ticket_id> order(time_point now);
@@ -137,6 +161,8 @@
     void shed_overload(time_point now);
     [[nodiscard]] std::size_t endpoints_of(const service_id& service) const;
     [[nodiscard]] double queued_ms(const service_id& service) const;
+    [[nodiscard]] double peers_queued_ms(const service_id& service, time_point now) const;
+    [[nodiscard]] double endpoint_share(const service_id& service, standing team, time_point now) const;
 
 public:
     /**
@@ -192,6 +218,12 @@
     /*! @brief Takes the uses of shared parts since the last call of this, for the peers. */
     [[nodiscard]] std::vector<part_use> take_part_uses() { return std::exchange(part_uses_, {}); }
 
+    /*! @brief Reading of the waiting calls of each service, for the peers. */
+    [[nodiscard]] std::vector<service_queue> queues() const;
+
+    /*! @brief Replaces what a peer reported of its waiting calls. @param peer Its name. @param now Time. */
+    void report_queues(const host_id& peer, std::vector<service_queue> queues, time_point now);
+
     /*! @brief Number of waiting calls. */
     [[nodiscard]] std::size_t waiting() const noexcept { return waiting_.size(); }
 
@@ -207,6 +239,7 @@
     std::unordered_map<ticket_id, endpoint_id> placed_{};
     team_usage usage_{};
     std::vector<part_use> part_uses_{};
+    std::map<host_id, peer_queues> peer_queues_{};
     bool deciding_{};
     bool decide_again_{};
 };
--- a/src/dandelionbay/dispatch/fwd.hpp
+++ b/src/dandelionbay/dispatch/fwd.hpp
@@ -11,6 +11,7 @@
 class team_usage;
 struct endpoint_choice;
 struct part_use;
+struct service_queue;
 struct work_item;
 
 } // namespace dandelionbay
--- a/src/dandelionbay/peer/peer_board.cpp
+++ b/src/dandelionbay/peer/peer_board.cpp
@@ -39,6 +39,7 @@
         }
     }
     out.teams = dispatch_->usage().own(now);
+    out.queues = dispatch_->queues();
     for (const auto& [host, it] : peers_) {
         if (now - it.heard < silent_after) { // Others would never be forgotten.
             out.peers.push_back(it.address);
@@ -107,6 +108,7 @@
         }
     }
     dispatch_->usage().report(in.host, in.teams, now);
+    dispatch_->report_queues(in.host, in.queues, now);
 }
 
 peer_change peer_board::receive(const peer_state& in, time_point now) {
--- a/src/dandelionbay/peer/peer_state.cpp
+++ b/src/dandelionbay/peer/peer_state.cpp
@@ -15,6 +15,7 @@
 using zone_row = std::tuple<std::string, std::uint64_t>;
 using load_row = std::tuple<std::string, double, std::uint32_t, double>;
 using use_row = std::tuple<std::uint32_t, std::uint64_t, std::uint32_t>; // The endpoint is a position in the names.
+using queue_row = std::tuple<std::string, double>;
 using team_row = std::tuple<std::string, double, double>;
 using endpoint_row = std::tuple<std::string, std::string, std::string, address_row, std::uint32_t, bool, std::int64_t,
                                 std::uint64_t, std::uint64_t>;
@@ -24,7 +25,8 @@
 using uses_row = std::tuple<std::vector<std::string>, std::vector<use_row>>;
 using message_row =
     std::tuple<std::uint32_t, std::string, std::uint64_t, address_row, bool, clock_row, operators_row, list_row,
-               std::vector<load_row>, uses_row, std::vector<team_row>, std::vector<address_row>, std::string>;
+               std::vector<load_row>, uses_row, std::vector<team_row>, std::vector<queue_row>, std::vector<address_row>,
+               std::string>;
 
 /*! Version of this format; routers of one fleet may be replaced one after the other. */
 constexpr std::uint32_t format_version = 1;
@@ -92,8 +94,7 @@
 }
 
 [[nodiscard]] peer_state state_of(const message_row& row) {
-    const auto& [version, host, incarnation, address, leaving, clocks, operators, list, loads, uses, teams, peers, text] =
-        row;
+    const auto& [version, host, incarnation, address, leaving, clocks, operators, list, loads, uses, teams, queues, peers, text] = row;
     peer_state out;
     out.host = host_id{host};
     out.incarnation = incarnation;
@@ -122,6 +123,9 @@
     for (const auto& [team, cost, denied] : teams) {
         out.teams.push_back(team_service{team_id{team}, cost, denied});
     }
+    for (const auto& [service, ms] : queues) {
+        out.queues.push_back(service_queue{service_id{service}, ms});
+    }
     for (const auto& peer : peers) {
         out.peers.push_back(address_of(peer));
     }
@@ -140,6 +144,10 @@
     for (const auto& team : it.teams) {
         teams.emplace_back(team.team.value, team.cost, team.denied);
     }
+    std::vector<queue_row> queues;
+    for (const auto& queue : it.queues) {
+        queues.emplace_back(queue.service.value, queue.reading_ms);
+    }
     std::vector<address_row> peers;
     for (const auto& peer : it.peers) {
         peers.push_back(row_of(peer));
@@ -155,6 +163,7 @@
                           loads,
                           row_of(it.part_uses),
                           teams,
+                          queues,
                           peers,
                           it.config_text};
     msgpack::sbuffer buf;
--- a/src/dandelionbay/peer/peer_state.hpp
+++ b/src/dandelionbay/peer/peer_state.hpp
@@ -38,6 +38,7 @@
     std::vector<peer_load> loads{};
     std::vector<part_use> part_uses{};
     std::vector<team_service> teams{};
+    std::vector<service_queue> queues{};
     std::vector<socket_address> peers{};  //!< Other routers that the sender knows.
     std::string config_text{};         //!< The configuration, if the receiver's is older; else empty.
     std::optional<endpoint_list> list{}; //!< The endpoints, if the receiver's list is older.
