Rate endpoints once for each round of decisions

Ruled out: a held connection (the requests were read late, as call_placed with waited_ms 0 shows).

Change: placement works out once for each round what all calls share; rounds come every 8 ms while calls wait instead of at every event; sums over teams are kept for 20 ms; a request whose caller has closed is not sent on.

--- a/src/dandelionbay/dispatch/fwd.hpp
+++ b/src/dandelionbay/dispatch/fwd.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 namespace dandelionbay {
 
 class cold_pacer;
@@ -7,11 +9,17 @@
 class dispatch_listener;
 class endpoint_load;
 class kept_parts;
+class placement;
 class retry_window;
 class team_usage;
+enum class standing : std::uint8_t;
+struct dispatch_limits;
 struct endpoint_choice;
 struct part_use;
+struct refusal;
+struct router_place;
 struct service_queue;
+struct team_service;
 struct work_item;
 
 } // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/dispatch/placement.cpp
@@ -0,0 +1,180 @@
+#include "dandelionbay/dispatch/placement.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <string>
+
+#include <xxhash.h>
+
+namespace dandelionbay {
+
+namespace {
+
+/*! Generated tokens count twice in the cost of a call: they take a step each. */
+constexpr double output_weight = 2.0;
+/*! Cost units of a call of a plain service. */
+constexpr double plain_cost = 500.0;
+/*! Spread of equal scores over the endpoints, so that new subjects do not all begin at the same one. */
+constexpr double spread_ms = 8.0;
+constexpr std::uint64_t spread_steps = 1'024;
+/*! Time a plain service takes for a call, assumed for the calls ahead of one. */
+constexpr double plain_call_ms = 80.0;
+/*! An endpoint that failed before is chosen only if the others are this much worse. */
+constexpr double trial_cost_ms = 250.0;
+
+/*! The part that calls about the same subject share: the last but one. */
+[[nodiscard]] std::uint64_t subject_of(const work_item& item) noexcept {
+    if (item.parts.empty()) {
+        return item.ticket;
+    }
+    return item.parts.size() >= 2 ? item.parts[item.parts.size() - 2].id : item.parts.front().id;
+}
+
+[[nodiscard]] std::uint64_t hash_of(const std::string& name, std::uint64_t seed) noexcept {
+    return XXH3_64bits_withSeed(name.data(), name.size(), seed);
+}
+
+[[nodiscard]] bool contains(const std::vector<region_id>& list, const region_id& region) {
+    return list.empty() || std::ranges::find(list, region) != list.end();
+}
+
+} // namespace
+
+double work_item::cost() const noexcept {
+    return parts.empty() && prompt_tokens <= 0.0 ? plain_cost : prompt_tokens + output_weight * output_tokens;
+}
+
+placement::placement(const registry_view& view, const router_place& place, const dispatch_limits& limits,
+                     const std::set<host_id>& routers, std::map<endpoint_id, endpoint_load>& loads, time_point now)
+    : view_{&view}, place_{&place}, limits_{&limits}, routers_{&routers}, now_{now} {
+    for (const auto& [id, it] : view.endpoints()) {
+        if (!view.takes_work(it)) {
+            continue;
+        }
+        site added;
+        added.known = &it;
+        added.load = &loads[id];
+        rate(added);
+        sites_[it.entry.service].push_back(added);
+    }
+}
+
+bool placement::in_regions(const work_item& item, const zone_id& zone) const {
+    if (item.route_regions.empty() && item.team_regions.empty()) {
+        return true;
+    }
+    const auto it = place_->zones.find(zone);
+    return it != place_->zones.end() && contains(item.route_regions, it->second) &&
+           contains(item.team_regions, it->second);
+}
+
+double placement::distance_ms(const zone_id& zone) const {
+    if (zone == place_->zone) {
+        return 0.0;
+    }
+    const auto it = place_->zones.find(zone);
+    return it != place_->zones.end() && it->second == place_->region ? limits_->zone_cost_ms : limits_->region_cost_ms;
+}
+
+bool placement::pace_allows(const site& it, double calls_per_s) const {
+    const auto& id = it.known->entry.id.value;
+    const auto mine = hash_of(place_->host.value, hash_of(id, 0));
+    const auto rank = std::ranges::count_if(
+        *routers_, [&](const host_id& other) { return hash_of(other.value, hash_of(id, 0)) < mine; });
+    const auto share = cold_pacer::share(calls_per_s, routers_->size(), static_cast<std::size_t>(rank));
+    return it.load->pacer().allows(share, now_);
+}
+
+void placement::rate(site& it) const {
+    const auto& entry = it.known->entry;
+    const auto* const service = view_->config()->find_service(entry.service);
+    it.engine = service != nullptr && service->engine.has_value();
+    it.calls = it.load->calls(now_);
+    it.slots = std::max<std::uint32_t>(1, entry.slots);
+    it.cold = view_->cold(*it.known, now_);
+    it.open = !it.load->ejected(now_) && !it.load->stalled(now_);
+    if (it.engine) {
+        it.wait_ms = it.load->backlog_ms(now_);
+        it.base_ms = it.wait_ms;
+        it.memory_left = static_cast<double>(service->engine->memory_tokens) * limits_->memory_share -
+                         it.load->memory_tokens(now_);
+        it.open = it.open && it.calls < it.slots;
+    } else {
+        it.wait_ms = it.calls < it.slots ? 0.0 : plain_call_ms * (it.calls - it.slots + 1) / it.slots;
+        it.base_ms = it.wait_ms + plain_call_ms * it.calls / it.slots;
+        it.open = it.open && it.calls < it.slots + it.slots / 2;
+    }
+    it.base_ms += distance_ms(entry.zone) + it.load->penalty_ms();
+    if (it.load->on_trial()) {
+        it.base_ms += trial_cost_ms;
+        it.open = it.open && it.load->own(now_).calls == 0;
+    }
+    if (it.cold && it.open && service != nullptr && service->cold_calls_per_s > 0.0) {
+        it.open = pace_allows(it, service->cold_calls_per_s);
+    }
+}
+
+double placement::reading_ahead_ms(standing team) const noexcept {
+    switch (team) {
+    case standing::least:
+        return limits_->reading_ahead_ms * limits_->least_share;
+    case standing::above:
+        return limits_->reading_ahead_ms * limits_->yield_share;
+    case standing::usual:
+        break;
+    }
+    return limits_->reading_ahead_ms;
+}
+
+placement::candidate placement::rate(const work_item& item, site& it, standing team) const {
+    candidate out{&it};
+    out.score = it.base_ms;
+    out.ready = it.open;
+    if (it.engine) {
+        out.unread_tokens = std::max(0.0, item.prompt_tokens - it.load->parts().kept_tokens(item.parts));
+        out.score += limits_->reading_weight * it.load->reading_ms(out.unread_tokens);
+        const bool fits = it.calls == 0 || item.prompt_tokens + item.output_tokens <= it.memory_left;
+        out.ready = out.ready && fits && it.wait_ms <= reading_ahead_ms(team);
+    }
+    const auto spread = hash_of(it.known->entry.id.value, subject_of(item)) % spread_steps;
+    out.score += spread_ms * static_cast<double>(spread) / static_cast<double>(spread_steps);
+    return out;
+}
+
+placement::choices placement::consider(const work_item& item, standing team) {
+    choices out;
+    out.best.score = std::numeric_limits<double>::max();
+    out.best_ready.score = std::numeric_limits<double>::max();
+    candidate fallback = out.best;
+    const auto sites = sites_.find(item.service);
+    if (sites == sites_.end()) {
+        return out;
+    }
+    for (auto& it : sites->second) {
+        const auto& entry = it.known->entry;
+        if (!in_regions(item, entry.zone) || item.excluded.contains(entry.id) || it.load->ejected(now_)) {
+            continue;
+        }
+        const auto next = rate(item, it, team);
+        // An endpoint that is cold beyond its pace, or that stalls, is no reason to wait: the others are.
+        const bool worth_waiting = it.open || (!it.cold && !it.load->stalled(now_));
+        auto& slot = worth_waiting ? out.best : fallback;
+        if (next.score < slot.score) {
+            slot = next;
+        }
+        if (next.ready && next.score < out.best_ready.score) {
+            out.best_ready = next;
+        }
+    }
+    if (out.best.at == nullptr) {
+        out.best = fallback;
+    }
+    return out;
+}
+
+std::size_t placement::count(const service_id& service) const {
+    const auto it = sites_.find(service);
+    return it == sites_.end() ? 0 : it->second.size();
+}
+
+} // namespace dandelionbay
--- a/src/dandelionbay/dispatch/team_usage.cpp
+++ b/src/dandelionbay/dispatch/team_usage.cpp
@@ -25,6 +25,7 @@
     auto& it = own_[team];
     it.used += amount.used;
     it.denied += amount.denied;
+    totals_[team].used += amount.used;
 }
 
 void team_usage::add(const team_id& team, double cost, time_point now) {
@@ -44,40 +45,38 @@
     }
 }
 
-std::map<team_id, team_usage::account> team_usage::totals() const {
-    auto out = own_;
+void team_usage::sum_up(time_point now) {
+    if (fresh_ && now - summed_ < sum_interval) {
+        return;
+    }
+    expire(now);
+    fresh_ = true;
+    summed_ = now;
+    totals_ = own_;
     for (const auto& [peer, it] : peers_) {
         for (const auto& [team, part] : it.teams) {
-            auto& sum = out[team];
+            auto& sum = totals_[team];
             sum.used += part.used;
             sum.denied += part.denied;
         }
     }
-    return out;
+    least_denied_ = std::numeric_limits<double>::infinity();
+    for (const auto& [team, it] : totals_) {
+        if (it.denied > denied_share * it.used) {
+            least_denied_ = std::min(least_denied_, it.used);
+        }
+    }
 }
 
 double team_usage::used(const team_id& team, time_point now) {
-    expire(now);
-    const auto part = [&](const std::map<team_id, account>& teams) {
-        const auto it = teams.find(team);
-        return it == teams.end() ? 0.0 : it->second.used;
-    };
-    double sum = part(own_);
-    for (const auto& [peer, it] : peers_) {
-        sum += part(it.teams);
-    }
-    return sum;
+    sum_up(now);
+    const auto it = totals_.find(team);
+    return it == totals_.end() ? 0.0 : it->second.used;
 }
 
 double team_usage::least_denied(time_point now) {
-    expire(now);
-    double out = std::numeric_limits<double>::infinity();
-    for (const auto& [team, it] : totals()) {
-        if (it.denied > denied_share * it.used) {
-            out = std::min(out, it.used);
-        }
-    }
-    return out;
+    sum_up(now);
+    return least_denied_;
 }
 
 std::vector<team_service> team_usage::own(time_point now) {
--- a/src/dandelionbay/dispatch/team_usage.hpp
+++ b/src/dandelionbay/dispatch/team_usage.hpp
@@ -39,12 +39,14 @@
 
     void expire(time_point now);
     void charge_team(const team_id& team, const account& amount, time_point now);
-    [[nodiscard]] std::map<team_id, account> totals() const;
+    void sum_up(time_point now);
 
 public:
     /*! @brief Length of the window. */
     static constexpr duration window = std::chrono::seconds{4}; // The time over which shares are to be even.
 
+    /*! @brief Sums over all routers are worked out this often; peers report less often. */
+    static constexpr duration sum_interval = std::chrono::milliseconds{20};
     /*! @brief A team counts as refused if that is more than this share of what it got. */
     static constexpr double denied_share = 0.05;
 
@@ -79,6 +81,10 @@
     std::deque<charge> charges_{};
     std::map<team_id, account> own_{};
     std::map<host_id, peer_report> peers_{};
+    std::map<team_id, account> totals_{}; //!< As of the last sum, and what this router added since.
+    double least_denied_{};
+    time_point summed_{};
+    bool fresh_{};
 };
 
 } // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/dispatch/work.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "dandelionbay/base/clock.hpp"
+#include "dandelionbay/base/ids.hpp"
+#include "dandelionbay/base/result_code.hpp"
+#include "dandelionbay/base/socket_address.hpp"
+#include "dandelionbay/dispatch/endpoint_load.hpp"
+#include "dandelionbay/dispatch/fwd.hpp"
+#include "dandelionbay/gateway/call_terms.hpp"
+
+namespace dandelionbay {
+
+/*! @brief A call that wants an endpoint. */
+struct work_item {
+    ticket_id ticket{};
+    team_id team{};
+    service_id service{};
+    std::vector<prompt_part> parts{}; //!< Empty for calls of plain services.
+    double prompt_tokens{};
+    double output_tokens{};
+    duration target{};               //!< Time to the answer's start that serves the caller well.
+    time_point arrived{};
+    bool repeatable{};
+    std::vector<region_id> route_regions{}; //!< Regions that may serve it; empty for all. Both lists bind.
+    std::vector<region_id> team_regions{};
+    std::set<endpoint_id> excluded{}; //!< Endpoints that failed it already.
+
+    /*! @brief Cost for the shares of teams: prompt tokens plus twice the generated ones. */
+    [[nodiscard]] double cost() const noexcept;
+};
+
+/*! @brief Where a call goes. */
+struct endpoint_choice {
+    endpoint_id endpoint{};
+    socket_address address{};
+    double unread_tokens{};
+    double backlog_ms{};
+    bool cold{};
+};
+
+/*! @brief A shared part of a prompt was sent to an endpoint, which keeps it now. */
+struct part_use {
+    endpoint_id endpoint{};
+    prompt_part part{};
+
+    friend bool operator==(const part_use&, const part_use&) = default;
+};
+
+/*! @brief Work that waits for a service at one router. */
+struct service_queue {
+    service_id service{};
+    double reading_ms{};
+
+    friend bool operator==(const service_queue&, const service_queue&) = default;
+};
+
+/*! @brief Why a call was not placed, and when it may be. */
+struct refusal {
+    result_code code{result_code::no_endpoint_in_service};
+    duration retry_after{};
+};
+
+/*! @brief A team's service among those of the teams that are refused work. */
+enum class standing : std::uint8_t { usual, above, least };
+
+/*! @brief Limits of the dispatcher. */
+struct dispatch_limits {
+    double reading_ahead_ms{140.0}; //!< Reading queued at an engine beyond which work waits here, where it is ordered.
+    double least_share{1.5};        //!< Multiple of that for the least served team that is refused work.
+    double yield_share{0.2};        //!< Part of that for a team which got more than one that is refused work.
+    double yield_margin{1.2};       //!< How much more it must have got: reports of peers are a little old.
+    double memory_share{0.85};      //!< Share of an engine's memory that calls in flight may come to occupy.
+    double reading_weight{5.0};     //!< Reading costs the calls behind it too, and evicts what others share.
+    double zone_cost_ms{12.0};      //!< Aversion to another zone of the region: its round trip and its traffic.
+    double region_cost_ms{160.0};   //!< Aversion to another region: its round trip and the narrow, dear link.
+    duration least_hold{std::chrono::milliseconds{70}}; //!< A call may wait this long in any case.
+    double least_wait_ms{5.0};      //!< A waiting call counts at least as this much reading.
+    std::size_t most_queued{2'000}; //!< Bound of memory and of the time that one round of decisions takes.
+
+    friend bool operator==(const dispatch_limits&, const dispatch_limits&) = default;
+};
+
+/*! @brief Where a router stands. */
+struct router_place {
+    host_id host{};
+    zone_id zone{};
+    region_id region{};
+    std::map<zone_id, region_id> zones{};
+
+    friend bool operator==(const router_place&, const router_place&) = default;
+};
+
+} // namespace dandelionbay
--- a/src/dandelionbay/proxy/channel.cpp
+++ b/src/dandelionbay/proxy/channel.cpp
@@ -216,13 +216,21 @@
     }
 }
 
-bool channel::readable_now() {
-    if (ended_ || !connected_) {
-        return true;
-    }
+int channel::peek() {
     char byte = 0;
     const auto n = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+        return nothing_there;
+    }
+    return n > 0 ? 1 : 0;
+}
+
+bool channel::closed_by_peer() {
+    return ended_ || (connected_ && peek() == 0);
+}
+
+bool channel::readable_now() {
+    return ended_ || !connected_ || peek() != nothing_there;
 }
 
 } // namespace dandelionbay
--- a/src/dandelionbay/proxy/channel.hpp
+++ b/src/dandelionbay/proxy/channel.hpp
@@ -59,6 +59,9 @@
     void flush();
     void fail(channel_end end);
     void set_options();
+    [[nodiscard]] int peek();
+
+    static constexpr int nothing_there = -1;
 
 public:
     using tcp = boost::asio::ip::tcp;
@@ -102,6 +105,9 @@
     /*! @brief Tells whether it was closed or ended. */
     [[nodiscard]] bool ended() const noexcept { return ended_; }
 
+    /*! @brief Tells whether the other side has closed the connection and all its bytes were read. */
+    [[nodiscard]] bool closed_by_peer();
+
     /*! @brief Tells whether bytes or an end wait to be read on a connection on which nothing is due. */
     [[nodiscard]] bool readable_now();
 
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -463,7 +463,9 @@
     }
     const auto limit = (route_->kind == call_kind::streaming ? lost_stream : lost_call) +
                        (begun_ ? duration{} : from_ms(choice_.backlog_ms * 1.5 + choice_.unread_tokens / 20.0));
-    if (now - sent_at_ > limit || owner_->dispatch().load(choice_.endpoint).stalled(now)) {
+    const auto silent = now - sent_at_;
+    if (silent > limit ||
+        (silent > endpoint_load::silence_limit && owner_->dispatch().load(choice_.endpoint).stalled(now))) {
         end_attempt(true);
         try_again("silent", true);
     }
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -58,7 +58,7 @@
 }
 
 void proxy::tick() {
-    timer_.expires_after(tick_interval);
+    timer_.expires_after(dispatcher_.waiting() > 0 ? busy_interval : tick_interval);
     timer_.async_wait([this](error_code ec) {
         if (ec || stopped_) {
             return;
@@ -77,7 +77,7 @@
     for (const auto& it : open) {
         it->check(now);
     }
-    dispatcher_.pump(now);
+    pump();
     if (now - expired_ < housekeeping_interval) {
         return;
     }
@@ -143,7 +143,6 @@
     }
     buffered_ -= it->second->body_bytes();
     exchanges_.erase(it);
-    pump(); // Room at an endpoint may have become free.
 }
 
 void proxy::close_caller(const std::shared_ptr<caller_connection>& it) {
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -57,7 +57,9 @@
 
 public:
     /*! @brief Interval of looking at time limits and waiting calls; a caller does not notice a delay this short. */
-    static constexpr std::chrono::milliseconds tick_interval{20};
+    static constexpr std::chrono::milliseconds tick_interval{25};
+    /*! @brief The same while calls wait; reading a prompt takes several times as long. */
+    static constexpr std::chrono::milliseconds busy_interval{8};
     /*! @brief Longest time to make a connection to an endpoint: several round trips between regions. */
     static constexpr std::chrono::milliseconds connect_limit{400};
 
--- a/src/dandelionbay/settings/process_settings.cpp
+++ b/src/dandelionbay/settings/process_settings.cpp
@@ -204,7 +204,6 @@
         reader.number("yield_margin", presence::optional, out.yield_margin, 1.0, max_policy_factor);
         reader.number("memory_share", presence::optional, out.memory_share, 0.0, 1.0);
         reader.number("reading_weight", presence::optional, out.reading_weight, 0.0, max_policy_factor);
-        reader.number("least_reading_weight", presence::optional, out.least_reading_weight, 0.0, max_policy_factor);
         reader.number("zone_cost_ms", presence::optional, out.zone_cost_ms, 0.0, max_policy_ms);
         reader.number("region_cost_ms", presence::optional, out.region_cost_ms, 0.0, max_policy_ms);
         reader.finish();
