--- a/src/dandelionbay/app/serve.cpp
+++ b/src/dandelionbay/app/serve.cpp
@@ -99,15 +99,15 @@
     const stop_signal signal;
     if (settings->role == process_role::router) {
         node_environment environment;
-        environment.log = std::make_shared<event_log>(log_options(*settings, settings->router.common.host,
-                                                                   settings->router.common.zone));
+        environment.log = std::make_shared<event_log>(
+            log_options(*settings, settings->router.common.host, settings->router.common.zone));
         router_node router{settings->router, environment};
         return serve_until_stopped(router, signal, *environment.log);
     }
     if (settings->role == process_role::agent) {
         node_environment environment;
-        environment.log = std::make_shared<event_log>(log_options(*settings, settings->agent.common.host,
-                                                                   settings->agent.common.zone));
+        environment.log = std::make_shared<event_log>(
+            log_options(*settings, settings->agent.common.host, settings->agent.common.zone));
         agent_node agent{settings->agent, environment};
         return serve_until_stopped(agent, signal, *environment.log);
     }
--- a/src/dandelionbay/base/latency_histogram.cpp
+++ b/src/dandelionbay/base/latency_histogram.cpp
@@ -16,7 +16,7 @@
 /*! ln(highest / lowest) is 17.9, so that a bin is 1% wide. */
 constexpr unsigned bins = 1'800;
 /*! Upper bounds that a scrape shows: the usual targets lie between 0.1 and 1 s. */
-constexpr std::array bounds_ms{10.0,  25.0,   50.0,   100.0,  200.0,  300.0,   400.0,
+constexpr std::array bounds_ms{10.0,  25.0,   50.0,   100.0,  200.0,   300.0,  400.0,
                                600.0, 1000.0, 2000.0, 5000.0, 10000.0, 30000.0};
 
 } // namespace
--- a/src/dandelionbay/bench/recorder.hpp
+++ b/src/dandelionbay/bench/recorder.hpp
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "dandelionbay/base/clock.hpp"
+#include "dandelionbay/base/latency_histogram.hpp"
 #include "dandelionbay/bench/fairness_meter.hpp"
 #include "dandelionbay/bench/fwd.hpp"
-#include "dandelionbay/base/latency_histogram.hpp"
 
 namespace dandelionbay::bench {
 
--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -30,8 +30,8 @@
 
 dispatcher::dispatcher(const registry_view& view, router_place place, const dispatch_limits& limits,
                        dispatch_listener& listener, std::uint64_t seed)
-    : view_{&view}, place_{std::move(place)}, limits_{limits}, listener_{&listener}, random_{seed},
-      routers_{place_.host} {}
+    : view_{&view}, place_{std::move(place)}, limits_{limits}, listener_{&listener}, random_{seed}, routers_{
+                                                                                                        place_.host} {}
 
 standing dispatcher::standing_of(const work_item& item, time_point now) {
     const double least = usage_.least_denied(now) * limits_.yield_margin + item.cost();
@@ -222,8 +222,9 @@
     auto& ahead = it.ahead_ms[call.item.service];
     const double wait_ms = ahead / endpoint_share(it.sites, call.item.service, team, now);
     if (late || now + from_ms(wait_ms) > call.give_up) {
-        refuse_waiting(ticket, choices.best.at == nullptr ? result_code::no_endpoint_in_service
-                                                          : result_code::queue_timeout, wait_ms, now);
+        refuse_waiting(ticket,
+                       choices.best.at == nullptr ? result_code::no_endpoint_in_service : result_code::queue_timeout,
+                       wait_ms, now);
         return;
     }
     ahead += call.best_reading_ms;
--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -82,8 +82,8 @@
      * @param listener Receives decisions, also within submit() and pump(); must outlive it.
      * @param seed Seed of the random spread of return times.
      */
-    dispatcher(const registry_view& view, router_place place, const dispatch_limits& limits, dispatch_listener& listener,
-               std::uint64_t seed);
+    dispatcher(const registry_view& view, router_place place, const dispatch_limits& limits,
+               dispatch_listener& listener, std::uint64_t seed);
 
     /*! @brief A call wants an endpoint; it is placed at once, or waits for pump(). @param item The call. */
     void submit(work_item item, time_point now);
--- a/src/dandelionbay/dispatch/placement.cpp
+++ b/src/dandelionbay/dispatch/placement.cpp
@@ -96,15 +96,16 @@
     if (it.engine) {
         it.wait_ms = it.load->backlog_ms(now_);
         it.base_ms = it.wait_ms;
-        it.memory_left = static_cast<double>(service->engine->memory_tokens) * limits_->memory_share -
-                         it.load->memory_tokens(now_);
+        it.memory_left =
+            static_cast<double>(service->engine->memory_tokens) * limits_->memory_share - it.load->memory_tokens(now_);
         it.open = it.open && it.calls < it.slots;
     } else {
         it.wait_ms = it.calls < it.slots ? 0.0 : plain_call_ms * (it.calls - it.slots + 1) / it.slots;
         it.base_ms = it.wait_ms + plain_call_ms * it.calls / it.slots;
         it.open = it.open && it.calls < it.slots + it.slots / 2;
     }
-    it.base_ms += distance_ms(entry.zone) + it.load->penalty_ms();
+    it.base_ms += it.load->penalty_ms();
+    it.distance_ms = distance_ms(entry.zone);
     if (it.load->on_trial()) {
         it.base_ms += trial_cost_ms;
         it.open = it.open && it.load->own(now_).calls == 0;
@@ -128,7 +129,7 @@
 
 placement::candidate placement::rate(const work_item& item, site& it, standing team) const {
     candidate out{&it};
-    out.score = it.base_ms;
+    out.score = it.base_ms + it.distance_ms * (team == standing::least ? limits_->least_distance_share : 1.0);
     out.ready = it.open;
     if (it.engine) {
         out.unread_tokens = std::max(0.0, item.prompt_tokens - it.load->parts().kept_tokens(item.parts));
--- a/src/dandelionbay/dispatch/placement.hpp
+++ b/src/dandelionbay/dispatch/placement.hpp
@@ -27,12 +27,13 @@
         const registry_view::known_endpoint* known{};
         endpoint_load* load{};
         bool engine{};
-        double wait_ms{};       //!< Expected time until it begins with another call.
-        double base_ms{};       //!< Part of the score that is the same for all calls.
-        double memory_left{};   //!< Tokens; engines only.
+        double wait_ms{};     //!< Expected time until it begins with another call.
+        double base_ms{};     //!< Part of the score that is the same for all calls.
+        double distance_ms{}; //!< Aversion to its place.
+        double memory_left{}; //!< Tokens; engines only.
         std::uint32_t calls{};
         std::uint32_t slots{};
-        bool open{};            //!< It takes another call, as far as that does not depend on the call.
+        bool open{}; //!< It takes another call, as far as that does not depend on the call.
         bool cold{};
     };
 
--- a/src/dandelionbay/dispatch/retry_window.hpp
+++ b/src/dandelionbay/dispatch/retry_window.hpp
@@ -9,8 +9,8 @@
 
 /*! @brief What repeats may cost a service, fleet-wide. */
 struct retry_limits {
-    double ratio{0.2};                          //!< Repeats for each call.
-    double slack{50.0};                         //!< Repeats that are free in each window, for all routers together.
+    double ratio{0.2};  //!< Repeats for each call.
+    double slack{50.0}; //!< Repeats that are free in each window, for all routers together.
     duration window{std::chrono::seconds{10}};
 
     friend bool operator==(const retry_limits&, const retry_limits&) = default;
--- a/src/dandelionbay/dispatch/team_usage.cpp
+++ b/src/dandelionbay/dispatch/team_usage.cpp
@@ -25,7 +25,7 @@
     auto& it = own_[team];
     it.used += amount.used;
     it.denied += amount.denied;
-    totals_[team].used += amount.used;
+    fresh_ = false; // The team may be the least served one.
 }
 
 void team_usage::add(const team_id& team, double cost, time_point now) {
--- a/src/dandelionbay/dispatch/team_usage.hpp
+++ b/src/dandelionbay/dispatch/team_usage.hpp
@@ -81,7 +81,7 @@
     std::deque<charge> charges_{};
     std::map<team_id, account> own_{};
     std::map<host_id, peer_report> peers_{};
-    std::map<team_id, account> totals_{}; //!< As of the last sum, and what this router added since.
+    std::map<team_id, account> totals_{}; //!< Over all routers, as of the last sum.
     double least_denied_{};
     time_point summed_{};
     bool fresh_{};
--- a/src/dandelionbay/dispatch/work.hpp
+++ b/src/dandelionbay/dispatch/work.hpp
@@ -23,7 +23,7 @@
     std::vector<prompt_part> parts{}; //!< Empty for calls of plain services.
     double prompt_tokens{};
     double output_tokens{};
-    duration target{};               //!< Time to the answer's start that serves the caller well.
+    duration target{}; //!< Time to the answer's start that serves the caller well.
     time_point arrived{};
     bool repeatable{};
     std::vector<region_id> route_regions{}; //!< Regions that may serve it; empty for all. Both lists bind.
@@ -78,8 +78,9 @@
     double reading_weight{5.0};     //!< Reading costs the calls behind it too, and evicts what others share.
     double zone_cost_ms{12.0};      //!< Aversion to another zone of the region: its round trip and its traffic.
     double region_cost_ms{160.0};   //!< Aversion to another region: its round trip and the narrow, dear link.
+    double least_distance_share{0.4}; //!< Part of these for the least served team that is refused work.
     duration least_hold{std::chrono::milliseconds{70}}; //!< A call may wait this long in any case.
-    double least_wait_ms{5.0};      //!< A waiting call counts at least as this much reading.
+    double least_wait_ms{5.0};                          //!< A waiting call counts at least as this much reading.
     std::size_t most_queued{2'000}; //!< Bound of memory and of the time that one round of decisions takes.
 
     friend bool operator==(const dispatch_limits&, const dispatch_limits&) = default;
--- a/src/dandelionbay/gateway/call_terms.hpp
+++ b/src/dandelionbay/gateway/call_terms.hpp
@@ -19,13 +19,13 @@
 
 /*! @brief What a caller asks for besides method, path and body. */
 struct call_terms {
-    std::string id{};                       //!< The caller's name for this attempt; empty if it sent none.
-    std::string key{};                      //!< API key; empty if it sent none.
-    std::optional<duration> time_left{};    //!< How long the caller waits, from the sending of the call.
+    std::string id{};                            //!< The caller's name for this attempt; empty if it sent none.
+    std::string key{};                           //!< API key; empty if it sent none.
+    std::optional<duration> time_left{};         //!< How long the caller waits, from the sending of the call.
     std::optional<std::uint64_t> resume_after{}; //!< Last event that the caller has of a stream.
     std::uint32_t prompt_tokens{};
-    std::uint32_t output_tokens{};          //!< Upper bound of the generated tokens.
-    std::vector<prompt_part> parts{};       //!< The prompt in order; the last part belongs to this call or its session.
+    std::uint32_t output_tokens{};    //!< Upper bound of the generated tokens.
+    std::vector<prompt_part> parts{}; //!< The prompt in order; the last part belongs to this call or its session.
 
     friend bool operator==(const call_terms&, const call_terms&) = default;
 };
--- a/src/dandelionbay/gateway/endpoint_entry.hpp
+++ b/src/dandelionbay/gateway/endpoint_entry.hpp
@@ -12,15 +12,15 @@
 
 /*! @brief An endpoint as it registered itself. */
 struct endpoint_entry {
-    endpoint_id id{};             //!< Name of one life of the endpoint; mostly a new one after a restart.
+    endpoint_id id{}; //!< Name of one life of the endpoint; mostly a new one after a restart.
     service_id service{};
     zone_id zone{};
     socket_address address{};
-    std::uint32_t slots{};        //!< Calls that it runs at once.
-    bool leaving{};               //!< It takes no new work.
-    duration cold_for{};          //!< How much longer it is cold, as of the entry's writing.
-    std::uint64_t started{};      //!< Start of its process in Unix milliseconds; 0 if unknown.
-    std::uint64_t row_version{};  //!< Version of the entry; grows with every write of any entry.
+    std::uint32_t slots{};       //!< Calls that it runs at once.
+    bool leaving{};              //!< It takes no new work.
+    duration cold_for{};         //!< How much longer it is cold, as of the entry's writing.
+    std::uint64_t started{};     //!< Start of its process in Unix milliseconds; 0 if unknown.
+    std::uint64_t row_version{}; //!< Version of the entry; grows with every write of any entry.
 
     friend bool operator==(const endpoint_entry&, const endpoint_entry&) = default;
 };
--- a/src/dandelionbay/gateway/registry.hpp
+++ b/src/dandelionbay/gateway/registry.hpp
@@ -62,12 +62,13 @@
 /*! @brief How a router reads the registry. */
 struct registry_options {
     socket_address address{};
-    host_id host{};             //!< This router.
+    host_id host{};                //!< This router.
     socket_address peer_address{}; //!< Where it listens for its peers.
-    duration list_interval{std::chrono::milliseconds{500}}; //!< A fifth of the time in which a leaving endpoint must be left.
-    duration watch{std::chrono::milliseconds{1'000}};       //!< How long a call waits for changes; bounds the evidence's age.
+    duration list_interval{
+        std::chrono::milliseconds{500}};              //!< A fifth of the time in which a leaving endpoint must be left.
+    duration watch{std::chrono::milliseconds{1'000}}; //!< How long a call waits for changes; bounds the evidence's age.
     duration routers_interval{std::chrono::seconds{5}};
-    duration answer_limit{std::chrono::milliseconds{900}};  //!< Without an answer, the connection may be silent.
+    duration answer_limit{std::chrono::milliseconds{900}}; //!< Without an answer, the connection may be silent.
 
     friend bool operator==(const registry_options&, const registry_options&) = default;
 };
--- a/src/dandelionbay/gateway/registry_view.hpp
+++ b/src/dandelionbay/gateway/registry_view.hpp
@@ -34,8 +34,8 @@
 
 /*! @brief How long a router trusts what it read. */
 struct freshness_limits {
-    duration keys{std::chrono::milliseconds{4500}};    //!< API keys; below the time in which a withdrawn key must stop.
-    duration lapse_grace{std::chrono::seconds{2}};     //!< Entries lost in a store outage may be back until then.
+    duration keys{std::chrono::milliseconds{4500}}; //!< API keys; below the time in which a withdrawn key must stop.
+    duration lapse_grace{std::chrono::seconds{2}};  //!< Entries lost in a store outage may be back until then.
 
     friend bool operator==(const freshness_limits&, const freshness_limits&) = default;
 };
@@ -54,11 +54,11 @@
     /*! @brief An endpoint and what this router noted about it. */
     struct known_endpoint {
         endpoint_entry entry{};
-        time_point cold_until{};              //!< From the entry, counted from its arrival.
-        std::uint64_t unverified_below{};     //!< Counts as cold until an entry of at least this version comes.
+        time_point cold_until{};          //!< From the entry, counted from its arrival.
+        std::uint64_t unverified_below{}; //!< Counts as cold until an entry of at least this version comes.
         time_point unverified_since{};
-        bool await_read{}; //!< The next list may still hold an entry from before a restart; only later ones count.
-        bool present{true};                   //!< Still registered at the last read.
+        bool await_read{};  //!< The next list may still hold an entry from before a restart; only later ones count.
+        bool present{true}; //!< Still registered at the last read.
         time_point missing_since{};
     };
 
--- a/src/dandelionbay/gateway/route_config.cpp
+++ b/src/dandelionbay/gateway/route_config.cpp
@@ -10,8 +10,8 @@
     if (it == routes_by_host.end()) {
         return nullptr;
     }
-    const auto match = std::ranges::find_if(
-        it->second, [&](std::size_t index) { return path.starts_with(routes.at(index).prefix); });
+    const auto match =
+        std::ranges::find_if(it->second, [&](std::size_t index) { return path.starts_with(routes.at(index).prefix); });
     return match == it->second.end() ? nullptr : &routes.at(*match);
 }
 
@@ -33,7 +33,8 @@
         it.routes_by_host[it.routes[n].host].push_back(n);
     }
     for (auto& [host, list] : it.routes_by_host) {
-        std::ranges::stable_sort(list, std::ranges::greater{}, [&](std::size_t n) { return it.routes[n].prefix.size(); });
+        std::ranges::stable_sort(list, std::ranges::greater{},
+                                 [&](std::size_t n) { return it.routes[n].prefix.size(); });
     }
     for (std::size_t n = 0; n < it.teams.size(); ++n) {
         for (const auto& key : it.teams[n].keys) {
--- a/src/dandelionbay/gateway/route_config.hpp
+++ b/src/dandelionbay/gateway/route_config.hpp
@@ -31,12 +31,12 @@
     std::string host{};
     std::string prefix{}; //!< Begins and ends with a slash.
     call_kind kind{call_kind::safe};
-    duration time_limit{std::chrono::seconds{30}};       //!< Longest time a caller is kept waiting for the whole answer.
-    duration target_latency{std::chrono::seconds{1}};    //!< Time to the answer, or to a stream's first event.
+    duration time_limit{std::chrono::seconds{30}};    //!< Longest time a caller is kept waiting for the whole answer.
+    duration target_latency{std::chrono::seconds{1}}; //!< Time to the answer, or to a stream's first event.
     std::vector<service_share> services{};
-    std::uint32_t max_attempts{1}; //!< Endpoints that may run one call.
-    bool is_public{};              //!< Needs no API key.
-    bool resumable{};              //!< A stream may go on at another endpoint after its last event.
+    std::uint32_t max_attempts{1};         //!< Endpoints that may run one call.
+    bool is_public{};                      //!< Needs no API key.
+    bool resumable{};                      //!< A stream may go on at another endpoint after its last event.
     std::vector<region_id> home_regions{}; //!< Regions that may serve it; empty for all.
 
     friend bool operator==(const route&, const route&) = default;
@@ -59,8 +59,8 @@
 /*! @brief A service: endpoints that answer the same calls. */
 struct endpoint_service {
     service_id id{};
-    std::uint32_t max_connections{64};   //!< At one endpoint, from all its callers together.
-    double cold_calls_per_s{};           //!< What a cold endpoint bears; 0 if its calls need no pacing.
+    std::uint32_t max_connections{64};      //!< At one endpoint, from all its callers together.
+    double cold_calls_per_s{};              //!< What a cold endpoint bears; 0 if its calls need no pacing.
     std::optional<engine_profile> engine{}; //!< Present if its endpoints are model engines.
 
     friend bool operator==(const endpoint_service&, const endpoint_service&) = default;
--- a/src/dandelionbay/net/link.cpp
+++ b/src/dandelionbay/net/link.cpp
@@ -30,39 +30,40 @@
 }
 
 void link::read() {
-    socket_.async_read_some(boost::asio::buffer(buf_), [self = shared_from_this()](const boost::system::error_code& ec, std::size_t n) {
-        if (self->closed_) {
-            return;
-        }
-        if (ec) {
-            self->fail("connection_lost");
-            return;
-        }
-        self->last_received_ = self->clock_->now();
-        self->decoder_.feed({self->buf_.data(), n});
-        if (self->take_frames()) {
-            self->read();
-        }
-    });
+    socket_.async_read_some(boost::asio::buffer(buf_),
+                            [self = shared_from_this()](const boost::system::error_code& ec, std::size_t n) {
+                                if (self->closed_) {
+                                    return;
+                                }
+                                if (ec) {
+                                    self->fail("connection_lost");
+                                    return;
+                                }
+                                self->last_received_ = self->clock_->now();
+                                self->decoder_.feed({self->buf_.data(), n});
+                                if (self->take_frames()) {
+                                    self->read();
+                                }
+                            });
 }
 
 void link::write() {
     writing_.swap(pending_);
     boost::asio::async_write(socket_, boost::asio::buffer(writing_),
-                      [self = shared_from_this()](const boost::system::error_code& ec, std::size_t /*n*/) {
-                          if (self->closed_) {
-                              return;
-                          }
-                          self->writing_.clear();
-                          if (self->writing_.capacity() > kept_bytes) {
-                              self->writing_.shrink_to_fit();
-                          }
-                          if (ec) {
-                              self->fail("connection_lost");
-                          } else if (!self->pending_.empty()) {
-                              self->write();
-                          }
-                      });
+                             [self = shared_from_this()](const boost::system::error_code& ec, std::size_t /*n*/) {
+                                 if (self->closed_) {
+                                     return;
+                                 }
+                                 self->writing_.clear();
+                                 if (self->writing_.capacity() > kept_bytes) {
+                                     self->writing_.shrink_to_fit();
+                                 }
+                                 if (ec) {
+                                     self->fail("connection_lost");
+                                 } else if (!self->pending_.empty()) {
+                                     self->write();
+                                 }
+                             });
 }
 
 link::link(boost::asio::ip::tcp::socket socket, link_owner& owner, const clock& time)
--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -30,17 +30,20 @@
 
 gateway_node::gateway_node(gateway_options options, platform_binding platform, std::shared_ptr<event_log> log,
                            settings_reader reader)
-    : options_{std::move(options)}, platform_{std::move(platform)}, log_{std::move(log), clock_},
-      view_{freshness_of(options_.bounds)},
+    : options_{std::move(options)}, platform_{std::move(platform)}, log_{std::move(log), clock_}, view_{freshness_of(
+                                                                                                      options_.bounds)},
       proxy_{proxy_environment{&loop_, &clock_, &log_, &metrics_, &view_, platform_.protocol.get()},
              proxy_options{options_.caller_listen, options_.place, options_.dispatch, options_.retry}},
-      board_{options_.place.host, static_cast<std::uint64_t>(clock_.now().time_since_epoch().count()),
-             options_.peer_listen, view_, proxy_.dispatch(), platform_.read_config},
+      board_{options_.place.host,  static_cast<std::uint64_t>(clock_.now().time_since_epoch().count()),
+             options_.peer_listen, view_,
+             proxy_.dispatch(),    platform_.read_config},
       links_{peer_environment{&loop_, &clock_, &log_, &metrics_, &board_}, options_.peer_listen,
              [this](const peer_change& change) { peers_changed(change); }},
-      ready_{loop_, [this](std::string_view path) { return page_of(path); }},
-      status_{loop_, [this](std::string_view path) { return page_of(path); }}, signals_{loop_, SIGTERM, SIGINT, SIGHUP},
-      stop_timer_{loop_}, settings_timer_{loop_}, reader_{std::move(reader)} {
+      ready_{loop_, [this](std::string_view path) { return page_of(path); }}, status_{loop_,
+                                                                                      [this](std::string_view path) {
+                                                                                          return page_of(path);
+                                                                                      }},
+      signals_{loop_, SIGTERM, SIGINT, SIGHUP}, stop_timer_{loop_}, settings_timer_{loop_}, reader_{std::move(reader)} {
     registry_options store;
     store.address = options_.store;
     store.host = options_.place.host;
@@ -54,10 +57,11 @@
 }
 
 absl::Status gateway_node::run(const std::function<void()>& started) {
-    for (const auto& step : {std::function<absl::Status()>{[this] { return proxy_.start(); }},
-                             std::function<absl::Status()>{[this] { return links_.start(); }},
-                             std::function<absl::Status()>{[this] { return ready_.start(options_.ready_listen); }},
-                             std::function<absl::Status()>{[this] { return status_.start(options_.metrics_listen); }}}) {
+    for (const auto& step :
+         {std::function<absl::Status()>{[this] { return proxy_.start(); }},
+          std::function<absl::Status()>{[this] { return links_.start(); }},
+          std::function<absl::Status()>{[this] { return ready_.start(options_.ready_listen); }},
+          std::function<absl::Status()>{[this] { return status_.start(options_.metrics_listen); }}}) {
         if (const auto status = step(); !status.ok()) {
             log_.write(log_level::error, "start_failed", {{"reason", std::string{from_absl(status.message())}}});
             return status;
@@ -131,9 +135,8 @@
     metrics_.set("open_calls", static_cast<counters::value_type>(proxy_.open_calls()));
     metrics_.set("waiting_calls", static_cast<counters::value_type>(proxy_.dispatch().waiting()));
     metrics_.set("endpoints_known", static_cast<counters::value_type>(view_.endpoints().size()));
-    metrics_.set("config_version", view_.config() == nullptr
-                                       ? 0
-                                       : static_cast<counters::value_type>(view_.config()->version));
+    metrics_.set("config_version",
+                 view_.config() == nullptr ? 0 : static_cast<counters::value_type>(view_.config()->version));
     metrics_.set("config_age_us", view_.operator_age(now).value_or(duration{-1}).count());
     metrics_.set("log_lines_left_out", static_cast<counters::value_type>(log_.left_out()));
     return metrics_.render() + proxy_.first_answer().render("dandelionbay_first_answer_seconds") +
@@ -145,7 +148,7 @@
         return;
     }
     const auto now = clock_.now();
-    proxy_.drain(now + options_.bounds.stop_grace - stop_margin);
+    proxy_.drain(now + late_after, now + options_.bounds.stop_grace - stop_margin);
     log_.write(log_level::info, "stopping", {{"open_calls", std::to_string(proxy_.open_calls())}});
     continue_stop(now);
 }
--- a/src/dandelionbay/node/gateway_node.hpp
+++ b/src/dandelionbay/node/gateway_node.hpp
@@ -13,8 +13,8 @@
 #include "dandelionbay/base/bounded_log.hpp"
 #include "dandelionbay/base/clock.hpp"
 #include "dandelionbay/base/counters.hpp"
-#include "dandelionbay/gateway/registry_view.hpp"
 #include "dandelionbay/gateway/registry.hpp"
+#include "dandelionbay/gateway/registry_view.hpp"
 #include "dandelionbay/node/fwd.hpp"
 #include "dandelionbay/node/gateway_options.hpp"
 #include "dandelionbay/peer/peer_board.hpp"
@@ -26,9 +26,8 @@
 
 /*! @brief Makes the parts that depend on the platform. */
 struct platform_binding {
-    using registry_maker = std::function<std::unique_ptr<registry>(boost::asio::io_context&, const clock&, bounded_log&,
-                                                                   counters&, const registry_options&,
-                                                                   registry_listener&)>;
+    using registry_maker = std::function<std::unique_ptr<registry>(
+        boost::asio::io_context&, const clock&, bounded_log&, counters&, const registry_options&, registry_listener&)>;
 
     std::shared_ptr<const call_protocol> protocol{};
     registry_maker make_registry{};
@@ -52,6 +51,8 @@
 public:
     /*! @brief Time after the start of a stop for which idle connections stay open: the balancer needs it to notice. */
     static constexpr duration balancer_delay = std::chrono::milliseconds{3'200};
+    /*! @brief Time after the start of a stop from which calls are expected at other routers. */
+    static constexpr duration late_after = std::chrono::milliseconds{2'800};
     /*! @brief Interval of looking whether a stop is complete. */
     static constexpr std::chrono::milliseconds stop_interval{50};
 
--- a/src/dandelionbay/node/gateway_options.hpp
+++ b/src/dandelionbay/node/gateway_options.hpp
@@ -11,10 +11,10 @@
 
 /*! @brief What operators are promised; intervals and limits of a gateway follow from these. */
 struct gateway_bounds {
-    duration key_withdrawal{std::chrono::seconds{5}};  //!< A withdrawn API key admits no call after this time.
+    duration key_withdrawal{std::chrono::seconds{5}};   //!< A withdrawn API key admits no call after this time.
     duration leaving{std::chrono::milliseconds{2'500}}; //!< An endpoint that leaves gets no call after this time.
-    duration config{std::chrono::milliseconds{2'500}}; //!< A configuration is in force after this time.
-    duration stop_grace{std::chrono::seconds{8}};      //!< Time between the request to stop and the kill.
+    duration config{std::chrono::milliseconds{2'500}};  //!< A configuration is in force after this time.
+    duration stop_grace{std::chrono::seconds{8}};       //!< Time between the request to stop and the kill.
 
     friend bool operator==(const gateway_bounds&, const gateway_bounds&) = default;
 };
--- a/src/dandelionbay/peer/peer_board.hpp
+++ b/src/dandelionbay/peer/peer_board.hpp
@@ -39,9 +39,9 @@
         socket_address address{};
         time_point heard{};
         bool leaving{};
-        std::int64_t stamp_us{};       //!< Newest stamp of the peer.
-        time_point stamp_at{};         //!< When it arrived.
-        time_point confirmed{};        //!< Sending of the newest message that the peer says it received.
+        std::int64_t stamp_us{}; //!< Newest stamp of the peer.
+        time_point stamp_at{};   //!< When it arrived.
+        time_point confirmed{};  //!< Sending of the newest message that the peer says it received.
         std::uint64_t config_version{};
         std::int64_t list_age_us{-1};
         std::vector<part_use> untold{}; //!< Uses of parts that it was not told yet.
@@ -68,8 +68,8 @@
     static constexpr std::size_t most_untold = 500;
 
     /*! @brief Creates it. @param self This router. @param incarnation Of this process. @param address For peers. */
-    peer_board(host_id self, std::uint64_t incarnation, socket_address address, registry_view& view, dispatcher& dispatch,
-               config_reader reader);
+    peer_board(host_id self, std::uint64_t incarnation, socket_address address, registry_view& view,
+               dispatcher& dispatch, config_reader reader);
 
     /*! @brief Learns of another router's address. */
     void introduce(const socket_address& address, time_point now);
--- a/src/dandelionbay/peer/peer_links.hpp
+++ b/src/dandelionbay/peer/peer_links.hpp
@@ -47,8 +47,8 @@
     /*! @brief Called after a message changed something. */
     using change_handler = std::function<void(const peer_change&)>;
 
-    /*! @brief Shortest interval of messages to a peer; a prompt takes about as long to be read. */
-    static constexpr std::chrono::milliseconds shortest_interval{80};
+    /*! @brief Shortest interval of messages to a peer; a prompt takes twice as long to be read. */
+    static constexpr std::chrono::milliseconds shortest_interval{40};
     /*! @brief Time that each peer adds to the interval, so that a router's messages do not grow with the fleet. */
     static constexpr std::chrono::milliseconds interval_per_peer{12};
     /*! @brief Longest time to make a connection. */
--- a/src/dandelionbay/peer/peer_state.cpp
+++ b/src/dandelionbay/peer/peer_state.cpp
@@ -23,10 +23,9 @@
 using operators_row = std::tuple<std::uint64_t, std::uint64_t, std::vector<zone_row>, std::int64_t>;
 using list_row = std::tuple<std::uint64_t, std::int64_t, bool, std::vector<endpoint_row>>;
 using uses_row = std::tuple<std::vector<std::string>, std::vector<use_row>>;
-using message_row =
-    std::tuple<std::uint32_t, std::string, std::uint64_t, address_row, bool, clock_row, operators_row, list_row,
-               std::vector<load_row>, uses_row, std::vector<team_row>, std::vector<queue_row>, std::vector<address_row>,
-               std::string>;
+using message_row = std::tuple<std::uint32_t, std::string, std::uint64_t, address_row, bool, clock_row, operators_row,
+                               list_row, std::vector<load_row>, uses_row, std::vector<team_row>, std::vector<queue_row>,
+                               std::vector<address_row>, std::string>;
 
 /*! Version of this format; routers of one fleet may be replaced one after the other. */
 constexpr std::uint32_t format_version = 1;
@@ -40,14 +39,21 @@
 }
 
 [[nodiscard]] endpoint_row row_of(const endpoint_entry& it) {
-    return {it.id.value, it.service.value, it.zone.value, row_of(it.address), it.slots,
-            it.leaving,  it.cold_for.count(), it.started, it.row_version};
+    return {it.id.value, it.service.value,    it.zone.value, row_of(it.address), it.slots,
+            it.leaving,  it.cold_for.count(), it.started,    it.row_version};
 }
 
 [[nodiscard]] endpoint_entry entry_of(const endpoint_row& row) {
     const auto& [id, service, zone, address, slots, leaving, cold_us, started, version] = row;
-    return {endpoint_id{id}, service_id{service}, zone_id{zone}, address_of(address), slots,
-            leaving,         duration{cold_us},   started,       version};
+    return {endpoint_id{id},
+            service_id{service},
+            zone_id{zone},
+            address_of(address),
+            slots,
+            leaving,
+            duration{cold_us},
+            started,
+            version};
 }
 
 [[nodiscard]] uses_row row_of(const std::vector<part_use>& uses) {
@@ -94,7 +100,8 @@
 }
 
 [[nodiscard]] peer_state state_of(const message_row& row) {
-    const auto& [version, host, incarnation, address, leaving, clocks, operators, list, loads, uses, teams, queues, peers, text] = row;
+    const auto& [version, host, incarnation, address, leaving, clocks, operators, list, loads, uses, teams, queues,
+                 peers, text] = row;
     peer_state out;
     out.host = host_id{host};
     out.incarnation = incarnation;
--- a/src/dandelionbay/peer/peer_state.hpp
+++ b/src/dandelionbay/peer/peer_state.hpp
@@ -26,11 +26,11 @@
 struct peer_state {
     host_id host{};
     std::uint64_t incarnation{};
-    socket_address address{};          //!< Where the sender listens for its peers.
-    bool leaving{};                 //!< The sender is about to end.
-    std::int64_t sent_us{};         //!< The sender's clock at the sending.
-    std::int64_t echo_us{};         //!< The newest such time that the sender has from the receiver; 0 for none.
-    std::int64_t echo_held_us{};    //!< Time since that arrived.
+    socket_address address{};    //!< Where the sender listens for its peers.
+    bool leaving{};              //!< The sender is about to end.
+    std::int64_t sent_us{};      //!< The sender's clock at the sending.
+    std::int64_t echo_us{};      //!< The newest such time that the sender has from the receiver; 0 for none.
+    std::int64_t echo_held_us{}; //!< Time since that arrived.
     operator_state operators{};
     std::int64_t operators_age_us{-1}; //!< Age of that evidence at the sending; -1 for none.
     std::uint64_t list_as_of{};
@@ -39,8 +39,8 @@
     std::vector<part_use> part_uses{};
     std::vector<team_service> teams{};
     std::vector<service_queue> queues{};
-    std::vector<socket_address> peers{};  //!< Other routers that the sender knows.
-    std::string config_text{};         //!< The configuration, if the receiver's is older; else empty.
+    std::vector<socket_address> peers{}; //!< Other routers that the sender knows.
+    std::string config_text{};           //!< The configuration, if the receiver's is older; else empty.
     std::optional<endpoint_list> list{}; //!< The endpoints, if the receiver's list is older.
 
     friend bool operator==(const peer_state&, const peer_state&) = default;
--- a/src/dandelionbay/proxy/call_protocol.hpp
+++ b/src/dandelionbay/proxy/call_protocol.hpp
@@ -14,8 +14,8 @@
 
 /*! @brief What the router tells an endpoint about a call. */
 struct forward_terms {
-    endpoint_id endpoint{};              //!< Another endpoint at this address must not run it.
-    team_id team{};                      //!< Empty for calls without a team.
+    endpoint_id endpoint{}; //!< Another endpoint at this address must not run it.
+    team_id team{};         //!< Empty for calls without a team.
     duration time_left{};
     std::optional<std::uint64_t> resume_after{};
 
--- a/src/dandelionbay/proxy/caller_connection.hpp
+++ b/src/dandelionbay/proxy/caller_connection.hpp
@@ -67,10 +67,10 @@
     std::shared_ptr<channel> channel_;
     std::unique_ptr<request_reader> reader_;
     std::shared_ptr<exchange> exchange_{};
-    time_point since_;  //!< Start of the wait for a request, or of its reading.
-    bool reading_{};    //!< A request has begun.
-    bool keep_{true};   //!< The connection stays open after the answer.
-    bool reusing_{};    //!< It served a request before.
+    time_point since_; //!< Start of the wait for a request, or of its reading.
+    bool reading_{};   //!< A request has begun.
+    bool keep_{true};  //!< The connection stays open after the answer.
+    bool reusing_{};   //!< It served a request before.
     bool in_read_{};
 };
 
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -7,9 +7,9 @@
 
 #include "dandelionbay/dispatch/dispatcher.hpp"
 #include "dandelionbay/proxy/call_protocol.hpp"
-#include "dandelionbay/proxy/http_connection.hpp"
 #include "dandelionbay/proxy/event_scanner.hpp"
 #include "dandelionbay/proxy/fwd.hpp"
+#include "dandelionbay/proxy/http_connection.hpp"
 
 namespace dandelionbay {
 
@@ -102,15 +102,15 @@
     stage stage_{stage::waiting};
     std::set<endpoint_id> excluded_{};
     std::uint32_t sends_{};
-    std::uint32_t runs_{};      //!< Endpoints that may have run it.
+    std::uint32_t runs_{}; //!< Endpoints that may have run it.
     endpoint_choice choice_{};
     std::shared_ptr<http_connection> client_{};
     std::optional<response_head> head_{};
     answer_terms answer_{};
     std::string body_{};
     event_scanner scanner_{};
-    bool streaming_{};          //!< The answer is passed on event by event.
-    bool begun_{};              //!< The caller has the head of the answer.
+    bool streaming_{}; //!< The answer is passed on event by event.
+    bool begun_{};     //!< The caller has the head of the answer.
     std::optional<std::uint64_t> last_event_{};
     std::optional<time_point> first_event_at_{};
     time_point sent_at_{}; //!< When it was sent, or its newest event came.
--- a/src/dandelionbay/proxy/http_connection.cpp
+++ b/src/dandelionbay/proxy/http_connection.cpp
@@ -5,7 +5,8 @@
 
 namespace dandelionbay {
 
-http_connection::http_connection(boost::asio::io_context& loop, const socket_address& to, std::chrono::milliseconds limit)
+http_connection::http_connection(boost::asio::io_context& loop, const socket_address& to,
+                                 std::chrono::milliseconds limit)
     : to_{to}, limit_{limit}, channel_{std::make_shared<channel>(channel::tcp::socket{loop}, *this)} {}
 
 http_connection::~http_connection() {
--- a/src/dandelionbay/proxy/http_connection.hpp
+++ b/src/dandelionbay/proxy/http_connection.hpp
@@ -123,7 +123,8 @@
     static constexpr duration keep_margin = std::chrono::milliseconds{400};
 
     /*! @brief Takes an idle connection. @param to Address. @param freshest Longest idle time. @return Or null. */
-    [[nodiscard]] std::shared_ptr<http_connection> take(const socket_address& to, duration longest_idle, time_point now);
+    [[nodiscard]] std::shared_ptr<http_connection> take(const socket_address& to, duration longest_idle,
+                                                        time_point now);
 
     /*! @brief Keeps a connection. @param keep Time for which the endpoint keeps it; zero if it does not say. */
     void put(std::shared_ptr<http_connection> client, duration keep, time_point now);
--- a/src/dandelionbay/proxy/http_message.cpp
+++ b/src/dandelionbay/proxy/http_message.cpp
@@ -16,8 +16,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 10> hop_fields{
-    "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-    "TE",         "Trailer",    "Transfer-Encoding", "Upgrade",           "Content-Length"};
+    "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
+    "Trailer",    "Transfer-Encoding", "Upgrade",          "Content-Length"};
 
 } // namespace
 
--- a/src/dandelionbay/proxy/http_reader.cpp
+++ b/src/dandelionbay/proxy/http_reader.cpp
@@ -156,9 +156,7 @@
     }
 
     /*! An interim answer comes before the real one. */
-    [[nodiscard]] bool interim() const {
-        return parser->is_header_done() && parser->get().result_int() < 200;
-    }
+    [[nodiscard]] bool interim() const { return parser->is_header_done() && parser->get().result_int() < 200; }
 
     std::optional<parser_type> parser{};
     std::string in{};
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -14,8 +14,10 @@
 using boost::system::error_code;
 
 /*! Idle connections and forgotten endpoints are looked at this often; their limits are over a second. */
-/*! How much slower than lately a stream may become before the process ends. */
+/*! How much slower than lately a stream may become before the process ends: while the balancer may still send calls
+ * here, and later, when they should go elsewhere. */
 constexpr double gap_margin = 1.5;
+constexpr double late_gap_margin = 6.0;
 constexpr double newest_gap_share = 0.02;
 constexpr duration housekeeping_interval = std::chrono::milliseconds{200};
 
@@ -30,8 +32,8 @@
 
 absl::Status proxy::start() {
     if (const auto ec = listen_on(acceptor_, options_.listen)) {
-        return absl::UnavailableError(concat("cannot listen on ", options_.listen.ip, ":", options_.listen.port, ": ",
-                                             ec.message()));
+        return absl::UnavailableError(
+            concat("cannot listen on ", options_.listen.ip, ":", options_.listen.port, ": ", ec.message()));
     }
     accept();
     tick();
@@ -100,7 +102,8 @@
     const auto* const known = environment_.view->config()->find_service(service);
     double expected_ms = std::chrono::duration<double, std::milli>{it.target_latency}.count();
     if (known != nullptr && known->engine) {
-        expected_ms += event_gap_ms_ * gap_margin * output_tokens / known->engine->tokens_per_event;
+        const double margin = now() < late_at_ ? gap_margin : late_gap_margin;
+        expected_ms = expected_ms * margin + event_gap_ms_ * margin * output_tokens / known->engine->tokens_per_event;
     }
     return now() + std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{expected_ms}) <
            ends_at_;
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -22,8 +22,8 @@
 #include "dandelionbay/dispatch/retry_window.hpp"
 #include "dandelionbay/gateway/registry_view.hpp"
 #include "dandelionbay/proxy/call_protocol.hpp"
-#include "dandelionbay/proxy/http_connection.hpp"
 #include "dandelionbay/proxy/fwd.hpp"
+#include "dandelionbay/proxy/http_connection.hpp"
 
 namespace dandelionbay {
 
@@ -70,9 +70,10 @@
     [[nodiscard]] absl::Status start();
 
     /*! @brief Announces the end of connections to callers; calls that come still are served if they can end before.
-     *  @param until When the process ends. */
-    void drain(time_point until) noexcept {
+     *  @param late When the balancer should have noticed. @param until When the process ends. */
+    void drain(time_point late, time_point until) noexcept {
         draining_ = true;
+        late_at_ = late;
         ends_at_ = until;
     }
 
@@ -147,6 +148,7 @@
     std::uint64_t buffered_{};
     time_point expired_{};
     double event_gap_ms_{50.0}; //!< Moving average; an engine's step takes 5 ms and more, and an event some steps.
+    time_point late_at_{};
     time_point ends_at_{};
     bool draining_{};
     bool stopped_{};
--- a/src/dandelionbay/settings/process_settings.cpp
+++ b/src/dandelionbay/settings/process_settings.cpp
@@ -36,9 +36,9 @@
 };
 
 constexpr std::array roles{
-    choice<process_role>{"router", process_role::router}, choice<process_role>{"agent", process_role::agent},
-    choice<process_role>{"gateway", process_role::gateway}, choice<process_role>{"platform", process_role::platform}, choice<process_role>{"engine", process_role::engine},
-    choice<process_role>{"service", process_role::service}};
+    choice<process_role>{"router", process_role::router},   choice<process_role>{"agent", process_role::agent},
+    choice<process_role>{"gateway", process_role::gateway}, choice<process_role>{"platform", process_role::platform},
+    choice<process_role>{"engine", process_role::engine},   choice<process_role>{"service", process_role::service}};
 constexpr std::array host_roles{choice<host_role>{"router", host_role::router},
                                 choice<host_role>{"agent", host_role::agent}};
 constexpr std::array policies{choice<isolated_policy>{"stop", isolated_policy::stop},
@@ -205,6 +205,7 @@
         reader.number("memory_share", presence::optional, out.memory_share, 0.0, 1.0);
         reader.number("reading_weight", presence::optional, out.reading_weight, 0.0, max_policy_factor);
         reader.number("zone_cost_ms", presence::optional, out.zone_cost_ms, 0.0, max_policy_ms);
+        reader.number("least_distance_share", presence::optional, out.least_distance_share, 0.0, 1.0);
         reader.number("region_cost_ms", presence::optional, out.region_cost_ms, 0.0, max_policy_ms);
         reader.finish();
     }
--- a/test/dandelionbay/bench/bench_test.cpp
+++ b/test/dandelionbay/bench/bench_test.cpp
@@ -6,9 +6,9 @@
 
 #include <gtest/gtest.h>
 
+#include "dandelionbay/base/latency_histogram.hpp"
 #include "dandelionbay/bench/engine_times.hpp"
 #include "dandelionbay/bench/fairness_meter.hpp"
-#include "dandelionbay/base/latency_histogram.hpp"
 #include "dandelionbay/bench/recorder.hpp"
 #include "dandelionbay/bench/split_meter.hpp"
 
--- /dev/null
+++ b/test/dandelionbay/dispatch/dispatcher_test.cpp
@@ -0,0 +1,197 @@
+#include <set>
+
+#include <gtest/gtest.h>
+
+#include "dispatch_fixture.hpp"
+
+namespace dandelionbay {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against the pattern "many calls about few subjects": prompts whose long beginning is read again at every
+// endpoint, which makes an overload of a load that the fleet can bear.
+TEST(dispatcher, calls_about_one_subject_go_where_its_prompt_is_kept) {
+    dispatch_fixture fleet;
+    std::map<std::uint64_t, std::set<std::string>> homes;
+    for (int round = 0; round < 20; ++round) {
+        for (std::uint64_t subject = 1; subject <= 8; ++subject) {
+            const auto ticket = fleet.send(fleet.call("team", subject, 3'000, 100));
+            homes[subject].insert(fleet.log.placements[ticket]);
+            fleet.now += milliseconds{40};
+            fleet.router.started(ticket, fleet.now);
+            fleet.router.ended(ticket, false, fleet.now);
+        }
+    }
+    std::set<std::string> used;
+    for (const auto& [subject, endpoints] : homes) {
+        EXPECT_EQ(endpoints.size(), 1) << "subject " << subject;
+        used.insert(endpoints.begin(), endpoints.end());
+    }
+    EXPECT_GT(used.size(), 1) << "subjects are spread";
+    {
+        SCOPED_TRACE("a subject that gets much of the traffic is read at a second endpoint once the first is behind");
+        std::set<std::string> hot;
+        for (int n = 0; n < 60; ++n) {
+            const auto ticket = fleet.send(fleet.call("team", 1, 3'000, 900));
+            hot.insert(fleet.log.placements[ticket]);
+            fleet.advance(milliseconds{2});
+        }
+        EXPECT_GT(hot.size(), 1);
+    }
+}
+
+// Guards against the pattern "one team floods": a team that enters at another router gets nothing while this router
+// goes on to serve the flood, because each router orders only its own queue (FAIR).
+TEST(dispatcher, a_team_above_one_that_is_refused_elsewhere_gives_way) {
+    dispatch_fixture fleet{1};
+    const auto fill = [&](const std::string& team, int calls) {
+        int placed = 0;
+        for (int n = 0; n < calls; ++n) {
+            placed += fleet.log.placements.contains(fleet.send(fleet.call(team, 0, 0, 1'500))) ? 1 : 0;
+        }
+        return placed;
+    };
+    EXPECT_GE(fill("flood", 6), 3) << "alone it may fill the endpoint up to the limit";
+    fleet.router.usage().report(host_id{"r2"}, {team_service{team_id{"small"}, 2'000.0, 9'000.0}}, fleet.now);
+    fleet.now += milliseconds{100};
+    for (ticket_id ticket = 1; ticket <= fleet.last; ++ticket) {
+        fleet.router.withdraw(ticket);
+    }
+    fleet.answer_all();
+    EXPECT_EQ(fill("flood", 6), 1) << "the endpoint stays nearly idle for the other router's team";
+    {
+        SCOPED_TRACE("among the calls that wait here the small team goes first");
+        const auto late = fleet.send(fleet.call("flood", 0, 0, 1'500));
+        const auto small = fleet.send(fleet.call("small", 0, 0, 1'500));
+        fleet.advance(milliseconds{60});
+        EXPECT_FALSE(fleet.log.placements.contains(late));
+        EXPECT_TRUE(fleet.log.placements.contains(small));
+    }
+}
+
+// Guards against the pattern "more than the fleet can read": calls that are held until their callers give up, and
+// refusals that do not say when to come back.
+TEST(dispatcher, calls_that_cannot_begin_in_time_are_refused_long_before_their_target) {
+    dispatch_fixture fleet{2};
+    for (int n = 0; n < 200; ++n) {
+        fleet.send(fleet.call("team-" + std::to_string(n % 5), 0, 0, 4'000));
+    }
+    fleet.advance(milliseconds{8});
+    EXPECT_GT(fleet.log.refusals.size(), 150) << "what can't be served is refused at once";
+    for (int step = 0; step < 70; ++step) {
+        fleet.advance(milliseconds{8});
+    }
+    EXPECT_EQ(fleet.router.waiting(), 0) << "nothing waits past its target";
+    for (const auto& [ticket, why] : fleet.log.refusals) {
+        EXPECT_EQ(why.code, result_code::queue_timeout);
+        EXPECT_GE(why.retry_after, milliseconds{200});
+        EXPECT_LE(why.retry_after, seconds{4});
+    }
+}
+
+// Guards against refusals while endpoints are free: only a long prompt is expected to miss its target, and it does not
+// become quicker by coming back.
+TEST(dispatcher, a_prompt_that_is_too_long_for_its_target_is_served_by_an_idle_endpoint) {
+    dispatch_fixture fleet{2};
+    const auto ticket = fleet.send(fleet.call("team", 0, 0, 60'000));
+    EXPECT_TRUE(fleet.log.placements.contains(ticket));
+}
+
+// Guards against the crash of cold endpoints: each router sends its share only, also while many routers live.
+TEST(dispatcher, a_cold_endpoint_gets_this_routers_share_of_its_pace) {
+    dispatch_fixture fleet{1};
+    fleet.list.entries[0].cold_for = seconds{30};
+    fleet.list.entries[0].row_version = 2;
+    fleet.publish();
+    fleet.router.set_routers({host_id{"r1"}, host_id{"r2"}});
+    std::size_t most = 0;
+    std::deque<time_point> sent;
+    std::size_t known = 0;
+    for (int n = 0; n < 400; ++n) {
+        fleet.send(fleet.call("team", 0, 0, 50));
+        fleet.advance(milliseconds{10});
+        fleet.answer_all();
+        for (; known < fleet.log.placements.size(); ++known) {
+            sent.push_back(fleet.now);
+        }
+        while (!sent.empty() && fleet.now - sent.front() >= seconds{1}) {
+            sent.pop_front();
+        }
+        most = std::max(most, sent.size());
+    }
+    EXPECT_GT(known, 4);
+    EXPECT_EQ(most, 2) << "half of four calls a second";
+}
+
+// Guards against work for endpoints that leave, are out of service, failed the call already or are not allowed to
+// serve it.
+TEST(dispatcher, only_endpoints_that_may_serve_a_call_are_chosen) {
+    dispatch_fixture fleet{1};
+    fleet.list.entries.push_back(dispatch_fixture::engine("far", "zone-2"));
+    fleet.publish();
+    EXPECT_EQ(fleet.log.placements[fleet.send(fleet.call("team", 1, 100, 10))], "e0");
+    {
+        SCOPED_TRACE("a home in the other region");
+        auto bound = fleet.call("team", 1, 100, 10);
+        bound.team_regions = {region_id{"there"}};
+        EXPECT_EQ(fleet.log.placements[fleet.send(bound)], "far");
+    }
+    {
+        SCOPED_TRACE("homes that exclude each other");
+        auto bound = fleet.call("team", 1, 100, 10);
+        bound.team_regions = {region_id{"there"}};
+        bound.route_regions = {region_id{"here"}};
+        const auto ticket = fleet.send(bound);
+        fleet.advance(seconds{1});
+        EXPECT_EQ(fleet.log.refusals[ticket].code, result_code::no_endpoint_in_service);
+        fleet.answer_all();
+    }
+    {
+        SCOPED_TRACE("after a failure");
+        auto again = fleet.call("team", 1, 100, 10);
+        again.excluded = {endpoint_id{"e0"}};
+        EXPECT_EQ(fleet.log.placements[fleet.send(again)], "far");
+    }
+    {
+        SCOPED_TRACE("leaving, and a zone out of service");
+        fleet.list.entries[0].leaving = true;
+        fleet.list.entries[0].row_version = 5;
+        fleet.publish();
+        EXPECT_EQ(fleet.log.placements[fleet.send(fleet.call("team", 1, 100, 10))], "far");
+        fleet.view.confirm(operator_state{100, 1, {zone_out{zone_id{"zone-2"}, 100}}}, fleet.now);
+        const auto ticket = fleet.send(fleet.call("team", 1, 100, 10));
+        EXPECT_FALSE(fleet.log.placements.contains(ticket));
+    }
+}
+
+// Guards against work for an endpoint that went silent or can't be reached, and against its return with full load.
+TEST(dispatcher, silent_and_unreachable_endpoints_get_no_work) {
+    dispatch_fixture fleet{2};
+    const auto first = fleet.send(fleet.call("team", 1, 2'000, 10));
+    const auto silent = fleet.log.placements[first];
+    fleet.now += seconds{3};
+    {
+        SCOPED_TRACE("nothing was heard of it for longer than its reading takes");
+        const auto next = fleet.send(fleet.call("team", 1, 2'000, 10));
+        EXPECT_NE(fleet.log.placements[next], silent);
+    }
+    {
+        SCOPED_TRACE("refused connections pause it, and then it gets one call at a time");
+        dispatch_fixture other{1};
+        other.router.unreachable(endpoint_id{"e0"}, other.now);
+        EXPECT_FALSE(other.log.placements.contains(other.send(other.call("team", 1, 100, 10))));
+        other.now += seconds{1};
+        const auto trial = other.send(other.call("team", 1, 100, 10));
+        other.router.pump(other.now);
+        EXPECT_TRUE(other.log.placements.contains(trial) || other.log.placements.size() == 1);
+        EXPECT_EQ(other.log.placements.size(), 1);
+        other.router.started(other.log.placements.begin()->first, other.now);
+        other.advance(milliseconds{8});
+        EXPECT_TRUE(other.log.placements.contains(other.send(other.call("team", 1, 100, 10))));
+    }
+}
+
+} // namespace
+} // namespace dandelionbay
--- /dev/null
+++ b/test/dandelionbay/dispatch/limits_test.cpp
@@ -0,0 +1,120 @@
+#include <random>
+
+#include <gtest/gtest.h>
+
+#include "dandelionbay/dispatch/cold_pacer.hpp"
+#include "dandelionbay/dispatch/endpoint_load.hpp"
+#include "dandelionbay/dispatch/kept_parts.hpp"
+#include "dandelionbay/dispatch/retry_window.hpp"
+#include "dandelionbay/dispatch/team_usage.hpp"
+
+namespace dandelionbay {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_point start{seconds{100}};
+
+// Guards against shares of a cold endpoint's pace that add up to more than it bears.
+TEST(cold_pacer, the_shares_of_all_routers_add_up_to_the_pace) {
+    for (std::size_t routers = 1; routers <= 30; ++routers) {
+        std::size_t sum = 0;
+        for (std::size_t rank = 0; rank < routers; ++rank) {
+            sum += cold_pacer::share(13.9, routers, rank);
+        }
+        EXPECT_EQ(sum, 13) << routers << " routers";
+    }
+    EXPECT_EQ(cold_pacer::share(0.5, 3, 0), 1) << "an endpoint that gets nothing never becomes warm";
+}
+
+// Guards against retries that multiply a failure: in no window do all routers together go over the fleet's limit.
+TEST(retry_window, the_repeats_of_all_routers_stay_inside_the_limit) {
+    const retry_limits limits{0.2, 50.0, seconds{10}};
+    constexpr std::size_t routers = 4;
+    std::vector<retry_window> windows(routers, retry_window{limits});
+    std::mt19937 random{7};
+    std::uniform_int_distribution<std::size_t> pick{0, routers - 1};
+    std::deque<time_point> calls;
+    std::deque<time_point> repeats;
+    for (auto now = start; now < start + seconds{60}; now += milliseconds{5}) {
+        auto& it = windows[pick(random)];
+        it.call(now);
+        calls.push_back(now);
+        if (it.take(routers, now)) {
+            repeats.push_back(now);
+        }
+        for (auto* const list : {&calls, &repeats}) {
+            while (now - list->front() >= seconds{10}) {
+                list->pop_front();
+            }
+        }
+        const double allowed = limits.ratio * static_cast<double>(calls.size()) + limits.slack;
+        ASSERT_LE(static_cast<double>(repeats.size()), allowed);
+    }
+    EXPECT_GT(repeats.size(), 100) << "the limit is used";
+}
+
+// Guards against prompts that count as kept although the parts before them had to yield.
+TEST(kept_parts, the_least_recently_used_parts_yield_and_later_parts_need_the_earlier_ones) {
+    kept_parts kept;
+    kept.set_capacity(1'000);
+    const std::vector<prompt_part> first{{1, 400}, {2, 200}};
+    const std::vector<prompt_part> second{{1, 400}, {3, 300}};
+    kept.use(first);
+    EXPECT_EQ(kept.kept_tokens(first), 600);
+    EXPECT_EQ(kept.kept_tokens(second), 400);
+    kept.use(second);
+    EXPECT_EQ(kept.kept_tokens(second), 700);
+    kept.use(9, 200);
+    EXPECT_EQ(kept.kept_tokens(first), 400) << "the part that only the first prompt used had to yield";
+    kept.set_capacity(500);
+    EXPECT_EQ(kept.kept_tokens(second), 0) << "without its first part the rest of a prompt is of no use";
+    kept.clear();
+    EXPECT_EQ(kept.kept_tokens(second), 0);
+}
+
+// Guards against a backlog that only one router sees, and against one that stays after its calls ended.
+TEST(endpoint_load, the_backlog_counts_what_all_routers_sent_and_falls_as_answers_begin) {
+    endpoint_load load;
+    load.sent(1, call_load{4'200.0, 5'000.0}, start);
+    EXPECT_NEAR(load.backlog_ms(start), 100.0, 1.0);
+    load.report(host_id{"r2"}, endpoint_work{2'100.0, 3, 9'000.0}, start);
+    EXPECT_NEAR(load.backlog_ms(start), 150.0, 1.0);
+    EXPECT_EQ(load.calls(start), 4);
+    EXPECT_NEAR(load.memory_tokens(start), 14'000.0, 1.0);
+    load.started(1, start + milliseconds{150});
+    EXPECT_NEAR(load.backlog_ms(start + milliseconds{150}), 50.0, 10.0);
+    load.ended(1, false, start + milliseconds{300});
+    EXPECT_EQ(load.own(start).calls, 0);
+    {
+        SCOPED_TRACE("a peer that is not heard any more does not count for ever");
+        EXPECT_EQ(load.calls(start + seconds{2}), 0);
+    }
+    {
+        SCOPED_TRACE("slow answers lower the expected rate");
+        const double before = load.reading_ms(10'000.0);
+        for (ticket_id ticket = 10; ticket < 40; ++ticket) {
+            const auto at = start + seconds{static_cast<int>(ticket)};
+            load.sent(ticket, call_load{8'000.0, 0.0}, at);
+            load.started(ticket, at + milliseconds{600});
+            load.ended(ticket, false, at + milliseconds{700});
+        }
+        EXPECT_GT(load.reading_ms(10'000.0), before * 1.5);
+    }
+}
+
+// Guards against teams that pay for ever for a past flood, and against idle time that is saved up.
+TEST(team_usage, only_recent_service_of_all_routers_counts) {
+    team_usage usage;
+    usage.add(team_id{"a"}, 1'000.0, start);
+    usage.report(host_id{"r2"}, {team_service{team_id{"a"}, 500.0, 0.0}, team_service{team_id{"b"}, 100.0, 50.0}},
+                 start);
+    EXPECT_NEAR(usage.used(team_id{"a"}, start + seconds{1}), 1'500.0, 1.0);
+    EXPECT_NEAR(usage.least_denied(start + seconds{1}), 100.0, 1.0);
+    EXPECT_NEAR(usage.used(team_id{"a"}, start + seconds{5}), 0.0, 1.0);
+    EXPECT_TRUE(std::isinf(usage.least_denied(start + seconds{5}))) << "nobody is refused any more";
+}
+
+} // namespace
+} // namespace dandelionbay
--- /dev/null
+++ b/test/dandelionbay/gateway/registry_view_test.cpp
@@ -0,0 +1,150 @@
+#include <gtest/gtest.h>
+
+#include "dandelionbay/gateway/registry_view.hpp"
+
+namespace dandelionbay {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_point start{seconds{100}};
+
+[[nodiscard]] std::shared_ptr<const route_config> config(std::uint64_t version) {
+    route_config it;
+    it.version = version;
+    return std::make_shared<const route_config>(make_route_config(std::move(it)));
+}
+
+[[nodiscard]] endpoint_entry entry(const std::string& id, std::uint64_t row_version, duration cold_for = {}) {
+    endpoint_entry it;
+    it.id = endpoint_id{id};
+    it.service = service_id{"model"};
+    it.zone = zone_id{"zone-1"};
+    it.slots = 8;
+    it.cold_for = cold_for;
+    it.row_version = row_version;
+    return it;
+}
+
+[[nodiscard]] const registry_view::known_endpoint& only(const registry_view& view) {
+    return view.endpoints().begin()->second;
+}
+
+// Guards against a configuration that goes back: from an old answer of the store, or from a peer that is behind.
+TEST(registry_view, a_configuration_never_goes_back) {
+    registry_view view{{}};
+    EXPECT_TRUE(view.adopt(config(7)));
+    EXPECT_FALSE(view.adopt(config(7)));
+    EXPECT_FALSE(view.adopt(config(6)));
+    EXPECT_EQ(view.config()->version, 7);
+    {
+        SCOPED_TRACE("an older reading does not bring back a zone either");
+        EXPECT_TRUE(view.confirm(operator_state{50, 7, {zone_out{zone_id{"zone-1"}, 49}}}, start));
+        EXPECT_FALSE(view.confirm(operator_state{48, 7, {}}, start + seconds{1}));
+        EXPECT_EQ(view.operators().zones_out.size(), 1);
+    }
+}
+
+// Guards against withdrawn API keys that a router cut off from the store and from its peers goes on to accept.
+TEST(registry_view, keys_are_trusted_only_for_a_time_after_a_confirmation) {
+    registry_view view{freshness_limits{milliseconds{4'500}, seconds{2}}};
+    EXPECT_FALSE(view.keys_fresh(start)) << "nothing was read yet";
+    view.adopt(config(1));
+    EXPECT_TRUE(view.confirm(operator_state{10, 1, {}}, start));
+    EXPECT_TRUE(view.keys_fresh(start + milliseconds{4'499}));
+    EXPECT_FALSE(view.keys_fresh(start + milliseconds{4'500}));
+    {
+        SCOPED_TRACE("a reading that names a newer configuration confirms nothing until that is in force");
+        EXPECT_FALSE(view.confirm(operator_state{20, 2, {}}, start + seconds{5}));
+        EXPECT_FALSE(view.keys_fresh(start + seconds{5}));
+        view.adopt(config(2));
+        EXPECT_TRUE(view.confirm(operator_state{20, 2, {}}, start + seconds{5}));
+        EXPECT_TRUE(view.keys_fresh(start + seconds{5}));
+    }
+    {
+        SCOPED_TRACE("a reading that took long does not make the facts younger than an earlier one did");
+        EXPECT_TRUE(view.confirm(operator_state{21, 2, {}}, start + seconds{2}));
+        EXPECT_EQ(view.operator_age(start + seconds{6}), duration{seconds{1}});
+    }
+}
+
+// Guards against the loss of all endpoints when their entries lapse during an outage of the store, and against calls
+// to endpoints that are really gone.
+TEST(registry_view, entries_that_lapsed_in_an_outage_get_time_to_come_back) {
+    registry_view view{{}};
+    view.merge(endpoint_list{10, {entry("a", 9)}}, start, start);
+    {
+        SCOPED_TRACE("without an outage an endpoint whose entry is removed is gone at once");
+        view.merge(endpoint_list{20, {}}, start + seconds{1}, start + seconds{1});
+        EXPECT_TRUE(view.endpoints().empty());
+    }
+    {
+        SCOPED_TRACE("after one it is kept for two seconds");
+        view.merge(endpoint_list{30, {entry("a", 29)}}, start, start + seconds{2});
+        view.store_failed(start + seconds{5});
+        view.merge(endpoint_list{40, {}}, start, start + seconds{6});
+        view.expire(start + seconds{6} + milliseconds{1'999});
+        EXPECT_EQ(view.endpoints().size(), 1);
+        view.expire(start + seconds{8});
+        EXPECT_TRUE(view.endpoints().empty());
+    }
+    {
+        SCOPED_TRACE("one that had said that it leaves is not kept");
+        auto leaving = entry("b", 45);
+        leaving.leaving = true;
+        view.merge(endpoint_list{50, {leaving}}, start, start + seconds{9});
+        EXPECT_FALSE(view.takes_work(only(view)));
+        view.store_failed(start + seconds{9});
+        view.merge(endpoint_list{60, {}}, start, start + seconds{10});
+        EXPECT_TRUE(view.endpoints().empty());
+    }
+}
+
+// Guards against the full load for an endpoint that turned cold before its entry says so.
+TEST(registry_view, an_endpoint_is_cold_until_an_entry_written_later_says_otherwise) {
+    registry_view view{{}};
+    view.merge(endpoint_list{10, {entry("a", 9, seconds{3})}}, start, start);
+    EXPECT_TRUE(view.cold(only(view), start + milliseconds{2'999}));
+    EXPECT_FALSE(view.cold(only(view), start + seconds{3}));
+    {
+        SCOPED_TRACE("it refused a connection: the list that is being read may still hold its entry of before");
+        view.note_refused(endpoint_id{"a"}, start + seconds{4});
+        view.merge(endpoint_list{20, {entry("a", 15)}}, start, start + seconds{4});
+        EXPECT_TRUE(view.cold(only(view), start + seconds{4}));
+        view.merge(endpoint_list{30, {entry("a", 25)}}, start, start + seconds{5});
+        EXPECT_FALSE(view.cold(only(view), start + seconds{5}));
+    }
+    {
+        SCOPED_TRACE("its zone was taken back into service");
+        view.confirm(operator_state{40, 0, {zone_out{zone_id{"zone-1"}, 40}}}, start);
+        EXPECT_FALSE(view.takes_work(only(view)));
+        view.confirm(operator_state{50, 0, {}}, start);
+        EXPECT_TRUE(view.takes_work(only(view)));
+        EXPECT_TRUE(view.cold(only(view), start + seconds{60}));
+        view.merge(endpoint_list{55, {entry("a", 51)}}, start, start + seconds{60});
+        EXPECT_FALSE(view.cold(only(view), start + seconds{60}));
+    }
+}
+
+// Guards against calls on the wrong route: the longest prefix that begins the path wins, on its own host only.
+TEST(route_config, the_longest_prefix_of_the_host_selects_the_route) {
+    route_config it;
+    for (const auto& [name, host, prefix] :
+         {std::tuple{"short", "a", "/x/"}, {"long", "a", "/x/y/"}, {"other", "b", "/"}}) {
+        route added;
+        added.name = name;
+        added.host = host;
+        added.prefix = prefix;
+        it.routes.push_back(added);
+    }
+    const auto config = make_route_config(it);
+    EXPECT_EQ(config.find_route("a", "/x/y/z")->name, "long");
+    EXPECT_EQ(config.find_route("a", "/x/z")->name, "short");
+    EXPECT_EQ(config.find_route("a", "/x"), nullptr);
+    EXPECT_EQ(config.find_route("b", "/x/y/")->name, "other");
+    EXPECT_EQ(config.find_route("c", "/x/"), nullptr);
+}
+
+} // namespace
+} // namespace dandelionbay
--- /dev/null
+++ b/test/dandelionbay/platform/documents_test.cpp
@@ -0,0 +1,134 @@
+#include <gtest/gtest.h>
+
+#include "platform/call_headers.hpp"
+#include "platform/documents.hpp"
+
+namespace dandelionbay::platform {
+namespace {
+
+constexpr auto* document = R"({"version": 12,
+  "routes": [
+    {"name": "chat", "host": "a.example", "prefix": "/chat/", "kind": "streaming", "timeout_ms": 5000,
+     "target_latency_ms": 600, "traffic_split": [{"service": "m1", "weight": 90}, {"service": "m2", "weight": 10}],
+     "max_attempts": 2, "public": false, "resumable": true, "allowed_regions": ["north"], "new_field": {}},
+    {"name": "book", "host": "a.example", "prefix": "/book/", "kind": "unsafe", "service": "desk", "public": true}],
+  "services": [
+    {"name": "m1", "max_conns": 360, "cold_per_s": 13.0,
+     "engine": {"slots": 64, "kv_capacity": 273387, "stride": 4}},
+    {"name": "desk", "engine": null}],
+  "limits": {"max_header_bytes": 1000, "max_body_bytes": 2000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+             "tokens_per_s": 240000},
+  "tenants": [{"name": "t", "api_keys": ["k1", "k2"], "allowed_regions": []}]})";
+
+// Guards against routes that are read with other limits than the operator wrote.
+TEST(read_config, a_configuration_is_read_into_typed_values) {
+    const auto config = read_config(document);
+    ASSERT_TRUE(config.ok()) << config.status();
+    EXPECT_EQ(config->version, 12);
+    const auto* const chat = config->find_route("a.example", "/chat/x");
+    ASSERT_NE(chat, nullptr);
+    EXPECT_EQ(chat->kind, call_kind::streaming);
+    EXPECT_TRUE(chat->idempotent());
+    EXPECT_EQ(chat->time_limit, std::chrono::seconds{5});
+    EXPECT_EQ(chat->services.size(), 2);
+    EXPECT_EQ(chat->services[0].weight, 90.0);
+    EXPECT_EQ(chat->home_regions, std::vector{region_id{"north"}});
+    const auto* const book = config->find_route("a.example", "/book/x");
+    ASSERT_NE(book, nullptr);
+    EXPECT_FALSE(book->idempotent());
+    EXPECT_TRUE(book->is_public);
+    EXPECT_EQ(config->find_service(service_id{"m1"})->engine->memory_tokens, 273'387);
+    EXPECT_FALSE(config->find_service(service_id{"desk"})->engine.has_value());
+    EXPECT_EQ(config->find_team("k2")->id, team_id{"t"});
+    EXPECT_EQ(config->limits.idle_timeout, std::chrono::seconds{15});
+}
+
+// Guards against a broken document that replaces the last good one, or is refused without the place of the fault.
+TEST(read_config, faults_are_reported_with_their_place) {
+    for (
+        const auto& [text, place] : std::vector<std::pair<std::string, std::string>>{
+            {"{", "$"},
+            {R"({"version": 1, "routes": [{"name": "r", "host": "h", "prefix": "/", "kind": "odd", "service": "s"}], "services": []})",
+             "$.routes[0].kind"},
+            {R"({"version": 1, "routes": [{"name": "r", "host": "h", "prefix": "/", "kind": "safe"}], "services": []})",
+             "$.routes[0].service"},
+            {R"({"version": "1", "routes": [], "services": []})", "$.version"}}) {
+        const auto config = read_config(text);
+        ASSERT_FALSE(config.ok()) << text;
+        EXPECT_NE(std::string{config.status().message()}.find(place), std::string::npos) << config.status();
+    }
+}
+
+// Guards against entries of other writers that count as endpoints, and against a draining endpoint that gets work.
+TEST(read_endpoint, entries_that_cannot_be_read_name_no_endpoint) {
+    const auto good = read_endpoint(
+        "i-1", R"({"service": "m", "address": "10.0.0.1:80", "zone": "z", "slots": 64, "state": "draining",
+                   "cold_remaining_ms": 1500, "seq": 4, "born": 1700000000000})",
+        9);
+    ASSERT_TRUE(good.ok()) << good.status();
+    EXPECT_TRUE(good->leaving);
+    EXPECT_EQ(good->cold_for, std::chrono::milliseconds{1'500});
+    EXPECT_EQ(good->address, (socket_address{"10.0.0.1", 80}));
+    EXPECT_EQ(good->row_version, 9);
+    for (const std::string text :
+         {"", "[]", R"({"service": "m"})",
+          R"({"service": "m", "address": "host:80", "zone": "z", "slots": 64, "state": "ready"})",
+          R"({"service": "m", "address": "10.0.0.1:80", "zone": "z", "slots": "64", "state": "ready"})",
+          R"({"service": "m", "address": "10.0.0.1:80", "zone": "z", "slots": 64, "state": "odd"})"}) {
+        EXPECT_FALSE(read_endpoint("i-1", text, 1).ok()) << text;
+    }
+}
+
+// Guards against callers that set what only the router may set, and against keys that reach an endpoint.
+TEST(call_headers, what_callers_may_not_set_is_replaced) {
+    const auto protocol = make_call_protocol();
+    field_list fields{{"Authorization", "Token secret"},
+                      {"Dandelionbay-Request-Id", "abc"},
+                      {"dandelionbay-tenant", "forged"},
+                      {"Dandelionbay-Hold", "1"},
+                      {"Dandelionbay-Pin-Ms", "1"},
+                      {"Dandelionbay-Kv-Backup", "1"},
+                      {"Kv-From", "1"},
+                      {"Kv-Fetch", "1"},
+                      {"Dandelionbay-Expect-Instance", "forged"},
+                      {"Dandelionbay-Deadline-Ms", "5000"},
+                      {"Last-Event-Id", "4"},
+                      {"Dandelionbay-Token-Count", "1460,80"},
+                      {"Dandelionbay-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"}};
+    const auto terms = protocol->read_call(fields);
+    EXPECT_EQ(terms.id, "abc");
+    EXPECT_EQ(terms.key, "secret");
+    EXPECT_EQ(terms.time_left, std::chrono::seconds{5});
+    EXPECT_EQ(terms.resume_after, 4);
+    EXPECT_EQ(terms.prompt_tokens, 1'460);
+    EXPECT_EQ(terms.output_tokens, 80);
+    EXPECT_EQ(terms.parts, (std::vector<prompt_part>{{0x5c1e07a2, 800}, {0x91bd3f06, 410}}));
+    protocol->write_call(fields, forward_terms{endpoint_id{"i-1"}, team_id{"t"}, std::chrono::milliseconds{1'234}, 9});
+    EXPECT_EQ(fields, (field_list{{"Dandelionbay-Request-Id", "abc"},
+                                  {"Dandelionbay-Token-Count", "1460,80"},
+                                  {"Dandelionbay-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
+                                  {"Dandelionbay-Deadline-Ms", "1234"},
+                                  {"Dandelionbay-Expect-Instance", "i-1"},
+                                  {"Dandelionbay-Tenant", "t"},
+                                  {"Last-Event-Id", "9"}}));
+}
+
+// Guards against a refusal that is taken for "not run" although the endpoint did not say so.
+TEST(call_headers, only_the_endpoint_says_that_it_did_not_run_a_call) {
+    const auto protocol = make_call_protocol();
+    const auto read = [&](int status, field_list fields) {
+        response_head head;
+        head.status = status;
+        head.fields = std::move(fields);
+        return protocol->read_answer(head);
+    };
+    EXPECT_FALSE(read(503, {}).not_run);
+    EXPECT_TRUE(read(503, {{"dandelionbay-not-executed", "1"}}).not_run);
+    EXPECT_TRUE(read(421, {}).not_run);
+    EXPECT_TRUE(read(421, {}).wrong_endpoint);
+    EXPECT_TRUE(read(200, {{"Dandelionbay-Response-Seal", "x"}}).sealed);
+    EXPECT_EQ(read(200, {{"Keep-Alive", "timeout=5, max=3"}}).idle_timeout, std::chrono::seconds{5});
+}
+
+} // namespace
+} // namespace dandelionbay::platform
--- /dev/null
+++ b/test/dandelionbay/platform/raw_server.hpp
@@ -0,0 +1,133 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <list>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include "dandelionbay/base/socket_address.hpp"
+#include "dandelionbay/proxy/http_reader.hpp"
+
+namespace dandelionbay::platform {
+
+/*! @brief Server whose handler writes the bytes of each answer itself; one thread for each connection. */
+class raw_server {
+    using tcp = boost::asio::ip::tcp;
+
+public:
+    /*! @brief One connection, as the handler sees it. */
+    class connection {
+    public:
+        explicit connection(tcp::socket socket) : socket_{std::move(socket)} {}
+
+        void write(const std::string& bytes) {
+            boost::system::error_code ec;
+            boost::asio::write(socket_, boost::asio::buffer(bytes), ec);
+        }
+
+        /*! @brief Ends the connection with a reset. */
+        void reset() {
+            boost::system::error_code ec;
+            socket_.set_option(boost::asio::socket_base::linger{true, 0}, ec);
+            socket_.close(ec);
+        }
+
+        void close() {
+            boost::system::error_code ec;
+            socket_.shutdown(tcp::socket::shutdown_both, ec);
+        }
+
+        /*! @brief Tells whether the other side is still there. */
+        [[nodiscard]] bool open() {
+            char byte = 0;
+            const auto n = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            return n > 0 || (n < 0 && errno == EAGAIN);
+        }
+
+        std::size_t read(char* data, std::size_t size) {
+            boost::system::error_code ec;
+            return socket_.read_some(boost::asio::buffer(data, size), ec);
+        }
+
+    private:
+        tcp::socket socket_;
+    };
+
+    using handler = std::function<void(const http_request&, connection&)>;
+
+    explicit raw_server(handler serve)
+        : serve_{std::move(serve)}, acceptor_{loop_, tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), 0}},
+          accepting_{[this] { accept(); }} {}
+    raw_server(const raw_server&) = delete;
+    raw_server(raw_server&&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+    raw_server& operator=(raw_server&&) = delete;
+    ~raw_server() { stop(); }
+
+    [[nodiscard]] socket_address address() const { return address_; }
+
+    void stop() {
+        if (stopped_.exchange(true)) {
+            return;
+        }
+        boost::system::error_code ec;
+        shutdown(acceptor_.native_handle(), SHUT_RDWR); // Wakes the accepting thread.
+        accepting_.join();
+        acceptor_.close(ec);
+        const std::scoped_lock lock{mutex_};
+        for (auto& it : connections_) {
+            it.close();
+        }
+        for (auto& it : threads_) {
+            it.join();
+        }
+    }
+
+private:
+    void accept() {
+        while (!stopped_) {
+            boost::system::error_code ec;
+            tcp::socket socket{loop_};
+            acceptor_.accept(socket, ec);
+            if (ec || stopped_) {
+                return;
+            }
+            const std::scoped_lock lock{mutex_};
+            connections_.emplace_back(std::move(socket));
+            threads_.emplace_back([this, it = &connections_.back()] { serve(*it); });
+        }
+    }
+
+    void serve(connection& it) {
+        request_reader reader{65'536, 1U << 20U};
+        std::array<char, 4'096> buf{};
+        while (!stopped_) {
+            const auto n = it.read(buf.data(), buf.size());
+            if (n == 0) {
+                return;
+            }
+            reader.append({buf.data(), n});
+            while (reader.read() == read_result::complete) {
+                serve_(reader.take(), it);
+            }
+        }
+    }
+
+    handler serve_;
+    boost::asio::io_context loop_{};
+    tcp::acceptor acceptor_;
+    socket_address address_{"127.0.0.1", acceptor_.local_endpoint().port()};
+    std::atomic<bool> stopped_{};
+    std::mutex mutex_{};
+    std::list<connection> connections_{};
+    std::list<std::thread> threads_{};
+    std::thread accepting_;
+};
+
+} // namespace dandelionbay::platform
--- /dev/null
+++ b/test/dandelionbay/platform/standin_store.hpp
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <condition_variable>
+#include <map>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/escaping.h"
+#include "dandelionbay/base/text.hpp"
+#include "raw_server.hpp"
+
+namespace dandelionbay::platform {
+
+/*! @brief Stand-in of the platform's table store: reading, watching and writing of rows with an empty part. */
+class standin_store {
+    struct row {
+        std::string value{};
+        std::uint64_t version{};
+        bool removed{};
+    };
+
+public:
+    standin_store()
+        : server_{[this](const http_request& request, raw_server::connection& to) { serve(request, to); }} {}
+
+    [[nodiscard]] socket_address address() const { return server_.address(); }
+
+    void put(const std::string& table, const std::string& key, const std::string& value) {
+        const std::scoped_lock lock{mutex_};
+        rows_[{table, key}] = row{value, ++version_, false};
+        changed_.notify_all();
+    }
+
+    void remove(const std::string& table, const std::string& key) {
+        const std::scoped_lock lock{mutex_};
+        rows_[{table, key}] = row{"", ++version_, true};
+        changed_.notify_all();
+    }
+
+    /*! @brief Answers 503 to all calls, or serves them again. */
+    void set_down(bool down) {
+        const std::scoped_lock lock{mutex_};
+        down_ = down;
+        changed_.notify_all();
+    }
+
+    /*! @brief Forgets what changed before now. */
+    void compact() {
+        const std::scoped_lock lock{mutex_};
+        history_from_ = ++version_;
+        changed_.notify_all();
+    }
+
+    [[nodiscard]] bool holds(const std::string& table, const std::string& key) {
+        const std::scoped_lock lock{mutex_};
+        const auto it = rows_.find({table, key});
+        return it != rows_.end() && !it->second.removed;
+    }
+
+    void stop() {
+        set_down(true);
+        server_.stop();
+    }
+
+private:
+    static std::string parameter(const http_request& request, const std::string& name) {
+        const auto at = request.target.find(name + "=");
+        if (at == std::string::npos) {
+            return {};
+        }
+        const auto from = at + name.size() + 1;
+        return request.target.substr(from, request.target.find('&', from) - from);
+    }
+
+    static void answer(raw_server::connection& to, int status, const std::string& body) {
+        to.write(concat("HTTP/1.1 ", status, " X\r\nContent-Type: application/json\r\nContent-Length: ", body.size(),
+                        "\r\n\r\n", body));
+    }
+
+    std::string rows_since(const std::string& table, std::uint64_t after, bool with_removed) {
+        nlohmann::json list = nlohmann::json::array();
+        for (const auto& [name, it] : rows_) {
+            if (name.first != table || it.version <= after || (it.removed && !with_removed)) {
+                continue;
+            }
+            nlohmann::json out{{"table", table}, {"part", ""}, {"key", name.second}, {"ver", it.version}};
+            if (it.removed) {
+                out["removed"] = true;
+            } else {
+                out["value"] = absl::Base64Escape(it.value);
+            }
+            list.push_back(std::move(out));
+        }
+        return nlohmann::json{{"rows", list}, {"has_more", false}, {"ver", version_}, {"now_ms", 1}}.dump();
+    }
+
+    void watch(const http_request& request, raw_server::connection& to, std::unique_lock<std::mutex>& lock) {
+        const auto table = parameter(request, "table");
+        const auto after = std::stoull(parameter(request, "after_rev"));
+        const std::chrono::milliseconds wait{std::stoll(parameter(request, "wait_ms"))};
+        changed_.wait_for(lock, wait, [&] {
+            return down_ || after < history_from_ || std::ranges::any_of(rows_, [&](const auto& it) {
+                       return it.first.first == table && it.second.version > after;
+                   });
+        });
+        if (down_) {
+            answer(to, 503, "{}");
+        } else if (after < history_from_) {
+            answer(to, 410, "{}");
+        } else {
+            answer(to, 200, rows_since(table, after, true));
+        }
+    }
+
+    void write(const http_request& request, raw_server::connection& to) {
+        const auto body = nlohmann::json::parse(request.body);
+        ++version_;
+        for (const auto& it : body["put"]) {
+            std::string value;
+            absl::Base64Unescape(it["value"].get<std::string>(), &value);
+            rows_[{it["table"], it["key"]}] = row{value, version_, false};
+        }
+        for (const auto& it : body["remove"]) {
+            rows_[{it["table"], it["key"]}] = row{"", version_, true};
+        }
+        changed_.notify_all();
+        answer(to, 200, nlohmann::json{{"ver", version_}, {"now_ms", 1}}.dump());
+    }
+
+    void serve(const http_request& request, raw_server::connection& to) {
+        std::unique_lock lock{mutex_};
+        if (down_) {
+            answer(to, 503, "{}");
+        } else if (request.path() == "/rows-get") {
+            answer(to, 200, rows_since(parameter(request, "table"), 0, false));
+        } else if (request.path() == "/rows-feed") {
+            watch(request, to, lock);
+        } else {
+            write(request, to);
+        }
+    }
+
+    std::mutex mutex_{};
+    std::condition_variable changed_{};
+    std::map<std::pair<std::string, std::string>, row> rows_{};
+    std::uint64_t version_{};
+    std::uint64_t history_from_{};
+    bool down_{};
+    raw_server server_; // Last: its threads use the members above.
+};
+
+} // namespace dandelionbay::platform
--- /dev/null
+++ b/test/dandelionbay/proxy/http_reader_test.cpp
@@ -0,0 +1,126 @@
+#include <gtest/gtest.h>
+
+#include "dandelionbay/proxy/event_scanner.hpp"
+#include "dandelionbay/proxy/http_reader.hpp"
+
+namespace dandelionbay {
+namespace {
+
+// Guards against requests that are hidden in the body of another one.
+TEST(request_reader, a_request_whose_length_is_stated_twice_is_refused) {
+    for (const std::string header :
+         {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+          "Content-Length: 5\r\nContent-Length: 6\r\n"}) {
+        request_reader reader{16'384, 1'024};
+        reader.append("POST /a HTTP/1.1\r\nHost: h\r\n" + header + "\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\n\r\n");
+        EXPECT_EQ(reader.read(), read_result::malformed) << header;
+    }
+}
+
+// Guards against bodies that change on the way, and against requests on one connection that mix.
+TEST(request_reader, requests_on_one_connection_come_out_one_by_one_in_any_pieces) {
+    const std::string bytes = "POST /a?q=1 HTTP/1.1\r\nHost: Name.Example:80\r\nTransfer-Encoding: chunked\r\n\r\n"
+                              "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    for (std::size_t piece = 1; piece <= bytes.size(); piece += 7) {
+        request_reader reader{16'384, 1'024};
+        std::vector<http_request> out;
+        for (std::size_t at = 0; at < bytes.size(); at += piece) {
+            reader.append(bytes.substr(at, piece));
+            while (reader.read() == read_result::complete) {
+                out.push_back(reader.take());
+            }
+        }
+        ASSERT_EQ(out.size(), 2) << piece;
+        EXPECT_EQ(out[0].body, "abcde");
+        EXPECT_EQ(out[0].host, "name.example");
+        EXPECT_EQ(out[0].path(), "/a");
+        EXPECT_TRUE(out[0].keep_alive);
+        EXPECT_EQ(out[1].target, "/b");
+        EXPECT_FALSE(out[1].keep_alive);
+    }
+}
+
+// Guards against callers that send more than the configuration allows.
+TEST(request_reader, headers_and_bodies_over_the_limit_are_told_apart) {
+    request_reader header{64, 10};
+    header.append("GET / HTTP/1.1\r\nHost: h\r\nLong: " + std::string(100, 'x') + "\r\n\r\n");
+    EXPECT_EQ(header.read(), read_result::header_too_long);
+    request_reader body{1'024, 10};
+    body.append("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n");
+    EXPECT_EQ(body.read(), read_result::body_too_long);
+}
+
+// Guards against answers that are cut off and look complete, and against bytes after an answer that count as the next.
+TEST(response_reader, an_answer_is_complete_only_by_its_own_framing) {
+    {
+        SCOPED_TRACE("with a length");
+        response_reader reader;
+        reader.append("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab");
+        EXPECT_EQ(reader.read(), read_result::incomplete);
+        EXPECT_FALSE(reader.end());
+    }
+    {
+        SCOPED_TRACE("in chunks");
+        response_reader reader;
+        reader.append("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n");
+        EXPECT_EQ(reader.read(), read_result::incomplete);
+        EXPECT_EQ(reader.take_head()->status, 200);
+        EXPECT_EQ(reader.take_body(), "ab");
+        EXPECT_FALSE(reader.end());
+    }
+    {
+        SCOPED_TRACE("by the end of the connection");
+        response_reader reader;
+        reader.append("HTTP/1.1 200 OK\r\n\r\nab");
+        EXPECT_EQ(reader.read(), read_result::incomplete);
+        EXPECT_TRUE(reader.end());
+        EXPECT_EQ(reader.take_body(), "ab");
+    }
+    {
+        SCOPED_TRACE("an interim answer is none, and what follows an answer is left over");
+        response_reader reader;
+        reader.append(
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\n");
+        EXPECT_EQ(reader.read(), read_result::complete);
+        EXPECT_EQ(reader.take_head()->status, 503);
+        EXPECT_EQ(reader.take_body(), "x");
+        EXPECT_GT(reader.buffered(), 0);
+    }
+    {
+        SCOPED_TRACE("garbage");
+        response_reader reader;
+        reader.append("\x01\x02 no answer\r\n\r\n");
+        EXPECT_EQ(reader.read(), read_result::malformed);
+    }
+}
+
+// Guards against headers that concern one connection only and travel further.
+TEST(http_message, fields_of_one_connection_are_removed) {
+    field_list fields{{"Connection", "close, X-Mine"},  {"x-mine", "1"},
+                      {"Transfer-Encoding", "chunked"}, {"Content-Length", "3"},
+                      {"Content-Type", "text/x"},       {"Keep-Alive", "timeout=3"}};
+    remove_hop_fields(fields);
+    EXPECT_EQ(fields, (field_list{{"Content-Type", "text/x"}}));
+}
+
+// Guards against events that are passed on half, which a resumed stream would repeat or tear.
+TEST(event_scanner, only_whole_events_come_out) {
+    const std::string bytes = "versions: 3\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: none\n\nid: 4\ndata: c";
+    for (std::size_t piece = 1; piece < bytes.size(); ++piece) {
+        event_scanner scanner;
+        std::vector<std::optional<std::uint64_t>> ids;
+        std::string text;
+        for (std::size_t at = 0; at < bytes.size(); at += piece) {
+            scanner.append(bytes.substr(at, piece));
+            while (const auto event = scanner.next()) {
+                ids.push_back(event->id);
+                text += event->text;
+            }
+        }
+        EXPECT_EQ(ids, (std::vector<std::optional<std::uint64_t>>{1, 2, std::nullopt}));
+        EXPECT_EQ(text + scanner.rest(), bytes);
+    }
+}
+
+} // namespace
+} // namespace dandelionbay
