Keep lost entries only for a while after the store's return

Ruled out: a late list (it was 500 ms old); a slow router.

Change: a lost entry is kept until 1.9 s after the store's return; with a peer's list, 1.9 s after it went missing. One log line for each call instead of two, and the number of lines left out once a second.

--- a/src/dandelionbay/base/bounded_log.cpp
+++ b/src/dandelionbay/base/bounded_log.cpp
@@ -31,8 +31,9 @@
         return;
     }
     tokens_ -= 1.0;
-    if (left_out_ > reported_) {
+    if (left_out_ > reported_ && filled_ - reported_at_ >= report_interval) {
         tokens_ -= 1.0;
+        reported_at_ = filled_;
         log_->write(log_level::warn, "log_lines_left_out", {{"lines", std::to_string(left_out_ - reported_)}});
         reported_ = left_out_;
     }
--- a/src/dandelionbay/base/bounded_log.hpp
+++ b/src/dandelionbay/base/bounded_log.hpp
@@ -19,6 +19,9 @@
     /*! @brief Lines that may come at once after a quiet time. */
     static constexpr double burst = 500.0;
 
+    /*! @brief The number of lines left out is logged this often. */
+    static constexpr duration report_interval = std::chrono::seconds{1};
+
     /*! @brief Wraps a log. @param log The log; null drops all. @param time Clock; must outlive it. */
     bounded_log(std::shared_ptr<event_log> log, const clock& time) : log_{std::move(log)}, clock_{&time} {}
 
@@ -35,6 +38,7 @@
     time_point filled_{};
     std::uint64_t left_out_{};
     std::uint64_t reported_{};
+    time_point reported_at_{};
 };
 
 } // namespace dandelionbay
--- a/src/dandelionbay/gateway/registry_view.cpp
+++ b/src/dandelionbay/gateway/registry_view.cpp
@@ -11,9 +11,6 @@
 /*! An endpoint that refused a connection is trusted again without a new entry after this time: two registrations. */
 constexpr duration unverified_limit = std::chrono::milliseconds{2500};
 
-/*! An absent entry counts as lost in a store outage if the store failed within this time before. */
-constexpr duration outage_memory = std::chrono::seconds{5};
-
 [[nodiscard]] std::optional<duration> age_of(const std::optional<time_point>& at, time_point now) noexcept {
     if (!at) {
         return std::nullopt;
@@ -102,20 +99,28 @@
     return true;
 }
 
-void registry_view::store_failed(time_point now) {
-    store_failed_ = now;
+void registry_view::store_failed() {
+    store_failing_ = true;
+}
+
+void registry_view::store_back(time_point now) {
+    store_failing_ = false;
+    store_returned_ = now;
+}
+
+bool registry_view::may_come_back(const known_endpoint& it, time_point now) const {
+    if (it.entry.leaving) {
+        return false;
+    }
+    if (store_failing_) { // The list came from a peer.
+        return now - it.missing_since < limits_.lapse_grace;
+    }
+    return store_returned_ && now - *store_returned_ < limits_.lapse_grace;
 }
 
 void registry_view::expire(time_point now) {
-    std::erase_if(endpoints_, [&](const auto& item) {
-        const auto& it = item.second;
-        if (it.present) {
-            return false;
-        }
-        const bool after_outage = store_failed_ && it.missing_since - *store_failed_ < outage_memory;
-        // An entry that said that it leaves, or that vanished while the store answered, is gone at once.
-        return !after_outage || it.entry.leaving || now - it.missing_since >= limits_.lapse_grace;
-    });
+    std::erase_if(endpoints_,
+                  [&](const auto& item) { return !item.second.present && !may_come_back(item.second, now); });
 }
 
 void registry_view::note_refused(const endpoint_id& id, time_point now) {
--- a/src/dandelionbay/gateway/registry_view.hpp
+++ b/src/dandelionbay/gateway/registry_view.hpp
@@ -35,7 +35,8 @@
 /*! @brief How long a router trusts what it read. */
 struct freshness_limits {
     duration keys{std::chrono::milliseconds{4500}}; //!< API keys; below the time in which a withdrawn key must stop.
-    duration lapse_grace{std::chrono::seconds{2}};  //!< Entries lost in a store outage may be back until then.
+    duration lapse_grace{
+        std::chrono::milliseconds{1'900}}; //!< After an outage of the store, lost entries may come back.
 
     friend bool operator==(const freshness_limits&, const freshness_limits&) = default;
 };
@@ -47,9 +48,6 @@
  * never brings an older fact back.
  */
 class registry_view {
-    void note_returned_zones(const operator_state& next);
-    void merge_entries(const endpoint_list& next, time_point now);
-
 public:
     /*! @brief An endpoint and what this router noted about it. */
     struct known_endpoint {
@@ -62,6 +60,12 @@
         time_point missing_since{};
     };
 
+private:
+    void note_returned_zones(const operator_state& next);
+    [[nodiscard]] bool may_come_back(const known_endpoint& it, time_point now) const;
+    void merge_entries(const endpoint_list& next, time_point now);
+
+public:
     /*! @brief Creates an empty view. @param limits How long facts are trusted. */
     explicit registry_view(freshness_limits limits) : limits_{limits} {}
 
@@ -88,8 +92,11 @@
      */
     bool merge(const endpoint_list& next, time_point read_at, time_point now);
 
-    /*! @brief The store did not answer this router. @param now Time. */
-    void store_failed(time_point now);
+    /*! @brief The store did not answer this router. */
+    void store_failed();
+
+    /*! @brief The store answers this router again. @param now Time. */
+    void store_back(time_point now);
 
     /*! @brief Drops endpoints that have been missing for too long. @param now Time. */
     void expire(time_point now);
@@ -139,7 +146,8 @@
     std::map<endpoint_id, known_endpoint> endpoints_{};
     std::optional<time_point> operators_read_{};
     std::optional<time_point> endpoints_read_{};
-    std::optional<time_point> store_failed_{};
+    std::optional<time_point> store_returned_{};
+    bool store_failing_{};
 };
 
 } // namespace dandelionbay
--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -231,7 +231,7 @@
 
 void gateway_node::on_registry_failed(std::string_view call, std::string_view reason) {
     const auto now = clock_.now();
-    view_.store_failed(now);
+    view_.store_failed();
     metrics_.add("registry_failures_total", call);
     if (!std::exchange(registry_failed_, true)) {
         log_.write(log_level::warn, "registry_lost",
@@ -242,6 +242,7 @@
 }
 
 void gateway_node::on_registry_back() {
+    view_.store_back(clock_.now());
     if (std::exchange(registry_failed_, false)) {
         log_.write(log_level::info, "registry_back", {{"config_age_ms", age_text(view_.operator_age(clock_.now()))}});
     }
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -158,16 +158,8 @@
     scanner_.clear();
     streaming_ = false;
     paused_ = false;
-    owner_->environment().log->write(
-        log_level::info, "call_placed",
-        {{"request", terms_.id},
-         {"endpoint", choice.endpoint.value},
-         {"send", std::to_string(sends_)},
-         {"waited_ms", to_text(now - arrived_)},
-         {"backlog_ms", std::to_string(static_cast<int>(choice.backlog_ms))},
-         {"unread_tokens", std::to_string(static_cast<int>(choice.unread_tokens))},
-         {"cold", choice.cold ? "yes" : "no"},
-         {"list_age_ms", to_text(owner_->environment().view->endpoints_age(now).value_or(duration{}))}});
+    waited_ = now - arrived_;
+    list_age_ = owner_->environment().view->endpoints_age(now).value_or(duration{});
     client_ = owner_->connect(choice, fresh_connection_limit());
     client_->send(request_bytes(choice, now), request_.method == "HEAD", this);
 }
@@ -369,6 +361,8 @@
                                      {{"request", terms_.id},
                                       {"endpoint", choice_.endpoint.value},
                                       {"reason", std::string{reason}},
+                                      {"waited_ms", to_text(waited_)},
+                                      {"list_age_ms", to_text(list_age_)},
                                       {"may_have_run", std::to_string(runs_)},
                                       {"after_ms", to_text(now - arrived_)}});
     excluded_.insert(choice_.endpoint);
@@ -501,6 +495,11 @@
                     {"endpoint", choice_.endpoint.value},
                     {"sends", std::to_string(sends_)},
                     {"may_have_run", std::to_string(runs_)},
+                    {"waited_ms", to_text(waited_)},
+                    {"backlog_ms", std::to_string(static_cast<int>(choice_.backlog_ms))},
+                    {"unread_tokens", std::to_string(static_cast<int>(choice_.unread_tokens))},
+                    {"cold", choice_.cold ? "yes" : "no"},
+                    {"list_age_ms", to_text(list_age_)},
                     {"first_ms", first_event_at_ ? to_text(*first_event_at_ - arrived_) : ""},
                     {"total_ms", to_text(now - arrived_)},
                     {"waiting_calls", std::to_string(owner_->dispatch().waiting())},
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -115,6 +115,8 @@
     std::optional<time_point> first_event_at_{};
     time_point sent_at_{}; //!< When it was sent, or its newest event came.
     bool paused_{};
+    duration waited_{};   //!< From the arrival to the newest placement.
+    duration list_age_{}; //!< Age of the list of endpoints at that placement.
 };
 
 } // namespace dandelionbay
