--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -98,6 +98,7 @@
         sums[it.item.service] += it.best_reading_ms;
     }
     std::vector<service_queue> out;
+    out.reserve(sums.size());
     for (const auto& [service, ms] : sums) {
         out.push_back(service_queue{service, ms});
     }
--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -62,7 +62,7 @@
           std::function<absl::Status()>{[this] { return links_.start(); }},
           std::function<absl::Status()>{[this] { return ready_.start(options_.ready_listen); }},
           std::function<absl::Status()>{[this] { return status_.start(options_.metrics_listen); }}}) {
-        if (const auto status = step(); !status.ok()) {
+        if (auto status = step(); !status.ok()) {
             log_.write(log_level::error, "start_failed", {{"reason", std::string{from_absl(status.message())}}});
             return status;
         }
--- a/src/dandelionbay/proxy/channel.cpp
+++ b/src/dandelionbay/proxy/channel.cpp
@@ -146,7 +146,7 @@
     error_code ec;
     std::size_t sent = 0;
     while (sent < pending_.size()) {
-        const auto n = socket_.write_some(asio::buffer(pending_.data() + sent, pending_.size() - sent), ec);
+        const auto n = socket_.write_some(asio::buffer(asio::buffer(pending_) + sent), ec);
         if (ec) {
             break;
         }
