--- a/src/dandelionbay/app/command.hpp
+++ b/src/dandelionbay/app/command.hpp
@@ -55,5 +55,6 @@
 [[nodiscard]] command load_command();
 [[nodiscard]] command serve_command();
 [[nodiscard]] command standin_command();
+[[nodiscard]] command trace_command();
 
 } // namespace dandelionbay::app
--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -26,6 +26,18 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{ms});
 }
 
+[[nodiscard]] refusal explain(const placement::candidate& best, standing team, double ahead_ms) {
+    refusal out;
+    out.team = team;
+    out.ahead_ms = ahead_ms;
+    if (best.at != nullptr) {
+        out.code = result_code::queue_timeout;
+        out.best = best.at->known->entry.id;
+        out.backlog_ms = best.at->wait_ms;
+    }
+    return out;
+}
+
 } // namespace
 
 dispatcher::dispatcher(const registry_view& view, router_place place, const dispatch_limits& limits,
@@ -34,8 +46,12 @@
                                                                                                         place_.host} {}
 
 standing dispatcher::standing_of(const work_item& item, time_point now) {
+    const double used = usage_.used(item.team, now);
     const double least = usage_.least_denied(now) * limits_.yield_margin + item.cost();
-    if (usage_.used(item.team, now) > least) {
+    if (used > usage_.least_starved(now) * limits_.yield_margin + item.cost()) {
+        return standing::far_above;
+    }
+    if (used > least) {
         return standing::above;
     }
     return std::isfinite(least) ? standing::least : standing::usual;
@@ -109,24 +125,26 @@
     peer_queues_[peer] = peer_queues{std::move(queues), now};
 }
 
-void dispatcher::refuse(const waiting_call& call, result_code code, double drain_ms, time_point now) {
-    const auto base = std::clamp(from_ms(limits_.reading_ahead_ms + drain_ms), shortest_return, longest_return);
+void dispatcher::refuse(const work_item& item, refusal why, time_point now) {
+    const auto base = std::clamp(from_ms(limits_.reading_ahead_ms + why.ahead_ms), shortest_return, longest_return);
     std::uniform_real_distribution<double> spread{earliest_return, latest_return};
-    const auto after = std::chrono::duration_cast<duration>(base * spread(random_));
-    usage_.deny(call.item.team, call.item.cost(), now);
-    listener_->refused(call.item.ticket, refusal{code, after});
+    why.retry_after = std::chrono::duration_cast<duration>(base * spread(random_));
+    usage_.deny(item.team, item.cost(), now);
+    listener_->refused(item.ticket, why);
 }
 
-void dispatcher::refuse_waiting(ticket_id ticket, result_code code, double drain_ms, time_point now) {
+void dispatcher::refuse_waiting(ticket_id ticket, const refusal& why, time_point now) {
     if (const auto it = waiting_.extract(ticket); !it.empty()) { // A refusal may withdraw others.
-        refuse(it.mapped(), code, drain_ms, now);
+        refuse(it.mapped().item, why, now);
     }
 }
 
 void dispatcher::submit(work_item item, time_point now) {
     const auto ticket = item.ticket;
     if (view_->config() == nullptr || waiting_.size() >= limits_.most_queued) {
-        refuse(waiting_call{std::move(item), now, 0.0}, result_code::router_queue_full, 0.0, now);
+        refusal why;
+        why.code = result_code::router_queue_full;
+        refuse(item, why, now);
         return;
     }
     auto sites = look(now);
@@ -214,7 +232,8 @@
     const auto choices = it.sites.consider(call.item, team);
     const bool late = now >= call.give_up;
     // Waiting for the endpoint that keeps the prompt's start ends with the wait; the least served go elsewhere then.
-    const auto& choice = late && team != standing::above ? choices.best_ready : choices.best;
+    const bool gives_way = team == standing::above || team == standing::far_above;
+    const auto& choice = late && !gives_way ? choices.best_ready : choices.best;
     if (choice.at != nullptr && choice.ready) {
         const auto node = waiting_.extract(found);
         place(node.mapped().item, it.sites, choice, now);
@@ -223,9 +242,7 @@
     auto& ahead = it.ahead_ms[call.item.service];
     const double wait_ms = ahead / endpoint_share(it.sites, call.item.service, team, now);
     if (late || now + from_ms(wait_ms) > call.give_up) {
-        refuse_waiting(ticket,
-                       choices.best.at == nullptr ? result_code::no_endpoint_in_service : result_code::queue_timeout,
-                       wait_ms, now);
+        refuse_waiting(ticket, explain(choices.best, team, wait_ms), now);
         return;
     }
     ahead += call.best_reading_ms;
@@ -244,6 +261,7 @@
         if (service != nullptr && service->engine) {
             const auto used = loads_[id].memory_tokens(now);
             const auto total = static_cast<double>(service->engine->memory_tokens);
+            loads_[id].follow_process(it.entry.started);
             loads_[id].parts().set_capacity(static_cast<std::uint64_t>(std::max(total * least_kept, total - used)));
         }
     }
--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -63,8 +63,8 @@
     [[nodiscard]] standing standing_of(const work_item& item, time_point now);
     [[nodiscard]] placement look(time_point now);
     void place(const work_item& item, placement& sites, const placement::candidate& to, time_point now);
-    void refuse(const waiting_call& call, result_code code, double drain_ms, time_point now);
-    void refuse_waiting(ticket_id ticket, result_code code, double drain_ms, time_point now);
+    void refuse(const work_item& item, refusal why, time_point now);
+    void refuse_waiting(ticket_id ticket, const refusal& why, time_point now);
     [[nodiscard]] std::vector<ticket_id> order(time_point now);
     void decide_all(time_point now);
     void decide(ticket_id ticket, round& it, time_point now);
--- a/src/dandelionbay/dispatch/endpoint_load.cpp
+++ b/src/dandelionbay/dispatch/endpoint_load.cpp
@@ -1,6 +1,7 @@
 #include "dandelionbay/dispatch/endpoint_load.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace dandelionbay {
 
@@ -92,6 +93,12 @@
     ++failures_;
 }
 
+void endpoint_load::follow_process(std::uint64_t started) {
+    if (std::exchange(process_started_, started) != started) {
+        parts_.clear();
+    }
+}
+
 void endpoint_load::report(const host_id& peer, const endpoint_work& work, time_point now) {
     peers_[peer] = peer_work{work, now};
 }
--- a/src/dandelionbay/dispatch/endpoint_load.hpp
+++ b/src/dandelionbay/dispatch/endpoint_load.hpp
@@ -82,6 +82,9 @@
     /*! @brief A connection could not be made. @param now Time. */
     void unreachable(time_point now) noexcept;
 
+    /*! @brief The endpoint said when its process started; a new process keeps nothing. @param started Any unit. */
+    void follow_process(std::uint64_t started);
+
     /*! @brief Takes a peer's report over. @param peer Its name. @param work Its own calls. @param now Time. */
     void report(const host_id& peer, const endpoint_work& work, time_point now);
 
@@ -135,6 +138,7 @@
     time_point heard_{};
     time_point ejected_until_{};
     std::uint32_t failures_{};
+    std::uint64_t process_started_{};
 };
 
 } // namespace dandelionbay
--- a/src/dandelionbay/dispatch/placement.cpp
+++ b/src/dandelionbay/dispatch/placement.cpp
@@ -44,6 +44,20 @@
     return parts.empty() && prompt_tokens <= 0.0 ? plain_cost : prompt_tokens + output_weight * output_tokens;
 }
 
+std::string_view to_string(standing it) noexcept {
+    switch (it) {
+    case standing::above:
+        return "above";
+    case standing::far_above:
+        return "far_above";
+    case standing::least:
+        return "least";
+    case standing::usual:
+        break;
+    }
+    return "usual";
+}
+
 placement::placement(const registry_view& view, const router_place& place, const dispatch_limits& limits,
                      const std::set<host_id>& routers, std::map<endpoint_id, endpoint_load>& loads, time_point now)
     : view_{&view}, place_{&place}, limits_{&limits}, routers_{&routers}, now_{now} {
@@ -121,6 +135,8 @@
         return limits_->reading_ahead_ms * limits_->least_share;
     case standing::above:
         return limits_->reading_ahead_ms * limits_->yield_share;
+    case standing::far_above:
+        return limits_->reading_ahead_ms * limits_->far_yield_share;
     case standing::usual:
         break;
     }
--- a/src/dandelionbay/dispatch/team_usage.cpp
+++ b/src/dandelionbay/dispatch/team_usage.cpp
@@ -61,10 +61,14 @@
         }
     }
     least_denied_ = std::numeric_limits<double>::infinity();
+    least_starved_ = least_denied_;
     for (const auto& [team, it] : totals_) {
         if (it.denied > denied_share * it.used) {
             least_denied_ = std::min(least_denied_, it.used);
         }
+        if (it.denied > starved_share * it.used) {
+            least_starved_ = std::min(least_starved_, it.used);
+        }
     }
 }
 
@@ -79,6 +83,11 @@
     return least_denied_;
 }
 
+double team_usage::least_starved(time_point now) {
+    sum_up(now);
+    return least_starved_;
+}
+
 std::vector<team_service> team_usage::own(time_point now) {
     expire(now);
     std::vector<team_service> out;
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -165,6 +165,11 @@
 }
 
 void exchange::refused(const refusal& why) {
+    waited_ = owner_->now() - arrived_;
+    choice_.endpoint = why.best;
+    choice_.backlog_ms = why.backlog_ms;
+    standing_ = to_string(why.team);
+    ahead_ms_ = why.ahead_ms;
     if (begun_) {
         give_up("no_endpoint");
         return;
@@ -502,6 +507,8 @@
                     {"list_age_ms", to_text(list_age_)},
                     {"first_ms", first_event_at_ ? to_text(*first_event_at_ - arrived_) : ""},
                     {"total_ms", to_text(now - arrived_)},
+                    {"team_standing", std::string{standing_}},
+                    {"ahead_ms", std::to_string(static_cast<int>(ahead_ms_))},
                     {"waiting_calls", std::to_string(owner_->dispatch().waiting())},
                     {"config", config_ == nullptr ? "" : std::to_string(config_->version)},
                     {"config_age_ms", to_text(env.view->operator_age(now).value_or(duration{-1'000}))}});
--- a/src/dandelionbay/settings/process_settings.cpp
+++ b/src/dandelionbay/settings/process_settings.cpp
@@ -201,6 +201,7 @@
         reader.number("reading_ahead_ms", presence::optional, out.reading_ahead_ms, 1.0, max_policy_ms);
         reader.number("yield_share", presence::optional, out.yield_share, 0.0, 1.0);
         reader.number("least_share", presence::optional, out.least_share, 1.0, max_policy_factor);
+        reader.number("far_yield_share", presence::optional, out.far_yield_share, 0.0, 1.0);
         reader.number("yield_margin", presence::optional, out.yield_margin, 1.0, max_policy_factor);
         reader.number("memory_share", presence::optional, out.memory_share, 0.0, 1.0);
         reader.number("reading_weight", presence::optional, out.reading_weight, 0.0, max_policy_factor);
--- a/test/dandelionbay/app/command_test.cpp
+++ b/test/dandelionbay/app/command_test.cpp
@@ -17,7 +17,7 @@
 };
 
 outcome run(std::vector<std::string> args) {
-    const std::array commands{check_command(), ctl_command(), load_command()};
+    const std::array commands{check_command(), ctl_command(), load_command(), trace_command()};
     testing::internal::CaptureStdout();
     testing::internal::CaptureStderr();
     const int status = run_command(commands, args);
@@ -28,7 +28,8 @@
 class temporary_file {
 public:
     explicit temporary_file(const std::string& content)
-        : path_{std::filesystem::temp_directory_path() / ("dandelionbay_test." + std::to_string(::getpid()))} {
+        : path_{std::filesystem::temp_directory_path() /
+                ("dandelionbay_test." + std::to_string(::getpid()) + "." + std::to_string(++last_))} {
         std::ofstream{path_} << content;
     }
     temporary_file(const temporary_file&) = delete;
@@ -40,6 +41,7 @@
     [[nodiscard]] std::string path() const { return path_.string(); }
 
 private:
+    static inline int last_{};
     std::filesystem::path path_;
 };
 
@@ -82,6 +84,22 @@
     EXPECT_EQ(run({"check", "--settings=" + good.path()}).status, exit_ok);
 }
 
+// Guards against lines of a request that are lost, mixed with others, or out of order when its way is traced.
+TEST(command, trace_gathers_the_lines_of_one_request_in_order) {
+    const auto line = [](const std::string& time, const std::string& request, const std::string& message) {
+        return R"({"timestamp": ")" + time + R"(", "message": ")" + message + R"(", "context_map": {"request": ")" +
+               request + "\"}}\n";
+    };
+    const temporary_file first{"ready\n" + line("10:00:02", "a1", "late") + line("10:00:01", "b2", "other")};
+    const temporary_file second{line("10:00:01", "a1", "early") + line("10:00:03", "a11", "longer id")};
+    const auto result = run({"trace", "--request=a1", first.path(), second.path()});
+    EXPECT_EQ(result.status, exit_ok);
+    EXPECT_EQ(result.out, line("10:00:01", "a1", "early") + line("10:00:02", "a1", "late"));
+    EXPECT_EQ(run({"trace", "--request=none", first.path()}).status, exit_failed);
+    EXPECT_EQ(run({"trace", "--request=a1", "/nonexistent"}).status, exit_failed);
+    EXPECT_EQ(run({"trace", "--request=", first.path()}).status, exit_usage);
+}
+
 // Guards against a load that starts with a faulty profile, and against one without any answer that looks successful.
 TEST(command, load_tells_usage_errors_from_failures) {
     const std::string profile = "--profile=" DANDELIONBAY_SOURCE_DIR "/examples/load/dev.json";
--- a/test/dandelionbay/dispatch/dispatcher_test.cpp
+++ b/test/dandelionbay/dispatch/dispatcher_test.cpp
@@ -61,6 +61,13 @@
     }
     fleet.answer_all();
     EXPECT_EQ(fill("flood", 6), 1) << "the endpoint stays nearly idle for the other router's team";
+    {
+        SCOPED_TRACE("above a starved team it gets an endpoint only when that is idle; it is still served then");
+        fleet.advance(seconds{1});
+        fleet.answer_all();
+        EXPECT_EQ(fill("flood", 3), 1);
+        EXPECT_EQ(fill("flood", 3), 0);
+    }
     {
         SCOPED_TRACE("among the calls that wait here the small team goes first");
         const auto late = fleet.send(fleet.call("flood", 0, 0, 1'500));
--- a/test/dandelionbay/dispatch/limits_test.cpp
+++ b/test/dandelionbay/dispatch/limits_test.cpp
@@ -104,14 +104,30 @@
     }
 }
 
+// Guards against prompts that count as kept by a process that has just started under its old name.
+TEST(endpoint_load, a_new_process_keeps_nothing) {
+    endpoint_load load;
+    load.parts().set_capacity(1'000);
+    load.follow_process(7);
+    load.parts().use(1, 100);
+    const std::vector<prompt_part> prompt{{1, 100}};
+    load.follow_process(7);
+    EXPECT_EQ(load.parts().kept_tokens(prompt), 100);
+    load.follow_process(8);
+    EXPECT_EQ(load.parts().kept_tokens(prompt), 0);
+}
+
 // Guards against teams that pay for ever for a past flood, and against idle time that is saved up.
 TEST(team_usage, only_recent_service_of_all_routers_counts) {
     team_usage usage;
     usage.add(team_id{"a"}, 1'000.0, start);
-    usage.report(host_id{"r2"}, {team_service{team_id{"a"}, 500.0, 0.0}, team_service{team_id{"b"}, 100.0, 50.0}},
+    usage.report(host_id{"r2"},
+                 {team_service{team_id{"a"}, 500.0, 0.0}, team_service{team_id{"b"}, 100.0, 20.0},
+                  team_service{team_id{"c"}, 300.0, 200.0}},
                  start);
     EXPECT_NEAR(usage.used(team_id{"a"}, start + seconds{1}), 1'500.0, 1.0);
     EXPECT_NEAR(usage.least_denied(start + seconds{1}), 100.0, 1.0);
+    EXPECT_NEAR(usage.least_starved(start + seconds{1}), 300.0, 1.0) << "the second team got most of what it asked";
     EXPECT_NEAR(usage.used(team_id{"a"}, start + seconds{5}), 0.0, 1.0);
     EXPECT_TRUE(std::isinf(usage.least_denied(start + seconds{5}))) << "nobody is refused any more";
 }
--- a/test/dandelionbay/settings/process_settings_test.cpp
+++ b/test/dandelionbay/settings/process_settings_test.cpp
@@ -55,6 +55,45 @@
     EXPECT_EQ(engine->engine.token_interval, std::chrono::microseconds{4});
 }
 
+// Guards against promises to operators that are read in other units or not at all.
+TEST(process_settings, a_gateways_bounds_and_policy_are_read) {
+    auto json_settings = json::parse(R"({
+        "role": "gateway", "host": "g", "zone": "z1", "region": "north", "zones": {"z1": "north", "z2": "south"},
+        "caller_listen": "10.0.0.1:1", "ready_listen": "10.0.0.1:2", "peer_listen": "10.0.0.1:3",
+        "metrics_listen": "10.0.0.1:4", "store": "10.0.0.9:5", "first_peers": ["10.0.0.2:3"],
+        "limits": {"key_withdrawal_ms": 5000, "leaving_ms": 2500, "config_ms": 2400, "stop_grace_ms": 8000,
+                   "retry_ratio": 0.2, "retry_slack": 54, "retry_window_ms": 10000},
+        "dispatch": {"reading_ahead_ms": 99, "yield_share": 0.5}
+    })");
+    const auto settings = check_settings(json_settings.dump());
+    ASSERT_TRUE(settings.ok()) << settings.status();
+    const auto& it = settings->gateway;
+    EXPECT_EQ(it.place.zones.at(zone_id{"z2"}), region_id{"south"});
+    EXPECT_EQ(it.first_peers, (std::vector<socket_address>{{"10.0.0.2", 3}}));
+    EXPECT_EQ(it.bounds, (gateway_bounds{std::chrono::seconds{5}, std::chrono::milliseconds{2'500},
+                                         std::chrono::milliseconds{2'400}, std::chrono::seconds{8}}));
+    EXPECT_EQ(it.retry, (retry_limits{0.2, 54.0, std::chrono::seconds{10}}));
+    EXPECT_EQ(it.dispatch.reading_ahead_ms, 99.0);
+    EXPECT_EQ(it.dispatch.yield_share, 0.5);
+    {
+        SCOPED_TRACE("faults have a place");
+        const std::vector<std::tuple<const char*, json, const char*>> cases{
+            {"/zones", 3, "$.zones: expected an object"},
+            {"/zones/z1", 3, "$.zones.z1: expected the name of a region"},
+            {"/first_peers/0", "here", "$.first_peers[0]: expected IP address"},
+            {"/limits/retry_ratio", 2, "$.limits.retry_ratio: "},
+            {"/limits/colour", 1, "$.limits.colour: unknown key"},
+            {"/dispatch/colour", 1, "$.dispatch.colour: unknown key"},
+            {"/colour", 1, "$.colour: unknown key"},
+        };
+        for (const auto& [pointer, value, fault] : cases) {
+            auto faulty = json_settings;
+            faulty[json::json_pointer{pointer}] = value;
+            EXPECT_TRUE(fault_of(faulty).starts_with(fault)) << fault_of(faulty) << " instead of " << fault;
+        }
+    }
+}
+
 // Guards against a fault that is accepted or reported without its place.
 TEST(process_settings, names_each_fault_by_its_path) {
     const std::vector<std::tuple<const char*, json, const char*>> cases{
@@ -62,7 +101,7 @@
         {"/limits/colour", 1, "$.limits.colour: unknown key"},
         {"/hosts/0/colour", 1, "$.hosts[0].colour: unknown key"},
         {"/endpoint", "e", "$.endpoint: unknown key"},
-        {"/role", "boss", "$.role: expected one of router, agent, platform, engine, service"},
+        {"/role", "boss", "$.role: expected one of router, agent, gateway, platform, engine, service"},
         {"/host", 5, "$.host: expected a string, found number"},
         {"/host", "", "$.host: expected 1 to 100"},
         {"/store", "localhost:80", "$.store: expected an IP address"},
