--- a/src/dandelionbay/dispatch/work.hpp
+++ b/src/dandelionbay/dispatch/work.hpp
@@ -32,7 +32,6 @@
     double output_tokens{};
     duration target{}; //!< Time to the answer's start that serves the caller well.
     time_point arrived{};
-    bool repeatable{};
     std::vector<region_id> route_regions{}; //!< Regions that may serve it; empty for all. Both lists bind.
     std::vector<region_id> team_regions{};
     std::set<endpoint_id> excluded{}; //!< Endpoints that failed it already.
--- a/src/dandelionbay/gateway/route_config.hpp
+++ b/src/dandelionbay/gateway/route_config.hpp
@@ -59,7 +59,6 @@
 /*! @brief A service: endpoints that answer the same calls. */
 struct endpoint_service {
     service_id id{};
-    std::uint32_t max_connections{64};      //!< At one endpoint, from all its callers together.
     double cold_calls_per_s{};              //!< What a cold endpoint bears; 0 if its calls need no pacing.
     std::optional<engine_profile> engine{}; //!< Present if its endpoints are model engines.
 
@@ -92,7 +91,6 @@
     std::vector<endpoint_service> services{};
     std::vector<team_entry> teams{};
     caller_limits limits{};
-    double fleet_tokens_per_s{}; //!< Prompt tokens plus twice the generated ones; 0 if not given.
 
     std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host{}; //!< Longest prefix first.
     std::unordered_map<std::string, std::size_t> team_by_key{};
--- /dev/null
+++ b/src/dandelionbay/proxy/call_record.cpp
@@ -0,0 +1,57 @@
+#include "dandelionbay/proxy/call_record.hpp"
+
+namespace dandelionbay {
+
+namespace {
+
+[[nodiscard]] std::string to_text(duration it) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(it).count());
+}
+
+[[nodiscard]] std::string to_text(const std::optional<duration>& it) {
+    return it ? to_text(*it) : std::string{};
+}
+
+[[nodiscard]] std::string to_text(double ms) {
+    return std::to_string(static_cast<std::int64_t>(ms));
+}
+
+} // namespace
+
+void log_attempt_failed(bounded_log& log, const call_record& it, std::string_view reason, duration after) {
+    log.write(log_level::warn, "attempt_failed",
+              {{"request", it.request},
+               {"endpoint", it.choice.endpoint.value},
+               {"reason", std::string{reason}},
+               {"waited_ms", to_text(it.waited)},
+               {"list_age_ms", to_text(it.list_age)},
+               {"may_have_run", std::to_string(it.runs)},
+               {"after_ms", to_text(after)}});
+}
+
+void log_call_ended(bounded_log& log, const call_record& it, std::string_view outcome, int status) {
+    log.write(log_level::info, "call_ended",
+              {{"request", it.request},
+               {"outcome", std::string{outcome}},
+               {"status", std::to_string(status)},
+               {"route", it.route},
+               {"team", it.team.value},
+               {"service", it.service.value},
+               {"endpoint", it.choice.endpoint.value},
+               {"sends", std::to_string(it.sends)},
+               {"may_have_run", std::to_string(it.runs)},
+               {"waited_ms", to_text(it.waited)},
+               {"backlog_ms", to_text(it.choice.backlog_ms)},
+               {"unread_tokens", to_text(it.choice.unread_tokens)},
+               {"cold", it.choice.cold ? "yes" : "no"},
+               {"list_age_ms", to_text(it.list_age)},
+               {"first_ms", to_text(it.first)},
+               {"total_ms", to_text(it.total)},
+               {"team_standing", it.team_standing ? std::string{to_string(*it.team_standing)} : std::string{}},
+               {"ahead_ms", to_text(it.ahead_ms)},
+               {"waiting_calls", std::to_string(it.waiting_calls)},
+               {"config", it.config_version == 0 ? std::string{} : std::to_string(it.config_version)},
+               {"config_age_ms", to_text(it.config_age)}});
+}
+
+} // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/proxy/call_record.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "dandelionbay/base/bounded_log.hpp"
+#include "dandelionbay/base/clock.hpp"
+#include "dandelionbay/base/ids.hpp"
+#include "dandelionbay/dispatch/work.hpp"
+
+namespace dandelionbay {
+
+/*! @brief What the log tells of one call: the decisions about it, their inputs and how old those were. */
+struct call_record {
+    std::string request{}; //!< The caller's id of it.
+    std::string route{};
+    team_id team{};
+    service_id service{};
+    std::uint64_t config_version{};
+    std::optional<duration> config_age{};    //!< Since its last confirmation; nothing without one.
+    std::uint32_t sends{};                   //!< Endpoints that it was sent to.
+    std::uint32_t runs{};                    //!< Endpoints that may have run it.
+    endpoint_choice choice{};                //!< The newest placement, or what a refused call waited for.
+    duration waited{};                       //!< From the arrival to the newest placement or the refusal.
+    duration list_age{};                     //!< Age of the list of endpoints at that placement.
+    std::optional<standing> team_standing{}; //!< If it was refused.
+    double ahead_ms{};                       //!< Expected wait behind other calls, if it was refused.
+    std::optional<duration> first{};         //!< From the arrival to the first event.
+    duration total{};
+    std::size_t waiting_calls{}; //!< At this router, when it ended.
+};
+
+/*! @brief Writes that an attempt failed. @param reason Why. @param after Time since the arrival. */
+void log_attempt_failed(bounded_log& log, const call_record& it, std::string_view reason, duration after);
+
+/*! @brief Writes that a call ended. @param outcome How. @param status Sent to the caller; 0 for none. */
+void log_call_ended(bounded_log& log, const call_record& it, std::string_view outcome, int status);
+
+} // namespace dandelionbay
--- a/src/dandelionbay/proxy/caller_connection.cpp
+++ b/src/dandelionbay/proxy/caller_connection.cpp
@@ -139,7 +139,6 @@
 
 void caller_connection::end_answer() {
     exchange_.reset();
-    reusing_ = true;
     since_ = owner_->now();
     if (!keep_ || owner_->draining()) { // An answer that began before the stop did not announce the end.
         channel_->finish();
--- a/src/dandelionbay/proxy/caller_connection.hpp
+++ b/src/dandelionbay/proxy/caller_connection.hpp
@@ -70,7 +70,6 @@
     time_point since_; //!< Start of the wait for a request, or of its reading.
     bool reading_{};   //!< A request has begun.
     bool keep_{true};  //!< The connection stays open after the answer.
-    bool reusing_{};   //!< It served a request before.
     bool in_read_{};
 };
 
--- a/src/dandelionbay/proxy/channel.hpp
+++ b/src/dandelionbay/proxy/channel.hpp
@@ -75,7 +75,7 @@
     /*! @brief Unanswered probes after which a connection is broken. */
     static constexpr int probes = 3;
 
-    /*! @brief Wraps a socket. @param socket Open or not. @param owner Must outlive the channel or call detach(). */
+    /*! @brief Wraps a socket. @param socket Open or not. @param owner Must outlive the channel or close it. */
     channel(tcp::socket socket, channel_owner& owner);
 
     /*! @brief Connects. @param to The other side. @param limit Longest time. */
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -26,10 +26,10 @@
 /*! Time beyond the expected one after which a repeatable call counts as lost: about twice the usual target. */
 constexpr duration lost_stream = milliseconds{1'200};
 constexpr duration lost_call = milliseconds{700};
-
-[[nodiscard]] std::string to_text(duration it) {
-    return std::to_string(std::chrono::duration_cast<milliseconds>(it).count());
-}
+/*! A call's reading may take this much longer than expected, and its own prompt may be read as slowly as this, in
+ * tokens per ms, before it counts as lost: about half the usual rate. */
+constexpr double late_backlog = 1.5;
+constexpr double slow_rate = 20.0;
 
 [[nodiscard]] duration from_ms(double ms) {
     return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{ms});
@@ -114,7 +114,6 @@
     item.output_tokens = terms_.output_tokens;
     item.target = route_->target_latency;
     item.arrived = arrived_;
-    item.repeatable = route_->idempotent();
     item.route_regions = route_->home_regions;
     item.team_regions = team_regions_;
     item.excluded = excluded_;
@@ -168,7 +167,7 @@
     waited_ = owner_->now() - arrived_;
     choice_.endpoint = why.best;
     choice_.backlog_ms = why.backlog_ms;
-    standing_ = to_string(why.team);
+    standing_ = why.team;
     ahead_ms_ = why.ahead_ms;
     if (begun_) {
         give_up("no_endpoint");
@@ -362,14 +361,7 @@
 
 void exchange::try_again(std::string_view reason, bool counted) {
     const auto now = owner_->now();
-    owner_->environment().log->write(log_level::warn, "attempt_failed",
-                                     {{"request", terms_.id},
-                                      {"endpoint", choice_.endpoint.value},
-                                      {"reason", std::string{reason}},
-                                      {"waited_ms", to_text(waited_)},
-                                      {"list_age_ms", to_text(list_age_)},
-                                      {"may_have_run", std::to_string(runs_)},
-                                      {"after_ms", to_text(now - arrived_)}});
+    log_attempt_failed(*owner_->environment().log, record(), reason, now - arrived_);
     excluded_.insert(choice_.endpoint);
     const bool allowed = runs_ == 0 || (route_->idempotent() && runs_ < route_->max_attempts);
     if (!allowed || caller_ == nullptr || sends_ >= most_sends || time_left(now) <= least_time) {
@@ -460,8 +452,9 @@
     if (!movable) {
         return;
     }
-    const auto limit = (route_->kind == call_kind::streaming ? lost_stream : lost_call) +
-                       (begun_ ? duration{} : from_ms(choice_.backlog_ms * 1.5 + choice_.unread_tokens / 20.0));
+    const auto limit =
+        (route_->kind == call_kind::streaming ? lost_stream : lost_call) +
+        (begun_ ? duration{} : from_ms(choice_.backlog_ms * late_backlog + choice_.unread_tokens / slow_rate));
     const auto silent = now - sent_at_;
     if (silent > limit ||
         (silent > endpoint_load::silence_limit && owner_->dispatch().load(choice_.endpoint).stalled(now))) {
@@ -482,6 +475,30 @@
     give_up("stopping");
 }
 
+call_record exchange::record() const {
+    const auto now = owner_->now();
+    call_record out;
+    out.request = terms_.id;
+    out.route = route_ == nullptr ? std::string{} : route_->name;
+    out.team = team_;
+    out.service = service_;
+    out.config_version = config_ == nullptr ? 0 : config_->version;
+    out.config_age = owner_->environment().view->operator_age(now);
+    out.sends = sends_;
+    out.runs = runs_;
+    out.choice = choice_;
+    out.waited = waited_;
+    out.list_age = list_age_;
+    out.team_standing = standing_;
+    out.ahead_ms = ahead_ms_;
+    if (first_event_at_) {
+        out.first = *first_event_at_ - arrived_;
+    }
+    out.total = now - arrived_;
+    out.waiting_calls = owner_->dispatch().waiting();
+    return out;
+}
+
 void exchange::finish(std::string_view outcome, int status) {
     stage_ = stage::done;
     const auto now = owner_->now();
@@ -490,28 +507,7 @@
         owner_->whole_answer().add(now - arrived_);
     }
     env.metrics->add("calls_total", outcome);
-    env.log->write(log_level::info, "call_ended",
-                   {{"request", terms_.id},
-                    {"outcome", std::string{outcome}},
-                    {"status", std::to_string(status)},
-                    {"route", route_ == nullptr ? "" : route_->name},
-                    {"team", team_.value},
-                    {"service", service_.value},
-                    {"endpoint", choice_.endpoint.value},
-                    {"sends", std::to_string(sends_)},
-                    {"may_have_run", std::to_string(runs_)},
-                    {"waited_ms", to_text(waited_)},
-                    {"backlog_ms", std::to_string(static_cast<int>(choice_.backlog_ms))},
-                    {"unread_tokens", std::to_string(static_cast<int>(choice_.unread_tokens))},
-                    {"cold", choice_.cold ? "yes" : "no"},
-                    {"list_age_ms", to_text(list_age_)},
-                    {"first_ms", first_event_at_ ? to_text(*first_event_at_ - arrived_) : ""},
-                    {"total_ms", to_text(now - arrived_)},
-                    {"team_standing", std::string{standing_}},
-                    {"ahead_ms", std::to_string(static_cast<int>(ahead_ms_))},
-                    {"waiting_calls", std::to_string(owner_->dispatch().waiting())},
-                    {"config", config_ == nullptr ? "" : std::to_string(config_->version)},
-                    {"config_age_ms", to_text(env.view->operator_age(now).value_or(duration{-1'000}))}});
+    log_call_ended(*env.log, record(), outcome, status);
     owner_->close_exchange(ticket_);
 }
 
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -7,6 +7,7 @@
 
 #include "dandelionbay/dispatch/dispatcher.hpp"
 #include "dandelionbay/proxy/call_protocol.hpp"
+#include "dandelionbay/proxy/call_record.hpp"
 #include "dandelionbay/proxy/event_scanner.hpp"
 #include "dandelionbay/proxy/fwd.hpp"
 #include "dandelionbay/proxy/http_connection.hpp"
@@ -38,6 +39,7 @@
     void try_again(std::string_view reason, bool counted);
     void give_up(std::string_view reason);
     void refuse(int status, result_code code, duration retry_after);
+    [[nodiscard]] call_record record() const;
     void finish(std::string_view outcome, int status);
     [[nodiscard]] duration time_left(time_point now) const noexcept;
 
@@ -115,10 +117,10 @@
     std::optional<time_point> first_event_at_{};
     time_point sent_at_{}; //!< When it was sent, or its newest event came.
     bool paused_{};
-    std::string_view standing_{}; //!< Of its team, if it was refused.
-    double ahead_ms_{};           //!< Expected wait behind other calls, if it was refused.
-    duration waited_{};           //!< From the arrival to the newest placement.
-    duration list_age_{};         //!< Age of the list of endpoints at that placement.
+    std::optional<standing> standing_{}; //!< Of its team, if it was refused.
+    double ahead_ms_{};                  //!< Expected wait behind other calls, if it was refused.
+    duration waited_{};                  //!< From the arrival to the newest placement.
+    duration list_age_{};                //!< Age of the list of endpoints at that placement.
 };
 
 } // namespace dandelionbay
--- a/src/dandelionbay/proxy/fwd.hpp
+++ b/src/dandelionbay/proxy/fwd.hpp
@@ -12,6 +12,7 @@
 class exchange;
 class proxy_context;
 class response_handler;
+struct call_record;
 struct http_request;
 struct response_head;
 
--- a/src/dandelionbay/proxy/http_connection.hpp
+++ b/src/dandelionbay/proxy/http_connection.hpp
@@ -69,18 +69,12 @@
     /*! @brief Sends a request. @param bytes It. @param without_body Its answer has no body. @param handler Or null. */
     void send(std::string_view bytes, bool without_body, response_handler* handler);
 
-    /*! @brief Forgets the handler; the connection reads on to the answer's end unless it is closed. */
-    void detach() noexcept { handler_ = nullptr; }
-
     /*! @brief Ends the connection. */
     void close() noexcept;
 
     /*! @brief Stops or continues to read. */
     void pause_reading(bool paused) { channel_->pause_reading(paused); }
 
-    /*! @brief Tells whether the connection was ever made. */
-    [[nodiscard]] bool connected() const noexcept { return connected_; }
-
     /*! @brief Tells whether it can take another request now: nothing is due and nothing has come. */
     [[nodiscard]] bool reusable();
 
