Rank teams by their service instead of sorting them into classes

Change: how much may be queued at an engine falls from half to a twentieth of the usual between the least served refused team and the most served one, and the aversion to distance grows in the same way.

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -15,6 +15,8 @@
 /*! Spread of the times at which refused calls come back, so that they do not come together. */
 constexpr double earliest_return = 0.8;
 constexpr double latest_return = 1.3;
+/*! Teams of a higher rank wait for the endpoint that keeps the prompt's start, and for no other. */
+constexpr double most_excess_for_detour = 0.5;
 /*! Share of an engine's memory that is taken to keep parts, however many calls run. */
 constexpr double least_kept = 0.1;
 
@@ -26,7 +28,7 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{ms});
 }
 
-[[nodiscard]] refusal explain(const placement::candidate& best, standing team, double ahead_ms) {
+[[nodiscard]] refusal explain(const placement::candidate& best, const team_rank& team, double ahead_ms) {
     refusal out;
     out.team = team;
     out.ahead_ms = ahead_ms;
@@ -45,16 +47,14 @@
     : view_{&view}, place_{std::move(place)}, limits_{limits}, listener_{&listener}, random_{seed}, routers_{
                                                                                                         place_.host} {}
 
-standing dispatcher::standing_of(const work_item& item, time_point now) {
-    const double used = usage_.used(item.team, now);
+team_rank dispatcher::rank_of(const work_item& item, time_point now) {
     const double least = usage_.least_denied(now) * limits_.yield_margin + item.cost();
-    if (used > usage_.least_starved(now) * limits_.yield_margin + item.cost()) {
-        return standing::far_above;
+    if (std::isinf(least)) {
+        return {};
     }
-    if (used > least) {
-        return standing::above;
-    }
-    return std::isfinite(least) ? standing::least : standing::usual;
+    const double above = usage_.used(item.team, now) - least;
+    const double widest = std::max(1.0, usage_.most(now) - least);
+    return {true, std::clamp(above / widest, 0.0, 1.0)};
 }
 
 placement dispatcher::look(time_point now) {
@@ -98,10 +98,10 @@
     return sum;
 }
 
-double dispatcher::endpoint_share(const placement& sites, const service_id& service, standing team,
+double dispatcher::endpoint_share(const placement& sites, const service_id& service, const team_rank& team,
                                   time_point now) const {
     const auto endpoints = static_cast<double>(std::max<std::size_t>(1, sites.count(service)));
-    if (team == standing::least) {
+    if (team.contended && team.excess <= 0.0) {
         return endpoints; // The calls at other routers give way.
     }
     const double own = std::max(limits_.least_wait_ms, queued_ms(service));
@@ -148,7 +148,7 @@
         return;
     }
     auto sites = look(now);
-    const auto first = sites.consider(item, standing_of(item, now)).best;
+    const auto first = sites.consider(item, rank_of(item, now)).best;
     if (first.at != nullptr && first.ready && waiting_.empty()) {
         place(item, sites, first, now);
         return;
@@ -228,11 +228,11 @@
         return; // Withdrawn by a decision before it.
     }
     const auto& call = found->second;
-    const auto team = standing_of(call.item, now);
+    const auto team = rank_of(call.item, now);
     const auto choices = it.sites.consider(call.item, team);
     const bool late = now >= call.give_up;
     // Waiting for the endpoint that keeps the prompt's start ends with the wait; the least served go elsewhere then.
-    const bool gives_way = team == standing::above || team == standing::far_above;
+    const bool gives_way = team.contended && team.excess > most_excess_for_detour;
     const auto& choice = late && !gives_way ? choices.best_ready : choices.best;
     if (choice.at != nullptr && choice.ready) {
         const auto node = waiting_.extract(found);
--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -60,7 +60,7 @@
         std::map<service_id, double> ahead_ms{}; //!< Reading of the calls that stay, in their order.
     };
 
-    [[nodiscard]] standing standing_of(const work_item& item, time_point now);
+    [[nodiscard]] team_rank rank_of(const work_item& item, time_point now);
     [[nodiscard]] placement look(time_point now);
     void place(const work_item& item, placement& sites, const placement::candidate& to, time_point now);
     void refuse(const work_item& item, refusal why, time_point now);
@@ -70,7 +70,7 @@
     void decide(ticket_id ticket, round& it, time_point now);
     [[nodiscard]] double queued_ms(const service_id& service) const;
     [[nodiscard]] double peers_queued_ms(const service_id& service, time_point now) const;
-    [[nodiscard]] double endpoint_share(const placement& sites, const service_id& service, standing team,
+    [[nodiscard]] double endpoint_share(const placement& sites, const service_id& service, const team_rank& team,
                                         time_point now) const;
 
 public:
--- a/src/dandelionbay/dispatch/fwd.hpp
+++ b/src/dandelionbay/dispatch/fwd.hpp
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <cstdint>
-
 namespace dandelionbay {
 
 class cold_pacer;
@@ -12,13 +10,13 @@
 class placement;
 class retry_window;
 class team_usage;
-enum class standing : std::uint8_t;
 struct dispatch_limits;
 struct endpoint_choice;
 struct part_use;
 struct refusal;
 struct router_place;
 struct service_queue;
+struct team_rank;
 struct team_service;
 struct work_item;
 
--- a/src/dandelionbay/dispatch/placement.cpp
+++ b/src/dandelionbay/dispatch/placement.cpp
@@ -44,20 +44,6 @@
     return parts.empty() && prompt_tokens <= 0.0 ? plain_cost : prompt_tokens + output_weight * output_tokens;
 }
 
-std::string_view to_string(standing it) noexcept {
-    switch (it) {
-    case standing::above:
-        return "above";
-    case standing::far_above:
-        return "far_above";
-    case standing::least:
-        return "least";
-    case standing::usual:
-        break;
-    }
-    return "usual";
-}
-
 placement::placement(const registry_view& view, const router_place& place, const dispatch_limits& limits,
                      const std::set<host_id>& routers, std::map<endpoint_id, endpoint_load>& loads, time_point now)
     : view_{&view}, place_{&place}, limits_{&limits}, routers_{&routers}, now_{now} {
@@ -129,23 +115,25 @@
     }
 }
 
-double placement::reading_ahead_ms(standing team) const noexcept {
-    switch (team) {
-    case standing::least:
+double placement::reading_ahead_ms(const team_rank& team) const noexcept {
+    if (!team.contended) {
+        return limits_->reading_ahead_ms;
+    }
+    if (team.excess <= 0.0) {
         return limits_->reading_ahead_ms * limits_->least_share;
-    case standing::above:
-        return limits_->reading_ahead_ms * limits_->yield_share;
-    case standing::far_above:
-        return limits_->reading_ahead_ms * limits_->far_yield_share;
-    case standing::usual:
-        break;
     }
-    return limits_->reading_ahead_ms;
+    const double room = (1.0 - team.excess) * (1.0 - team.excess);
+    return limits_->reading_ahead_ms *
+           (limits_->far_yield_share + (limits_->yield_share - limits_->far_yield_share) * room);
+}
+
+double placement::distance_share(const team_rank& team) const noexcept {
+    return team.contended ? limits_->least_distance_share + (1.0 - limits_->least_distance_share) * team.excess : 1.0;
 }
 
-placement::candidate placement::rate(const work_item& item, site& it, standing team) const {
+placement::candidate placement::rate(const work_item& item, site& it, const team_rank& team) const {
     candidate out{&it};
-    out.score = it.base_ms + it.distance_ms * (team == standing::least ? limits_->least_distance_share : 1.0);
+    out.score = it.base_ms + it.distance_ms * distance_share(team);
     out.ready = it.open;
     if (it.engine) {
         out.unread_tokens = std::max(0.0, item.prompt_tokens - it.load->parts().kept_tokens(item.parts));
@@ -158,7 +146,7 @@
     return out;
 }
 
-placement::choices placement::consider(const work_item& item, standing team) {
+placement::choices placement::consider(const work_item& item, const team_rank& team) {
     choices out;
     out.best.score = std::numeric_limits<double>::max();
     out.best_ready.score = std::numeric_limits<double>::max();
--- a/src/dandelionbay/dispatch/placement.hpp
+++ b/src/dandelionbay/dispatch/placement.hpp
@@ -56,8 +56,9 @@
     [[nodiscard]] double distance_ms(const zone_id& zone) const;
     [[nodiscard]] bool pace_allows(const site& it, double calls_per_s) const;
     void rate(site& it) const;
-    [[nodiscard]] candidate rate(const work_item& item, site& it, standing team) const;
-    [[nodiscard]] double reading_ahead_ms(standing team) const noexcept;
+    [[nodiscard]] candidate rate(const work_item& item, site& it, const team_rank& team) const;
+    [[nodiscard]] double reading_ahead_ms(const team_rank& team) const noexcept;
+    [[nodiscard]] double distance_share(const team_rank& team) const noexcept;
 
 public:
     /**
@@ -72,8 +73,8 @@
     placement(const registry_view& view, const router_place& place, const dispatch_limits& limits,
               const std::set<host_id>& routers, std::map<endpoint_id, endpoint_load>& loads, time_point now);
 
-    /*! @brief Rates the endpoints for a call. @param item The call. @param team Standing of its team. */
-    [[nodiscard]] choices consider(const work_item& item, standing team);
+    /*! @brief Rates the endpoints for a call. @param item The call. @param team Rank of its team. */
+    [[nodiscard]] choices consider(const work_item& item, const team_rank& team);
 
     /*! @brief A call was sent to an endpoint: works its part out again. */
     void sent(site& it) const { rate(it); }
--- a/src/dandelionbay/dispatch/team_usage.cpp
+++ b/src/dandelionbay/dispatch/team_usage.cpp
@@ -61,14 +61,12 @@
         }
     }
     least_denied_ = std::numeric_limits<double>::infinity();
-    least_starved_ = least_denied_;
+    most_ = 0.0;
     for (const auto& [team, it] : totals_) {
         if (it.denied > denied_share * it.used) {
             least_denied_ = std::min(least_denied_, it.used);
         }
-        if (it.denied > starved_share * it.used) {
-            least_starved_ = std::min(least_starved_, it.used);
-        }
+        most_ = std::max(most_, it.used);
     }
 }
 
@@ -83,9 +81,9 @@
     return least_denied_;
 }
 
-double team_usage::least_starved(time_point now) {
+double team_usage::most(time_point now) {
     sum_up(now);
-    return least_starved_;
+    return most_;
 }
 
 std::vector<team_service> team_usage::own(time_point now) {
--- a/src/dandelionbay/dispatch/team_usage.hpp
+++ b/src/dandelionbay/dispatch/team_usage.hpp
@@ -49,8 +49,6 @@
     static constexpr duration sum_interval = std::chrono::milliseconds{20};
     /*! @brief A team counts as refused if that is more than this share of what it got. */
     static constexpr double denied_share = 0.05;
-    /*! @brief A team counts as starved above this share: it gets less than two thirds of what it asks. */
-    static constexpr double starved_share = 0.5;
 
     /*! @brief Counts dispatched work. @param team Its team. @param cost Prompt tokens plus twice the generated ones. */
     void add(const team_id& team, double cost, time_point now);
@@ -71,9 +69,8 @@
      */
     [[nodiscard]] double least_denied(time_point now);
 
-    /*! @brief The same for teams that are starved: several large teams may all be above a small one that is refused now
-     *  and then, and among these shares count too. */
-    [[nodiscard]] double least_starved(time_point now);
+    /*! @brief Service of the most served team. @param now Time. @return Cost units; 0 if none was served. */
+    [[nodiscard]] double most(time_point now);
 
     /*! @brief This router's own part, for its peers. */
     [[nodiscard]] std::vector<team_service> own(time_point now);
@@ -89,7 +86,7 @@
     std::map<host_id, peer_report> peers_{};
     std::map<team_id, account> totals_{}; //!< Over all routers, as of the last sum.
     double least_denied_{};
-    double least_starved_{};
+    double most_{};
     time_point summed_{};
     bool fresh_{};
 };
--- a/src/dandelionbay/dispatch/work.hpp
+++ b/src/dandelionbay/dispatch/work.hpp
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <map>
 #include <set>
-#include <string_view>
 #include <vector>
 
 #include "dandelionbay/base/clock.hpp"
@@ -16,11 +15,13 @@
 
 namespace dandelionbay {
 
-/*! @brief A team's service among those of the teams that are refused work. */
-enum class standing : std::uint8_t { usual, above, far_above, least };
+/*! @brief A team's recent service compared with that of the others. */
+struct team_rank {
+    bool contended{}; //!< Some team is refused work.
+    double excess{};  //!< From 0, not above the least served refused team, to 1, the most served team.
 
-/*! @brief Name of a standing, for logs. */
-[[nodiscard]] std::string_view to_string(standing it) noexcept;
+    friend bool operator==(const team_rank&, const team_rank&) = default;
+};
 
 /*! @brief A call that wants an endpoint. */
 struct work_item {
@@ -69,7 +70,7 @@
 struct refusal {
     result_code code{result_code::no_endpoint_in_service};
     duration retry_after{};
-    standing team{};     //!< Standing of its team.
+    team_rank team{};    //!< Rank of its team.
     endpoint_id best{};  //!< Endpoint that it waited for; empty for none.
     double backlog_ms{}; //!< Reading queued there.
     double ahead_ms{};   //!< Expected wait behind the calls before it.
@@ -79,8 +80,8 @@
 struct dispatch_limits {
     double reading_ahead_ms{110.0}; //!< Reading queued at an engine beyond which work waits here, where it is ordered.
     double least_share{1.5};        //!< Multiple of that for the least served team that is refused work.
-    double yield_share{0.2};        //!< Part of that for a team which got more than one that is refused work.
-    double far_yield_share{0.1};    //!< Part of that for a team which got more than one that is starved.
+    double yield_share{0.5};        //!< Part of that for a team just above the least served refused one.
+    double far_yield_share{0.05};   //!< Part of that for the most served team; the others lie between.
     double yield_margin{1.2};       //!< How much more it must have got: reports of peers are a little old.
     double memory_share{0.85};      //!< Share of an engine's memory that calls in flight may come to occupy.
     double reading_weight{5.0};     //!< Reading costs the calls behind it too, and evicts what others share.
--- a/src/dandelionbay/proxy/call_record.cpp
+++ b/src/dandelionbay/proxy/call_record.cpp
@@ -1,5 +1,7 @@
 #include "dandelionbay/proxy/call_record.hpp"
 
+#include "absl/strings/str_format.h"
+
 namespace dandelionbay {
 
 namespace {
@@ -47,7 +49,7 @@
                {"list_age_ms", to_text(it.list_age)},
                {"first_ms", to_text(it.first)},
                {"total_ms", to_text(it.total)},
-               {"team_standing", it.team_standing ? std::string{to_string(*it.team_standing)} : std::string{}},
+               {"team_excess", it.team_excess ? absl::StrFormat("%.2f", *it.team_excess) : std::string{}},
                {"ahead_ms", to_text(it.ahead_ms)},
                {"waiting_calls", std::to_string(it.waiting_calls)},
                {"config", it.config_version == 0 ? std::string{} : std::to_string(it.config_version)},
--- a/src/dandelionbay/proxy/call_record.hpp
+++ b/src/dandelionbay/proxy/call_record.hpp
@@ -19,15 +19,15 @@
     team_id team{};
     service_id service{};
     std::uint64_t config_version{};
-    std::optional<duration> config_age{};    //!< Since its last confirmation; nothing without one.
-    std::uint32_t sends{};                   //!< Endpoints that it was sent to.
-    std::uint32_t runs{};                    //!< Endpoints that may have run it.
-    endpoint_choice choice{};                //!< The newest placement, or what a refused call waited for.
-    duration waited{};                       //!< From the arrival to the newest placement or the refusal.
-    duration list_age{};                     //!< Age of the list of endpoints at that placement.
-    std::optional<standing> team_standing{}; //!< If it was refused.
-    double ahead_ms{};                       //!< Expected wait behind other calls, if it was refused.
-    std::optional<duration> first{};         //!< From the arrival to the first event.
+    std::optional<duration> config_age{}; //!< Since its last confirmation; nothing without one.
+    std::uint32_t sends{};                //!< Endpoints that it was sent to.
+    std::uint32_t runs{};                 //!< Endpoints that may have run it.
+    endpoint_choice choice{};             //!< The newest placement, or what a refused call waited for.
+    duration waited{};                    //!< From the arrival to the newest placement or the refusal.
+    duration list_age{};                  //!< Age of the list of endpoints at that placement.
+    std::optional<double> team_excess{};  //!< Rank of its team, if it was refused.
+    double ahead_ms{};                    //!< Expected wait behind other calls, if it was refused.
+    std::optional<duration> first{};      //!< From the arrival to the first event.
     duration total{};
     std::size_t waiting_calls{}; //!< At this router, when it ended.
 };
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -167,7 +167,7 @@
     waited_ = owner_->now() - arrived_;
     choice_.endpoint = why.best;
     choice_.backlog_ms = why.backlog_ms;
-    standing_ = why.team;
+    team_excess_ = why.team.excess;
     ahead_ms_ = why.ahead_ms;
     if (begun_) {
         give_up("no_endpoint");
@@ -489,7 +489,7 @@
     out.choice = choice_;
     out.waited = waited_;
     out.list_age = list_age_;
-    out.team_standing = standing_;
+    out.team_excess = team_excess_;
     out.ahead_ms = ahead_ms_;
     if (first_event_at_) {
         out.first = *first_event_at_ - arrived_;
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -117,10 +117,10 @@
     std::optional<time_point> first_event_at_{};
     time_point sent_at_{}; //!< When it was sent, or its newest event came.
     bool paused_{};
-    std::optional<standing> standing_{}; //!< Of its team, if it was refused.
-    double ahead_ms_{};                  //!< Expected wait behind other calls, if it was refused.
-    duration waited_{};                  //!< From the arrival to the newest placement.
-    duration list_age_{};                //!< Age of the list of endpoints at that placement.
+    std::optional<double> team_excess_{}; //!< Rank of its team, if it was refused.
+    double ahead_ms_{};                   //!< Expected wait behind other calls, if it was refused.
+    duration waited_{};                   //!< From the arrival to the newest placement.
+    duration list_age_{};                 //!< Age of the list of endpoints at that placement.
 };
 
 } // namespace dandelionbay
