End the stand-in's connections without touching their sockets from another thread

Cause: the thread sanitizer reports a race in the tests' own server: its end shut down a socket object that a serving thread was using. The gateway itself has no report.

Change: the end interrupts by the descriptor; a connection that was reset is left alone.

--- a/test/dandelionbay/platform/raw_server.hpp
+++ b/test/dandelionbay/platform/raw_server.hpp
@@ -24,7 +24,7 @@
     /*! @brief One connection, as the handler sees it. */
     class connection {
     public:
-        explicit connection(tcp::socket socket) : socket_{std::move(socket)} {}
+        explicit connection(tcp::socket socket) : socket_{std::move(socket)}, handle_{socket_.native_handle()} {}
 
         void write(const std::string& bytes) {
             boost::system::error_code ec;
@@ -33,6 +33,7 @@
 
         /*! @brief Ends the connection with a reset. */
         void reset() {
+            ended_ = true;
             boost::system::error_code ec;
             socket_.set_option(boost::asio::socket_base::linger{true, 0}, ec);
             socket_.close(ec);
@@ -43,6 +44,13 @@
             socket_.shutdown(tcp::socket::shutdown_both, ec);
         }
 
+        /*! @brief Wakes the thread that reads; to be called by another one. */
+        void interrupt() const {
+            if (!ended_) {
+                shutdown(handle_, SHUT_RDWR);
+            }
+        }
+
         /*! @brief Tells whether the other side is still there. */
         [[nodiscard]] bool open() {
             char byte = 0;
@@ -57,6 +65,8 @@
 
     private:
         tcp::socket socket_;
+        const int handle_;
+        std::atomic<bool> ended_{};
     };
 
     using handler = std::function<void(const http_request&, connection&)>;
@@ -82,7 +92,7 @@
         acceptor_.close(ec);
         const std::scoped_lock lock{mutex_};
         for (auto& it : connections_) {
-            it.close();
+            it.interrupt();
         }
         for (auto& it : threads_) {
             it.join();
