Accept connections, write requests and convert times in one place each

Cause: the last reading found three accept loops, two writers of request heads, four conversions between durations and milliseconds, and the condition of a further attempt written three times. The loop of the status server swallowed the errors of accept; all three spun when a process had no descriptor left.

A call that four endpoints were sent to is no longer taken from a silent fifth, which it could not leave for another one.

--- a/src/dandelionbay/base/clock.hpp
+++ b/src/dandelionbay/base/clock.hpp
@@ -13,6 +13,16 @@
 /*! @brief Monotonic time since an arbitrary start; not comparable between hosts. */
 using time_point = std::chrono::time_point<std::chrono::steady_clock, duration>;
 
+/*! @brief Converts to milliseconds with their fraction. */
+[[nodiscard]] constexpr double to_ms(duration it) noexcept {
+    return std::chrono::duration<double, std::milli>{it}.count();
+}
+
+/*! @brief Converts milliseconds, cut to whole microseconds. */
+[[nodiscard]] constexpr duration from_ms(double ms) noexcept {
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{ms});
+}
+
 /*! @brief Source of monotonic time. */
 class clock {
 public:
--- a/src/dandelionbay/base/latency_histogram.cpp
+++ b/src/dandelionbay/base/latency_histogram.cpp
@@ -25,7 +25,7 @@
     : histogram_{boost::histogram::make_histogram(axis_type{bins, lowest_ms, highest_ms})} {}
 
 void latency_histogram::add(duration value) {
-    const auto ms = std::chrono::duration<double, std::milli>{value}.count();
+    const auto ms = to_ms(value);
     histogram_(std::clamp(ms, lowest_ms, std::nextafter(highest_ms, 0.0)));
     ++count_;
     sum_ms_ += ms;
--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -20,14 +20,6 @@
 /*! Share of an engine's memory that is taken to keep parts, however many calls run. */
 constexpr double least_kept = 0.1;
 
-[[nodiscard]] double to_ms(duration it) noexcept {
-    return std::chrono::duration<double, std::milli>{it}.count();
-}
-
-[[nodiscard]] duration from_ms(double ms) noexcept {
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{ms});
-}
-
 [[nodiscard]] refusal explain(const placement::candidate& best, const team_rank& team, double ahead_ms) {
     refusal out;
     out.team = team;
--- a/src/dandelionbay/dispatch/endpoint_load.cpp
+++ b/src/dandelionbay/dispatch/endpoint_load.cpp
@@ -12,10 +12,6 @@
 constexpr double slowest_rate = 4.0;
 constexpr double quickest_rate = 200.0;
 
-[[nodiscard]] double to_ms(duration it) noexcept {
-    return std::chrono::duration<double, std::milli>{it}.count();
-}
-
 } // namespace
 
 double endpoint_load::unread_tokens(time_point now) const {
@@ -138,8 +134,7 @@
         oldest = std::min(oldest, it.sent_at);
         expected_ms = std::max(expected_ms, it.started ? 0.0 : it.ahead_ms);
     }
-    const auto expected = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{expected_ms});
-    return now - std::max(oldest, heard_) > silence_limit + expected;
+    return now - std::max(oldest, heard_) > silence_limit + from_ms(expected_ms);
 }
 
 } // namespace dandelionbay
--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -39,10 +39,8 @@
              proxy_.dispatch(),    platform_.read_config},
       links_{peer_environment{&loop_, &clock_, &log_, &metrics_, &board_}, options_.peer_listen,
              [this](const peer_change& change) { peers_changed(change); }},
-      ready_{loop_, [this](std::string_view path) { return page_of(path); }}, status_{loop_,
-                                                                                      [this](std::string_view path) {
-                                                                                          return page_of(path);
-                                                                                      }},
+      ready_{loop_, log_, [this](std::string_view path) { return page_of(path); }},
+      status_{loop_, log_, [this](std::string_view path) { return page_of(path); }},
       signals_{loop_, SIGTERM, SIGINT, SIGHUP}, stop_timer_{loop_}, settings_timer_{loop_}, reader_{std::move(reader)} {
     registry_options store;
     store.address = options_.store;
--- a/src/dandelionbay/peer/peer_links.cpp
+++ b/src/dandelionbay/peer/peer_links.cpp
@@ -159,33 +159,22 @@
 
 peer_links::peer_links(peer_environment environment, socket_address listen, change_handler changed)
     : environment_{environment}, listen_{std::move(listen)}, changed_{std::move(changed)},
-      acceptor_{*environment_.loop}, timer_{*environment_.loop} {}
+      listener_{*environment_.loop, *environment_.log}, timer_{*environment_.loop} {}
 
 peer_links::~peer_links() = default;
 
 absl::Status peer_links::start() {
-    if (const auto ec = listen_on(acceptor_, listen_)) {
-        return absl::UnavailableError(concat("cannot listen on ", listen_.ip, ":", listen_.port, ": ", ec.message()));
+    auto status = listener_.start(listen_, [this](channel::tcp::socket it) { accept(std::move(it)); });
+    if (status.ok()) {
+        tick();
     }
-    accept();
-    tick();
-    return absl::OkStatus();
+    return status;
 }
 
-void peer_links::accept() {
-    acceptor_.async_accept([this](error_code ec, channel::tcp::socket socket) {
-        if (stopped_) {
-            return;
-        }
-        if (ec) {
-            environment_.log->write(log_level::warn, "accept_failed", {{"reason", ec.message()}});
-        } else {
-            const auto it = std::make_shared<receiver>(*this, std::move(socket));
-            receivers_.insert(it);
-            it->start();
-        }
-        accept();
-    });
+void peer_links::accept(channel::tcp::socket socket) {
+    const auto it = std::make_shared<receiver>(*this, std::move(socket));
+    receivers_.insert(it);
+    it->start();
 }
 
 std::chrono::milliseconds peer_links::interval() const {
@@ -227,8 +216,7 @@
     environment_.board->leave();
     send_round();
     stopped_ = true;
-    error_code ec; // The process ends; a listener that can't be closed goes with it.
-    acceptor_.close(ec);
+    listener_.stop();
     timer_.cancel();
     senders_.clear();
     receivers_.clear();
--- a/src/dandelionbay/peer/peer_links.hpp
+++ b/src/dandelionbay/peer/peer_links.hpp
@@ -8,7 +8,6 @@
 #include <string>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "absl/status/status.h"
@@ -17,6 +16,7 @@
 #include "dandelionbay/base/counters.hpp"
 #include "dandelionbay/peer/peer_board.hpp"
 #include "dandelionbay/proxy/channel.hpp"
+#include "dandelionbay/proxy/listener.hpp"
 
 namespace dandelionbay {
 
@@ -37,7 +37,7 @@
     class sender;
     class receiver;
 
-    void accept();
+    void accept(channel::tcp::socket socket);
     void tick();
     void send_round();
     void received(const peer_state& in);
@@ -76,7 +76,7 @@
     peer_environment environment_;
     socket_address listen_;
     change_handler changed_;
-    boost::asio::ip::tcp::acceptor acceptor_;
+    listener listener_;
     boost::asio::steady_timer timer_;
     std::map<socket_address, std::shared_ptr<sender>> senders_{};
     std::set<std::shared_ptr<receiver>> receivers_{};
--- a/src/dandelionbay/proxy/channel.cpp
+++ b/src/dandelionbay/proxy/channel.cpp
@@ -29,20 +29,6 @@
     return {asio::ip::make_address(it.ip, ec), it.port};
 }
 
-error_code listen_on(asio::ip::tcp::acceptor& acceptor, const socket_address& at) {
-    error_code ec;
-    const auto endpoint = to_endpoint(at);
-    acceptor.open(endpoint.protocol(), ec);
-    if (!ec) {
-        acceptor.set_option(asio::socket_base::reuse_address{true}, ec);
-        acceptor.bind(endpoint, ec);
-    }
-    if (!ec) {
-        acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    }
-    return ec;
-}
-
 channel::channel(tcp::socket socket, channel_owner& owner) : socket_{std::move(socket)}, owner_{&owner} {}
 
 void channel::set_options() {
--- a/src/dandelionbay/proxy/channel.hpp
+++ b/src/dandelionbay/proxy/channel.hpp
@@ -127,7 +127,4 @@
 /*! @brief Converts an address. @return The library's form, or an unspecified address if it is not valid. */
 [[nodiscard]] boost::asio::ip::tcp::endpoint to_endpoint(const socket_address& it);
 
-/*! @brief Opens a listener. @param acceptor It. @param at Address. @return What failed, or nothing. */
-[[nodiscard]] boost::system::error_code listen_on(boost::asio::ip::tcp::acceptor& acceptor, const socket_address& at);
-
 } // namespace dandelionbay
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -31,10 +31,6 @@
 constexpr double late_backlog = 1.5;
 constexpr double slow_rate = 20.0;
 
-[[nodiscard]] duration from_ms(double ms) {
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{ms});
-}
-
 /*! Statuses that tell a caller that its call has not run. */
 [[nodiscard]] bool promises_not_run(int status) noexcept {
     return status == 408 || status == 421 || status == 429 || status == 503;
@@ -49,6 +45,11 @@
     return limit_ - now;
 }
 
+bool exchange::may_run_again(time_point now) const noexcept {
+    const bool allowed = runs_ == 0 || (route_->idempotent() && runs_ < route_->max_attempts);
+    return allowed && caller_ != nullptr && sends_ < most_sends && time_left(now) > least_time;
+}
+
 bool exchange::admit(time_point now) {
     const auto& view = *owner_->environment().view;
     terms_ = owner_->environment().protocol->read_call(request_.fields);
@@ -133,16 +134,7 @@
     std::erase_if(fields, [](const auto& it) { return same_field(it.first, "Expect"); });
     owner_->environment().protocol->write_call(
         fields, forward_terms{choice.endpoint, team_, std::max(duration{}, time_left(now)), last_event_});
-    std::string out = concat(request_.method, " ", request_.target, " HTTP/1.1\r\n");
-    for (const auto& [name, value] : fields) {
-        out += concat(name, ": ", value, "\r\n");
-    }
-    if (!request_.body.empty() || request_.method == "POST" || request_.method == "PUT") {
-        out += concat("Content-Length: ", request_.body.size(), "\r\n");
-    }
-    out += "\r\n";
-    out += request_.body;
-    return out;
+    return write_request(request_.method, request_.target, fields, request_.body);
 }
 
 void exchange::placed(const endpoint_choice& choice) {
@@ -299,13 +291,13 @@
         try_again("unclear_refusal", true);
         return;
     }
-    if (status >= 500 && status != 504 && route_->idempotent() && !begun_ && runs_ < route_->max_attempts &&
-        caller_ != nullptr && time_left(owner_->now()) > least_time &&
-        owner_->repeats(service_).take(owner_->dispatch().routers(), owner_->now())) {
+    const auto now = owner_->now();
+    if (status >= 500 && status != 504 && !begun_ && may_run_again(now) &&
+        owner_->repeats(service_).take(owner_->dispatch().routers(), now)) {
         end_attempt(true);
         excluded_.insert(choice_.endpoint);
         owner_->environment().metrics->add("repeats_total", "endpoint_error");
-        submit(owner_->now());
+        submit(now);
         return;
     }
     answer_whole();
@@ -363,8 +355,7 @@
     const auto now = owner_->now();
     log_attempt_failed(*owner_->environment().log, record(), reason, now - arrived_);
     excluded_.insert(choice_.endpoint);
-    const bool allowed = runs_ == 0 || (route_->idempotent() && runs_ < route_->max_attempts);
-    if (!allowed || caller_ == nullptr || sends_ >= most_sends || time_left(now) <= least_time) {
+    if (!may_run_again(now)) {
         give_up(reason);
         return;
     }
@@ -447,9 +438,7 @@
         }
         return;
     }
-    const bool movable = stage_ == stage::running && route_->idempotent() && runs_ < route_->max_attempts &&
-                         caller_ != nullptr && !paused_ && time_left(now) > least_time;
-    if (!movable) {
+    if (stage_ != stage::running || paused_ || !route_->idempotent() || !may_run_again(now)) {
         return;
     }
     const auto limit =
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -43,6 +43,9 @@
     void finish(std::string_view outcome, int status);
     [[nodiscard]] duration time_left(time_point now) const noexcept;
 
+    /*! Tells whether another endpoint may be asked: no endpoint can have run the call, or it may be repeated. */
+    [[nodiscard]] bool may_run_again(time_point now) const noexcept;
+
 public:
     /*! @brief Answers up to this size are held back until they are complete; a stream is not. */
     static constexpr std::size_t held_bytes = std::size_t{8} << 20U;
--- a/src/dandelionbay/proxy/http_message.cpp
+++ b/src/dandelionbay/proxy/http_message.cpp
@@ -19,6 +19,12 @@
     "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
     "Trailer",    "Transfer-Encoding", "Upgrade",          "Content-Length"};
 
+void append_fields(std::string& out, const field_list& fields) {
+    for (const auto& [name, value] : fields) {
+        absl::StrAppend(&out, name, ": ", value, "\r\n");
+    }
+}
+
 } // namespace
 
 bool same_field(std::string_view a, std::string_view b) noexcept {
@@ -57,13 +63,22 @@
 std::string write_head(const response_head& head) {
     std::string out =
         concat("HTTP/1.1 ", head.status, " ", head.reason.empty() ? reason_of(head.status) : head.reason, "\r\n");
-    for (const auto& [name, value] : head.fields) {
-        absl::StrAppend(&out, name, ": ", value, "\r\n");
-    }
+    append_fields(out, head.fields);
     out += "\r\n";
     return out;
 }
 
+std::string write_request(std::string_view method, std::string_view target, const field_list& fields,
+                          std::string_view body) {
+    std::string out = concat(method, " ", target, " HTTP/1.1\r\n");
+    append_fields(out, fields);
+    if (!body.empty() || method == "POST" || method == "PUT") {
+        absl::StrAppend(&out, "Content-Length: ", body.size(), "\r\n");
+    }
+    absl::StrAppend(&out, "\r\n", to_absl(body));
+    return out;
+}
+
 std::string write_chunk(std::string_view bytes) {
     if (bytes.empty()) {
         return {};
--- a/src/dandelionbay/proxy/http_message.hpp
+++ b/src/dandelionbay/proxy/http_message.hpp
@@ -52,6 +52,14 @@
 /*! @brief Writes a status line and fields with the empty line. @param head The head. @return Bytes. */
 [[nodiscard]] std::string write_head(const response_head& head);
 
+/**
+ * @brief Writes a request.
+ * @param fields Without the length of the body, which is added.
+ * @return Bytes.
+ */
+[[nodiscard]] std::string write_request(std::string_view method, std::string_view target, const field_list& fields,
+                                        std::string_view body);
+
 /*! @brief Writes a chunk of a chunked body. @param bytes Its data. @return Bytes; empty for empty data. */
 [[nodiscard]] std::string write_chunk(std::string_view bytes);
 
--- /dev/null
+++ b/src/dandelionbay/proxy/listener.cpp
@@ -0,0 +1,74 @@
+#include "dandelionbay/proxy/listener.hpp"
+
+#include <utility>
+
+#include "dandelionbay/base/text.hpp"
+
+namespace dandelionbay {
+
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+[[nodiscard]] error_code listen_on(asio::ip::tcp::acceptor& acceptor, const socket_address& at) {
+    error_code ec;
+    const auto endpoint = to_endpoint(at);
+    acceptor.open(endpoint.protocol(), ec);
+    if (!ec) {
+        acceptor.set_option(asio::socket_base::reuse_address{true}, ec);
+        acceptor.bind(endpoint, ec);
+    }
+    if (!ec) {
+        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    return ec;
+}
+
+} // namespace
+
+listener::listener(asio::io_context& loop, bounded_log& log) : acceptor_{loop}, pause_{loop}, log_{&log} {}
+
+absl::Status listener::start(const socket_address& at, handler accepted) {
+    if (const auto ec = listen_on(acceptor_, at)) {
+        return absl::UnavailableError(concat("cannot listen on ", at.ip, ":", at.port, ": ", ec.message()));
+    }
+    accepted_ = std::move(accepted);
+    accept();
+    return absl::OkStatus();
+}
+
+void listener::accept() {
+    acceptor_.async_accept([this](error_code ec, channel::tcp::socket socket) {
+        if (stopped_) {
+            return;
+        }
+        if (ec) {
+            log_->write(log_level::warn, "accept_failed", {{"reason", ec.message()}});
+            accept_after_pause();
+            return;
+        }
+        accepted_(std::move(socket));
+        if (!stopped_) {
+            accept();
+        }
+    });
+}
+
+void listener::accept_after_pause() {
+    pause_.expires_after(failure_pause);
+    pause_.async_wait([this](error_code ec) {
+        if (!ec && !stopped_) {
+            accept();
+        }
+    });
+}
+
+void listener::stop() {
+    stopped_ = true;
+    error_code ec; // The process ends; a listener that can't be closed goes with it.
+    acceptor_.close(ec);
+    pause_.cancel();
+}
+
+} // namespace dandelionbay
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -3,7 +3,6 @@
 #include <utility>
 #include <vector>
 
-#include "dandelionbay/base/text.hpp"
 #include "dandelionbay/proxy/caller_connection.hpp"
 #include "dandelionbay/proxy/exchange.hpp"
 
@@ -13,12 +12,12 @@
 
 using boost::system::error_code;
 
-/*! Idle connections and forgotten endpoints are looked at this often; their limits are over a second. */
 /*! How much slower than lately a stream may become before the process ends: while the balancer may still send calls
  * here, and later, when they should go elsewhere. */
 constexpr double gap_margin = 1.5;
 constexpr double late_gap_margin = 6.0;
 constexpr double newest_gap_share = 0.02;
+/*! Idle connections and forgotten endpoints are looked at this often; their limits are over a second. */
 constexpr duration housekeeping_interval = std::chrono::milliseconds{200};
 
 } // namespace
@@ -28,35 +27,24 @@
       dispatcher_{*environment_.view, options_.place, options_.dispatch, *this,
                   static_cast<std::uint64_t>(environment_.time->now().time_since_epoch().count())},
       random_{static_cast<std::uint64_t>(environment_.time->now().time_since_epoch().count())},
-      acceptor_{*environment_.loop}, timer_{*environment_.loop} {}
+      listener_{*environment_.loop, *environment_.log}, timer_{*environment_.loop} {}
 
 absl::Status proxy::start() {
-    if (const auto ec = listen_on(acceptor_, options_.listen)) {
-        return absl::UnavailableError(
-            concat("cannot listen on ", options_.listen.ip, ":", options_.listen.port, ": ", ec.message()));
+    auto status = listener_.start(options_.listen, [this](channel::tcp::socket it) { accept(std::move(it)); });
+    if (status.ok()) {
+        tick();
     }
-    accept();
-    tick();
-    return absl::OkStatus();
+    return status;
 }
 
-void proxy::accept() {
-    acceptor_.async_accept([this](error_code ec, channel::tcp::socket socket) {
-        if (stopped_) {
-            return;
-        }
-        if (ec) {
-            environment_.log->write(log_level::warn, "accept_failed", {{"reason", ec.message()}});
-        } else if (callers_.size() >= options_.max_connections) {
-            environment_.metrics->add("connections_refused_total");
-            socket.close(ec);
-        } else {
-            const auto it = std::make_shared<caller_connection>(*this, std::move(socket), now());
-            callers_.insert(it);
-            it->start();
-        }
-        accept();
-    });
+void proxy::accept(channel::tcp::socket socket) {
+    if (callers_.size() >= options_.max_connections) {
+        environment_.metrics->add("connections_refused_total");
+        return; // The socket closes.
+    }
+    const auto it = std::make_shared<caller_connection>(*this, std::move(socket), now());
+    callers_.insert(it);
+    it->start();
 }
 
 void proxy::tick() {
@@ -100,18 +88,16 @@
         return true;
     }
     const auto* const known = environment_.view->config()->find_service(service);
-    double expected_ms = std::chrono::duration<double, std::milli>{it.target_latency}.count();
+    double expected_ms = to_ms(it.target_latency);
     if (known != nullptr && known->engine) {
         const double margin = now() < late_at_ ? gap_margin : late_gap_margin;
         expected_ms = expected_ms * margin + event_gap_ms_ * margin * output_tokens / known->engine->tokens_per_event;
     }
-    return now() + std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{expected_ms}) <
-           ends_at_;
+    return now() + from_ms(expected_ms) < ends_at_;
 }
 
 void proxy::note_event_gap(duration gap) noexcept {
-    const double ms = std::chrono::duration<double, std::milli>{gap}.count();
-    event_gap_ms_ += newest_gap_share * (ms - event_gap_ms_);
+    event_gap_ms_ += newest_gap_share * (to_ms(gap) - event_gap_ms_);
 }
 
 std::size_t proxy::close_idle() {
@@ -120,8 +106,7 @@
 }
 
 void proxy::stop() {
-    error_code ec;
-    acceptor_.close(ec);
+    listener_.stop();
     timer_.cancel();
     const auto open = exchanges_;
     for (const auto& [ticket, it] : open) {
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -10,7 +10,6 @@
 #include <unordered_map>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "absl/status/status.h"
@@ -24,6 +23,7 @@
 #include "dandelionbay/proxy/call_protocol.hpp"
 #include "dandelionbay/proxy/fwd.hpp"
 #include "dandelionbay/proxy/http_connection.hpp"
+#include "dandelionbay/proxy/listener.hpp"
 
 namespace dandelionbay {
 
@@ -51,7 +51,7 @@
  * @brief The data path of a router: callers' connections, their calls, and connections to endpoints, on one event loop.
  */
 class proxy final : public dispatch_listener {
-    void accept();
+    void accept(channel::tcp::socket socket);
     void tick();
     void check_all(time_point now);
 
@@ -137,7 +137,7 @@
     dispatcher dispatcher_;
     endpoint_pool pool_{};
     std::mt19937_64 random_;
-    boost::asio::ip::tcp::acceptor acceptor_;
+    listener listener_;
     boost::asio::steady_timer timer_;
     std::set<std::shared_ptr<caller_connection>> callers_{};
     std::unordered_map<ticket_id, std::shared_ptr<exchange>> exchanges_{};
--- a/src/dandelionbay/proxy/status_server.cpp
+++ b/src/dandelionbay/proxy/status_server.cpp
@@ -2,16 +2,12 @@
 
 #include <utility>
 
-#include "dandelionbay/base/text.hpp"
-#include "dandelionbay/proxy/channel.hpp"
 #include "dandelionbay/proxy/http_reader.hpp"
 
 namespace dandelionbay {
 
 namespace {
 
-using boost::system::error_code;
-
 constexpr std::uint32_t max_header = 8'192;
 constexpr std::uint64_t max_body = 1'024;
 
@@ -76,37 +72,25 @@
     request_reader reader_{max_header, max_body};
 };
 
-status_server::status_server(boost::asio::io_context& loop, page_source source)
-    : source_{std::move(source)}, acceptor_{loop} {}
+status_server::status_server(boost::asio::io_context& loop, bounded_log& log, page_source source)
+    : source_{std::move(source)}, listener_{loop, log} {}
 
 status_server::~status_server() = default;
 
 absl::Status status_server::start(const socket_address& listen) {
-    if (const auto ec = listen_on(acceptor_, listen)) {
-        return absl::UnavailableError(concat("cannot listen on ", listen.ip, ":", listen.port, ": ", ec.message()));
-    }
-    accept();
-    return absl::OkStatus();
+    return listener_.start(listen, [this](channel::tcp::socket it) { accept(std::move(it)); });
 }
 
-void status_server::accept() {
-    acceptor_.async_accept([this](error_code ec, channel::tcp::socket socket) {
-        if (stopped_) {
-            return;
-        }
-        if (!ec && clients_.size() < most_clients) {
-            const auto it = std::make_shared<client>(*this, std::move(socket));
-            clients_.insert(it);
-            it->start();
-        }
-        accept();
-    });
+void status_server::accept(channel::tcp::socket socket) {
+    if (clients_.size() < most_clients) {
+        const auto it = std::make_shared<client>(*this, std::move(socket));
+        clients_.insert(it);
+        it->start();
+    }
 }
 
 void status_server::stop() {
-    stopped_ = true;
-    error_code ec; // The process ends; a listener that can't be closed goes with it.
-    acceptor_.close(ec);
+    listener_.stop();
     clients_.clear();
 }
 
--- a/src/dandelionbay/proxy/status_server.hpp
+++ b/src/dandelionbay/proxy/status_server.hpp
@@ -7,10 +7,11 @@
 #include <string_view>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 
 #include "absl/status/status.h"
+#include "dandelionbay/base/bounded_log.hpp"
 #include "dandelionbay/gateway/endpoint_entry.hpp"
+#include "dandelionbay/proxy/listener.hpp"
 
 namespace dandelionbay {
 
@@ -18,7 +19,7 @@
 class status_server {
     class client;
 
-    void accept();
+    void accept(channel::tcp::socket socket);
 
 public:
     /*! @brief Answer to a path. */
@@ -31,8 +32,8 @@
     /*! @brief Connections at a time; the balancer and a scraper need one each. */
     static constexpr std::size_t most_clients = 32;
 
-    /*! @brief Creates it. @param source Gives the pages. */
-    status_server(boost::asio::io_context& loop, page_source source);
+    /*! @brief Creates it. @param loop Event loop. @param log Takes failures. @param source Gives the pages. */
+    status_server(boost::asio::io_context& loop, bounded_log& log, page_source source);
     status_server(const status_server&) = delete;
     status_server(status_server&&) = delete;
     status_server& operator=(const status_server&) = delete;
@@ -47,9 +48,8 @@
 
 private:
     page_source source_;
-    boost::asio::ip::tcp::acceptor acceptor_;
+    listener listener_;
     std::set<std::shared_ptr<client>> clients_{};
-    bool stopped_{};
 };
 
 } // namespace dandelionbay
