Let an idle region help one that is behind sooner

Its engines had up to 110 ms of reading queued, while another region counted as 160 ms away: calls waited at the near ones although the round trip to the idle ones takes 40 ms.

Change: another region costs 80 ms instead of 160 in the choice of an endpoint.

--- a/src/dandelionbay/dispatch/work.hpp
+++ b/src/dandelionbay/dispatch/work.hpp
@@ -86,7 +86,7 @@
     double memory_share{0.85};      //!< Share of an engine's memory that calls in flight may come to occupy.
     double reading_weight{5.0};     //!< Reading costs the calls behind it too, and evicts what others share.
     double zone_cost_ms{12.0};      //!< Aversion to another zone of the region: its round trip and its traffic.
-    double region_cost_ms{160.0};   //!< Aversion to another region: its round trip and the narrow, dear link.
+    double region_cost_ms{80.0};    //!< Aversion to another region: twice its round trip, because the link is narrow.
     double least_distance_share{0.4}; //!< Part of these for the least served team that is refused work.
     duration least_hold{std::chrono::milliseconds{70}}; //!< A call may wait this long in any case.
     double least_wait_ms{5.0};                          //!< A waiting call counts at least as this much reading.
--- a/test/dandelionbay/dispatch/dispatcher_test.cpp
+++ b/test/dandelionbay/dispatch/dispatcher_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <set>
 
 #include <gtest/gtest.h>
@@ -42,6 +43,32 @@
     }
 }
 
+// Guards against the pattern "most callers enter in one region": calls that wait for engines nearby, and are refused in
+// the end, while those of the other region, a round trip of 40 ms away, are idle.
+TEST(dispatcher, an_idle_region_helps_one_that_is_behind) {
+    dispatch_fixture fleet{1};
+    fleet.list.entries.push_back(dispatch_fixture::engine("far", "zone-2"));
+    fleet.publish();
+    std::vector<std::string> homes;
+    for (std::uint64_t subject = 1; subject <= 7; ++subject) {
+        const auto ticket = fleet.send(fleet.call("team", subject, 900, 100));
+        ASSERT_TRUE(fleet.log.placements.contains(ticket)) << "call " << subject << " waits";
+        homes.push_back(fleet.log.placements[ticket]);
+    }
+    EXPECT_GE(std::ranges::count(homes, "far"), 2);
+    {
+        SCOPED_TRACE("while the near engine is quick, calls stay with it");
+        EXPECT_EQ(homes[0], "e0");
+        EXPECT_EQ(homes[1], "e0");
+    }
+    {
+        SCOPED_TRACE("and once the rush is over they stay again");
+        fleet.advance(seconds{1});
+        fleet.answer_all();
+        EXPECT_EQ(fleet.log.placements[fleet.send(fleet.call("team", 20, 900, 100))], "e0");
+    }
+}
+
 // Guards against the pattern "one team floods": a team that enters at another router gets nothing while this router
 // goes on to serve the flood, because each router orders only its own queue (FAIR).
 TEST(dispatcher, a_team_above_one_that_is_refused_elsewhere_gives_way) {
