Start the bench's load once all of its threads run

The sampled time of that run ends at 12.41 s of 16 s while calls of its first second were counted: sampling began 3.6 s after the start of the load, beyond the split at 2.4 s. In between stands only the start of the load's 228 threads, for which a fixed 200 ms were allowed. The builds under a sanitizer run six such tests at a time.

Ruled out: a fault of the fleet; the figures of all parts that are there are those of a split, and nothing was doubled or wrong. A busy machine alone: beside 18 busy processes two runs of the old build and two of the new one passed.

Change: the threads wait until all of them run; only then the start of the load is fixed and handed to the recorder and to what disturbs the fleet.

No bound of the test changed.

--- a/src/dandelionbay/bench/load_generator.cpp
+++ b/src/dandelionbay/bench/load_generator.cpp
@@ -20,6 +20,9 @@
 using nlohmann::json;
 
 constexpr std::size_t order_threads = 4;
+constexpr std::size_t thread_count = router_count * (team_count * lane_threads + order_threads);
+/*! Time for all threads to wake up before the first call is due. */
+constexpr std::chrono::milliseconds lead{200};
 constexpr std::chrono::seconds connect_limit{5};
 /*! Above the queue limit and the run limit of the services, so that the routers' final answers are seen. */
 constexpr std::chrono::seconds answer_limit{180};
@@ -140,9 +143,9 @@
 
 } // namespace
 
-load_generator::load_generator(std::vector<arrival> plan, const balancer& routers, time_point start, time_point limit,
-                               recorder& results, engine_times& engines)
-    : balancer_{&routers}, start_{start}, limit_{limit}, results_{&results}, engines_{&engines} {
+load_generator::load_generator(std::vector<arrival> plan, const balancer& routers, duration length, recorder& results,
+                               engine_times& engines)
+    : balancer_{&routers}, length_{length}, results_{&results}, engines_{&engines}, running_{thread_count} {
     for (auto& it : plan) {
         const auto index = it.router * (team_count + 1) + (it.is_order() ? team_count : it.team);
         lanes_.at(index).calls.push_back(std::move(it));
@@ -198,10 +201,12 @@
 }
 
 void load_generator::work(lane& from) {
+    running_.count_down();
+    begun_.wait();
     for (auto n = from.next++; n < from.calls.size(); n = from.next++) {
         const auto& it = from.calls[n];
         std::this_thread::sleep_until(start_ + it.at);
-        if (now() > limit_) {
+        if (now() > start_ + length_) {
             results_->end(it.router, ending::unsent, now());
         } else if (it.is_order()) {
             send_order(it);
@@ -211,13 +216,18 @@
     }
 }
 
-void load_generator::start() {
+time_point load_generator::start() {
     for (std::size_t i = 0; i < lanes_.size(); ++i) {
         const auto n = i % (team_count + 1) == team_count ? order_threads : lane_threads;
         for (std::size_t k = 0; k < n; ++k) {
             threads_.emplace_back([this, i] { work(lanes_.at(i)); });
         }
     }
+    running_.wait();
+    start_ = now() + lead;
+    results_->begin(start_);
+    begun_.count_down();
+    return start_;
 }
 
 void load_generator::finish() {
--- a/src/dandelionbay/bench/load_generator.hpp
+++ b/src/dandelionbay/bench/load_generator.hpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <latch>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -38,12 +39,11 @@
      * @brief Prepares the load; sends nothing yet.
      * @param plan Arrivals, ordered by time.
      * @param routers Tells where each call goes; outlives the object.
-     * @param start Start of the load.
-     * @param limit Time after which no call is sent.
+     * @param length Time after the start of the load from which on no call is sent.
      * @param results Takes what the callers see. @param engines The engines' own times. Both outlive the object.
      */
-    load_generator(std::vector<arrival> plan, const balancer& routers, time_point start, time_point limit,
-                   recorder& results, engine_times& engines);
+    load_generator(std::vector<arrival> plan, const balancer& routers, duration length, recorder& results,
+                   engine_times& engines);
     load_generator(const load_generator&) = delete;
     load_generator(load_generator&&) = delete;
     load_generator& operator=(const load_generator&) = delete;
@@ -52,19 +52,26 @@
     /*! @brief Waits until every call has ended. */
     ~load_generator();
 
-    /*! @brief Starts the threads. */
-    void start();
+    /**
+     * @brief Starts the threads, and the recorder's time once all of them run.
+     *
+     * A time fixed before would pass on a busy machine while threads are still being made.
+     * @return Start of the load, a little ahead.
+     */
+    time_point start();
 
     /*! @brief Waits until every call has ended. */
     void finish();
 
 private:
     const balancer* balancer_;
-    time_point start_;
-    time_point limit_;
+    duration length_;
     recorder* results_;
     engine_times* engines_;
     std::array<lane, router_count*(team_count + 1)> lanes_; //!< For each router one per team and one for orders.
+    std::latch running_;                                    //!< Open once all threads run.
+    std::latch begun_{1};                                   //!< Open once the start is known.
+    time_point start_{};                                    //!< Written before begun_ opens.
     std::vector<std::thread> threads_;
 };
 
--- a/src/dandelionbay/bench/queue_model.cpp
+++ b/src/dandelionbay/bench/queue_model.cpp
@@ -209,7 +209,7 @@
     queue_model(queue_policy policy, const std::vector<arrival>& plan, std::chrono::seconds length,
                 const queue_model_options& options)
         : policy_{policy}, plan_{&plan}, length_{length}, options_{options}, calls_(plan.size()),
-          engines_(options.engines), results_{time_point{}, static_cast<std::size_t>(length.count())} {}
+          engines_(options.engines), results_{static_cast<std::size_t>(length.count())} {}
 
     [[nodiscard]] nlohmann::json run() {
         for (std::size_t i = 0; i < plan_->size(); ++i) {
--- a/src/dandelionbay/bench/recorder.cpp
+++ b/src/dandelionbay/bench/recorder.cpp
@@ -30,12 +30,17 @@
     return out;
 }
 
-recorder::recorder(time_point start, std::size_t seconds) : start_{start} {
+recorder::recorder(std::size_t seconds) {
     for (auto& it : routers_) {
         it.seconds.resize(seconds);
     }
 }
 
+void recorder::begin(time_point start) {
+    const std::lock_guard lock{mutex_};
+    start_ = start;
+}
+
 second_of_service* recorder::second_at(std::size_t router, time_point now) {
     auto& seconds = routers_.at(router).seconds;
     const auto n = static_cast<std::size_t>(std::chrono::floor<std::chrono::seconds>(now - start_).count());
--- a/src/dandelionbay/bench/recorder.hpp
+++ b/src/dandelionbay/bench/recorder.hpp
@@ -61,8 +61,11 @@
     [[nodiscard]] std::vector<second_of_service> all_seconds() const;
 
 public:
-    /*! @brief Starts. @param start Start of the load. @param seconds Length of the load. */
-    recorder(time_point start, std::size_t seconds);
+    /*! @brief Takes nothing yet. @param seconds Length of the load. */
+    explicit recorder(std::size_t seconds);
+
+    /*! @brief Seconds count from here. @param start Start of the load; nothing may be recorded before this call. */
+    void begin(time_point start);
 
     /*! @brief A chat call was sent. @param router For which it was planned. @param team Of the caller. @param now When.
      */
@@ -124,7 +127,7 @@
     [[nodiscard]] nlohmann::json report() const;
 
 private:
-    const time_point start_;
+    time_point start_{};
     mutable std::mutex mutex_;
     std::array<router_state, router_count> routers_;
     std::map<ending, std::uint64_t> endings_;
--- a/src/dandelionbay/bench/run.cpp
+++ b/src/dandelionbay/bench/run.cpp
@@ -24,8 +24,6 @@
 
 using nlohmann::json;
 
-/*! Time for all threads to start before the first call is due. */
-constexpr std::chrono::milliseconds lead{200};
 /*! Calls that are late at the end of the load are still sent for as long as this. */
 constexpr std::chrono::seconds drain_limit{20};
 /*! D of docs/fairness.md: the exchange interval of 200 ms, and one more for the hop between the two regions. */
@@ -47,17 +45,12 @@
 
     /*! Runs a load whose figures are dropped. */
     void warm_endpoints() {
-        const auto start = now() + lead;
-        recorder unused{start, 1};
+        recorder unused{1};
         const balancer routers{ports()};
-        load_generator load{plan_arrivals(warm_up(), options_.warm_up, options_.seed + 1),
-                            routers,
-                            start,
-                            start + options_.warm_up + drain_limit,
-                            unused,
-                            engine_times_};
+        load_generator load{plan_arrivals(warm_up(), options_.warm_up, options_.seed + 1), routers,
+                            options_.warm_up + drain_limit, unused, engine_times_};
         print(concat("warm-up of ", options_.warm_up.count(), " s"));
-        load.start();
+        static_cast<void>(load.start());
         load.finish();
     }
 
@@ -197,15 +190,14 @@
         }
         warm_endpoints();
         const auto plan = plan_arrivals(options_.load, options_.length, options_.seed);
-        const auto start = now() + lead;
-        const auto end = start + options_.length;
-        recorder results{start, static_cast<std::size_t>(options_.length.count())};
+        recorder results{static_cast<std::size_t>(options_.length.count())};
         balancer routers{ports()};
-        load_generator load{plan, routers, start, end + drain_limit, results, engine_times_};
+        load_generator load{plan, routers, options_.length + drain_limit, results, engine_times_};
         if (options_.load.during == disturbance::host_restarts) {
             routers.start();
         }
-        load.start();
+        const auto start = load.start();
+        const auto end = start + options_.length;
         std::this_thread::sleep_until(start);
         const auto router_bytes = control_bytes(fleet_.routers());
         const auto agent_bytes = control_bytes(fleet_.agents());
