--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -400,15 +400,19 @@
     finish(describe(code).name, status);
 }
 
-void exchange::caller_gone() {
-    caller_ = nullptr;
+void exchange::leave() {
     if (stage_ == stage::waiting) {
         owner_->dispatch().withdraw(ticket_);
-        finish("caller_gone", 0);
-        return;
-    }
-    if (stage_ == stage::running && (route_->idempotent() || route_->kind == call_kind::streaming)) {
+    } else {
         end_attempt(false);
+    }
+}
+
+void exchange::caller_gone() {
+    caller_ = nullptr;
+    const bool running = stage_ == stage::running;
+    if (stage_ == stage::waiting || (running && (route_->idempotent() || route_->kind == call_kind::streaming))) {
+        leave();
         finish("caller_gone", 0);
     }
     // A call that can't be repeated runs to its end: a booking that is broken off helps nobody.
@@ -426,11 +430,7 @@
         return;
     }
     if (now >= limit_) {
-        if (stage_ == stage::waiting) {
-            owner_->dispatch().withdraw(ticket_);
-        } else {
-            end_attempt(false);
-        }
+        leave();
         if (begun_) {
             give_up("time_limit");
         } else {
@@ -456,11 +456,7 @@
     if (stage_ == stage::done) {
         return;
     }
-    if (stage_ == stage::waiting) {
-        owner_->dispatch().withdraw(ticket_);
-    } else {
-        end_attempt(false);
-    }
+    leave();
     give_up("stopping");
 }
 
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -35,7 +35,7 @@
     void complete_whole();
     void answer_whole();
     void end_attempt(bool failed);
-    void drop_client() noexcept;
+    void leave();
     void try_again(std::string_view reason, bool counted);
     void give_up(std::string_view reason);
     void refuse(int status, result_code code, duration retry_after);
