--- a/test/dandelionbay/gateway/registry_view_test.cpp
+++ b/test/dandelionbay/gateway/registry_view_test.cpp
@@ -1,4 +1,7 @@
+#include <algorithm>
+
 #include <gtest/gtest.h>
+#include <rapidcheck.h>
 
 #include "dandelionbay/gateway/registry_view.hpp"
 
@@ -46,6 +49,47 @@
     }
 }
 
+// Guards against facts that go back, whatever order messages of the store and of peers come in.
+TEST(registry_view, no_order_of_messages_brings_an_older_fact_back) {
+    const bool held = rc::check("facts only get newer", [] {
+        registry_view view{{}};
+        auto now = start;
+        std::uint64_t newest_config = 0;
+        std::uint64_t newest_zones = 0;
+        std::uint64_t newest_list = 0;
+        const auto steps = *rc::gen::inRange(1, 60);
+        for (int n = 0; n < steps; ++n) {
+            now += milliseconds{*rc::gen::inRange(0, 3'000)};
+            const auto read_at = now - milliseconds{*rc::gen::inRange(0, 5'000)};
+            const auto version = *rc::gen::inRange<std::uint64_t>(1, 40);
+            const auto as_of = *rc::gen::inRange<std::uint64_t>(1, 400);
+            switch (*rc::gen::inRange(0, 3)) {
+            case 0:
+                RC_ASSERT(view.adopt(config(version)) == (version > newest_config));
+                newest_config = std::max(newest_config, version);
+                break;
+            case 1: {
+                const bool counted = view.confirm(operator_state{as_of, version, {}}, read_at);
+                RC_ASSERT(!counted || (as_of >= newest_zones && version <= newest_config));
+                newest_zones = std::max(newest_zones, as_of);
+                break;
+            }
+            default:
+                RC_ASSERT(view.merge(endpoint_list{as_of, {entry("e", as_of)}}, read_at, now) ==
+                          (as_of >= newest_list));
+                newest_list = std::max(newest_list, as_of);
+            }
+            RC_ASSERT((view.config() == nullptr ? 0 : view.config()->version) == newest_config);
+            RC_ASSERT(view.operators().as_of == newest_zones);
+            RC_ASSERT(view.list().as_of == newest_list);
+            RC_ASSERT(newest_list == 0 || only(view).entry.row_version == newest_list);
+            const auto age = view.operator_age(now);
+            RC_ASSERT(!view.keys_fresh(now) || (age && *age < freshness_limits{}.keys));
+        }
+    });
+    EXPECT_TRUE(held);
+}
+
 // Guards against withdrawn API keys that a router cut off from the store and from its peers goes on to accept.
 TEST(registry_view, keys_are_trusted_only_for_a_time_after_a_confirmation) {
     registry_view view{freshness_limits{milliseconds{4'500}, seconds{2}}};
