Keep a small router with too many callers accepting, and its queue short enough to decide

A round of decisions rates each waiting call, up to 139 of them, for 46 endpoints, every 8 ms, which is more than the host's share; between rounds the loop accepted one connection a turn, whose caller had left by then.

Ruled out: that the loop stood still (250 to 300 calls/s from open connections ended all the while); lack of descriptors (no accept_failed line).

Change: the listener takes all connections that wait, up to 64, at a time; `round_pacer` lets rounds take half of the time at most and bounds how many calls may wait by what a round of 50 ms decides, others are refused at once; a call that waited is not sent if its caller has closed.

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -133,7 +133,7 @@
 
 void dispatcher::submit(work_item item, time_point now) {
     const auto ticket = item.ticket;
-    if (view_->config() == nullptr || waiting_.size() >= limits_.most_queued) {
+    if (view_->config() == nullptr || waiting_.size() >= most_waiting_) {
         refusal why;
         why.code = result_code::router_queue_full;
         refuse(item, why, now);
--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <random>
@@ -133,6 +135,9 @@
     /*! @brief Replaces what a peer reported of its waiting calls. @param peer Its name. @param now Time. */
     void report_queues(const host_id& peer, std::vector<service_queue> queues, time_point now);
 
+    /*! @brief Sets how many calls may wait; further ones are refused at once. */
+    void limit_waiting(std::size_t most) noexcept { most_waiting_ = std::min(most, limits_.most_queued); }
+
     /*! @brief Number of waiting calls. */
     [[nodiscard]] std::size_t waiting() const noexcept { return waiting_.size(); }
 
@@ -149,6 +154,7 @@
     team_usage usage_{};
     std::vector<part_use> part_uses_{};
     std::map<host_id, peer_queues> peer_queues_{};
+    std::size_t most_waiting_{limits_.most_queued};
     bool deciding_{};
 };
 
--- a/src/dandelionbay/proxy/call_protocol.hpp
+++ b/src/dandelionbay/proxy/call_protocol.hpp
@@ -12,6 +12,11 @@
 
 namespace dandelionbay {
 
+/*! @brief Tells whether a status promises a caller that its call has not run. */
+[[nodiscard]] constexpr bool promises_not_run(int status) noexcept {
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /*! @brief What the router tells an endpoint about a call. */
 struct forward_terms {
     endpoint_id endpoint{}; //!< Another endpoint at this address must not run it.
--- a/src/dandelionbay/proxy/caller_connection.cpp
+++ b/src/dandelionbay/proxy/caller_connection.cpp
@@ -85,7 +85,7 @@
     auto request = reader_->take();
     reading_ = false;
     keep_ = request.keep_alive;
-    if (channel_->closed_by_peer()) { // It left while the request waited to be read.
+    if (left()) { // It left while the request waited to be read.
         owner_->environment().metrics->add("callers_gone_unread_total");
         channel_->close();
         owner_->close_caller(shared_from_this());
--- a/src/dandelionbay/proxy/caller_connection.hpp
+++ b/src/dandelionbay/proxy/caller_connection.hpp
@@ -55,6 +55,9 @@
     /*! @brief Closes it if no request is being read or answered. @return True if it is closed. */
     bool close_idle();
 
+    /*! @brief Tells whether the caller has closed, also if the event loop has not come to that yet. */
+    [[nodiscard]] bool left() { return channel_->closed_by_peer(); }
+
     /*! @brief Bytes that the caller has not taken yet. */
     [[nodiscard]] std::size_t unsent() const noexcept { return channel_->unsent(); }
 
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -31,11 +31,6 @@
 constexpr double late_backlog = 1.5;
 constexpr double slow_rate = 20.0;
 
-/*! Statuses that tell a caller that its call has not run. */
-[[nodiscard]] bool promises_not_run(int status) noexcept {
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 } // namespace
 
 exchange::exchange(proxy& owner, caller_connection& caller, http_request request, ticket_id ticket, time_point arrived)
@@ -151,6 +146,12 @@
     paused_ = false;
     waited_ = now - arrived_;
     list_age_ = owner_->environment().view->endpoints_age(now).value_or(duration{});
+    if (caller_ != nullptr && caller_->left()) {
+        --runs_;
+        end_attempt(false);
+        finish("caller_gone", 0);
+        return;
+    }
     client_ = owner_->connect(choice, fresh_connection_limit());
     client_->send(request_bytes(choice, now), request_.method == "HEAD", this);
 }
--- a/src/dandelionbay/proxy/listener.cpp
+++ b/src/dandelionbay/proxy/listener.cpp
@@ -22,6 +22,9 @@
     if (!ec) {
         acceptor.listen(asio::socket_base::max_listen_connections, ec);
     }
+    if (!ec) {
+        acceptor.non_blocking(true, ec);
+    }
     return ec;
 }
 
@@ -49,12 +52,24 @@
             return;
         }
         accepted_(std::move(socket));
+        accept_waiting();
         if (!stopped_) {
             accept();
         }
     });
 }
 
+void listener::accept_waiting() {
+    for (int n = 1; n < most_at_once && !stopped_; ++n) {
+        error_code ec;
+        auto socket = acceptor_.accept(ec);
+        if (ec) {
+            return; // None waits; any other failure comes again at the next one.
+        }
+        accepted_(std::move(socket));
+    }
+}
+
 void listener::accept_after_pause() {
     pause_.expires_after(failure_pause);
     pause_.async_wait([this](error_code ec) {
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -48,7 +48,7 @@
 }
 
 void proxy::tick() {
-    timer_.expires_after(dispatcher_.waiting() > 0 ? busy_interval : tick_interval);
+    timer_.expires_after(pacer_.interval(dispatcher_.waiting() > 0));
     timer_.async_wait([this](error_code ec) {
         if (ec || stopped_) {
             return;
@@ -67,7 +67,10 @@
     for (const auto& it : open) {
         it->check(now);
     }
+    const auto waiting = dispatcher_.waiting();
     pump();
+    pacer_.took(this->now() - now, waiting);
+    dispatcher_.limit_waiting(pacer_.most_waiting());
     if (now - expired_ < housekeeping_interval) {
         return;
     }
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -19,6 +19,7 @@
 #include "dandelionbay/base/latency_histogram.hpp"
 #include "dandelionbay/dispatch/dispatcher.hpp"
 #include "dandelionbay/dispatch/retry_window.hpp"
+#include "dandelionbay/dispatch/round_pacer.hpp"
 #include "dandelionbay/gateway/registry_view.hpp"
 #include "dandelionbay/proxy/call_protocol.hpp"
 #include "dandelionbay/proxy/fwd.hpp"
@@ -56,10 +57,6 @@
     void check_all(time_point now);
 
 public:
-    /*! @brief Interval of looking at time limits and waiting calls; a caller does not notice a delay this short. */
-    static constexpr std::chrono::milliseconds tick_interval{25};
-    /*! @brief The same while calls wait; reading a prompt takes several times as long. */
-    static constexpr std::chrono::milliseconds busy_interval{8};
     /*! @brief Longest time to make a connection to an endpoint: several round trips between regions. */
     static constexpr std::chrono::milliseconds connect_limit{400};
 
@@ -147,6 +144,7 @@
     ticket_id last_ticket_{};
     std::uint64_t buffered_{};
     time_point expired_{};
+    round_pacer pacer_{};
     double event_gap_ms_{50.0}; //!< Moving average; an engine's step takes 5 ms and more, and an event some steps.
     time_point late_at_{};
     time_point ends_at_{};
--- a/test/dandelionbay/dispatch/limits_test.cpp
+++ b/test/dandelionbay/dispatch/limits_test.cpp
@@ -6,6 +6,7 @@
 #include "dandelionbay/dispatch/endpoint_load.hpp"
 #include "dandelionbay/dispatch/kept_parts.hpp"
 #include "dandelionbay/dispatch/retry_window.hpp"
+#include "dandelionbay/dispatch/round_pacer.hpp"
 #include "dandelionbay/dispatch/team_usage.hpp"
 
 namespace dandelionbay {
@@ -132,5 +133,38 @@
     EXPECT_TRUE(std::isinf(usage.least_denied(start + seconds{5}))) << "nobody is refused any more";
 }
 
+// Guards against the pattern "more calls than a small host can decide about": rounds at a fixed interval that take all
+// of its processor time, while no new connection is accepted (RECOVER).
+TEST(round_pacer, rounds_leave_time_to_connections) {
+    constexpr std::size_t few = 1;
+    round_pacer pacer;
+    EXPECT_EQ(pacer.interval(false), round_pacer::idle_interval);
+    EXPECT_EQ(pacer.interval(true), round_pacer::busy_interval) << "quick rounds follow each other closely";
+    for (const auto round : {milliseconds{1}, milliseconds{5}, milliseconds{20}, milliseconds{60}}) {
+        pacer.took(round, few);
+        EXPECT_LE(round * round_pacer::parts, pacer.interval(true) + round);
+    }
+    {
+        SCOPED_TRACE("a round that took very long once does not stop the next ones");
+        pacer.took(seconds{5}, few);
+        EXPECT_EQ(pacer.interval(true), round_pacer::longest_interval);
+    }
+}
+
+// Guards against rounds so long that calls are sent on whose callers left during them (GONE), and against a queue that
+// stays short after its host has become quick again.
+TEST(round_pacer, as_many_calls_may_wait_as_a_short_round_decides) {
+    round_pacer pacer;
+    EXPECT_GE(pacer.most_waiting(), 2'000) << "nothing is known yet";
+    pacer.took(milliseconds{200}, 100);
+    EXPECT_EQ(pacer.most_waiting(), 25);
+    pacer.took(milliseconds{25}, 25);
+    EXPECT_EQ(pacer.most_waiting(), 50);
+    pacer.took(seconds{2}, 50);
+    EXPECT_EQ(pacer.most_waiting(), round_pacer::least_waiting);
+    pacer.took(milliseconds{100}, 3);
+    EXPECT_EQ(pacer.most_waiting(), round_pacer::least_waiting) << "a round with hardly any calls tells nothing";
+}
+
 } // namespace
 } // namespace dandelionbay
--- a/test/dandelionbay/proxy/listener_test.cpp
+++ b/test/dandelionbay/proxy/listener_test.cpp
@@ -107,6 +107,20 @@
     }
 }
 
+// Guards against callers that give up in the system's queue, because a loop that is behind takes one of them at a turn.
+TEST_F(listener_test, all_that_wait_are_taken_in_one_turn) {
+    listener it{loop, log};
+    ASSERT_TRUE(start(it).ok());
+    constexpr std::size_t callers = 20;
+    std::vector<tcp::socket> waiting;
+    for (std::size_t n = 0; n < callers; ++n) {
+        waiting.emplace_back(loop, tcp::v4()).connect(to_endpoint(at));
+    }
+    loop.restart();
+    loop.run_one();
+    EXPECT_EQ(accepted.size(), callers);
+}
+
 // Guards against a process that goes on without its port.
 TEST_F(listener_test, an_address_in_use_is_an_error) {
     listener first{loop, log};
