Keep the sum of the peers' work at an endpoint

For each new call and each round, `placement` asks every endpoint three times for its work, and each answer walked over the reports of all peers: 3 x 50 x 23 steps.

Change: `endpoint_load` keeps the sum until a report changes it or expires; results are the same at any time. Test: endpoint_load.work_of_peers_counts_while_their_reports_are_fresh.

--- a/src/dandelionbay/dispatch/endpoint_load.cpp
+++ b/src/dandelionbay/dispatch/endpoint_load.cpp
@@ -14,16 +14,27 @@
 
 } // namespace
 
-double endpoint_load::unread_tokens(time_point now) const {
-    // The endpoint has been reading the oldest prompt since it finished the one before.
-    const double progress = unread_ > 0.0 ? std::min(unread_, to_ms(now - reading_since_) * rate_ / 2.0) : 0.0;
-    double sum = unread_ - progress;
+const endpoint_work& endpoint_load::peers_work(time_point now) const {
+    if (now < peers_sum_until_) {
+        return peers_sum_;
+    }
+    peers_sum_ = {};
+    peers_sum_until_ = time_point::max();
     for (const auto& [peer, it] : peers_) {
         if (now - it.at < peer_report_kept) {
-            sum += it.work.unread_tokens;
+            peers_sum_.unread_tokens += it.work.unread_tokens;
+            peers_sum_.calls += it.work.calls;
+            peers_sum_.memory_tokens += it.work.memory_tokens;
+            peers_sum_until_ = std::min(peers_sum_until_, it.at + peer_report_kept);
         }
     }
-    return sum;
+    return peers_sum_;
+}
+
+double endpoint_load::unread_tokens(time_point now) const {
+    // The endpoint has been reading the oldest prompt since it finished the one before.
+    const double progress = unread_ > 0.0 ? std::min(unread_, to_ms(now - reading_since_) * rate_ / 2.0) : 0.0;
+    return unread_ - progress + peers_work(now).unread_tokens;
 }
 
 void endpoint_load::learn(const running_call& call, time_point now) {
@@ -96,7 +107,11 @@
 }
 
 void endpoint_load::report(const host_id& peer, const endpoint_work& work, time_point now) {
-    peers_[peer] = peer_work{work, now};
+    auto& it = peers_[peer];
+    if (it.work != work || now - it.at >= peer_report_kept) {
+        peers_sum_until_ = time_point::min();
+    }
+    it = peer_work{work, now};
 }
 
 endpoint_work endpoint_load::own(time_point now) const {
@@ -109,19 +124,11 @@
 }
 
 std::uint32_t endpoint_load::calls(time_point now) const {
-    auto sum = static_cast<std::uint32_t>(running_.size());
-    for (const auto& [peer, it] : peers_) {
-        sum += now - it.at < peer_report_kept ? it.work.calls : 0;
-    }
-    return sum;
+    return static_cast<std::uint32_t>(running_.size()) + peers_work(now).calls;
 }
 
 double endpoint_load::memory_tokens(time_point now) const {
-    double sum = memory_;
-    for (const auto& [peer, it] : peers_) {
-        sum += now - it.at < peer_report_kept ? it.work.memory_tokens : 0.0;
-    }
-    return sum;
+    return memory_ + peers_work(now).memory_tokens;
 }
 
 bool endpoint_load::stalled(time_point now) const {
--- a/src/dandelionbay/dispatch/endpoint_load.hpp
+++ b/src/dandelionbay/dispatch/endpoint_load.hpp
@@ -48,6 +48,7 @@
         time_point at{};
     };
 
+    [[nodiscard]] const endpoint_work& peers_work(time_point now) const;
     [[nodiscard]] double unread_tokens(time_point now) const;
     void learn(const running_call& call, time_point now);
 
@@ -127,6 +128,8 @@
 
     std::unordered_map<ticket_id, running_call> running_{};
     std::map<host_id, peer_work> peers_{};
+    mutable endpoint_work peers_sum_{}; //!< Of the reports that count; asked for much more often than they change.
+    mutable time_point peers_sum_until_{time_point::min()}; //!< When it has to be worked out again at the latest.
     kept_parts parts_{};
     cold_pacer pacer_{};
     double rate_{first_rate};
--- a/test/dandelionbay/dispatch/limits_test.cpp
+++ b/test/dandelionbay/dispatch/limits_test.cpp
@@ -105,6 +105,26 @@
     }
 }
 
+// Guards against a kept sum of the peers' work that misses a change: of a report, by its age, or by a peer that returns
+// with the work it had.
+TEST(endpoint_load, work_of_peers_counts_while_their_reports_are_fresh) {
+    const host_id second{"r2"};
+    const host_id third{"r3"};
+    endpoint_load load;
+    load.report(second, {100.0, 2, 50.0}, start);
+    load.report(third, {10.0, 1, 5.0}, start + seconds{1});
+    EXPECT_EQ(load.calls(start + seconds{1}), 3);
+    EXPECT_EQ(load.memory_tokens(start + seconds{1}), 55.0);
+    const auto expired = start + endpoint_load::peer_report_kept;
+    EXPECT_EQ(load.calls(expired), 1);
+    EXPECT_EQ(load.memory_tokens(expired), 5.0);
+    load.report(second, {100.0, 2, 50.0}, expired + milliseconds{1});
+    EXPECT_EQ(load.calls(expired + milliseconds{1}), 3) << "it is back with the same work";
+    load.report(second, {}, expired + milliseconds{2});
+    EXPECT_EQ(load.calls(expired + milliseconds{2}), 1);
+    EXPECT_EQ(load.calls(start + seconds{10}), 0);
+}
+
 // Guards against prompts that count as kept by a process that has just started under its old name.
 TEST(endpoint_load, a_new_process_keeps_nothing) {
     endpoint_load load;
