--- a/test/dandelionbay/dispatch/limits_test.cpp
+++ b/test/dandelionbay/dispatch/limits_test.cpp
@@ -154,7 +154,7 @@
 }
 
 // Guards against the pattern "more calls than a small host can decide about": rounds at a fixed interval that take all
-// of its processor time, while no new connection is accepted (RECOVER).
+// of its processor time, while no new connection is accepted.
 TEST(round_pacer, rounds_leave_time_to_connections) {
     constexpr std::size_t few = 1;
     round_pacer pacer;
@@ -171,7 +171,7 @@
     }
 }
 
-// Guards against rounds so long that calls are sent on whose callers left during them (GONE), and against a queue that
+// Guards against rounds so long that calls are sent on whose callers left during them, and against a queue that
 // stays short after its host has become quick again.
 TEST(round_pacer, as_many_calls_may_wait_as_a_short_round_decides) {
     round_pacer pacer;
