Declare the classes of proxy and dispatch in their fwd.hpp only

Cause: proxy/fwd.hpp named a class that does not exist, two headers declared `proxy` by themselves, and `listener`, `status_server` and `round_pacer` were missing.

Change: declarations only; behaviour stays as it is.

--- a/src/dandelionbay/dispatch/fwd.hpp
+++ b/src/dandelionbay/dispatch/fwd.hpp
@@ -9,6 +9,7 @@
 class kept_parts;
 class placement;
 class retry_window;
+class round_pacer;
 class team_usage;
 struct dispatch_limits;
 struct endpoint_choice;
--- a/src/dandelionbay/proxy/caller_connection.hpp
+++ b/src/dandelionbay/proxy/caller_connection.hpp
@@ -10,8 +10,6 @@
 
 namespace dandelionbay {
 
-class proxy;
-
 /*! @brief Connection of a caller: its requests, one after the other, and their answers. */
 class caller_connection final : public channel_owner, public std::enable_shared_from_this<caller_connection> {
     void read_requests();
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -14,8 +14,6 @@
 
 namespace dandelionbay {
 
-class proxy;
-
 /**
  * @brief One call of a caller: from its request through one or more endpoints to the end of its answer.
  *
--- a/src/dandelionbay/proxy/fwd.hpp
+++ b/src/dandelionbay/proxy/fwd.hpp
@@ -2,16 +2,18 @@
 
 namespace dandelionbay {
 
-class caller_connection;
 class call_protocol;
+class caller_connection;
 class channel;
 class channel_owner;
-class http_connection;
 class endpoint_pool;
 class event_scanner;
 class exchange;
-class proxy_context;
+class http_connection;
+class listener;
+class proxy;
 class response_handler;
+class status_server;
 struct call_record;
 struct http_request;
 struct response_head;
