Take a host that cannot keep up out of the rotation

Cause: the balancer picks a router by a hash of the caller, and on the grown fleets one caller sends most of a zone's calls. Ruled out: the zone as a whole (its other two routers were nearly idle). Change: overload_gauge averages how late the event loop runs.

--- a/src/dandelionbay/proxy/caller_connection.cpp
+++ b/src/dandelionbay/proxy/caller_connection.cpp
@@ -107,7 +107,7 @@
 
 void caller_connection::respond(response_head head, std::string_view body) {
     const auto self = shared_from_this();
-    keep_ = keep_ && !owner_->draining();
+    keep_ = keep_ && owner_->keeps_callers();
     head.fields.emplace_back("Content-Length", std::to_string(body.size()));
     if (!keep_) {
         head.fields.emplace_back("Connection", "close");
@@ -117,7 +117,7 @@
 }
 
 void caller_connection::begin(response_head head) {
-    keep_ = keep_ && !owner_->draining();
+    keep_ = keep_ && owner_->keeps_callers();
     head.fields.emplace_back("Transfer-Encoding", "chunked");
     if (!keep_) {
         head.fields.emplace_back("Connection", "close");
--- a/src/dandelionbay/proxy/fwd.hpp
+++ b/src/dandelionbay/proxy/fwd.hpp
@@ -11,6 +11,7 @@
 class exchange;
 class http_connection;
 class listener;
+class overload_gauge;
 class proxy;
 class response_handler;
 class status_server;
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -48,16 +48,31 @@
 }
 
 void proxy::tick() {
-    timer_.expires_after(pacer_.interval(dispatcher_.waiting() > 0));
-    timer_.async_wait([this](error_code ec) {
+    const auto interval = pacer_.interval(dispatcher_.waiting() > 0);
+    timer_.expires_after(interval);
+    timer_.async_wait([this, due = now() + interval](error_code ec) {
         if (ec || stopped_) {
             return;
         }
-        check_all(now());
+        const auto at = now();
+        note_turn(at - due, at);
+        check_all(at);
         tick();
     });
 }
 
+void proxy::note_turn(duration late, time_point now) {
+    if (!gauge_.turned(late, now)) {
+        return;
+    }
+    environment_.log->write(log_level::warn, gauge_.overloaded() ? "overload_began" : "overload_ended",
+                            {{"late_ms", std::to_string(static_cast<std::int64_t>(to_ms(gauge_.lateness())))},
+                             {"open_calls", std::to_string(exchanges_.size())},
+                             {"waiting_calls", std::to_string(dispatcher_.waiting())},
+                             {"connections", std::to_string(callers_.size())}});
+    environment_.metrics->set("overloaded", gauge_.overloaded() ? 1 : 0);
+}
+
 void proxy::check_all(time_point now) {
     std::vector<std::shared_ptr<exchange>> open;
     open.reserve(exchanges_.size());
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -25,6 +25,7 @@
 #include "dandelionbay/proxy/fwd.hpp"
 #include "dandelionbay/proxy/http_connection.hpp"
 #include "dandelionbay/proxy/listener.hpp"
+#include "dandelionbay/proxy/overload_gauge.hpp"
 
 namespace dandelionbay {
 
@@ -54,6 +55,7 @@
 class proxy final : public dispatch_listener {
     void accept(channel::tcp::socket socket);
     void tick();
+    void note_turn(duration late, time_point now);
     void check_all(time_point now);
 
 public:
@@ -89,6 +91,12 @@
     /*! @brief Tells whether it is about to end. */
     [[nodiscard]] bool draining() const noexcept { return draining_; }
 
+    /*! @brief Tells whether callers should go to other routers because this host can't keep up. */
+    [[nodiscard]] bool overloaded() const noexcept { return gauge_.overloaded(); }
+
+    /*! @brief Tells whether callers may send further requests on their connections. */
+    [[nodiscard]] bool keeps_callers() const noexcept { return !draining_ && !overloaded(); }
+
     /*! @brief A caller's request is complete. @return The new exchange; started by the caller of this. */
     [[nodiscard]] std::shared_ptr<exchange> open_exchange(caller_connection& caller, http_request request,
                                                           time_point arrived);
@@ -145,6 +153,7 @@
     std::uint64_t buffered_{};
     time_point expired_{};
     round_pacer pacer_{};
+    overload_gauge gauge_{};
     double event_gap_ms_{50.0}; //!< Moving average; an engine's step takes 5 ms and more, and an event some steps.
     time_point late_at_{};
     time_point ends_at_{};
--- a/test/dandelionbay/platform/gateway_fleet.hpp
+++ b/test/dandelionbay/platform/gateway_fleet.hpp
@@ -147,9 +147,10 @@
 public:
     running_gateway(const std::string& name, const socket_address& store, const gateway_bounds& bounds,
                     const std::vector<socket_address>& peers)
-        : caller_{free_address()}, peer_{free_address()}, node_{options(name, store, bounds, peers), make_binding(),
-                                                                nullptr},
-          thread_{[this] { result_ = node_.run([] {}); }} {}
+        : caller_{free_address()}, peer_{free_address()}, ready_{free_address()},
+          node_{options(name, store, bounds, peers), make_binding(), nullptr}, thread_{[this] {
+              result_ = node_.run([] {});
+          }} {}
     running_gateway(const running_gateway&) = delete;
     running_gateway(running_gateway&&) = delete;
     running_gateway& operator=(const running_gateway&) = delete;
@@ -163,21 +164,18 @@
     [[nodiscard]] socket_address peer_address() const { return peer_; }
 
     /*! Sends bytes on a new connection and returns all that comes until the connection ends. */
-    [[nodiscard]] std::string exchange(const std::string& bytes) const {
-        boost::asio::io_context loop;
-        tcp::socket socket{loop};
-        boost::system::error_code ec;
-        socket.connect(to_endpoint(caller_), ec);
-        boost::asio::write(socket, boost::asio::buffer(bytes), ec);
-        std::string out;
-        std::array<char, 4'096> buf{};
-        while (true) {
-            const auto n = socket.read_some(boost::asio::buffer(buf), ec);
-            if (ec) {
-                return out;
-            }
-            out.append(buf.data(), n);
-        }
+    [[nodiscard]] std::string exchange(const std::string& bytes) const { return exchange(caller_, bytes); }
+
+    /*! Tells whether it wants new callers. */
+    [[nodiscard]] bool ready() const {
+        return exchange(ready_, "GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").find(" 200 ") !=
+               std::string::npos;
+    }
+
+    /*! Makes its loop late for some time. */
+    void hold_up_for(milliseconds time) {
+        boost::asio::post(node_.loop(),
+                          [this, end = std::chrono::steady_clock::now() + time] { hold_up(milliseconds{150}, end); });
     }
 
     [[nodiscard]] std::string get(const std::string& path, const std::string& more = {}) const {
@@ -205,7 +203,7 @@
         gateway_options out;
         out.place = {host_id{name}, zone_id{"zone-1"}, region_id{"here"}, {{zone_id{"zone-1"}, region_id{"here"}}}};
         out.caller_listen = caller_;
-        out.ready_listen = free_address();
+        out.ready_listen = ready_;
         out.peer_listen = peer_;
         out.metrics_listen = free_address();
         out.first_peers = peers;
@@ -215,8 +213,33 @@
         return out;
     }
 
+    void hold_up(milliseconds each, std::chrono::steady_clock::time_point end) {
+        if (std::chrono::steady_clock::now() < end) {
+            std::this_thread::sleep_for(each);
+            boost::asio::post(node_.loop(), [this, each, end] { hold_up(each, end); });
+        }
+    }
+
+    [[nodiscard]] static std::string exchange(const socket_address& to, const std::string& bytes) {
+        boost::asio::io_context loop;
+        tcp::socket socket{loop};
+        boost::system::error_code ec;
+        socket.connect(to_endpoint(to), ec);
+        boost::asio::write(socket, boost::asio::buffer(bytes), ec);
+        std::string out;
+        std::array<char, 4'096> buf{};
+        while (true) {
+            const auto n = socket.read_some(boost::asio::buffer(buf), ec);
+            if (ec) {
+                return out;
+            }
+            out.append(buf.data(), n);
+        }
+    }
+
     socket_address caller_;
     socket_address peer_;
+    socket_address ready_;
     gateway_node node_;
     absl::Status result_{};
     std::thread thread_;
