Let the longest idle connection yield to a new one

It had 3,000 connections, its limit, nearly all of them idle: one caller opens a connection for each call. Ruled out: the host's processor time (its loop was on time). Change: above half of the limit connections end with their answers; at the limit the longest idle ones are closed, a sixteenth of the limit at a time. The limit is a setting.

--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -30,10 +30,14 @@
 
 gateway_node::gateway_node(gateway_options options, platform_binding platform, std::shared_ptr<event_log> log,
                            settings_reader reader)
-    : options_{std::move(options)}, platform_{std::move(platform)}, log_{std::move(log), clock_}, view_{freshness_of(
-                                                                                                      options_.bounds)},
-      proxy_{proxy_environment{&loop_, &clock_, &log_, &metrics_, &view_, platform_.protocol.get()},
-             proxy_options{options_.caller_listen, options_.place, options_.dispatch, options_.retry}},
+    : options_{std::move(options)}, platform_{std::move(platform)}, log_{std::move(log), clock_},
+      view_{freshness_of(options_.bounds)}, proxy_{proxy_environment{&loop_, &clock_, &log_, &metrics_, &view_,
+                                                                     platform_.protocol.get()},
+                                                   proxy_options{.listen = options_.caller_listen,
+                                                                 .place = options_.place,
+                                                                 .dispatch = options_.dispatch,
+                                                                 .retry = options_.retry,
+                                                                 .max_connections = options_.max_connections}},
       board_{options_.place.host,  static_cast<std::uint64_t>(clock_.now().time_since_epoch().count()),
              options_.peer_listen, view_,
              proxy_.dispatch(),    platform_.read_config},
--- a/src/dandelionbay/node/gateway_options.hpp
+++ b/src/dandelionbay/node/gateway_options.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <vector>
 
 #include "dandelionbay/base/clock.hpp"
@@ -29,6 +30,7 @@
     std::vector<socket_address> first_peers{}; //!< Routers to begin with; they may be gone.
     socket_address store{};
     gateway_bounds bounds{};
+    std::size_t max_connections{3'000}; //!< Connections of callers; below the descriptors of the smallest hosts.
     retry_limits retry{};
     dispatch_limits dispatch{};
 
--- a/src/dandelionbay/proxy/caller_connection.cpp
+++ b/src/dandelionbay/proxy/caller_connection.cpp
@@ -192,7 +192,7 @@
 }
 
 bool caller_connection::close_idle() {
-    if (exchange_ != nullptr || reading_) {
+    if (!idle_since()) {
         return false;
     }
     channel_->finish();
--- a/src/dandelionbay/proxy/caller_connection.hpp
+++ b/src/dandelionbay/proxy/caller_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "dandelionbay/base/clock.hpp"
@@ -50,6 +51,11 @@
     /*! @brief Looks at time limits. @param now Time. @return False if it is closed. */
     [[nodiscard]] bool check(time_point now);
 
+    /*! @brief Start of the wait for a request. @return Nothing while one is being read or answered. */
+    [[nodiscard]] std::optional<time_point> idle_since() const noexcept {
+        return exchange_ == nullptr && !reading_ ? std::optional{since_} : std::nullopt;
+    }
+
     /*! @brief Closes it if no request is being read or answered. @return True if it is closed. */
     bool close_idle();
 
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -1,5 +1,7 @@
 #include "dandelionbay/proxy/proxy.hpp"
 
+#include <algorithm>
+#include <span>
 #include <utility>
 #include <vector>
 
@@ -17,6 +19,10 @@
 constexpr double gap_margin = 1.5;
 constexpr double late_gap_margin = 6.0;
 constexpr double newest_gap_share = 0.02;
+/*! When there are too many connections, one part in this many of the limit is closed: looking at all takes time. */
+constexpr std::size_t closing_parts = 16;
+/*! All connections are looked at this often at most; with the limit's 3,000 that takes about 0.1 ms. */
+constexpr duration closing_interval = std::chrono::milliseconds{20};
 /*! Idle connections and forgotten endpoints are looked at this often; their limits are over a second. */
 constexpr duration housekeeping_interval = std::chrono::milliseconds{200};
 
@@ -37,7 +43,35 @@
     return status;
 }
 
+void proxy::close_longest_idle(time_point now) {
+    if (now < next_closing_) {
+        return;
+    }
+    next_closing_ = now + closing_interval;
+    std::vector<std::pair<time_point, std::shared_ptr<caller_connection>>> idle;
+    for (const auto& it : callers_) {
+        if (const auto since = it->idle_since()) {
+            idle.emplace_back(*since, it);
+        }
+    }
+    const auto n = std::min(idle.size(), options_.max_connections / closing_parts + 1);
+    std::ranges::partial_sort(idle, idle.begin() + static_cast<std::ptrdiff_t>(n), {},
+                              [](const auto& it) { return it.first; });
+    for (const auto& [since, it] : std::span{idle}.first(n)) {
+        it->close_idle();
+        callers_.erase(it);
+    }
+    environment_.metrics->add("idle_connections_closed_total", {}, static_cast<counters::value_type>(n));
+    environment_.log->write(log_level::warn, "connections_at_limit",
+                            {{"limit", std::to_string(options_.max_connections)},
+                             {"idle", std::to_string(idle.size())},
+                             {"closed", std::to_string(n)}});
+}
+
 void proxy::accept(channel::tcp::socket socket) {
+    if (callers_.size() >= options_.max_connections) {
+        close_longest_idle(now());
+    }
     if (callers_.size() >= options_.max_connections) {
         environment_.metrics->add("connections_refused_total");
         return; // The socket closes.
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -36,7 +36,7 @@
     dispatch_limits dispatch{};
     retry_limits retry{};
     std::uint64_t max_buffered_bytes{std::uint64_t{24} << 20U}; //!< Bodies of all open requests together.
-    std::size_t max_connections{3'000};                         //!< Connections of callers.
+    std::size_t max_connections{3'000}; //!< Connections of callers; above half of them none is kept after its answer.
 };
 
 /*! @brief What all parts of the data path share. */
@@ -54,6 +54,7 @@
  */
 class proxy final : public dispatch_listener {
     void accept(channel::tcp::socket socket);
+    void close_longest_idle(time_point now);
     void tick();
     void note_turn(duration late, time_point now);
     void check_all(time_point now);
@@ -95,7 +96,9 @@
     [[nodiscard]] bool overloaded() const noexcept { return gauge_.overloaded(); }
 
     /*! @brief Tells whether callers may send further requests on their connections. */
-    [[nodiscard]] bool keeps_callers() const noexcept { return !draining_ && !overloaded(); }
+    [[nodiscard]] bool keeps_callers() const noexcept {
+        return !draining_ && !overloaded() && callers_.size() <= options_.max_connections / 2;
+    }
 
     /*! @brief A caller's request is complete. @return The new exchange; started by the caller of this. */
     [[nodiscard]] std::shared_ptr<exchange> open_exchange(caller_connection& caller, http_request request,
@@ -152,6 +155,7 @@
     ticket_id last_ticket_{};
     std::uint64_t buffered_{};
     time_point expired_{};
+    time_point next_closing_{};
     round_pacer pacer_{};
     overload_gauge gauge_{};
     double event_gap_ms_{50.0}; //!< Moving average; an engine's step takes 5 ms and more, and an event some steps.
--- a/src/dandelionbay/settings/process_settings.cpp
+++ b/src/dandelionbay/settings/process_settings.cpp
@@ -22,6 +22,7 @@
 
 constexpr std::int64_t max_limit_ms = 3'600'000;
 /*! Each caller connection holds one thread; more threads than this would not fit the 128 MB of a node. */
+constexpr std::int64_t max_caller_connections = 1'000'000;
 constexpr std::int64_t max_caller_threads = 4'096;
 constexpr double max_policy_ms = 60'000.0;
 constexpr double max_policy_factor = 100.0;
@@ -187,6 +188,9 @@
         read("config_ms", out.bounds.config);
         read("stop_grace_ms", out.bounds.stop_grace);
         read("retry_window_ms", out.retry.window);
+        auto connections = static_cast<std::int64_t>(out.max_connections);
+        limits.integer("max_connections", presence::optional, connections, 1, max_caller_connections);
+        out.max_connections = static_cast<std::size_t>(connections);
         limits.number("retry_ratio", presence::optional, out.retry.ratio, 0.0, 1.0);
         limits.number("retry_slack", presence::optional, out.retry.slack, 0.0, max_retry_slack);
     }
--- a/test/dandelionbay/platform/gateway_fleet.hpp
+++ b/test/dandelionbay/platform/gateway_fleet.hpp
@@ -146,9 +146,9 @@
 class running_gateway {
 public:
     running_gateway(const std::string& name, const socket_address& store, const gateway_bounds& bounds,
-                    const std::vector<socket_address>& peers)
+                    const std::vector<socket_address>& peers, std::size_t max_connections = 1'000)
         : caller_{free_address()}, peer_{free_address()}, ready_{free_address()},
-          node_{options(name, store, bounds, peers), make_binding(), nullptr}, thread_{[this] {
+          node_{options(name, store, bounds, peers, max_connections), make_binding(), nullptr}, thread_{[this] {
               result_ = node_.run([] {});
           }} {}
     running_gateway(const running_gateway&) = delete;
@@ -198,8 +198,8 @@
 
 private:
     [[nodiscard]] gateway_options options(const std::string& name, const socket_address& store,
-                                          const gateway_bounds& bounds,
-                                          const std::vector<socket_address>& peers) const {
+                                          const gateway_bounds& bounds, const std::vector<socket_address>& peers,
+                                          std::size_t max_connections) const {
         gateway_options out;
         out.place = {host_id{name}, zone_id{"zone-1"}, region_id{"here"}, {{zone_id{"zone-1"}, region_id{"here"}}}};
         out.caller_listen = caller_;
@@ -210,6 +210,7 @@
         out.store = store;
         out.bounds = bounds;
         out.bounds.stop_grace = seconds{1};
+        out.max_connections = max_connections;
         return out;
     }
 
@@ -270,9 +271,10 @@
         start_gateway();
     }
 
-    void start_gateway(const gateway_bounds& bounds = {}) {
+    void start_gateway(const gateway_bounds& bounds = {}, std::size_t max_connections = 1'000) {
         gateway.reset();
-        gateway = std::make_unique<running_gateway>("g1", store.address(), bounds, std::vector<socket_address>{});
+        gateway = std::make_unique<running_gateway>("g1", store.address(), bounds, std::vector<socket_address>{},
+                                                    max_connections);
         ASSERT_TRUE(eventually([&] { return gateway->get("/look/x").find("200 X") != std::string::npos; }));
     }
 
--- a/test/dandelionbay/platform/gateway_test.cpp
+++ b/test/dandelionbay/platform/gateway_test.cpp
@@ -219,5 +219,39 @@
     EXPECT_LT(std::chrono::steady_clock::now() - start, seconds{5});
 }
 
+// Guards against the pattern "one caller opens connection after connection": calls whose connections are cut without an
+// answer while others are open on which nothing happens.
+TEST_F(gateway_fleet, the_longest_idle_connection_yields_to_a_new_one) {
+    start_gateway({}, 4);
+    boost::asio::io_context loop;
+    std::deque<tcp::socket> idle;
+    const auto open = [&] {
+        boost::system::error_code ec;
+        idle.emplace_back(loop).connect(to_endpoint(gateway->caller()), ec);
+        idle.back().non_blocking(true);
+        std::this_thread::sleep_for(milliseconds{50}); // Longer than the interval at which connections are closed.
+    };
+    const auto ended = [](tcp::socket& it) {
+        boost::system::error_code ec;
+        std::array<char, 1> buf{};
+        return it.read_some(boost::asio::buffer(buf), ec) == 0 && ec != boost::asio::error::would_block;
+    };
+    for (int n = 0; n < 4; ++n) {
+        open();
+    }
+    EXPECT_NE(gateway->get("/look/x").find(" 200 "), std::string::npos);
+    EXPECT_TRUE(eventually([&] { return ended(idle[0]); }));
+    for (std::size_t n = 1; n < idle.size(); ++n) {
+        EXPECT_FALSE(ended(idle[n])) << "connection " << n;
+    }
+    {
+        SCOPED_TRACE("well before the limit connections end with their answers");
+        const auto answer =
+            gateway->exchange("GET /look/x HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token key-1\r\n"
+                              "Dandelionbay-Request-Id: q\r\n\r\n");
+        EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+    }
+}
+
 } // namespace
 } // namespace dandelionbay::platform
--- a/test/dandelionbay/settings/process_settings_test.cpp
+++ b/test/dandelionbay/settings/process_settings_test.cpp
@@ -62,7 +62,7 @@
         "caller_listen": "10.0.0.1:1", "ready_listen": "10.0.0.1:2", "peer_listen": "10.0.0.1:3",
         "metrics_listen": "10.0.0.1:4", "store": "10.0.0.9:5", "first_peers": ["10.0.0.2:3"],
         "limits": {"key_withdrawal_ms": 5000, "leaving_ms": 2500, "config_ms": 2400, "stop_grace_ms": 8000,
-                   "retry_ratio": 0.2, "retry_slack": 54, "retry_window_ms": 10000},
+                   "retry_ratio": 0.2, "retry_slack": 54, "retry_window_ms": 10000, "max_connections": 77},
         "dispatch": {"reading_ahead_ms": 99, "yield_share": 0.5}
     })");
     const auto settings = check_settings(json_settings.dump());
@@ -73,6 +73,7 @@
     EXPECT_EQ(it.bounds, (gateway_bounds{std::chrono::seconds{5}, std::chrono::milliseconds{2'500},
                                          std::chrono::milliseconds{2'400}, std::chrono::seconds{8}}));
     EXPECT_EQ(it.retry, (retry_limits{0.2, 54.0, std::chrono::seconds{10}}));
+    EXPECT_EQ(it.max_connections, 77U);
     EXPECT_EQ(it.dispatch.reading_ahead_ms, 99.0);
     EXPECT_EQ(it.dispatch.yield_share, 0.5);
     {
@@ -82,6 +83,7 @@
             {"/zones/z1", 3, "$.zones.z1: expected the name of a region"},
             {"/first_peers/0", "here", "$.first_peers[0]: expected IP address"},
             {"/limits/retry_ratio", 2, "$.limits.retry_ratio: "},
+            {"/limits/max_connections", 0, "$.limits.max_connections: "},
             {"/limits/colour", 1, "$.limits.colour: unknown key"},
             {"/dispatch/colour", 1, "$.dispatch.colour: unknown key"},
             {"/colour", 1, "$.colour: unknown key"},
