--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -95,9 +95,14 @@
     return sum;
 }
 
-dispatcher::queue_state dispatcher::begin_queue(const service_id& service, time_point now) const {
-    const double own = std::max(limits_.least_wait_ms, queued_ms(service));
-    return {0.0, own / (own + peers_queued_ms(service, now))};
+dispatcher::queue_state& dispatcher::queue_of(const service_id& service, round& it, time_point now) const {
+    const auto [queue, first] = it.queues.try_emplace(service);
+    if (first) {
+        const double own = std::max(limits_.least_wait_ms, queued_ms(service));
+        queue->second.own_share = own / (own + peers_queued_ms(service, now));
+        queue->second.endpoints = static_cast<double>(std::max<std::size_t>(1, it.sites.count(service)));
+    }
+    return queue->second;
 }
 
 std::vector<service_queue> dispatcher::queues() const {
@@ -243,20 +248,15 @@
         place(node.mapped().item, it.sites, choice, now);
         return;
     }
-    const auto& service = call.item.service;
-    const auto [queue, first] = it.queues.try_emplace(service);
-    if (first) {
-        queue->second = begin_queue(service, now);
-    }
+    auto& queue = queue_of(call.item.service, it, now);
     // The calls at other routers give way to the least served team.
-    const double share = team.contended && team.excess <= 0.0 ? 1.0 : queue->second.own_share;
-    const auto endpoints = static_cast<double>(std::max<std::size_t>(1, it.sites.count(service)));
-    const double wait_ms = queue->second.ahead_ms / (endpoints * share);
+    const double share = team.contended && team.excess <= 0.0 ? 1.0 : queue.own_share;
+    const double wait_ms = queue.ahead_ms / (queue.endpoints * share);
     if (late || now + from_ms(wait_ms) > *call.give_up) {
         refuse_waiting(ticket, explain(choices.best, team, wait_ms), now);
         return;
     }
-    queue->second.ahead_ms += call.best_reading_ms;
+    queue.ahead_ms += call.best_reading_ms;
 }
 
 void dispatcher::refresh(time_point now) {
--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -60,8 +60,9 @@
 
     /*! A service's calls within one round. */
     struct queue_state {
-        double ahead_ms{};  //!< Reading of the calls that stay, in their order.
-        double own_share{}; //!< Part of the fleet's waiting work that waits here, from 0 to 1.
+        double endpoints{1.0}; //!< Those that take work.
+        double own_share{1.0}; //!< Part of the fleet's waiting work that waits here, from 0 to 1.
+        double ahead_ms{};     //!< Reading of the calls that stay, in their order.
     };
     /*! One look at the waiting calls. */
     struct round {
@@ -79,7 +80,7 @@
     void decide(ticket_id ticket, round& it, time_point now);
     [[nodiscard]] double queued_ms(const service_id& service) const;
     [[nodiscard]] double peers_queued_ms(const service_id& service, time_point now) const;
-    [[nodiscard]] queue_state begin_queue(const service_id& service, time_point now) const;
+    [[nodiscard]] queue_state& queue_of(const service_id& service, round& it, time_point now) const;
     void set_give_up(waiting_call& call, const placement::candidate& best) const;
 
 public:
--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -135,6 +135,8 @@
 std::string gateway_node::render_metrics() {
     const auto now = clock_.now();
     metrics_.set("open_calls", static_cast<counters::value_type>(proxy_.open_calls()));
+    metrics_.set("overloaded", proxy_.overloaded() ? 1 : 0);
+    metrics_.set("loop_late_us", proxy_.lateness().count());
     metrics_.set("waiting_calls", static_cast<counters::value_type>(proxy_.dispatch().waiting()));
     metrics_.set("endpoints_known", static_cast<counters::value_type>(view_.endpoints().size()));
     metrics_.set("config_version",
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -104,7 +104,6 @@
                              {"open_calls", std::to_string(exchanges_.size())},
                              {"waiting_calls", std::to_string(dispatcher_.waiting())},
                              {"connections", std::to_string(callers_.size())}});
-    environment_.metrics->set("overloaded", gauge_.overloaded() ? 1 : 0);
 }
 
 void proxy::check_all(time_point now) {
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -36,7 +36,7 @@
     dispatch_limits dispatch{};
     retry_limits retry{};
     std::uint64_t max_buffered_bytes{std::uint64_t{24} << 20U}; //!< Bodies of all open requests together.
-    std::size_t max_connections{3'000}; //!< Connections of callers; above half of them none is kept after its answer.
+    std::size_t max_connections{}; //!< Connections of callers; above half of them none is kept after its answer.
 };
 
 /*! @brief What all parts of the data path share. */
@@ -95,6 +95,9 @@
     /*! @brief Tells whether callers should go to other routers because this host can't keep up. */
     [[nodiscard]] bool overloaded() const noexcept { return gauge_.overloaded(); }
 
+    /*! @brief How late the event loop runs. */
+    [[nodiscard]] duration lateness() const noexcept { return gauge_.lateness(); }
+
     /*! @brief Tells whether callers may send further requests on their connections. */
     [[nodiscard]] bool keeps_callers() const noexcept {
         return !draining_ && !overloaded() && callers_.size() <= options_.max_connections / 2;
--- a/test/dandelionbay/dispatch/dispatcher_test.cpp
+++ b/test/dandelionbay/dispatch/dispatcher_test.cpp
@@ -105,6 +105,22 @@
     }
 }
 
+// Guards against the pattern "a burst of calls while other routers have work waiting": calls that are refused in their
+// first round, because their reading does not count before it and the others' work looks like nearly all there is.
+TEST(dispatcher, a_burst_counts_with_its_reading_from_the_start) {
+    dispatch_fixture fleet;
+    while (fleet.router.waiting() == 0) {
+        fleet.send(fleet.call("team", 0, 0, 2'000)); // Until all engines are behind.
+    }
+    fleet.router.report_queues(host_id{"r2"}, {service_queue{service_id{"model"}, 400.0}}, fleet.now);
+    for (int n = 0; n < 6; ++n) {
+        fleet.send(fleet.call("team", 0, 0, 3'000));
+    }
+    fleet.advance(milliseconds{8});
+    EXPECT_EQ(fleet.log.refusals.size(), 0);
+    EXPECT_EQ(fleet.router.waiting(), 7);
+}
+
 // Guards against the pattern "more than the fleet can read": calls that are held until their callers give up, and
 // refusals that do not say when to come back.
 TEST(dispatcher, calls_that_cannot_begin_in_time_are_refused_long_before_their_target) {
