Reset the connection of a call that is given up

Change: a connection whose request is unanswered, or whose answer makes no sense, ends with a reset. Idle ones still end in order.

--- a/src/dandelionbay/proxy/channel.cpp
+++ b/src/dandelionbay/proxy/channel.cpp
@@ -197,6 +197,16 @@
     }
     const bool silent = finishing_;
     close();
+void channel::abort() noexcept {
+    error_code ec; // Without the option the connection still ends, in order.
+    socket_.set_option(asio::socket_base::linger{true, 0}, ec);
+    ended_ = true;
+    if (timer_ != nullptr) {
+        timer_->cancel();
+    }
+    socket_.close(ec);
+}
+
     if (!silent) {
         owner_->on_end(end);
     }
--- a/src/dandelionbay/proxy/channel.hpp
+++ b/src/dandelionbay/proxy/channel.hpp
@@ -96,6 +96,9 @@
     /*! @brief Ends the connection at once; the owner hears nothing any more. */
     void close() noexcept;
 
+    /*! @brief Like close(), and drops what the system still holds of the written bytes: the other side sees a reset. */
+    void abort() noexcept;
+
     /*! @brief Bytes that wait to be sent. */
     [[nodiscard]] std::size_t unsent() const noexcept { return pending_.size(); }
 
--- a/src/dandelionbay/proxy/http_connection.cpp
+++ b/src/dandelionbay/proxy/http_connection.cpp
@@ -10,7 +10,7 @@
     : to_{to}, limit_{limit}, channel_{std::make_shared<channel>(channel::tcp::socket{loop}, *this)} {}
 
 http_connection::~http_connection() {
-    channel_->close();
+    close();
 }
 
 void http_connection::start() {
@@ -28,8 +28,11 @@
 
 void http_connection::close() noexcept {
     handler_ = nullptr;
-    busy_ = false;
-    channel_->close();
+    if (std::exchange(busy_, false)) {
+        channel_->abort(); // A full link may still hold the request, which nobody wants any more.
+    } else {
+        channel_->close();
+    }
 }
 
 bool http_connection::reusable() {
@@ -91,7 +94,7 @@
 }
 
 void http_connection::fail(request_failure why) {
-    channel_->close();
+    channel_->abort();
     busy_ = false;
     if (auto* const handler = std::exchange(handler_, nullptr); handler != nullptr) {
         handler->on_failed(why);
--- a/src/dandelionbay/proxy/http_connection.hpp
+++ b/src/dandelionbay/proxy/http_connection.hpp
@@ -69,7 +69,7 @@
     /*! @brief Sends a request. @param bytes It. @param without_body Its answer has no body. @param handler Or null. */
     void send(std::string_view bytes, bool without_body, response_handler* handler);
 
-    /*! @brief Ends the connection. */
+    /*! @brief Ends the connection; with a reset if a request is unanswered. */
     void close() noexcept;
 
     /*! @brief Stops or continues to read. */
