Hear endpoints that leave or want no calls in their own answers

Cause: endpoints now say in all answers that they leave, and may ask for a pause when they turn a call away. A router went on to send to both until the registry's list said so, or for ever. Change: an answer with the mark ends new work for that process of the endpoint at this router at once and at its peers with the next message, while its entry is missing or comes back, until an entry names another process start. A pause is kept by placement for all calls, repeats included; a call whose endpoints all pause for longer than it may wait is refused at once with a true time. Signs, dates and other texts are no pause; over an hour is an hour. The tests fail without the change.

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -25,10 +25,15 @@
     return (item.parts.empty() ? item.prompt_tokens : item.parts.back().tokens) / endpoint_load::first_rate;
 }
 
-[[nodiscard]] refusal explain(const placement::candidate& best, const team_rank& team, double ahead_ms) {
+[[nodiscard]] refusal explain(const placement::choices& choices, const team_rank& team, double ahead_ms) {
+    const auto& best = choices.best;
     refusal out;
     out.team = team;
     out.ahead_ms = ahead_ms;
+    out.not_before = choices.paused_until;
+    if (out.not_before) {
+        out.code = result_code::endpoint_unavailable;
+    }
     if (best.at != nullptr) {
         out.code = result_code::queue_timeout;
         out.best = best.at->known->entry.id;
@@ -61,7 +66,7 @@
 void dispatcher::place(const work_item& item, placement& sites, const placement::candidate& to, time_point now) {
     auto& at = *to.at;
     const auto& entry = at.known->entry;
-    const endpoint_choice choice{entry.id, entry.address, to.unread_tokens, at.wait_ms, at.cold};
+    const endpoint_choice choice{entry.id, entry.started, entry.address, to.unread_tokens, at.wait_ms, at.cold};
     at.load->sent(item.ticket, call_load{to.unread_tokens, item.prompt_tokens + item.output_tokens}, now);
     at.load->parts().use(item.parts);
     at.load->pacer().sent(now);
@@ -126,6 +131,9 @@
     const auto base = std::clamp(from_ms(limits_.reading_ahead_ms + why.ahead_ms), shortest_return, longest_return);
     std::uniform_real_distribution<double> spread{earliest_return, latest_return};
     why.retry_after = std::chrono::duration_cast<duration>(base * spread(random_));
+    if (why.not_before) { // Before that time no endpoint takes it, however short the queue is.
+        why.retry_after += std::max(duration{}, *why.not_before - now);
+    }
     usage_.deny(item.team, item.cost(), now);
     listener_->refused(item.ticket, why);
 }
@@ -187,6 +195,16 @@
     loads_[id].heard(now);
 }
 
+void dispatcher::forgive_silence(time_point now) {
+    for (auto& [id, load] : loads_) {
+        load.heard(now);
+    }
+}
+
+void dispatcher::pause(const endpoint_id& id, time_point until) {
+    loads_[id].pause(until);
+}
+
 void dispatcher::unreachable(const endpoint_id& id, time_point now) {
     loads_[id].unreachable(now);
 }
@@ -252,8 +270,9 @@
     // The calls at other routers give way to the least served team.
     const double share = team.goes_first() ? 1.0 : queue.own_share;
     const double wait_ms = queue.ahead_ms / (queue.endpoints * share);
-    if (late || now + from_ms(wait_ms) > *call.give_up) {
-        refuse_waiting(ticket, explain(choices.best, team, wait_ms), now);
+    const bool paused = choices.paused_until && *choices.paused_until > *call.give_up;
+    if (late || paused || now + from_ms(wait_ms) > *call.give_up) {
+        refuse_waiting(ticket, explain(choices, team, wait_ms), now);
         return;
     }
     queue.ahead_ms += call.best_reading_ms;
--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -110,6 +110,12 @@
     /*! @brief Bytes came from an endpoint. */
     void heard(const endpoint_id& id, time_point now);
 
+    /*! @brief This router did not listen until now: the silence of endpoints before says nothing. @param now Time. */
+    void forgive_silence(time_point now);
+
+    /*! @brief An endpoint wants no calls from this router for some time. @param until End of that time. */
+    void pause(const endpoint_id& id, time_point until);
+
     /*! @brief A connection to an endpoint could not be made. */
     void unreachable(const endpoint_id& id, time_point now);
 
--- a/src/dandelionbay/dispatch/endpoint_load.cpp
+++ b/src/dandelionbay/dispatch/endpoint_load.cpp
@@ -104,6 +104,10 @@
     ++failures_;
 }
 
+void endpoint_load::pause(time_point until) noexcept {
+    paused_until_ = std::max(paused_until_, until);
+}
+
 void endpoint_load::follow_process(std::uint64_t started) {
     if (std::exchange(process_started_, started) != started) {
         parts_.clear();
--- a/src/dandelionbay/dispatch/endpoint_load.hpp
+++ b/src/dandelionbay/dispatch/endpoint_load.hpp
@@ -84,6 +84,9 @@
     /*! @brief A connection could not be made. @param now Time. */
     void unreachable(time_point now) noexcept;
 
+    /*! @brief The endpoint wants no calls from this router for some time. @param until End of that time. */
+    void pause(time_point until) noexcept;
+
     /*! @brief The endpoint said when its process started; a new process keeps nothing. @param started Any unit. */
     void follow_process(std::uint64_t started);
 
@@ -111,6 +114,12 @@
     /*! @brief Tells whether it gets no work because connections failed. @param now Time. */
     [[nodiscard]] bool ejected(time_point now) const noexcept { return now < ejected_until_; }
 
+    /*! @brief Tells whether it gets no work because it asked for a pause. @param now Time. */
+    [[nodiscard]] bool paused(time_point now) const noexcept { return now < paused_until_; }
+
+    /*! @brief End of the longest pause that it asked for. */
+    [[nodiscard]] time_point paused_until() const noexcept { return paused_until_; }
+
     /*! @brief Tells whether it may be tried with one call only, after it was ejected. */
     [[nodiscard]] bool on_trial() const noexcept { return failures_ > 0; }
 
@@ -139,6 +148,7 @@
     double unread_{};
     double memory_{};
     time_point reading_since_{};
+    time_point paused_until_{};
     time_point heard_{};
     time_point ejected_until_{};
     std::uint32_t failures_{};
--- a/src/dandelionbay/dispatch/placement.cpp
+++ b/src/dandelionbay/dispatch/placement.cpp
@@ -92,7 +92,7 @@
     it.calls = it.load->calls(now_);
     it.slots = std::max<std::uint32_t>(1, entry.slots);
     it.cold = view_->cold(*it.known, now_);
-    it.open = !it.load->ejected(now_) && !it.load->stalled(now_);
+    it.open = !it.load->ejected(now_) && !it.load->paused(now_) && !it.load->stalled(now_);
     if (it.engine) {
         it.wait_ms = it.load->backlog_ms(now_);
         it.base_ms = it.wait_ms;
@@ -151,13 +151,23 @@
     out.best.score = std::numeric_limits<double>::max();
     out.best_ready.score = std::numeric_limits<double>::max();
     candidate fallback = out.best;
+    bool all_paused = true;
+    auto first_back = time_point::max();
     const auto sites = sites_.find(item.service);
     if (sites == sites_.end()) {
         return out;
     }
     for (auto& it : sites->second) {
         const auto& entry = it.known->entry;
-        if (!in_regions(item, entry.zone) || item.excluded.contains(entry.id) || it.load->ejected(now_)) {
+        if (!in_regions(item, entry.zone)) {
+            continue;
+        }
+        if (it.load->paused(now_)) {
+            first_back = std::min(first_back, it.load->paused_until());
+            continue;
+        }
+        all_paused = false;
+        if (item.excluded.contains(entry.id) || it.load->ejected(now_)) {
             continue;
         }
         const auto next = rate(item, it, team);
@@ -174,6 +184,9 @@
     if (out.best.at == nullptr) {
         out.best = fallback;
     }
+    if (all_paused && first_back != time_point::max()) {
+        out.paused_until = first_back;
+    }
     return out;
 }
 
--- a/src/dandelionbay/dispatch/placement.hpp
+++ b/src/dandelionbay/dispatch/placement.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -49,6 +50,7 @@
     struct choices {
         candidate best{};       //!< The one to wait for, if it is not ready; none if no endpoint may serve the call.
         candidate best_ready{}; //!< The best of those that take the call now; may be none.
+        std::optional<time_point> paused_until{}; //!< All that may serve the call asked for a pause; end of the first.
     };
 
 private:
--- a/src/dandelionbay/dispatch/work.hpp
+++ b/src/dandelionbay/dispatch/work.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -47,6 +48,7 @@
 /*! @brief Where a call goes. */
 struct endpoint_choice {
     endpoint_id endpoint{};
+    std::uint64_t process_started{}; //!< Start of the endpoint's process, as in its entry.
     socket_address address{};
     double unread_tokens{};
     double backlog_ms{};
@@ -73,10 +75,11 @@
 struct refusal {
     result_code code{result_code::no_endpoint_in_service};
     duration retry_after{};
-    team_rank team{};    //!< Rank of its team.
-    endpoint_id best{};  //!< Endpoint that it waited for; empty for none.
-    double backlog_ms{}; //!< Reading queued there.
-    double ahead_ms{};   //!< Expected wait behind the calls before it.
+    team_rank team{};                       //!< Rank of its team.
+    endpoint_id best{};                     //!< Endpoint that it waited for; empty for none.
+    double backlog_ms{};                    //!< Reading queued there.
+    double ahead_ms{};                      //!< Expected wait behind the calls before it.
+    std::optional<time_point> not_before{}; //!< All its endpoints want no calls until then.
 };
 
 /*! @brief Limits of the dispatcher. */
--- a/src/dandelionbay/gateway/endpoint_entry.hpp
+++ b/src/dandelionbay/gateway/endpoint_entry.hpp
@@ -25,6 +25,14 @@
     friend bool operator==(const endpoint_entry&, const endpoint_entry&) = default;
 };
 
+/*! @brief A process of an endpoint that said in an answer that it leaves. */
+struct leaving_endpoint {
+    endpoint_id id{};
+    std::uint64_t started{}; //!< As in its entry; another process under the same name does not leave.
+
+    friend bool operator==(const leaving_endpoint&, const leaving_endpoint&) = default;
+};
+
 /*! @brief All endpoints as of one moment. */
 struct endpoint_list {
     std::uint64_t as_of{}; //!< Version of the registry that was read.
--- a/src/dandelionbay/gateway/fwd.hpp
+++ b/src/dandelionbay/gateway/fwd.hpp
@@ -4,6 +4,7 @@
 
 struct call_terms;
 struct endpoint_entry;
+struct leaving_endpoint;
 struct route;
 struct route_config;
 class registry_view;
--- a/src/dandelionbay/gateway/registry_view.cpp
+++ b/src/dandelionbay/gateway/registry_view.cpp
@@ -74,6 +74,7 @@
             continue;
         }
         known.entry = entry;
+        known.said_leaving = said_leaving(entry);
         if (entry.cold_for > duration{}) {
             known.cold_until = now + entry.cold_for;
         } else if (restarted || entry.row_version >= known.unverified_below) {
@@ -109,7 +110,7 @@
 }
 
 bool registry_view::may_come_back(const known_endpoint& it, time_point now) const {
-    if (it.entry.leaving) {
+    if (it.entry.leaving || it.said_leaving) {
         return false;
     }
     if (store_failing_) { // The list came from a peer.
@@ -121,6 +122,36 @@
 void registry_view::expire(time_point now) {
     std::erase_if(endpoints_,
                   [&](const auto& item) { return !item.second.present && !may_come_back(item.second, now); });
+    std::erase_if(leaving_, [&](const auto& item) {
+        return !endpoints_.contains(item.first) && now - item.second.noted >= leaving_kept;
+    });
+}
+
+bool registry_view::said_leaving(const endpoint_entry& it) const {
+    const auto found = leaving_.find(it.id);
+    return found != leaving_.end() && found->second.started == it.started;
+}
+
+bool registry_view::note_leaving(const leaving_endpoint& it, time_point now) {
+    const auto [found, added] = leaving_.try_emplace(it.id, remembered_leaving{it.started, now});
+    if (!added && it.started <= found->second.started) {
+        return false; // Known, or said by a process before that one.
+    }
+    found->second = remembered_leaving{it.started, now};
+    if (const auto known = endpoints_.find(it.id); known != endpoints_.end()) {
+        known->second.said_leaving = said_leaving(known->second.entry);
+    }
+    return true;
+}
+
+std::vector<leaving_endpoint> registry_view::leaving() const {
+    std::vector<leaving_endpoint> out;
+    for (const auto& [id, it] : leaving_) {
+        if (const auto known = endpoints_.find(id); known != endpoints_.end() && known->second.said_leaving) {
+            out.push_back(leaving_endpoint{id, it.started});
+        }
+    }
+    return out;
 }
 
 void registry_view::note_refused(const endpoint_id& id, time_point now) {
@@ -151,7 +182,7 @@
 }
 
 bool registry_view::takes_work(const known_endpoint& it) const {
-    return !it.entry.leaving && !zones_out_.contains(it.entry.zone);
+    return !it.entry.leaving && !it.said_leaving && !zones_out_.contains(it.entry.zone);
 }
 
 bool registry_view::cold(const known_endpoint& it, time_point now) const noexcept {
--- a/src/dandelionbay/gateway/registry_view.hpp
+++ b/src/dandelionbay/gateway/registry_view.hpp
@@ -55,12 +55,22 @@
         time_point cold_until{};          //!< From the entry, counted from its arrival.
         std::uint64_t unverified_below{}; //!< Counts as cold until an entry of at least this version comes.
         time_point unverified_since{};
-        bool await_read{};  //!< The next list may still hold an entry from before a restart; only later ones count.
-        bool present{true}; //!< Still registered at the last read.
+        bool await_read{};   //!< The next list may still hold an entry from before a restart; only later ones count.
+        bool said_leaving{}; //!< This process said so in an answer; its entry may not yet.
+        bool present{true};  //!< Still registered at the last read.
         time_point missing_since{};
     };
 
+    /*! @brief What endpoints said in answers is remembered this long after their entries are gone. */
+    static constexpr duration leaving_kept = std::chrono::minutes{10};
+
 private:
+    struct remembered_leaving {
+        std::uint64_t started{};
+        time_point noted{};
+    };
+
+    [[nodiscard]] bool said_leaving(const endpoint_entry& it) const;
     void note_returned_zones(const operator_state& next);
     [[nodiscard]] bool may_come_back(const known_endpoint& it, time_point now) const;
     void merge_entries(const endpoint_list& next, time_point now);
@@ -107,6 +117,17 @@
     /*! @brief An endpoint said itself how long it is cold. */
     void note_cold(const endpoint_id& id, duration cold_for, time_point now);
 
+    /**
+     * @brief An endpoint said in an answer that it leaves: it gets no new work until it is back as a new process.
+     * @param it The process that said so.
+     * @param now Time.
+     * @return True if that was not known.
+     */
+    bool note_leaving(const leaving_endpoint& it, time_point now);
+
+    /*! @brief Registered endpoints that said in an answer that they leave. */
+    [[nodiscard]] std::vector<leaving_endpoint> leaving() const;
+
     /*! @brief The configuration in force, or null. */
     [[nodiscard]] const std::shared_ptr<const route_config>& config() const noexcept { return config_; }
 
@@ -144,6 +165,7 @@
     std::set<zone_id> zones_out_{};
     endpoint_list list_{};
     std::map<endpoint_id, known_endpoint> endpoints_{};
+    std::map<endpoint_id, remembered_leaving> leaving_{};
     std::optional<time_point> operators_read_{};
     std::optional<time_point> endpoints_read_{};
     std::optional<time_point> store_returned_{};
--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -196,6 +196,10 @@
         log_.write(log_level::info, "config_adopted",
                    {{"version", std::to_string(view_.config()->version)}, {"from", "peer"}});
     }
+    for (const auto& it : change.endpoints_leaving) {
+        metrics_.add("endpoints_leaving_total", "peer");
+        log_.write(log_level::info, "endpoint_leaving", {{"endpoint", it.id.value}, {"from", "peer"}});
+    }
     if (change.list_renewed) {
         metrics_.add("lists_from_peers_total");
     }
--- a/src/dandelionbay/peer/peer_board.cpp
+++ b/src/dandelionbay/peer/peer_board.cpp
@@ -40,6 +40,7 @@
     }
     out.teams = dispatch_->usage().own(now);
     out.queues = dispatch_->queues();
+    out.endpoints_leaving = view_->leaving();
     for (const auto& [host, it] : peers_) {
         if (now - it.heard < silent_after) { // Others would never be forgotten.
             out.peers.push_back(it.address);
@@ -139,6 +140,11 @@
     }
     take_evidence(in, out, now);
     take_loads(in, now);
+    for (const auto& endpoint : in.endpoints_leaving) {
+        if (view_->note_leaving(endpoint, now)) {
+            out.endpoints_leaving.push_back(endpoint);
+        }
+    }
     if (out.peer_found) {
         follow_routers(now);
     }
--- a/src/dandelionbay/peer/peer_board.hpp
+++ b/src/dandelionbay/peer/peer_board.hpp
@@ -23,6 +23,7 @@
     bool evidence_renewed{};
     bool list_renewed{};
     bool peer_found{};
+    std::vector<leaving_endpoint> endpoints_leaving{}; //!< Those that were not known to leave.
 
     friend bool operator==(const peer_change&, const peer_change&) = default;
 };
--- a/src/dandelionbay/peer/peer_state.cpp
+++ b/src/dandelionbay/peer/peer_state.cpp
@@ -16,6 +16,7 @@
 using load_row = std::tuple<std::string, double, std::uint32_t, double>;
 using use_row = std::tuple<std::uint32_t, std::uint64_t, std::uint32_t>; // The endpoint is a position in the names.
 using queue_row = std::tuple<std::string, double>;
+using leaving_row = std::tuple<std::string, std::uint64_t>;
 using team_row = std::tuple<std::string, double, double>;
 using endpoint_row = std::tuple<std::string, std::string, std::string, address_row, std::uint32_t, bool, std::int64_t,
                                 std::uint64_t, std::uint64_t>;
@@ -25,7 +26,7 @@
 using uses_row = std::tuple<std::vector<std::string>, std::vector<use_row>>;
 using message_row = std::tuple<std::uint32_t, std::string, std::uint64_t, address_row, bool, clock_row, operators_row,
                                list_row, std::vector<load_row>, uses_row, std::vector<team_row>, std::vector<queue_row>,
-                               std::vector<address_row>, std::string>;
+                               std::vector<address_row>, std::string, std::vector<leaving_row>>;
 
 /*! Version of this format; routers of one fleet may be replaced one after the other. */
 constexpr std::uint32_t format_version = 1;
@@ -101,7 +102,7 @@
 
 [[nodiscard]] peer_state state_of(const message_row& row) {
     const auto& [version, host, incarnation, address, leaving, clocks, operators, list, loads, uses, teams, queues,
-                 peers, text] = row;
+                 peers, text, endpoints_leaving] = row;
     peer_state out;
     out.host = host_id{host};
     out.incarnation = incarnation;
@@ -137,6 +138,9 @@
         out.peers.push_back(address_of(peer));
     }
     out.config_text = text;
+    for (const auto& [endpoint, started] : endpoints_leaving) {
+        out.endpoints_leaving.push_back(leaving_endpoint{endpoint_id{endpoint}, started});
+    }
     return out;
 }
 
@@ -159,6 +163,10 @@
     for (const auto& peer : it.peers) {
         peers.push_back(row_of(peer));
     }
+    std::vector<leaving_row> endpoints_leaving;
+    for (const auto& endpoint : it.endpoints_leaving) {
+        endpoints_leaving.emplace_back(endpoint.id.value, endpoint.started);
+    }
     const message_row row{format_version,
                           it.host.value,
                           it.incarnation,
@@ -172,7 +180,8 @@
                           teams,
                           queues,
                           peers,
-                          it.config_text};
+                          it.config_text,
+                          endpoints_leaving};
     msgpack::sbuffer buf;
     msgpack::pack(buf, row);
     return {buf.data(), buf.size()};
--- a/src/dandelionbay/peer/peer_state.hpp
+++ b/src/dandelionbay/peer/peer_state.hpp
@@ -39,9 +39,10 @@
     std::vector<part_use> part_uses{};
     std::vector<team_service> teams{};
     std::vector<service_queue> queues{};
-    std::vector<socket_address> peers{}; //!< Other routers that the sender knows.
-    std::string config_text{};           //!< The configuration, if the receiver's is older; else empty.
-    std::optional<endpoint_list> list{}; //!< The endpoints, if the receiver's list is older.
+    std::vector<socket_address> peers{};               //!< Other routers that the sender knows.
+    std::string config_text{};                         //!< The configuration, if the receiver's is older; else empty.
+    std::optional<endpoint_list> list{};               //!< The endpoints, if the receiver's list is older.
+    std::vector<leaving_endpoint> endpoints_leaving{}; //!< Endpoints that said in an answer that they leave.
 
     friend bool operator==(const peer_state&, const peer_state&) = default;
 };
--- a/src/dandelionbay/proxy/call_protocol.hpp
+++ b/src/dandelionbay/proxy/call_protocol.hpp
@@ -34,6 +34,8 @@
     bool not_run{};        //!< The endpoint says that it did not run the call.
     bool wrong_endpoint{}; //!< Another endpoint has this address.
     bool encoded{};        //!< The body is not the endpoint's own.
+    bool leaving{};        //!< The endpoint leaves and takes no new calls.
+    duration pause{};      //!< Time for which the endpoint wants no calls from this router; zero for none.
     std::optional<duration> cold_for{};
     std::optional<duration> idle_timeout{}; //!< Time after which the endpoint closes an idle connection.
 
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -173,9 +173,28 @@
     refuse(503, why.code, why.retry_after);
 }
 
+void exchange::note_wishes(const answer_terms& answer) {
+    const auto& env = owner_->environment();
+    const auto now = owner_->now();
+    if (answer.leaving && env.view->note_leaving({choice_.endpoint, choice_.process_started}, now)) {
+        env.metrics->add("endpoints_leaving_total", "answer");
+        env.log->write(log_level::info, "endpoint_leaving",
+                       {{"endpoint", choice_.endpoint.value}, {"request", terms_.id}, {"from", "answer"}});
+    }
+    if (answer.pause > duration{}) {
+        owner_->dispatch().pause(choice_.endpoint, now + answer.pause);
+        env.metrics->add("endpoint_pauses_total");
+        env.log->write(log_level::info, "endpoint_pauses",
+                       {{"endpoint", choice_.endpoint.value},
+                        {"request", terms_.id},
+                        {"for_ms", std::to_string(static_cast<std::int64_t>(to_ms(answer.pause)))}});
+    }
+}
+
 bool exchange::on_head(const response_head& head) {
     const auto& env = owner_->environment();
     const auto answer = env.protocol->read_answer(head);
+    note_wishes(answer);
     if (!answer.id.empty() && answer.id != terms_.id) {
         env.metrics->add("foreign_answers_total");
         return false;
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -27,6 +27,7 @@
     void submit(time_point now);
     [[nodiscard]] std::string request_bytes(const endpoint_choice& choice, time_point now) const;
     [[nodiscard]] duration fresh_connection_limit() const noexcept;
+    void note_wishes(const answer_terms& answer);
     void send_events();
     void begin_stream();
     void complete_stream();
--- a/test/dandelionbay/dispatch/dispatcher_test.cpp
+++ b/test/dandelionbay/dispatch/dispatcher_test.cpp
@@ -231,6 +231,45 @@
     }
 }
 
+// Guards against calls to an endpoint that asked for a pause, and against callers that wait for it or come back before
+// it takes calls again.
+TEST(dispatcher, an_endpoint_that_asks_for_a_pause_gets_no_work_until_its_end) {
+    dispatch_fixture fleet{2};
+    const auto first = fleet.send(fleet.call("team", 1, 2'000, 10));
+    const endpoint_id home{fleet.log.placements[first]};
+    fleet.answer_all();
+    fleet.router.pause(home, fleet.now + seconds{2});
+    {
+        SCOPED_TRACE("its subject's calls go elsewhere");
+        const auto next = fleet.send(fleet.call("team", 1, 2'000, 10));
+        ASSERT_TRUE(fleet.log.placements.contains(next));
+        EXPECT_NE(fleet.log.placements[next], home.value);
+        fleet.answer_all();
+    }
+    {
+        SCOPED_TRACE("with all of them paused a call is refused at once, with a time after the first pause's end");
+        const endpoint_id other{home.value == "e0" ? "e1" : "e0"};
+        fleet.router.pause(other, fleet.now + seconds{5});
+        fleet.router.pause(home, fleet.now + seconds{1}); // Does not shorten the longer one.
+        const auto next = fleet.send(fleet.call("team", 1, 2'000, 10));
+        fleet.router.pump(fleet.now);
+        ASSERT_TRUE(fleet.log.refusals.contains(next));
+        EXPECT_EQ(fleet.log.refusals[next].code, result_code::endpoint_unavailable);
+        EXPECT_GE(fleet.log.refusals[next].retry_after, seconds{2});
+        EXPECT_LT(fleet.log.refusals[next].retry_after, seconds{3});
+    }
+    {
+        SCOPED_TRACE("a pause that ends before the call's own limit is waited for");
+        fleet.now += seconds{2} - milliseconds{100};
+        const auto next = fleet.send(fleet.call("team", 1, 2'000, 10));
+        fleet.router.pump(fleet.now);
+        EXPECT_FALSE(fleet.log.refusals.contains(next));
+        EXPECT_FALSE(fleet.log.placements.contains(next));
+        fleet.advance(milliseconds{100});
+        EXPECT_EQ(fleet.log.placements[next], home.value);
+    }
+}
+
 // Guards against work for an endpoint that went silent or can't be reached, and against its return with full load.
 TEST(dispatcher, silent_and_unreachable_endpoints_get_no_work) {
     dispatch_fixture fleet{2};
--- a/test/dandelionbay/gateway/registry_view_test.cpp
+++ b/test/dandelionbay/gateway/registry_view_test.cpp
@@ -150,6 +150,62 @@
     }
 }
 
+// Guards against calls to an endpoint that said in an answer that it leaves: its entry may say so much later or never,
+// and may go and come back in the meantime.
+TEST(registry_view, an_endpoint_that_says_that_it_leaves_gets_no_work_until_it_is_a_new_process) {
+    constexpr std::uint64_t first_start = 1'000;
+    constexpr std::uint64_t second_start = 2'000;
+    const auto started = [](const std::string& id, std::uint64_t row_version, std::uint64_t at) {
+        auto out = entry(id, row_version);
+        out.started = at;
+        return out;
+    };
+    registry_view view{{}};
+    view.merge(endpoint_list{10, {started("a", 9, first_start)}}, start, start);
+    EXPECT_TRUE(view.takes_work(only(view)));
+    EXPECT_TRUE(view.note_leaving({endpoint_id{"a"}, first_start}, start));
+    EXPECT_FALSE(view.takes_work(only(view)));
+    EXPECT_FALSE(view.note_leaving({endpoint_id{"a"}, first_start}, start)) << "that is known";
+    EXPECT_EQ(view.leaving(), (std::vector<leaving_endpoint>{{endpoint_id{"a"}, first_start}}));
+    {
+        SCOPED_TRACE("its entry is written again, is lost in an outage of the store, and comes back");
+        view.merge(endpoint_list{20, {started("a", 19, first_start)}}, start, start + seconds{1});
+        EXPECT_FALSE(view.takes_work(only(view)));
+        view.store_failed();
+        view.merge(endpoint_list{30, {}}, start, start + seconds{2});
+        EXPECT_TRUE(view.endpoints().empty()) << "it is gone, it needs no time to come back";
+        EXPECT_TRUE(view.leaving().empty());
+        view.store_back(start + seconds{3});
+        view.merge(endpoint_list{40, {started("a", 39, first_start)}}, start, start + seconds{4});
+        EXPECT_FALSE(view.takes_work(only(view)));
+    }
+    {
+        SCOPED_TRACE("a new process under the same name works; what the old one still says does not matter");
+        view.merge(endpoint_list{50, {started("a", 49, second_start)}}, start, start + seconds{5});
+        EXPECT_TRUE(view.takes_work(only(view)));
+        view.note_leaving({endpoint_id{"a"}, first_start}, start + seconds{5});
+        EXPECT_TRUE(view.takes_work(only(view)));
+        EXPECT_TRUE(view.note_leaving({endpoint_id{"a"}, second_start}, start + seconds{5}));
+        EXPECT_FALSE(view.takes_work(only(view)));
+    }
+    {
+        SCOPED_TRACE("a peer knows the new process before its entry is read here");
+        registry_view other{{}};
+        other.merge(endpoint_list{10, {started("a", 9, first_start)}}, start, start);
+        EXPECT_TRUE(other.note_leaving({endpoint_id{"a"}, second_start}, start));
+        EXPECT_TRUE(other.takes_work(only(other)));
+        other.merge(endpoint_list{20, {started("a", 19, second_start)}}, start, start);
+        EXPECT_FALSE(other.takes_work(only(other)));
+    }
+    {
+        SCOPED_TRACE("what is remembered of endpoints that are gone is forgotten some time");
+        view.merge(endpoint_list{60, {}}, start, start + seconds{6});
+        view.expire(start + seconds{5} + registry_view::leaving_kept);
+        view.merge(endpoint_list{70, {started("a", 69, second_start)}}, start, start + seconds{700});
+        EXPECT_TRUE(view.takes_work(only(view)));
+    }
+}
+
 // Guards against the full load for an endpoint that turned cold before its entry says so.
 TEST(registry_view, an_endpoint_is_cold_until_an_entry_written_later_says_otherwise) {
     registry_view view{{}};
--- a/test/dandelionbay/platform/documents_test.cpp
+++ b/test/dandelionbay/platform/documents_test.cpp
@@ -130,5 +130,44 @@
     EXPECT_EQ(read(200, {{"Keep-Alive", "timeout=5, max=3"}}).idle_timeout, std::chrono::seconds{5});
 }
 
+// Guards against endpoints that are not heard when they say that they leave or that they want no calls for some time,
+// and against values that would keep an endpoint idle for ever.
+TEST(call_headers, endpoints_say_that_they_leave_and_for_how_long_they_want_no_calls) {
+    const auto protocol = make_call_protocol();
+    const auto read = [&](int status, field_list fields) {
+        response_head head;
+        head.status = status;
+        head.fields = std::move(fields);
+        return protocol->read_answer(head);
+    };
+    {
+        SCOPED_TRACE("leaving: on any answer, but not on one of another endpoint at this address");
+        for (const int status : {200, 404, 429, 500, 503}) {
+            EXPECT_TRUE(read(status, {{"server-leaving", "1"}}).leaving) << status;
+        }
+        EXPECT_FALSE(read(421, {{"Server-Leaving", "1"}}).leaving);
+        EXPECT_FALSE(read(200, {}).leaving);
+        EXPECT_FALSE(read(200, {{"Server-Leaving", "0"}}).leaving);
+        EXPECT_FALSE(read(200, {{"Server-Leaving", "soon"}}).leaving);
+        EXPECT_TRUE(read(200, {{"Server-Leaving", "0"}, {"Server-Leaving", "1"}}).leaving);
+    }
+    {
+        SCOPED_TRACE("a pause: seconds on a 503 and on nothing else");
+        const auto pause = [&](const std::string& text) { return read(503, {{"retry-after", text}}).pause; };
+        EXPECT_EQ(pause("3"), std::chrono::seconds{3});
+        EXPECT_EQ(pause("0.25"), std::chrono::milliseconds{250});
+        EXPECT_EQ(pause("0"), duration{});
+        EXPECT_EQ(read(429, {{"Retry-After", "3"}}).pause, duration{});
+        EXPECT_EQ(read(200, {{"Retry-After", "3"}}).pause, duration{});
+        for (const auto* const text :
+             {"", "-3", "+3", "nan", "inf", "1e3", "3s", "3,4", "1.2.3", ".", "Fri, 04 Dec 2026 10:00:00 GMT"}) {
+            EXPECT_EQ(pause(text), duration{}) << text;
+        }
+        EXPECT_EQ(pause("99999999999999999999999999"), std::chrono::hours{1});
+        EXPECT_EQ(read(503, {{"Retry-After", "2"}, {"Retry-After", "soon"}, {"Retry-After", "4"}}).pause,
+                  std::chrono::seconds{4});
+    }
+}
+
 } // namespace
 } // namespace dandelionbay::platform
--- a/test/dandelionbay/platform/gateway_fleet.hpp
+++ b/test/dandelionbay/platform/gateway_fleet.hpp
@@ -98,13 +98,22 @@
                       sealed ? "Dandelionbay-Response-Seal: s\r\n" : "");
     }
 
-    static void answer(const http_request& request, raw_server::connection& to, const std::string& body) {
-        to.write(concat(head(request, 200), "Content-Length: ", body.size(), "\r\n\r\n", body));
+    static void answer(const http_request& request, raw_server::connection& to, const std::string& body,
+                       const std::string& more = {}) {
+        to.write(concat(head(request, 200), more, "Content-Length: ", body.size(), "\r\n\r\n", body));
+    }
+
+    /*! Turns a request away, unrun, and asks for a pause. */
+    static void ask_for_pause(const http_request& request, raw_server::connection& to, const std::string& length) {
+        to.write(concat(head(request, 503, false), "Dandelionbay-Not-Executed: 1\r\nRetry-After: ", length,
+                        "\r\nContent-Length: 0\r\n\r\n"));
     }
 
     /*! Streams events from one number to another; the chunk that ends the stream only if it is complete. */
-    static void stream(const http_request& request, raw_server::connection& to, int from, int last, bool complete) {
-        to.write(concat(head(request, 200), "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    static void stream(const http_request& request, raw_server::connection& to, int from, int last, bool complete,
+                       const std::string& more = {}) {
+        to.write(
+            concat(head(request, 200), more, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
         for (int n = from; n <= last; ++n) {
             to.write(chunk(event(n)));
         }
@@ -113,15 +122,22 @@
         }
     }
 
-    void serve(const http_request& request, raw_server::connection& to) {
+    void serve(const http_request& request, raw_server::connection& to, const std::string& more = {}) {
         if (request.path().starts_with("/chat/")) {
             const auto after = find_field(request.fields, "Last-Event-Id");
-            stream(request, to, after.empty() ? 1 : std::stoi(std::string{after}) + 1, 6, true);
+            stream(request, to, after.empty() ? 1 : std::stoi(std::string{after}) + 1, 6, true, more);
         } else {
-            answer(request, to, id_);
+            answer(request, to, id_, more);
         }
     }
 
+    /*! Serves on, and says in all answers that it leaves. */
+    void leave() {
+        otherwise([this](const http_request& request, raw_server::connection& to) {
+            serve(request, to, "Server-Leaving: 1\r\n");
+        });
+    }
+
     [[nodiscard]] std::string entry(const std::string& service, const std::string& state = "ready") const {
         return nlohmann::json{{"service", service},    {"address", to_string(server_.address())},
                               {"zone", "zone-1"},      {"slots", 8},
@@ -172,6 +188,11 @@
                std::string::npos;
     }
 
+    /*! Makes its loop miss all events for some time. */
+    void block_for(milliseconds time) {
+        boost::asio::post(node_.loop(), [time] { std::this_thread::sleep_for(time); });
+    }
+
     /*! Makes its loop late for some time. */
     void hold_up_for(milliseconds time) {
         boost::asio::post(node_.loop(),
--- a/test/dandelionbay/platform/gateway_test.cpp
+++ b/test/dandelionbay/platform/gateway_test.cpp
@@ -185,6 +185,52 @@
     EXPECT_TRUE(eventually([&] { return second.get("/look/x").find(" 401 ") != std::string::npos; }, seconds{3}));
 }
 
+// Guards against calls to an endpoint that says in its answers that it leaves, from the router that heard it and from
+// its peers, while the store's entry still says that it is ready.
+TEST_F(gateway_fleet, an_endpoint_that_says_that_it_leaves_is_left_at_once) {
+    add_second_endpoints();
+    const running_gateway second{"g2", store.address(), {}, {gateway->peer_address()}};
+    const auto answered_by = [](const running_gateway& by, const std::string& path) {
+        const auto text = by.get(path);
+        return text.substr(text.size() - std::min<std::size_t>(text.size(), 6));
+    };
+    ASSERT_TRUE(eventually([&] { return answered_by(second, "/look/x") == "desk-1"; }));
+    ASSERT_TRUE(eventually([&] { return answered_by(*gateway, "/look/x") == "desk-2"; }));
+    desk_1.leave();
+    ASSERT_TRUE(eventually([&] { return answered_by(*gateway, "/look/told") == "desk-1"; }));
+    const auto told = calls(desk_1, "/look/told").size();
+    for (int n = 0; n < 20; ++n) {
+        EXPECT_EQ(answered_by(*gateway, "/look/told"), "desk-2");
+    }
+    EXPECT_EQ(calls(desk_1, "/look/told").size(), told);
+    {
+        SCOPED_TRACE("a peer hears it within its message interval");
+        std::this_thread::sleep_for(milliseconds{300});
+        for (int n = 0; n < 20; ++n) {
+            EXPECT_EQ(answered_by(second, "/look/peer"), "desk-2");
+        }
+    }
+}
+
+// Guards against calls to an endpoint that asked for a pause, and against a refusal that names too early a time.
+TEST_F(gateway_fleet, an_endpoint_that_asks_for_a_pause_gets_one) {
+    desk_1.then([](const http_request& request, raw_server::connection& to) {
+        scripted_endpoint::ask_for_pause(request, to, "1.5");
+    });
+    const auto refused_after = [&](const std::string& path) {
+        const auto text = gateway->post(path);
+        const auto at = text.find("Retry-After: ");
+        return text.find(" 503 ") == std::string::npos || at == std::string::npos ? 0.0
+                                                                                  : std::stod(text.substr(at + 13));
+    };
+    const auto began = std::chrono::steady_clock::now();
+    EXPECT_GE(refused_after("/book/a"), 1.0) << "it is the only endpoint, and the call did not run";
+    EXPECT_GE(refused_after("/book/a"), 0.5);
+    EXPECT_EQ(calls(desk_1, "/book/a").size(), 1);
+    EXPECT_TRUE(eventually([&] { return gateway->post("/book/b").ends_with("desk-1"); }, seconds{4}));
+    EXPECT_GE(std::chrono::steady_clock::now() - began, milliseconds{1'500});
+}
+
 // Guards against endpoints that work on for callers that have left.
 TEST_F(gateway_fleet, an_endpoint_is_left_when_the_caller_leaves) {
     std::atomic<bool> left{false};
