Keep answers whole and processes up when others are late, silent or wrong

Cause: looked for what operators of similar systems reported. It could happen here: - A stream whose endpoint was silent for 1.2 s was given up before it was known that another endpoint takes it and that a repeat is left; without one it was cut. Ruled out by tests that passed at once: bytes after an answer, on an idle connection, half of a stated length, a reset instead of an end, streams that send bytes and no events (they end at the route's limit, or go on elsewhere). Change: a silent endpoint is left only if another one takes the call now and a repeat is left; after a turn of the event loop that came over 300 ms late, what has come is read first and silence counts anew. The rest as in the tests' names. An unexpected error loses one event, with a log line, and not the process. Each new test fails without its change, but for the registry's answers, which were not run without it.

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
+
 namespace dandelionbay {
 
 namespace {
@@ -174,6 +176,10 @@
     call.best_reading_ms = std::max(limits_.least_wait_ms, reading);
 }
 
+bool dispatcher::takes_now(const work_item& item, time_point now) {
+    return look(now).consider(item, rank_of(item, now)).best_ready.at != nullptr;
+}
+
 bool dispatcher::withdraw(ticket_id ticket) {
     return waiting_.erase(ticket) > 0;
 }
@@ -235,8 +241,8 @@
         return; // What a decision changes is seen in the next round.
     }
     deciding_ = true;
+    const absl::Cleanup decided = [this] { deciding_ = false; }; // Also after an error.
     decide_all(now);
-    deciding_ = false;
 }
 
 void dispatcher::decide_all(time_point now) {
--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -98,6 +98,9 @@
     /*! @brief A call wants an endpoint; it is placed at once, or waits for pump(). @param item The call. */
     void submit(work_item item, time_point now);
 
+    /*! @brief Tells whether an endpoint would take a call at once. @param item The call. @param now Time. */
+    [[nodiscard]] bool takes_now(const work_item& item, time_point now);
+
     /*! @brief A waiting call is not wanted any more. @param ticket Its name. @return False if it was not waiting. */
     bool withdraw(ticket_id ticket);
 
--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -78,11 +78,22 @@
     registry_->start();
     log_.write(log_level::info, "started");
     started();
-    loop_.run();
+    run_loop();
     log_.write(log_level::info, "stopped", {{"lines_left_out", std::to_string(log_.left_out())}});
     return absl::OkStatus();
 }
 
+void gateway_node::run_loop() {
+    while (!loop_.stopped()) {
+        try {
+            loop_.run();
+        } catch (const std::exception& error) { // One event is lost; the connections of all others go on.
+            metrics_.add("event_errors_total");
+            log_.write(log_level::error, "event_failed", {{"reason", error.what()}});
+        }
+    }
+}
+
 void gateway_node::wait_for_signal() {
     signals_.async_wait([this](boost::system::error_code ec, int signal) {
         if (ec) {
--- a/src/dandelionbay/node/gateway_node.hpp
+++ b/src/dandelionbay/node/gateway_node.hpp
@@ -43,6 +43,7 @@
     void begin_stop();
     void continue_stop(time_point since);
     void end();
+    void run_loop();
     void wait_for_signal();
     void reload();
     void watch_settings();
--- a/src/dandelionbay/peer/peer_links.cpp
+++ b/src/dandelionbay/peer/peer_links.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/cleanup/cleanup.h"
 #include "dandelionbay/base/text.hpp"
 
 namespace dandelionbay {
@@ -187,8 +188,8 @@
         if (ec || stopped_) {
             return;
         }
+        const absl::Cleanup next = [this] { tick(); }; // Also after an error.
         send_round();
-        tick();
     });
 }
 
--- a/src/dandelionbay/proxy/caller_connection.cpp
+++ b/src/dandelionbay/proxy/caller_connection.cpp
@@ -184,15 +184,11 @@
         }
         return true;
     }
-    if (now - since_ > limits.idle_timeout + limits.idle_timeout / idle_margin_divisor) {
-        channel_->finish();
-        return false;
-    }
-    return true;
+    return now - since_ <= limits.idle_timeout + limits.idle_timeout / idle_margin_divisor || !close_idle();
 }
 
 bool caller_connection::close_idle() {
-    if (!idle_since()) {
+    if (!idle_since() || channel_->readable_now()) { // A request may have come that is not read yet.
         return false;
     }
     channel_->finish();
--- a/src/dandelionbay/proxy/channel.cpp
+++ b/src/dandelionbay/proxy/channel.cpp
@@ -1,6 +1,7 @@
 #include "dandelionbay/proxy/channel.hpp"
 
 #include <array>
+#include <exception>
 #include <utility>
 
 #include <netinet/tcp.h>
@@ -113,7 +114,12 @@
         return;
     }
     if (!finishing_) {
-        owner_->on_bytes({buf.data(), n});
+        try {
+            owner_->on_bytes({buf.data(), n});
+        } catch (const std::exception&) {
+            fail(channel_end::broken); // An error over what one connection sent ends that connection only.
+            throw;
+        }
     }
     wait_readable();
 }
@@ -191,12 +197,6 @@
     socket_.close(ec);
 }
 
-void channel::fail(channel_end end) {
-    if (ended_) {
-        return;
-    }
-    const bool silent = finishing_;
-    close();
 void channel::abort() noexcept {
     error_code ec; // Without the option the connection still ends, in order.
     socket_.set_option(asio::socket_base::linger{true, 0}, ec);
@@ -207,6 +207,12 @@
     socket_.close(ec);
 }
 
+void channel::fail(channel_end end) {
+    if (ended_) {
+        return;
+    }
+    const bool silent = finishing_;
+    close();
     if (!silent) {
         owner_->on_end(end);
     }
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -26,6 +26,8 @@
 /*! Time beyond the expected one after which a repeatable call counts as lost: about twice the usual target. */
 constexpr duration lost_stream = milliseconds{1'200};
 constexpr duration lost_call = milliseconds{700};
+/*! How often a call that seems lost looks for another endpoint; until there is one, the silent one keeps it. */
+constexpr duration move_interval = milliseconds{100};
 /*! A call's reading may take this much longer than expected, and its own prompt may be read as slowly as this, in
  * tokens per ms, before it counts as lost: about half the usual rate. */
 constexpr double late_backlog = 1.5;
@@ -99,8 +101,7 @@
     submit(now);
 }
 
-void exchange::submit(time_point now) {
-    stage_ = stage::waiting;
+work_item exchange::work() const {
     work_item item;
     item.ticket = ticket_;
     item.team = team_;
@@ -113,7 +114,12 @@
     item.route_regions = route_->home_regions;
     item.team_regions = team_regions_;
     item.excluded = excluded_;
-    owner_->dispatch().submit(std::move(item), now);
+    return item;
+}
+
+void exchange::submit(time_point now) {
+    stage_ = stage::waiting;
+    owner_->dispatch().submit(work(), now);
 }
 
 duration exchange::fresh_connection_limit() const noexcept {
@@ -199,6 +205,10 @@
         env.metrics->add("foreign_answers_total");
         return false;
     }
+    if (answer.id.empty() && head.status / 100 == 2) { // It may be a late copy of an earlier answer.
+        env.metrics->add("nameless_answers_total");
+        return false;
+    }
     const auto now = owner_->now();
     owner_->dispatch().heard(choice_.endpoint, now);
     head_ = head;
@@ -256,10 +266,10 @@
     if (streaming_) {
         scanner_.append(bytes);
         send_events();
-        return;
+    } else {
+        body_ += bytes;
     }
-    body_ += bytes;
-    if (body_.size() > held_bytes) {
+    if (body_.size() > held_bytes || scanner_.rest().size() > held_bytes) {
         on_failed(request_failure::garbage);
     }
 }
@@ -277,6 +287,12 @@
 
 void exchange::complete_stream() {
     const auto rest = scanner_.rest();
+    const bool ended_by_close =
+        !has_field(head_->fields, "Content-Length") && !has_field(head_->fields, "Transfer-Encoding");
+    if (ended_by_close && !rest.empty()) { // An endpoint that ends in order does so between events.
+        on_failed(request_failure::broken);
+        return;
+    }
     owner_->dispatch().started(ticket_, owner_->now());
     end_attempt(false);
     if (!begun_) {
@@ -446,8 +462,8 @@
 }
 
 void exchange::check(time_point now) {
-    if (stage_ == stage::done) {
-        return;
+    if (stage_ == stage::done || owner_->attentive_since() == now) {
+        return; // After a late turn, answers that have come are read first.
     }
     if (now >= limit_) {
         leave();
@@ -461,15 +477,26 @@
     if (stage_ != stage::running || paused_ || !route_->idempotent() || !may_run_again(now)) {
         return;
     }
+    if (seems_lost(now) && now >= next_move_ && can_move(now)) {
+        end_attempt(true);
+        try_again("silent", false); // Already counted.
+    }
+}
+
+bool exchange::seems_lost(time_point now) const {
     const auto limit =
         (route_->kind == call_kind::streaming ? lost_stream : lost_call) +
         (begun_ ? duration{} : from_ms(choice_.backlog_ms * late_backlog + choice_.unread_tokens / slow_rate));
-    const auto silent = now - sent_at_;
-    if (silent > limit ||
-        (silent > endpoint_load::silence_limit && owner_->dispatch().load(choice_.endpoint).stalled(now))) {
-        end_attempt(true);
-        try_again("silent", true);
-    }
+    const auto silent = now - std::max(sent_at_, owner_->attentive_since());
+    return silent > limit ||
+           (silent > endpoint_load::silence_limit && owner_->dispatch().load(choice_.endpoint).stalled(now));
+}
+
+bool exchange::can_move(time_point now) {
+    next_move_ = now + move_interval;
+    auto item = work();
+    item.excluded.insert(choice_.endpoint);
+    return owner_->dispatch().takes_now(item, now) && owner_->repeats(service_).take(owner_->dispatch().routers(), now);
 }
 
 void exchange::abandon() {
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -24,7 +24,14 @@
     enum class stage : std::uint8_t { waiting, running, done };
 
     [[nodiscard]] bool admit(time_point now);
+    [[nodiscard]] work_item work() const;
     void submit(time_point now);
+
+    /*! Tells whether its endpoint is silent for longer than it should be. */
+    [[nodiscard]] bool seems_lost(time_point now) const;
+
+    /*! Tells whether it may go on at another endpoint now; counts it as a repeat then. */
+    [[nodiscard]] bool can_move(time_point now);
     [[nodiscard]] std::string request_bytes(const endpoint_choice& choice, time_point now) const;
     [[nodiscard]] duration fresh_connection_limit() const noexcept;
     void note_wishes(const answer_terms& answer);
@@ -117,7 +124,8 @@
     bool begun_{};     //!< The caller has the head of the answer.
     std::optional<std::uint64_t> last_event_{};
     std::optional<time_point> first_event_at_{};
-    time_point sent_at_{}; //!< When it was sent, or its newest event came.
+    time_point next_move_{}; //!< When it may look for another endpoint again.
+    time_point sent_at_{};   //!< When it was sent, or its newest event came.
     bool paused_{};
     std::optional<double> team_excess_{}; //!< Rank of its team, if it was refused.
     double ahead_ms_{};                   //!< Expected wait behind other calls, if it was refused.
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/cleanup/cleanup.h"
 #include "dandelionbay/proxy/caller_connection.hpp"
 #include "dandelionbay/proxy/exchange.hpp"
 
@@ -25,6 +26,8 @@
 constexpr duration closing_interval = std::chrono::milliseconds{20};
 /*! Idle connections and forgotten endpoints are looked at this often; their limits are over a second. */
 constexpr duration housekeeping_interval = std::chrono::milliseconds{200};
+/*! After a turn that came later than this, what endpoints sent meanwhile is not read yet: their silence counts anew. */
+constexpr duration inattentive_after = std::chrono::milliseconds{300};
 
 } // namespace
 
@@ -57,15 +60,15 @@
     const auto n = std::min(idle.size(), options_.max_connections / closing_parts + 1);
     std::ranges::partial_sort(idle, idle.begin() + static_cast<std::ptrdiff_t>(n), {},
                               [](const auto& it) { return it.first; });
+    std::size_t closed = 0;
     for (const auto& [since, it] : std::span{idle}.first(n)) {
-        it->close_idle();
-        callers_.erase(it);
+        closed += it->close_idle() ? callers_.erase(it) : 0;
     }
-    environment_.metrics->add("idle_connections_closed_total", {}, static_cast<counters::value_type>(n));
+    environment_.metrics->add("idle_connections_closed_total", {}, static_cast<counters::value_type>(closed));
     environment_.log->write(log_level::warn, "connections_at_limit",
                             {{"limit", std::to_string(options_.max_connections)},
                              {"idle", std::to_string(idle.size())},
-                             {"closed", std::to_string(n)}});
+                             {"closed", std::to_string(closed)}});
 }
 
 void proxy::accept(channel::tcp::socket socket) {
@@ -88,14 +91,19 @@
         if (ec || stopped_) {
             return;
         }
+        const absl::Cleanup next = [this] { tick(); }; // Also after an error.
         const auto at = now();
         note_turn(at - due, at);
         check_all(at);
-        tick();
     });
 }
 
 void proxy::note_turn(duration late, time_point now) {
+    if (late > inattentive_after) {
+        attentive_since_ = now;
+        dispatcher_.forgive_silence(now);
+        environment_.metrics->add("late_turns_total");
+    }
     if (!gauge_.turned(late, now)) {
         return;
     }
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -95,6 +95,9 @@
     /*! @brief Tells whether callers should go to other routers because this host can't keep up. */
     [[nodiscard]] bool overloaded() const noexcept { return gauge_.overloaded(); }
 
+    /*! @brief Silence of an endpoint before this moment says nothing: this router did not listen. */
+    [[nodiscard]] time_point attentive_since() const noexcept { return attentive_since_; }
+
     /*! @brief How late the event loop runs. */
     [[nodiscard]] duration lateness() const noexcept { return gauge_.lateness(); }
 
@@ -158,6 +161,7 @@
     ticket_id last_ticket_{};
     std::uint64_t buffered_{};
     time_point expired_{};
+    time_point attentive_since_{};
     time_point next_closing_{};
     round_pacer pacer_{};
     overload_gauge gauge_{};
--- /dev/null
+++ b/test/dandelionbay/platform/gateway_stream_test.cpp
@@ -0,0 +1,113 @@
+#include "gateway_fleet.hpp"
+
+namespace dandelionbay::platform {
+namespace {
+
+[[nodiscard]] std::string events(int from, int last) {
+    std::string out;
+    for (int n = from; n <= last; ++n) {
+        out += chunk(event(n));
+    }
+    return out;
+}
+
+/*! Streams two events and then only bytes of a third one, until the router leaves. */
+void trickle(const http_request& request, raw_server::connection& to) {
+    scripted_endpoint::stream(request, to, 1, 2, false);
+    while (to.open()) {
+        to.write(chunk(":"));
+        std::this_thread::sleep_for(milliseconds{100});
+    }
+}
+
+// Guards against streams that are cut because their endpoint is slow: with no other endpoint there is nothing to gain.
+TEST_F(gateway_fleet, a_slow_stream_that_no_other_endpoint_can_go_on_with_is_waited_for) {
+    engine_1.then([](const http_request& request, raw_server::connection& to) {
+        scripted_endpoint::stream(request, to, 1, 2, false);
+        std::this_thread::sleep_for(milliseconds{1'800});
+        to.write(events(3, 6) + "0\r\n\r\n");
+    });
+    const auto answer = gateway->post("/chat/slow");
+    EXPECT_TRUE(answer.ends_with("\r\n\r\n" + events(1, 6) + "0\r\n\r\n")) << answer;
+    EXPECT_EQ(calls(engine_1, "/chat/slow").size(), 1);
+}
+
+// Guards against a running stream that is given up for the silence of its endpoint when it was this router that did not
+// listen: its event loop was busy for longer than an endpoint may be silent.
+TEST_F(gateway_fleet, a_router_that_did_not_listen_does_not_take_its_endpoints_for_silent) {
+    add_second_endpoints();
+    for (auto* const it : {&engine_1, &engine_2}) {
+        it->then([&](const http_request& request, raw_server::connection& to) {
+            scripted_endpoint::stream(request, to, 1, 2, false);
+            std::this_thread::sleep_for(milliseconds{100});
+            gateway->block_for(milliseconds{1'800});
+            std::this_thread::sleep_for(milliseconds{100});
+            to.write(events(3, 6) + "0\r\n\r\n");
+        });
+    }
+    const auto answer = gateway->post("/chat/busy");
+    EXPECT_TRUE(answer.ends_with("\r\n\r\n" + events(1, 6) + "0\r\n\r\n")) << answer;
+    EXPECT_EQ(calls(engine_1, "/chat/busy").size() + calls(engine_2, "/chat/busy").size(), 1);
+}
+
+// Guards against streams without an end: bytes that make no event are no progress.
+TEST_F(gateway_fleet, a_stream_that_sends_bytes_but_no_events_goes_on_elsewhere_or_ends) {
+    {
+        SCOPED_TRACE("nowhere else: it ends at the route's time limit and does not look complete");
+        engine_1.then(trickle);
+        const auto began = std::chrono::steady_clock::now();
+        const auto answer = gateway->post("/chat/trickle-1");
+        EXPECT_TRUE(answer.ends_with("\r\n\r\n" + events(1, 2))) << answer;
+        EXPECT_LT(std::chrono::steady_clock::now() - began, milliseconds{4'500});
+    }
+    {
+        SCOPED_TRACE("another endpoint goes on after the last whole event");
+        add_second_endpoints();
+        for (auto* const it : {&engine_1, &engine_2}) {
+            it->otherwise([it](const http_request& request, raw_server::connection& to) {
+                if (find_field(request.fields, "Last-Event-Id").empty()) {
+                    trickle(request, to);
+                } else {
+                    it->serve(request, to);
+                }
+            });
+        }
+        const auto answer = gateway->post("/chat/trickle-2");
+        EXPECT_TRUE(answer.ends_with("\r\n\r\n" + events(1, 6) + "0\r\n\r\n")) << answer;
+    }
+}
+
+// Guards against a stream that breaks off in the middle of an event and looks complete, because its answer states no
+// length and its connection ended in order.
+TEST_F(gateway_fleet, a_stream_that_ends_inside_an_event_is_not_complete) {
+    const auto open_ended = [](const http_request& request, raw_server::connection& to, const std::string& body) {
+        to.write(concat(scripted_endpoint::head(request, 200), "Content-Type: text/event-stream\r\n\r\n", body));
+        std::this_thread::sleep_for(milliseconds{50});
+        to.close();
+    };
+    engine_1.then([&](const http_request& request, raw_server::connection& to) {
+        open_ended(request, to, event(1) + event(2) + "id: 3\ndat");
+    });
+    const auto cut = gateway->post("/chat/once/cut");
+    EXPECT_TRUE(cut.ends_with("\r\n\r\n" + events(1, 2))) << cut;
+    {
+        SCOPED_TRACE("one that ends after an event is");
+        engine_1.then([&](const http_request& request, raw_server::connection& to) {
+            open_ended(request, to, event(1) + event(2));
+        });
+        const auto whole = gateway->post("/chat/once/whole");
+        EXPECT_TRUE(whole.ends_with("\r\n\r\n" + events(1, 2) + "0\r\n\r\n")) << whole;
+    }
+}
+
+// Guards against a success for the wrong caller: a copy of an earlier answer that does not say whose it is.
+TEST_F(gateway_fleet, a_success_that_names_no_call_is_nobodys) {
+    desk_1.then([](const http_request& request, raw_server::connection& to) {
+        to.write("HTTP/1.1 200 X\r\nDandelionbay-Response-Seal: s\r\nContent-Length: 5\r\n\r\nwrong");
+        scripted_endpoint::answer(request, to, "right");
+    });
+    EXPECT_TRUE(gateway->post("/book/copy").ends_with("right"));
+}
+
+} // namespace
+} // namespace dandelionbay::platform
--- a/test/dandelionbay/platform/gateway_test.cpp
+++ b/test/dandelionbay/platform/gateway_test.cpp
@@ -177,6 +177,23 @@
     }
 }
 
+// Guards against a process that ends, or stops to read, over one answer of the store that it can't read.
+TEST_F(gateway_fleet, answers_of_the_store_that_make_no_sense_change_nothing) {
+    for (const auto* const text :
+         {"[]", "7", "{", R"({"ver": "x", "rows": []})", R"({"ver": 1})", R"({"ver": 1, "rows": 5})",
+          R"({"ver": 1, "rows": "ab"})", R"({"ver": 1, "has_more": "yes", "rows": [3]})",
+          R"({"ver": 1, "rows": [{"key": "a", "ver": "x"}]})", R"({"ver": 1, "rows": [{"key": 3, "ver": 1}]})",
+          R"({"ver": 1, "has_more": true, "rows": [{"key": "a", "ver": 1, "value": "!"}]})"}) {
+        SCOPED_TRACE(text);
+        store.answer_with(text);
+        std::this_thread::sleep_for(milliseconds{600}); // The list is read every 500 ms.
+        EXPECT_TRUE(gateway->get("/look/x").starts_with("HTTP/1.1 ")) << "it answers";
+    }
+    store.answer_with({});
+    add_second_endpoints();
+    EXPECT_TRUE(eventually([&] { return gateway->get("/look/x").ends_with("desk-2"); })) << "it reads on";
+}
+
 // Guards against a gateway that the store turns away and that stops although its peers reach the store.
 TEST_F(gateway_fleet, a_gateway_without_the_store_serves_through_its_peer) {
     const running_gateway second{"g2", free_address(), {}, {gateway->peer_address()}};
--- a/test/dandelionbay/platform/standin_store.hpp
+++ b/test/dandelionbay/platform/standin_store.hpp
@@ -45,6 +45,13 @@
         changed_.notify_all();
     }
 
+    /*! @brief Answers all reading calls with this text, or with the rows again if it is empty. */
+    void answer_with(const std::string& text) {
+        const std::scoped_lock lock{mutex_};
+        text_ = text;
+        changed_.notify_all();
+    }
+
     /*! @brief Forgets what changed before now. */
     void compact() {
         const std::scoped_lock lock{mutex_};
@@ -100,12 +107,14 @@
         const auto after = std::stoull(parameter(request, "after_rev"));
         const std::chrono::milliseconds wait{std::stoll(parameter(request, "wait_ms"))};
         changed_.wait_for(lock, wait, [&] {
-            return down_ || after < history_from_ || std::ranges::any_of(rows_, [&](const auto& it) {
+            return down_ || !text_.empty() || after < history_from_ || std::ranges::any_of(rows_, [&](const auto& it) {
                        return it.first.first == table && it.second.version > after;
                    });
         });
         if (down_) {
             answer(to, 503, "{}");
+        } else if (!text_.empty()) {
+            answer(to, 200, text_);
         } else if (after < history_from_) {
             answer(to, 410, "{}");
         } else {
@@ -133,7 +142,7 @@
         if (down_) {
             answer(to, 503, "{}");
         } else if (request.path() == "/rows-get") {
-            answer(to, 200, rows_since(parameter(request, "table"), 0, false));
+            answer(to, 200, !text_.empty() ? text_ : rows_since(parameter(request, "table"), 0, false));
         } else if (request.path() == "/rows-feed") {
             watch(request, to, lock);
         } else {
@@ -147,6 +156,7 @@
     std::uint64_t version_{};
     std::uint64_t history_from_{};
     bool down_{};
+    std::string text_{};
     raw_server server_; // Last: its threads use the members above.
 };
 
