Send cold endpoints nothing before the number of routers is known

At 34 s all 31 routers lost power; each one that started took itself for the only one (peer_found with 2, 3, 4 routers over 0.3 s) and sent cold endpoints what they bear from all. Ruled out: rows that said too late that an endpoint is cold (the endpoints had been cold for seconds). Change: the registry's table of routers is read right after the first list of endpoints; its hosts count as senders. Until it is read, or for 2 s without the registry, cold endpoints get nothing from that router. The test fails without the change.

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -62,7 +62,7 @@
 }
 
 placement dispatcher::look(time_point now) {
-    return placement{*view_, place_, limits_, routers_, loads_, now};
+    return placement{*view_, place_, limits_, routers_complete_ ? &routers_ : nullptr, loads_, now};
 }
 
 void dispatcher::place(const work_item& item, placement& sites, const placement::candidate& to, time_point now) {
--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -128,8 +128,15 @@
     /*! @brief Follows the view: forgets endpoints that are gone. @param now Time. */
     void refresh(time_point now);
 
-    /*! @brief Names all routers that may send, this one included; shares of cold endpoints follow. */
-    void set_routers(std::set<host_id> routers) { routers_ = std::move(routers); }
+    /**
+     * @brief Names all routers that may send, this one included; shares of cold endpoints follow.
+     * @param routers Their names.
+     * @param complete False if there may be others: cold endpoints get nothing from here until that is known.
+     */
+    void set_routers(std::set<host_id> routers, bool complete = true) {
+        routers_ = std::move(routers);
+        routers_complete_ = complete;
+    }
 
     /*! @brief Number of routers that may send. */
     [[nodiscard]] std::size_t routers() const noexcept { return routers_.size(); }
@@ -165,6 +172,7 @@
     dispatch_listener* listener_;
     std::mt19937_64 random_;
     std::set<host_id> routers_{};
+    bool routers_complete_{true};
     std::map<endpoint_id, endpoint_load> loads_{};
     std::map<ticket_id, waiting_call> waiting_{}; // tickets grow with time
     std::unordered_map<ticket_id, endpoint_id> placed_{};
--- a/src/dandelionbay/dispatch/placement.cpp
+++ b/src/dandelionbay/dispatch/placement.cpp
@@ -45,8 +45,8 @@
 }
 
 placement::placement(const registry_view& view, const router_place& place, const dispatch_limits& limits,
-                     const std::set<host_id>& routers, std::map<endpoint_id, endpoint_load>& loads, time_point now)
-    : view_{&view}, place_{&place}, limits_{&limits}, routers_{&routers}, now_{now} {
+                     const std::set<host_id>* routers, std::map<endpoint_id, endpoint_load>& loads, time_point now)
+    : view_{&view}, place_{&place}, limits_{&limits}, routers_{routers}, now_{now} {
     for (const auto& [id, it] : view.endpoints()) {
         if (!view.takes_work(it)) {
             continue;
@@ -77,6 +77,9 @@
 }
 
 bool placement::pace_allows(const site& it, double calls_per_s) const {
+    if (routers_ == nullptr) {
+        return false;
+    }
     const auto& id = it.known->entry.id.value;
     const auto mine = hash_of(place_->host.value, hash_of(id, 0));
     const auto rank = std::ranges::count_if(
--- a/src/dandelionbay/dispatch/placement.hpp
+++ b/src/dandelionbay/dispatch/placement.hpp
@@ -68,12 +68,12 @@
      * @param view What is known of the fleet, with a configuration; must outlive it unchanged.
      * @param place Where the router stands.
      * @param limits Limits.
-     * @param routers Names of all routers.
+     * @param routers Names of all routers; null while they are not known, which keeps cold endpoints empty.
      * @param loads Loads by endpoint; missing ones are added.
      * @param now Time.
      */
     placement(const registry_view& view, const router_place& place, const dispatch_limits& limits,
-              const std::set<host_id>& routers, std::map<endpoint_id, endpoint_load>& loads, time_point now);
+              const std::set<host_id>* routers, std::map<endpoint_id, endpoint_load>& loads, time_point now);
 
     /*! @brief Rates the endpoints for a call. @param item The call. @param team Rank of its team. */
     [[nodiscard]] choices consider(const work_item& item, const team_rank& team);
--- a/src/dandelionbay/gateway/fwd.hpp
+++ b/src/dandelionbay/gateway/fwd.hpp
@@ -7,6 +7,7 @@
 struct leaving_endpoint;
 struct route;
 struct route_config;
+struct router_entry;
 class registry_view;
 
 } // namespace dandelionbay
--- a/src/dandelionbay/gateway/registry.hpp
+++ b/src/dandelionbay/gateway/registry.hpp
@@ -13,6 +13,14 @@
 
 namespace dandelionbay {
 
+/*! @brief A router as it announced itself; it may have been killed since. */
+struct router_entry {
+    host_id host{};
+    socket_address peer_address{}; //!< Where it listens for its peers.
+
+    friend bool operator==(const router_entry&, const router_entry&) = default;
+};
+
 /*! @brief Receives what is read from the platform's registry. */
 class registry_listener {
 public:
@@ -32,8 +40,8 @@
     /*! @brief The endpoints were read. @param read_at A moment not after the reading. */
     virtual void on_endpoints(const endpoint_list& list, time_point read_at) = 0;
 
-    /*! @brief Another router announced itself. */
-    virtual void on_router(const socket_address& peer) = 0;
+    /*! @brief The announcements of all routers were read. */
+    virtual void on_routers(const std::vector<router_entry>& routers) = 0;
 
     /*! @brief The registry did not answer, or not as it should. @param call What was called. @param reason Why. */
     virtual void on_registry_failed(std::string_view call, std::string_view reason) = 0;
--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -248,8 +248,8 @@
     proxy_.pump();
 }
 
-void gateway_node::on_router(const socket_address& peer) {
-    board_.introduce(peer, clock_.now());
+void gateway_node::on_routers(const std::vector<router_entry>& routers) {
+    board_.announced(routers, clock_.now());
 }
 
 void gateway_node::on_registry_failed(std::string_view call, std::string_view reason) {
--- a/src/dandelionbay/node/gateway_node.hpp
+++ b/src/dandelionbay/node/gateway_node.hpp
@@ -83,7 +83,7 @@
     void on_config(std::shared_ptr<const route_config> config, std::string text) override;
     void on_operators(const operator_state& state, time_point read_at) override;
     void on_endpoints(const endpoint_list& list, time_point read_at) override;
-    void on_router(const socket_address& peer) override;
+    void on_routers(const std::vector<router_entry>& routers) override;
     void on_registry_failed(std::string_view call, std::string_view reason) override;
     void on_registry_back() override;
 
--- a/src/dandelionbay/peer/peer_board.cpp
+++ b/src/dandelionbay/peer/peer_board.cpp
@@ -8,7 +8,9 @@
 peer_board::peer_board(host_id self, std::uint64_t incarnation, socket_address address, registry_view& view,
                        dispatcher& dispatch, config_reader reader)
     : self_{std::move(self)}, incarnation_{incarnation}, address_{std::move(address)}, view_{&view},
-      dispatch_{&dispatch}, reader_{std::move(reader)} {}
+      dispatch_{&dispatch}, reader_{std::move(reader)} {
+    dispatch_->set_routers({self_}, false);
+}
 
 std::int64_t peer_board::age_us(const std::optional<duration>& age) noexcept {
     return age ? age->count() : -1;
@@ -20,6 +22,15 @@
     }
 }
 
+void peer_board::announced(const std::vector<router_entry>& routers, time_point now) {
+    announced_.emplace();
+    for (const auto& it : routers) {
+        announced_->insert(it.host);
+        introduce(it.peer_address, now);
+    }
+    follow_routers(now);
+}
+
 peer_state peer_board::compose(const socket_address& to, time_point now) {
     peer_state out;
     out.host = self_;
@@ -152,16 +163,21 @@
 }
 
 void peer_board::follow_routers(time_point now) {
-    std::set<host_id> routers{self_};
+    auto routers = announced_.value_or(std::set<host_id>{});
+    routers.insert(self_);
     for (const auto& [host, it] : peers_) {
         if (!it.leaving || now - it.heard < silent_after) {
             routers.insert(host);
+        } else {
+            routers.erase(host);
         }
     }
-    dispatch_->set_routers(std::move(routers));
+    const bool complete = announced_ || (first_round_ && now - *first_round_ >= all_heard_after);
+    dispatch_->set_routers(std::move(routers), complete);
 }
 
 void peer_board::begin_round(time_point now) {
+    first_round_ = first_round_.value_or(now);
     std::erase_if(peers_, [&](const auto& it) { return now - it.second.heard > forgotten_after; });
     std::erase_if(introduced_, [&](const auto& it) { return now - it.second > forgotten_after; });
     follow_routers(now);
--- a/src/dandelionbay/peer/peer_board.hpp
+++ b/src/dandelionbay/peer/peer_board.hpp
@@ -12,6 +12,7 @@
 #include "absl/status/statusor.h"
 #include "dandelionbay/base/clock.hpp"
 #include "dandelionbay/dispatch/dispatcher.hpp"
+#include "dandelionbay/gateway/registry.hpp"
 #include "dandelionbay/gateway/registry_view.hpp"
 #include "dandelionbay/peer/peer_state.hpp"
 
@@ -61,6 +62,9 @@
     static constexpr duration silent_after = std::chrono::seconds{1};
     /*! @brief Messages that are not confirmed within this time count as lost: several intervals and a round trip. */
     static constexpr duration confirmed_within = std::chrono::milliseconds{1'200};
+    /*! @brief Without the registry, all routers that are there were heard this long after the start: several intervals.
+     */
+    static constexpr duration all_heard_after = std::chrono::milliseconds{2'000};
     /*! @brief A peer that was not heard for this time is forgotten. */
     static constexpr duration forgotten_after = std::chrono::seconds{20};
     /*! @brief A peer whose list of endpoints is older than this gets a newer one. */
@@ -72,6 +76,9 @@
     peer_board(host_id self, std::uint64_t incarnation, socket_address address, registry_view& view,
                dispatcher& dispatch, config_reader reader);
 
+    /*! @brief Takes over which routers announced themselves to the registry. */
+    void announced(const std::vector<router_entry>& routers, time_point now);
+
     /*! @brief Learns of another router's address. */
     void introduce(const socket_address& address, time_point now);
 
@@ -110,6 +117,8 @@
     bool leaving_{};
     std::map<host_id, peer> peers_{};
     std::map<socket_address, time_point> introduced_{}; //!< Addresses, and when they were last heard of.
+    std::optional<std::set<host_id>> announced_{};      //!< In the registry, as of its last reading.
+    std::optional<time_point> first_round_{};
 };
 
 } // namespace dandelionbay
--- a/test/dandelionbay/peer/peer_board_test.cpp
+++ b/test/dandelionbay/peer/peer_board_test.cpp
@@ -107,6 +107,87 @@
     EXPECT_EQ(self.dispatch.routers(), 1);
 }
 
+// Guards against the crash of cold endpoints when all routers start at once: each one that has heard nobody yet would
+// send what an endpoint bears from all of them together.
+TEST(peer_board, a_router_that_just_started_knows_its_share_before_it_uses_it) {
+    constexpr double cold_calls_per_s = 10.0;
+    const auto placed_of_20 = [](router& it, time_point now) {
+        route_config config;
+        config.version = 1;
+        config.services = {endpoint_service{service_id{"model"}, cold_calls_per_s, engine_profile{64, 200'000, 4}}};
+        it.view.adopt(std::make_shared<const route_config>(make_route_config(std::move(config))));
+        endpoint_entry cold;
+        cold.id = endpoint_id{"cold"};
+        cold.service = service_id{"model"};
+        cold.slots = 64;
+        cold.cold_for = seconds{10};
+        cold.row_version = 1;
+        it.view.merge(endpoint_list{1, {cold}}, now, now);
+        for (ticket_id n = 1; n <= 20; ++n) {
+            work_item call;
+            call.ticket = n;
+            call.service = service_id{"model"};
+            call.prompt_tokens = 10.0;
+            call.target = seconds{1};
+            call.arrived = now;
+            it.dispatch.submit(call, now);
+            it.dispatch.pump(now);
+        }
+        return it.dispatch.load(endpoint_id{"cold"}).own(now).calls;
+    };
+    {
+        SCOPED_TRACE("it has heard of nobody");
+        router self{"a", 1};
+        EXPECT_EQ(placed_of_20(self, start), 0);
+        self.board.begin_round(start);
+        EXPECT_EQ(placed_of_20(self, start + milliseconds{100}), 0);
+    }
+    {
+        SCOPED_TRACE("it has read who announced themselves, 20 routers of which half send one call a second each");
+        router self{"a", 1};
+        std::vector<router_entry> all;
+        for (std::uint16_t n = 0; n < 20; ++n) {
+            all.push_back(router_entry{host_id{n == 0 ? "a" : "r" + std::to_string(n)}, {"127.0.0.1", n}});
+        }
+        self.board.announced(all, start);
+        EXPECT_EQ(self.dispatch.routers(), 20);
+        EXPECT_LE(placed_of_20(self, start), 1);
+    }
+    {
+        SCOPED_TRACE("the registry does not answer: it is alone if nobody was heard for some time");
+        router self{"a", 1};
+        self.board.begin_round(start);
+        const auto later = start + peer_board::all_heard_after;
+        self.board.begin_round(later);
+        EXPECT_EQ(placed_of_20(self, later), 10);
+    }
+}
+
+// Guards against calls from other routers to an endpoint that told only one router that it leaves, also after that
+// router's process was replaced.
+TEST(peer_board, what_an_endpoint_told_one_router_reaches_the_others) {
+    router first{"a", 1};
+    router second{"b", 2};
+    first.read_store(10, 3, start);
+    second.read_store(10, 3, start);
+    const leaving_endpoint leaves{endpoint_id{"e10"}, 0};
+    ASSERT_TRUE(first.view.note_leaving(leaves, start));
+    const auto change = second.board.receive(first.board.compose(second_address, start), start);
+    EXPECT_EQ(change.endpoints_leaving, (std::vector<leaving_endpoint>{leaves}));
+    EXPECT_FALSE(second.view.takes_work(second.view.endpoints().begin()->second));
+    EXPECT_TRUE(second.board.receive(first.board.compose(second_address, start), start).endpoints_leaving.empty());
+    {
+        SCOPED_TRACE("a router that just started hears it from any of them");
+        router restarted{"a", 1};
+        restarted.read_store(11, 3, start);
+        restarted.view.merge(second.view.list(), start, start);
+        restarted.read_store(12, 3, start);
+        restarted.view.merge(endpoint_list{13, second.view.list().entries}, start, start);
+        restarted.board.receive(second.board.compose(first_address, start), start);
+        EXPECT_FALSE(restarted.view.takes_work(restarted.view.endpoints().begin()->second));
+    }
+}
+
 // Guards against messages that can't be decoded, of another version or cut short, taking the process down.
 TEST(peer_state, messages_survive_the_wire_and_garbage_is_refused) {
     peer_state it;
@@ -127,12 +208,24 @@
     it.queues = {service_queue{service_id{"s"}, 12.0}};
     it.peers = {second_address};
     it.config_text = "version 3";
+    it.endpoints_leaving = {leaving_endpoint{endpoint_id{"e"}, 99}};
     const auto bytes = encode(it);
     EXPECT_EQ(*decode_peer_state(bytes), it);
     for (std::size_t n = 0; n < bytes.size(); ++n) {
         EXPECT_FALSE(decode_peer_state(std::string_view{bytes}.substr(0, n)).ok()) << n << " bytes";
     }
     EXPECT_FALSE(decode_peer_state("\x93\x01\x02\x03").ok());
+    {
+        SCOPED_TRACE("routers are replaced one after the other: one that does not name leaving endpoints is heard");
+        it.endpoints_leaving.clear();
+        auto before = encode(it);
+        constexpr char array_of_14 = '\x9e';
+        before.front() = array_of_14;
+        before.pop_back();
+        const auto read = decode_peer_state(before);
+        ASSERT_TRUE(read.ok()) << read.status();
+        EXPECT_EQ(*read, it);
+    }
 }
 
 } // namespace
