Let a refused team that is far behind the most served one go first

Ruled out earlier (docs/experiments.md): an even share as the level from which teams give way; it makes more teams go first and costs all of them. This is the idea that was left untried there. Change: a team that is refused and has under 0.6 of the most served team's service of the last 4 s counts as least served. Teams that lack nothing still give way. The test fails without the change.

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -56,8 +56,13 @@
     if (std::isinf(least)) {
         return {};
     }
-    const double above = usage_.used(item.team, now) - least;
-    const double widest = std::max(1.0, usage_.most(now) - least);
+    const double used = usage_.used(item.team, now);
+    const double most = usage_.most(now);
+    if (usage_.refused(item.team, now) && used < limits_.behind_share * most) {
+        return {true, 0.0}; // A small team that is refused now and then must not hold it back.
+    }
+    const double above = used - least;
+    const double widest = std::max(1.0, most - least);
     return {true, std::clamp(above / widest, 0.0, 1.0)};
 }
 
--- a/src/dandelionbay/dispatch/team_usage.cpp
+++ b/src/dandelionbay/dispatch/team_usage.cpp
@@ -91,6 +91,12 @@
     return least_denied_;
 }
 
+bool team_usage::refused(const team_id& team, time_point now) {
+    sum_up(now);
+    const auto it = totals_.find(team);
+    return it != totals_.end() && it->second.denied > denied_share * it->second.used;
+}
+
 double team_usage::most(time_point now) {
     find_extremes(now);
     return most_;
--- a/src/dandelionbay/dispatch/team_usage.hpp
+++ b/src/dandelionbay/dispatch/team_usage.hpp
@@ -71,6 +71,9 @@
      */
     [[nodiscard]] double least_denied(time_point now);
 
+    /*! @brief Tells whether a team was refused more than now and then. @param now Time. */
+    [[nodiscard]] bool refused(const team_id& team, time_point now);
+
     /*! @brief Service of the most served team. @param now Time. @return Cost units; 0 if none was served. */
     [[nodiscard]] double most(time_point now);
 
--- a/src/dandelionbay/dispatch/work.hpp
+++ b/src/dandelionbay/dispatch/work.hpp
@@ -89,6 +89,7 @@
     double yield_share{0.5};        //!< Part of that for a team just above the least served refused one.
     double far_yield_share{0.05};   //!< Part of that for the most served team; the others lie between.
     double yield_margin{1.2};       //!< How much more it must have got: reports of peers are a little old.
+    double behind_share{0.6};       //!< Part of the most served team's service below which a refused team goes first.
     double memory_share{0.85};      //!< Share of an engine's memory that calls in flight may come to occupy.
     double reading_weight{5.0};     //!< Reading costs the calls behind it too, and evicts what others share.
     double zone_cost_ms{12.0};      //!< Aversion to another zone of the region: its round trip and its traffic.
--- a/src/dandelionbay/settings/process_settings.cpp
+++ b/src/dandelionbay/settings/process_settings.cpp
@@ -206,6 +206,7 @@
         reader.number("yield_share", presence::optional, out.yield_share, 0.0, 1.0);
         reader.number("least_share", presence::optional, out.least_share, 1.0, max_policy_factor);
         reader.number("far_yield_share", presence::optional, out.far_yield_share, 0.0, 1.0);
+        reader.number("behind_share", presence::optional, out.behind_share, 0.0, 1.0);
         reader.number("yield_margin", presence::optional, out.yield_margin, 1.0, max_policy_factor);
         reader.number("memory_share", presence::optional, out.memory_share, 0.0, 1.0);
         reader.number("reading_weight", presence::optional, out.reading_weight, 0.0, max_policy_factor);
--- a/test/dandelionbay/dispatch/dispatcher_test.cpp
+++ b/test/dandelionbay/dispatch/dispatcher_test.cpp
@@ -105,6 +105,28 @@
     }
 }
 
+// Guards against the pattern "one large team far behind another": it enters at one router only, and a small team that
+// is refused now and then elsewhere makes it give way, although it gets less than half of the most served team (FAIR).
+TEST(dispatcher, a_team_far_behind_the_most_served_one_gives_way_to_nobody) {
+    const auto placed_of_6 = [](double used, double refused) {
+        dispatch_fixture fleet{1};
+        fleet.router.usage().report(host_id{"r2"},
+                                    {team_service{team_id{"small"}, 2'000.0, 500.0},
+                                     team_service{team_id{"large"}, used, refused},
+                                     team_service{team_id{"most"}, 90'000.0, 9'000.0}},
+                                    fleet.now);
+        fleet.now += milliseconds{100};
+        int placed = 0;
+        for (int n = 0; n < 6; ++n) {
+            placed += fleet.log.placements.contains(fleet.send(fleet.call("large", 0, 0, 1'500))) ? 1 : 0;
+        }
+        return placed;
+    };
+    EXPECT_GE(placed_of_6(40'000.0, 9'000.0), 4) << "under half of the most served team";
+    EXPECT_EQ(placed_of_6(80'000.0, 9'000.0), 1) << "near the most served team it leaves room";
+    EXPECT_EQ(placed_of_6(40'000.0, 500.0), 1) << "it is not refused more than now and then: it lacks nothing";
+}
+
 // Guards against the pattern "a burst of calls while other routers have work waiting": calls that are refused in their
 // first round, because their reading does not count before it and the others' work looks like nearly all there is.
 TEST(dispatcher, a_burst_counts_with_its_reading_from_the_start) {
