Go on with a running call at once, and judge limits on hosts that are always late

Change: a call that an endpoint may have run is placed at once on any endpoint that takes it, before those that wait; what came is read first only after the first of several late turns.

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -181,6 +181,19 @@
     call.best_reading_ms = std::max(limits_.least_wait_ms, reading);
 }
 
+bool dispatcher::place_now(const work_item& item, time_point now) {
+    if (view_->config() == nullptr) {
+        return false;
+    }
+    auto sites = look(now);
+    const auto choice = sites.consider(item, rank_of(item, now)).best_ready;
+    if (choice.at == nullptr) {
+        return false;
+    }
+    place(item, sites, choice, now);
+    return true;
+}
+
 bool dispatcher::takes_now(const work_item& item, time_point now) {
     return look(now).consider(item, rank_of(item, now)).best_ready.at != nullptr;
 }
--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -98,6 +98,10 @@
     /*! @brief A call wants an endpoint; it is placed at once, or waits for pump(). @param item The call. */
     void submit(work_item item, time_point now);
 
+    /*! @brief Places a call at once, before all that wait. @return False if no endpoint takes it now; it is not kept.
+     */
+    bool place_now(const work_item& item, time_point now);
+
     /*! @brief Tells whether an endpoint would take a call at once. @param item The call. @param now Time. */
     [[nodiscard]] bool takes_now(const work_item& item, time_point now);
 
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -119,7 +119,10 @@
 
 void exchange::submit(time_point now) {
     stage_ = stage::waiting;
-    owner_->dispatch().submit(work(), now);
+    const bool refusable = runs_ == 0 && !begun_; // Otherwise waiting in vain would end in a cut or an unclear answer.
+    if (refusable || !owner_->dispatch().place_now(work(), now)) {
+        owner_->dispatch().submit(work(), now);
+    }
 }
 
 duration exchange::fresh_connection_limit() const noexcept {
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -99,11 +99,14 @@
 }
 
 void proxy::note_turn(duration late, time_point now) {
-    if (late > inattentive_after) {
+    const bool inattentive = late > inattentive_after;
+    if (inattentive &&
+        !std::exchange(inattentive_, true)) { // Once in a row: on a host that is always late, limits hold.
         attentive_since_ = now;
         dispatcher_.forgive_silence(now);
         environment_.metrics->add("late_turns_total");
     }
+    inattentive_ = inattentive;
     if (!gauge_.turned(late, now)) {
         return;
     }
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -162,6 +162,7 @@
     std::uint64_t buffered_{};
     time_point expired_{};
     time_point attentive_since_{};
+    bool inattentive_{}; //!< The last turn came so late that endpoints' answers were not read in time.
     time_point next_closing_{};
     round_pacer pacer_{};
     overload_gauge gauge_{};
--- a/test/dandelionbay/dispatch/dispatcher_test.cpp
+++ b/test/dandelionbay/dispatch/dispatcher_test.cpp
@@ -292,6 +292,28 @@
     }
 }
 
+// Guards against running streams that are cut because their next endpoint was to be waited for behind new calls.
+TEST(dispatcher, a_call_that_must_go_on_is_placed_before_those_that_wait) {
+    dispatch_fixture fleet{2};
+    auto stuck = fleet.call("team", 1, 2'000, 10);
+    stuck.excluded = {endpoint_id{"e0"}, endpoint_id{"e1"}};
+    fleet.send(std::move(stuck));
+    ASSERT_EQ(fleet.router.waiting(), 1);
+    auto running = fleet.call("team", 1, 2'000, 10);
+    running.excluded = {endpoint_id{"e0"}};
+    EXPECT_TRUE(fleet.router.place_now(running, fleet.now));
+    EXPECT_EQ(fleet.log.placements[running.ticket], "e1");
+    EXPECT_EQ(fleet.router.waiting(), 1);
+    {
+        SCOPED_TRACE("with no endpoint for it, it is not kept");
+        auto next = fleet.call("team", 1, 2'000, 10);
+        next.excluded = {endpoint_id{"e0"}, endpoint_id{"e1"}};
+        EXPECT_FALSE(fleet.router.place_now(next, fleet.now));
+        EXPECT_EQ(fleet.router.waiting(), 1);
+        EXPECT_FALSE(fleet.log.placements.contains(next.ticket));
+    }
+}
+
 // Guards against work for an endpoint that went silent or can't be reached, and against its return with full load.
 TEST(dispatcher, silent_and_unreachable_endpoints_get_no_work) {
     dispatch_fixture fleet{2};
--- a/test/dandelionbay/platform/gateway_fleet.hpp
+++ b/test/dandelionbay/platform/gateway_fleet.hpp
@@ -194,9 +194,9 @@
     }
 
     /*! Makes its loop late for some time. */
-    void hold_up_for(milliseconds time) {
+    void hold_up_for(milliseconds time, milliseconds each = milliseconds{150}) {
         boost::asio::post(node_.loop(),
-                          [this, end = std::chrono::steady_clock::now() + time] { hold_up(milliseconds{150}, end); });
+                          [this, each, end = std::chrono::steady_clock::now() + time] { hold_up(each, end); });
     }
 
     [[nodiscard]] std::string get(const std::string& path, const std::string& more = {}) const {
