Do not use a call after its stream has ended it

Cause: took an early return out of exchange::on_body, so the size of what is held was read after send_events(), which ends the call, and with it the object, when an event of a stream is missing. Change: the size is checked before the events are passed on. Test: a stream that skips an event. Under the address sanitizer it reports heap-use-after-free in exchange::on_body without the change and passes with it.

--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -268,12 +268,13 @@
     owner_->dispatch().heard(choice_.endpoint, owner_->now());
     if (streaming_) {
         scanner_.append(bytes);
-        send_events();
     } else {
         body_ += bytes;
     }
     if (body_.size() > held_bytes || scanner_.rest().size() > held_bytes) {
         on_failed(request_failure::garbage);
+    } else if (streaming_) {
+        send_events(); // May end the call, which then is gone.
     }
 }
 
--- a/test/dandelionbay/platform/gateway_stream_test.cpp
+++ b/test/dandelionbay/platform/gateway_stream_test.cpp
@@ -114,6 +114,17 @@
     }
 }
 
+// Guards against a stream with a missing event that looks whole, and against the use of a call that ended meanwhile.
+TEST_F(gateway_fleet, a_stream_that_skips_an_event_is_cut_before_the_gap) {
+    engine_1.then([](const http_request& request, raw_server::connection& to) {
+        scripted_endpoint::stream(request, to, 1, 2, false);
+        to.write(events(4, 6) + "0\r\n\r\n");
+    });
+    const auto cut = gateway->post("/chat/once/gap");
+    EXPECT_TRUE(cut.ends_with("\r\n\r\n" + events(1, 2))) << cut;
+    EXPECT_EQ(calls(engine_1, "/chat/once/gap").size(), 1);
+}
+
 // Guards against a success for the wrong caller: a copy of an earlier answer that does not say whose it is.
 TEST_F(gateway_fleet, a_success_that_names_no_call_is_nobodys) {
     desk_1.then([](const http_request& request, raw_server::connection& to) {
