--- a/src/dandelionbay/dispatch/team_usage.cpp
+++ b/src/dandelionbay/dispatch/team_usage.cpp
@@ -6,6 +6,15 @@
 
 namespace dandelionbay {
 
+namespace {
+
+/*! Tells whether a team was refused more than now and then. */
+[[nodiscard]] bool lacks_service(double used, double denied) noexcept {
+    return denied > team_usage::denied_share * used;
+}
+
+} // namespace
+
 void team_usage::expire(time_point now) {
     while (!charges_.empty() && now - charges_.front().at >= window) {
         const auto& oldest = charges_.front();
@@ -73,7 +82,7 @@
     least_denied_ = std::numeric_limits<double>::infinity();
     most_ = 0.0;
     for (const auto& [team, it] : totals_) {
-        if (it.denied > denied_share * it.used) {
+        if (lacks_service(it.used, it.denied)) {
             least_denied_ = std::min(least_denied_, it.used);
         }
         most_ = std::max(most_, it.used);
@@ -94,7 +103,7 @@
 bool team_usage::refused(const team_id& team, time_point now) {
     sum_up(now);
     const auto it = totals_.find(team);
-    return it != totals_.end() && it->second.denied > denied_share * it->second.used;
+    return it != totals_.end() && lacks_service(it->second.used, it->second.denied);
 }
 
 double team_usage::most(time_point now) {
--- a/test/dandelionbay/platform/documents_test.cpp
+++ b/test/dandelionbay/platform/documents_test.cpp
@@ -20,6 +20,14 @@
              "tokens_per_s": 240000},
   "tenants": [{"name": "t", "api_keys": ["k1", "k2"], "allowed_regions": []}]})";
 
+/*! What an answer with this status and header says. */
+[[nodiscard]] answer_terms read(int status, field_list fields) {
+    response_head head;
+    head.status = status;
+    head.fields = std::move(fields);
+    return make_call_protocol()->read_answer(head);
+}
+
 // Guards against routes that are read with other limits than the operator wrote.
 TEST(read_config, a_configuration_is_read_into_typed_values) {
     const auto config = read_config(document);
@@ -115,13 +123,6 @@
 
 // Guards against a refusal that is taken for "not run" although the endpoint did not say so.
 TEST(call_headers, only_the_endpoint_says_that_it_did_not_run_a_call) {
-    const auto protocol = make_call_protocol();
-    const auto read = [&](int status, field_list fields) {
-        response_head head;
-        head.status = status;
-        head.fields = std::move(fields);
-        return protocol->read_answer(head);
-    };
     EXPECT_FALSE(read(503, {}).not_run);
     EXPECT_TRUE(read(503, {{"dandelionbay-not-executed", "1"}}).not_run);
     EXPECT_TRUE(read(421, {}).not_run);
@@ -133,13 +134,6 @@
 // Guards against endpoints that are not heard when they say that they leave or that they want no calls for some time,
 // and against values that would keep an endpoint idle for ever.
 TEST(call_headers, endpoints_say_that_they_leave_and_for_how_long_they_want_no_calls) {
-    const auto protocol = make_call_protocol();
-    const auto read = [&](int status, field_list fields) {
-        response_head head;
-        head.status = status;
-        head.fields = std::move(fields);
-        return protocol->read_answer(head);
-    };
     {
         SCOPED_TRACE("leaving: on any answer, but not on one of another endpoint at this address");
         for (const int status : {200, 404, 429, 500, 503}) {
