Name the call and the endpoint's process in the logs of attempts

Cause: the incident's hypotheses can't be told apart by the logs: attempt_failed names the caller's attempt, and a caller that comes again has a new id and mostly another gateway. Change: attempt_failed and call_ended carry a fingerprint of method, host, path, body and team, and attempt_failed the start of the endpoint's process. One fingerprint_of serves this and the two callers that had one of their own, whose values stay as they were (stored claims hold them).

--- /dev/null
+++ b/src/dandelionbay/base/fingerprint.cpp
@@ -0,0 +1,21 @@
+#include "dandelionbay/base/fingerprint.hpp"
+
+#include <xxhash.h>
+
+#include "dandelionbay/base/text.hpp"
+
+namespace dandelionbay {
+
+std::uint64_t fingerprint_of(std::initializer_list<std::string_view> texts) noexcept {
+    std::uint64_t out = 0;
+    for (const auto text : texts) {
+        out = XXH64(text.data(), text.size(), out);
+    }
+    return out;
+}
+
+std::string fingerprint_text(std::uint64_t it) {
+    return concat(absl::Hex(it, absl::kZeroPad16));
+}
+
+} // namespace dandelionbay
--- a/src/dandelionbay/http/caller_front.cpp
+++ b/src/dandelionbay/http/caller_front.cpp
@@ -4,10 +4,10 @@
 #include <utility>
 
 #include <nlohmann/json.hpp>
-#include <xxhash.h>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "dandelionbay/base/fingerprint.hpp"
 #include "dandelionbay/base/text.hpp"
 #include "dandelionbay/http/chat_request.hpp"
 #include "dandelionbay/http/error_body.hpp"
@@ -28,11 +28,6 @@
            });
 }
 
-std::uint64_t fingerprint_of(const team_id& team, std::string_view path, std::string_view body) {
-    const auto seed = XXH64(team.value.data(), team.value.size(), XXH64(path.data(), path.size(), 0));
-    return XXH64(body.data(), body.size(), seed);
-}
-
 std::string error_event(const answer_end& why) {
     return absl::StrCat("event: error\ndata: ", error_body(why.code, why.state), "\n\n");
 }
@@ -143,7 +138,7 @@
     accepted_request work;
     work.team = caller->team->id;
     work.service = offer->id;
-    work.fingerprint = fingerprint_of(work.team, request.path, request.body);
+    work.fingerprint = fingerprint_of({request.path, work.team.value, request.body});
     work.input_tokens = parsed->input_tokens;
     work.max_output_tokens = parsed->max_output_tokens;
     work.request = call{"POST",
--- a/src/dandelionbay/http/caller_services.cpp
+++ b/src/dandelionbay/http/caller_services.cpp
@@ -1,9 +1,8 @@
 #include <algorithm>
 #include <utility>
 
-#include <xxhash.h>
-
 #include "absl/strings/match.h"
+#include "dandelionbay/base/fingerprint.hpp"
 #include "dandelionbay/base/text.hpp"
 #include "dandelionbay/http/caller_front.hpp"
 #include "dandelionbay/http/service_path.hpp"
@@ -14,16 +13,6 @@
 
 constexpr std::size_t max_key_bytes = 255;
 
-std::uint64_t fingerprint_of(const call& request) {
-    const auto seed = XXH64(request.method.data(), request.method.size(), 0);
-    const auto path = XXH64(request.path.data(), request.path.size(), seed);
-    return XXH64(request.body.data(), request.body.size(), path);
-}
-
-std::uint64_t fingerprint_of(const team_id& team, std::uint64_t request) {
-    return XXH64(team.value.data(), team.value.size(), request);
-}
-
 call endpoint_call(const httplib::Request& request, const service_target& target) {
     call it{request.method, target.path, {}, request.body};
     for (const auto& [name, value] : request.headers) {
@@ -146,8 +135,9 @@
         refuse(response, result_code::store_unavailable);
         return;
     }
-    auto decision = claims_->begin(
-        {work.team, work.service, key, fingerprint_of(work.request), offer.queue_timeout_ms + offer.run_timeout_ms});
+    auto decision = claims_->begin({work.team, work.service, key,
+                                    fingerprint_of({work.request.method, work.request.path, work.request.body}),
+                                    offer.queue_timeout_ms + offer.run_timeout_ms});
     if (decision.action == claim_decision::kind::replay) {
         counters_->add("claims_replayed_total");
         send_whole(decision.answer, response);
@@ -193,7 +183,7 @@
     work.service = offer->id;
     work.idempotent = !not_repeatable(*offer, request.method, target->decoded);
     work.request = endpoint_call(request, *target);
-    work.fingerprint = fingerprint_of(work.team, fingerprint_of(work.request));
+    work.fingerprint = fingerprint_of({work.request.method, work.request.path, work.request.body, work.team.value});
     if (!work.idempotent) {
         run_claimed(std::move(work), *offer, request.get_header_value("Idempotency-Key"), response);
         return;
--- a/src/dandelionbay/proxy/call_record.cpp
+++ b/src/dandelionbay/proxy/call_record.cpp
@@ -1,6 +1,7 @@
 #include "dandelionbay/proxy/call_record.hpp"
 
 #include "absl/strings/str_format.h"
+#include "dandelionbay/base/fingerprint.hpp"
 
 namespace dandelionbay {
 
@@ -23,7 +24,9 @@
 void log_attempt_failed(bounded_log& log, const call_record& it, std::string_view reason) {
     log.write(log_level::warn, "attempt_failed",
               {{"request", it.request},
+               {"call", fingerprint_text(it.call)},
                {"endpoint", it.choice.endpoint.value},
+               {"endpoint_started", std::to_string(it.choice.process_started)},
                {"reason", std::string{reason}},
                {"waited_ms", to_text(it.waited)},
                {"list_age_ms", to_text(it.list_age)},
@@ -34,6 +37,7 @@
 void log_call_ended(bounded_log& log, const call_record& it, std::string_view outcome, int status) {
     log.write(log_level::info, "call_ended",
               {{"request", it.request},
+               {"call", fingerprint_text(it.call)},
                {"outcome", std::string{outcome}},
                {"status", std::to_string(status)},
                {"route", it.route},
--- a/src/dandelionbay/proxy/call_record.hpp
+++ b/src/dandelionbay/proxy/call_record.hpp
@@ -14,7 +14,8 @@
 
 /*! @brief What the log tells of one call: the decisions about it, their inputs and how old those were. */
 struct call_record {
-    std::string request{}; //!< The caller's id of it.
+    std::string request{}; //!< The caller's id of this attempt.
+    std::uint64_t call{};  //!< Fingerprint of the call; equal for all attempts of it.
     std::string route{};
     team_id team{};
     service_id service{};
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_format.h"
+#include "dandelionbay/base/fingerprint.hpp"
 #include "dandelionbay/base/text.hpp"
 #include "dandelionbay/http/error_body.hpp"
 #include "dandelionbay/proxy/caller_connection.hpp"
@@ -333,10 +334,15 @@
     give_up("stopping");
 }
 
+std::uint64_t exchange::fingerprint() const noexcept {
+    return fingerprint_of({request_.method, request_.host, request_.target, request_.body, team_.value});
+}
+
 call_record exchange::record() const {
     const auto now = owner_->now();
     call_record out;
     out.request = terms_.id;
+    out.call = fingerprint();
     out.route = route_ == nullptr ? std::string{} : route_->name;
     out.team = team_;
     out.service = service_;
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -46,6 +46,9 @@
     void give_up(std::string_view reason);
     void refuse(int status, result_code code, duration retry_after);
     [[nodiscard]] call_record record() const;
+
+    /*! Names the call; the caller's further attempts of it have the same name. */
+    [[nodiscard]] std::uint64_t fingerprint() const noexcept;
     void finish(std::string_view outcome, int status);
     [[nodiscard]] duration time_left(time_point now) const noexcept;
 
