Add a failing test of a call that ends each endpoint that runs it

What callers saw: endpoints end one after the other, and every other call that runs there is lost with them. Run: two gateways before three endpoints of a service; a call that ends its endpoint comes again under new ids at both. Ruled out: one attempt that reaches too many endpoints (each reached two, as the route allows), and the limit on repeats as a whole (a handful of calls). The caller's next attempt has a new id, and nobody knows the call again. The counterpart, calls that are lost with endpoints that end for another reason, passes and must go on to.

--- /dev/null
+++ b/test/dandelionbay/platform/crashing_service.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway_fleet.hpp"
+
+namespace dandelionbay::platform {
+
+/*! @brief Endpoints of one service whose processes end when they begin a certain call, and start again under new names.
+ */
+class crashing_service {
+    struct life {
+        std::unique_ptr<scripted_endpoint> endpoint{};
+        std::shared_ptr<std::atomic<bool>> crashed{std::make_shared<std::atomic<bool>>()};
+    };
+
+public:
+    /*! @brief Part of the path of calls that end their endpoint. */
+    static constexpr std::string_view crashing_path = "/crash";
+    /*! @brief Part of the path of calls that take some time. */
+    static constexpr std::string_view slow_path = "/slow";
+    static constexpr milliseconds slow_time{300};
+
+    /*! @brief Starts the endpoints. @param store Registers them; outlives this. @param name Of the service. */
+    crashing_service(standin_store& store, std::string name, std::size_t endpoints)
+        : store_{&store}, name_{std::move(name)} {
+        for (std::size_t n = 0; n < endpoints; ++n) {
+            lives_.push_back(start());
+        }
+    }
+
+    /*! @brief Processes that ended so far. */
+    [[nodiscard]] int crashes() const { return crashes_; }
+
+    /*! @brief Slow calls that run now. */
+    [[nodiscard]] int running() const { return running_; }
+
+    /*! @brief Starts a new process for each that ended. */
+    void restart_ended() {
+        for (auto& it : lives_) {
+            if (*it.crashed) {
+                store_->remove("servers", it.endpoint->id());
+                ended_.push_back(std::move(it));
+                it = start();
+            }
+        }
+    }
+
+    /*! @brief Ends all processes at once, whatever they run. */
+    void crash_all() {
+        for (auto& it : lives_) {
+            *it.crashed = true;
+            it.endpoint->crash();
+        }
+    }
+
+    /*! @brief Ends all processes for good. */
+    void stop() {
+        for (auto* const list : {&lives_, &ended_}) {
+            for (auto& it : *list) {
+                it.endpoint->stop();
+            }
+        }
+    }
+
+private:
+    [[nodiscard]] life start() {
+        life out;
+        out.endpoint = std::make_unique<scripted_endpoint>(concat(name_, "-life-", ++started_));
+        auto* const endpoint = out.endpoint.get();
+        endpoint->otherwise(
+            [this, endpoint, crashed = out.crashed](const http_request& request, raw_server::connection& to) {
+                if (request.path().find(crashing_path) != std::string_view::npos) {
+                    if (!crashed->exchange(true)) {
+                        ++crashes_;
+                        endpoint->crash();
+                    }
+                    return;
+                }
+                if (request.path().find(slow_path) != std::string_view::npos) {
+                    ++running_;
+                    std::this_thread::sleep_for(slow_time);
+                    --running_;
+                }
+                endpoint->serve(request, to);
+            });
+        store_->put("servers", endpoint->id(), endpoint->entry(name_));
+        return out;
+    }
+
+    standin_store* store_;
+    std::string name_;
+    int started_{};
+    std::atomic<int> crashes_{};
+    std::atomic<int> running_{};
+    std::vector<life> lives_{};
+    std::vector<life> ended_{}; // Their threads may still run.
+};
+
+} // namespace dandelionbay::platform
--- /dev/null
+++ b/test/dandelionbay/platform/gateway_crash_test.cpp
@@ -0,0 +1,95 @@
+#include "crashing_service.hpp"
+
+namespace dandelionbay::platform {
+namespace {
+
+/*! Two gateways before endpoints that end when they begin a certain call. */
+class gateway_crash : public gateway_fleet {
+protected:
+    /*! How long gateways may take to learn that a call has ended its endpoints. */
+    static constexpr seconds contact{4};
+    /*! Sends that are allowed after that. */
+    static constexpr int allowed_later = 3;
+
+    void SetUp() override {
+        gateway_fleet::SetUp();
+        store.remove("servers", desk_1.id());
+        other = std::make_unique<running_gateway>("g2", store.address(), gateway_bounds{},
+                                                  std::vector<socket_address>{gateway->peer_address()});
+        ASSERT_TRUE(desks_serve());
+        std::this_thread::sleep_for(milliseconds{700}); // The list, read every 500 ms, may still hold the first desk.
+    }
+
+    void TearDown() override {
+        other.reset();
+        desks.stop();
+        gateway_fleet::TearDown();
+    }
+
+    /*! Waits until both gateways serve with the endpoints that are there now. */
+    [[nodiscard]] bool desks_serve() {
+        return eventually([&] {
+            return gateway->get("/look/any").find("\r\n\r\ndesk-life-") != std::string::npos &&
+                   other->get("/look/any").find("\r\n\r\ndesk-life-") != std::string::npos;
+        });
+    }
+
+    /*! The call comes again, at the gateways in turn, until it has ended this many endpoints. */
+    void crash_endpoints(const std::string& path, int n) {
+        for (int sent = 0; desks.crashes() < n && sent < 4 * n; ++sent) {
+            std::ignore = (sent % 2 == 0 ? *gateway : *other).get(path);
+            desks.restart_ended();
+            ASSERT_TRUE(desks_serve());
+        }
+        ASSERT_GE(desks.crashes(), n);
+    }
+
+    crashing_service desks{store, "desk", 3};
+    std::unique_ptr<running_gateway> other{};
+};
+
+// Guards against a call that ends each endpoint that runs it and is sent to more and more of them, because its caller
+// comes again under a new id and at another gateway.
+TEST_F(gateway_crash, a_call_that_ends_its_endpoints_is_not_sent_again_and_again) {
+    const std::string path = concat("/look", crashing_service::crashing_path);
+    crash_endpoints(path, 3);
+    std::this_thread::sleep_for(contact);
+    const int before = desks.crashes();
+    std::string last;
+    for (int n = 0; n < 8; ++n) {
+        last = (n % 2 == 0 ? *gateway : *other).get(path);
+        desks.restart_ended();
+        std::this_thread::sleep_for(milliseconds{100});
+    }
+    EXPECT_LE(desks.crashes() - before, allowed_later);
+    EXPECT_NE(last.find(" 422 "), std::string::npos) << last;
+    EXPECT_NE(last.find("crashes_endpoints"), std::string::npos) << last;
+    {
+        SCOPED_TRACE("other calls are served as before");
+        ASSERT_TRUE(desks_serve());
+        EXPECT_NE(gateway->get("/look/other").find("200 X"), std::string::npos);
+    }
+}
+
+// Guards against a refusal of calls that only happened to run at endpoints that ended: many at a time, and again later.
+TEST_F(gateway_crash, a_call_that_was_lost_with_its_endpoints_is_served_afterwards) {
+    const std::string path = concat("/look", crashing_service::slow_path);
+    for (int round = 0; round < 4; ++round) {
+        std::vector<std::thread> callers;
+        for (int n = 0; n < 6; ++n) {
+            callers.emplace_back([&, n] { std::ignore = (n % 2 == 0 ? *gateway : *other).get(path); });
+        }
+        EXPECT_TRUE(eventually([&] { return desks.running() == 6; }));
+        desks.crash_all();
+        for (auto& it : callers) {
+            it.join();
+        }
+        desks.restart_ended();
+        ASSERT_TRUE(desks_serve());
+        EXPECT_NE(gateway->get(path).find("200 X"), std::string::npos);
+        EXPECT_NE(other->get(path).find("200 X"), std::string::npos);
+    }
+}
+
+} // namespace
+} // namespace dandelionbay::platform
--- a/test/dandelionbay/platform/gateway_fleet.hpp
+++ b/test/dandelionbay/platform/gateway_fleet.hpp
@@ -147,6 +147,7 @@
     }
 
     [[nodiscard]] const std::string& id() const { return id_; }
+    void crash() { server_.crash(); }
     void stop() { server_.stop(); }
 
 private:
--- a/test/dandelionbay/platform/raw_server.hpp
+++ b/test/dandelionbay/platform/raw_server.hpp
@@ -82,6 +82,15 @@
 
     [[nodiscard]] socket_address address() const { return address_; }
 
+    /*! @brief Ends like a killed process: connections break and new ones are refused. From a handler or elsewhere. */
+    void crash() {
+        shutdown(acceptor_.native_handle(), SHUT_RDWR); // The system refuses connections from here on.
+        const std::scoped_lock lock{mutex_};
+        for (auto& it : connections_) {
+            it.interrupt();
+        }
+    }
+
     void stop() {
         if (stopped_.exchange(true)) {
             return;
