Refuse a call under which three endpoints have ended, at every gateway

What callers saw: one call ended each endpoint that ran it, and with each all other calls there were lost; its caller came again under a new id, mostly at another gateway, and it was sent on again. Cause: what a gateway knows of a call is kept with the caller's attempt. The next attempt starts from zero. Change: lost_runs counts, by fingerprint, runs that ended with the process of their endpoint, and gateways tell each other what changed until it is confirmed. After three losses the call is refused with 422 crashes_endpoints; after two a gateway does not repeat it by itself. A broken connection alone says nothing: the endpoint's address is asked at once whether a process still listens, else the registry tells. An answer clears what was before it. Runs that overlapped, or ended within 100 ms, count once. Why it works: what has to outlive the attempt is now kept by what the attempts share, and told to all who may get the next.

--- a/bench/dispatch_bench.cpp
+++ b/bench/dispatch_bench.cpp
@@ -56,7 +56,8 @@
 public:
     explicit busy_router(std::size_t self = 0)
         : router{view, place(router_host(self)), {}, log, 1},
-          board{router_host(self), 1, {"127.0.0.1", static_cast<std::uint16_t>(1 + self)}, view, router, read_config} {
+          board{router_host(self), 1, {"127.0.0.1", static_cast<std::uint16_t>(1 + self)}, view, router, losses,
+                read_config} {
         view.adopt(config());
         endpoint_list list;
         list.as_of = 1;
@@ -114,6 +115,7 @@
     registry_view view{{}};
     placement_log log{};
     dispatcher router;
+    lost_runs losses{};
     peer_board board;
     ticket_id last{};
 };
--- a/src/dandelionbay/gateway/endpoint_entry.hpp
+++ b/src/dandelionbay/gateway/endpoint_entry.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -25,12 +26,14 @@
     friend bool operator==(const endpoint_entry&, const endpoint_entry&) = default;
 };
 
-/*! @brief A process of an endpoint that said in an answer that it leaves. */
-struct leaving_endpoint {
+/*! @brief One process of an endpoint; another one may follow under the same name. */
+struct endpoint_process {
     endpoint_id id{};
-    std::uint64_t started{}; //!< As in its entry; another process under the same name does not leave.
+    std::uint64_t started{}; //!< As in its entry.
 
-    friend bool operator==(const leaving_endpoint&, const leaving_endpoint&) = default;
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads a defaulted <=>.
+    friend auto operator<=>(const endpoint_process&, const endpoint_process&) = default;
+    friend bool operator==(const endpoint_process&, const endpoint_process&) = default;
 };
 
 /*! @brief All endpoints as of one moment. */
--- a/src/dandelionbay/gateway/fwd.hpp
+++ b/src/dandelionbay/gateway/fwd.hpp
@@ -4,7 +4,7 @@
 
 struct call_terms;
 struct endpoint_entry;
-struct leaving_endpoint;
+struct endpoint_process;
 struct route;
 struct route_config;
 struct router_entry;
--- a/src/dandelionbay/gateway/registry_view.cpp
+++ b/src/dandelionbay/gateway/registry_view.cpp
@@ -132,7 +132,7 @@
     return found != leaving_.end() && found->second.started == it.started;
 }
 
-bool registry_view::note_leaving(const leaving_endpoint& it, time_point now) {
+bool registry_view::note_leaving(const endpoint_process& it, time_point now) {
     const auto [found, added] = leaving_.try_emplace(it.id, remembered_leaving{it.started, now});
     if (!added && it.started <= found->second.started) {
         return false; // Known, or said by a process before that one.
@@ -144,11 +144,16 @@
     return true;
 }
 
-std::vector<leaving_endpoint> registry_view::leaving() const {
-    std::vector<leaving_endpoint> out;
+bool registry_view::ended(const endpoint_process& it) const {
+    const auto known = endpoints_.find(it.id);
+    return known == endpoints_.end() || (it.started != 0 && known->second.entry.started > it.started);
+}
+
+std::vector<endpoint_process> registry_view::leaving() const {
+    std::vector<endpoint_process> out;
     for (const auto& [id, it] : leaving_) {
         if (const auto known = endpoints_.find(id); known != endpoints_.end() && known->second.said_leaving) {
-            out.push_back(leaving_endpoint{id, it.started});
+            out.push_back(endpoint_process{id, it.started});
         }
     }
     return out;
--- a/src/dandelionbay/gateway/registry_view.hpp
+++ b/src/dandelionbay/gateway/registry_view.hpp
@@ -123,10 +123,13 @@
      * @param now Time.
      * @return True if that was not known.
      */
-    bool note_leaving(const leaving_endpoint& it, time_point now);
+    bool note_leaving(const endpoint_process& it, time_point now);
+
+    /*! @brief Tells whether a process is known to have ended: its entry is gone or names a later one. */
+    [[nodiscard]] bool ended(const endpoint_process& it) const;
 
     /*! @brief Registered endpoints that said in an answer that they leave. */
-    [[nodiscard]] std::vector<leaving_endpoint> leaving() const;
+    [[nodiscard]] std::vector<endpoint_process> leaving() const;
 
     /*! @brief The configuration in force, or null. */
     [[nodiscard]] const std::shared_ptr<const route_config>& config() const noexcept { return config_; }
--- a/src/dandelionbay/limit/fwd.hpp
+++ b/src/dandelionbay/limit/fwd.hpp
@@ -6,5 +6,8 @@
 class byte_budget;
 class retry_budget;
 class crash_register;
+class lost_runs;
+struct call_losses;
+struct lost_run;
 
 } // namespace dandelionbay
--- /dev/null
+++ b/src/dandelionbay/limit/lost_runs.cpp
@@ -0,0 +1,177 @@
+#include "dandelionbay/limit/lost_runs.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionbay {
+
+std::size_t lost_runs::count(std::vector<entry> runs, duration apart) {
+    std::ranges::sort(runs, {}, [](const entry& it) { return it.run.ended; });
+    size_type n = 0;
+    std::optional<time_point> last;
+    for (const auto& it : runs) { // Taking the one that ended first gives the longest row without overlap.
+        if (!last || (it.run.began >= *last && it.run.ended >= *last + apart)) {
+            last = it.run.ended;
+            ++n;
+        }
+    }
+    return n;
+}
+
+std::size_t lost_runs::losses(const record& in) {
+    auto runs = in.runs;
+    std::erase_if(runs, [](const entry& it) { return !it.counts; });
+    return count(std::move(runs), one_fault);
+}
+
+bool lost_runs::add(record& to, const lost_run& run, bool counts) {
+    if (to.answered && run.ended <= *to.answered) {
+        return false;
+    }
+    const auto it = std::ranges::find(to.runs, run.at, [](const entry& known) { return known.run.at; });
+    if (it != to.runs.end()) {
+        if (it->counts) {
+            return false;
+        }
+        *it = entry{run, counts};
+        return true;
+    }
+    if (to.runs.size() >= most_runs) {
+        const auto unconfirmed = std::ranges::find(to.runs, false, &entry::counts);
+        if (unconfirmed == to.runs.end()) {
+            return false;
+        }
+        to.runs.erase(unconfirmed);
+    }
+    to.runs.push_back(entry{run, counts});
+    return true;
+}
+
+bool lost_runs::clear(record& in, time_point answered) {
+    if (in.answered && answered <= *in.answered) {
+        return false;
+    }
+    in.answered = answered;
+    std::erase_if(in.runs, [&](const entry& it) { return it.run.ended <= answered; });
+    return true;
+}
+
+lost_runs::record& lost_runs::find_or_make(std::uint64_t call) {
+    if (records_.size() >= capacity_ && !records_.contains(call)) {
+        records_.erase(std::ranges::min_element(records_, {}, [](const auto& it) {
+            return std::pair{losses(it.second) >= refused_at, it.second.changed};
+        }));
+    }
+    return records_[call];
+}
+
+bool lost_runs::broke_off(std::uint64_t call, const lost_run& run) {
+    const bool counts = ended_.contains(run.at);
+    if (!counts) {
+        broken_[run.at] = run.ended;
+    }
+    auto& it = find_or_make(call);
+    if (!add(it, run, counts)) {
+        return false;
+    }
+    it.changed = run.ended;
+    return counts;
+}
+
+std::vector<std::uint64_t> lost_runs::process_ended(const endpoint_process& it, time_point now) {
+    ended_[it] = now;
+    broken_.erase(it);
+    std::vector<std::uint64_t> out;
+    for (auto& [call, known] : records_) {
+        for (auto& [run, counts] : known.runs) {
+            if (run.at == it && !counts) {
+                counts = true;
+                known.changed = now;
+                out.push_back(call);
+            }
+        }
+    }
+    return out;
+}
+
+void lost_runs::process_lives(const endpoint_process& it) {
+    broken_.erase(it);
+    for (auto& [call, known] : records_) {
+        std::erase_if(known.runs, [&](const entry& lost) { return lost.run.at == it && !lost.counts; });
+    }
+}
+
+void lost_runs::answered(std::uint64_t call, time_point now) {
+    const auto it = records_.find(call);
+    if (it != records_.end() && clear(it->second, now)) {
+        it->second.changed = now;
+    }
+}
+
+bool lost_runs::merge(const call_losses& in, time_point now) {
+    if (in.runs.empty() && !in.answered) {
+        return false;
+    }
+    auto& it = find_or_make(in.call);
+    bool changed = in.answered && clear(it, *in.answered);
+    for (const auto& run : in.runs) {
+        changed = add(it, run, true) || changed;
+    }
+    if (changed) {
+        it.changed = now;
+    }
+    return changed;
+}
+
+std::size_t lost_runs::losses(std::uint64_t call) const {
+    const auto it = records_.find(call);
+    return it != records_.end() ? losses(it->second) : 0;
+}
+
+bool lost_runs::doubtful(std::uint64_t call) const {
+    const auto it = records_.find(call);
+    return it != records_.end() && count(it->second.runs, duration{}) >= doubtful_at;
+}
+
+std::vector<endpoint_process> lost_runs::unconfirmed() const {
+    std::vector<endpoint_process> out;
+    out.reserve(broken_.size());
+    for (const auto& [process, at] : broken_) {
+        out.push_back(process);
+    }
+    return out;
+}
+
+std::vector<call_losses> lost_runs::changed_since(time_point since) const {
+    std::vector<call_losses> out;
+    for (const auto& [call, it] : records_) {
+        if (it.changed < since) {
+            continue;
+        }
+        call_losses told{call, {}, it.answered};
+        for (const auto& [run, counts] : it.runs) {
+            if (counts) {
+                told.runs.push_back(run);
+            }
+        }
+        if (!told.runs.empty() || told.answered) {
+            out.push_back(std::move(told));
+        }
+    }
+    return out;
+}
+
+void lost_runs::expire(time_point now) {
+    const auto old = [&](const auto& it) { return now - it.second >= confirmed_within; };
+    std::erase_if(broken_, old);
+    std::erase_if(ended_, old);
+    for (auto& [call, it] : records_) {
+        std::erase_if(it.runs,
+                      [&](const entry& known) { return !known.counts && now - known.run.ended >= confirmed_within; });
+    }
+    std::erase_if(records_, [&](const auto& it) {
+        return now - it.second.changed >= kept || (it.second.runs.empty() && !it.second.answered);
+    });
+}
+
+} // namespace dandelionbay
--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <utility>
 
+#include "dandelionbay/base/fingerprint.hpp"
 #include "dandelionbay/base/text.hpp"
 
 namespace dandelionbay {
@@ -44,7 +45,8 @@
                                                    data_path_of(options_)},
       board_{options_.place.host,  static_cast<std::uint64_t>(clock_.now().time_since_epoch().count()),
              options_.peer_listen, view_,
-             proxy_.dispatch(),    platform_.read_config},
+             proxy_.dispatch(),    proxy_.losses(),
+             platform_.read_config},
       links_{peer_environment{&loop_, &clock_, &log_, &metrics_, &board_}, options_.peer_listen,
              [this](const peer_change& change) { peers_changed(change); }},
       ready_{loop_, log_, [this](std::string_view path) { return page_of(path); }},
@@ -211,6 +213,13 @@
         metrics_.add("endpoints_leaving_total", "peer");
         log_.write(log_level::info, "endpoint_leaving", {{"endpoint", it.id.value}, {"from", "peer"}});
     }
+    for (const auto call : change.calls_refused) {
+        log_.write(log_level::warn, "call_lost_again",
+                   {{"call", fingerprint_text(call)},
+                    {"losses", std::to_string(proxy_.losses().losses(call))},
+                    {"refused", "yes"},
+                    {"from", "peer"}});
+    }
     if (change.list_renewed) {
         metrics_.add("lists_from_peers_total");
     }
--- a/src/dandelionbay/peer/peer_board.cpp
+++ b/src/dandelionbay/peer/peer_board.cpp
@@ -6,9 +6,9 @@
 namespace dandelionbay {
 
 peer_board::peer_board(host_id self, std::uint64_t incarnation, socket_address address, registry_view& view,
-                       dispatcher& dispatch, config_reader reader)
+                       dispatcher& dispatch, lost_runs& losses, config_reader reader)
     : self_{std::move(self)}, incarnation_{incarnation}, address_{std::move(address)}, view_{&view},
-      dispatch_{&dispatch}, reader_{std::move(reader)} {
+      dispatch_{&dispatch}, losses_{&losses}, reader_{std::move(reader)} {
     dispatch_->set_routers({self_}, false);
 }
 
@@ -65,6 +65,7 @@
     out.echo_us = known.stamp_us;
     out.echo_held_us = (now - known.stamp_at).count();
     out.part_uses = std::exchange(known.untold, {});
+    out.losses = losses_->changed_since(known.confirmed);
     if (known.config_version < out.operators.config_version) {
         out.config_text = config_text_;
     }
@@ -123,6 +124,27 @@
     dispatch_->report_queues(in.host, in.queues, now);
 }
 
+void peer_board::take_losses(const peer_state& in, peer_change& out, time_point now) {
+    const time_point sent{duration{in.sent_us}}; // On the sender's clock.
+    const auto latest = now - sent;
+    const auto earliest =
+        in.echo_us == 0 ? latest : std::min(latest, time_point{duration{in.echo_us + in.echo_held_us}} - sent);
+    for (auto it : in.losses) {
+        for (auto& run : it.runs) { // What may have come one after the other counts as such.
+            run.began += latest;
+            run.ended += earliest;
+        }
+        if (it.answered) {
+            *it.answered += latest;
+        }
+        const bool refused = losses_->refused(it.call);
+        losses_->merge(it, now);
+        if (!refused && losses_->refused(it.call)) {
+            out.calls_refused.push_back(it.call);
+        }
+    }
+}
+
 peer_change peer_board::receive(const peer_state& in, time_point now) {
     peer_change out;
     if (in.host == self_) {
@@ -140,7 +162,8 @@
     known.leaving = in.leaving;
     known.stamp_us = in.sent_us;
     known.stamp_at = now;
-    known.confirmed = std::max(known.confirmed, time_point{duration{in.echo_us}});
+    const time_point echoed{duration{in.echo_us}};
+    known.confirmed = out.peer_found ? echoed : std::max(known.confirmed, echoed); // A new process knows nothing.
     known.config_version = in.operators.config_version;
     known.list_age_us = in.list_age_us;
     introduce(in.address, now);
@@ -151,6 +174,7 @@
     }
     take_evidence(in, out, now);
     take_loads(in, now);
+    take_losses(in, out, now);
     for (const auto& endpoint : in.endpoints_leaving) {
         if (view_->note_leaving(endpoint, now)) {
             out.endpoints_leaving.push_back(endpoint);
--- a/src/dandelionbay/peer/peer_board.hpp
+++ b/src/dandelionbay/peer/peer_board.hpp
@@ -14,6 +14,7 @@
 #include "dandelionbay/dispatch/dispatcher.hpp"
 #include "dandelionbay/gateway/registry.hpp"
 #include "dandelionbay/gateway/registry_view.hpp"
+#include "dandelionbay/limit/lost_runs.hpp"
 #include "dandelionbay/peer/peer_state.hpp"
 
 namespace dandelionbay {
@@ -24,7 +25,8 @@
     bool evidence_renewed{};
     bool list_renewed{};
     bool peer_found{};
-    std::vector<leaving_endpoint> endpoints_leaving{}; //!< Those that were not known to leave.
+    std::vector<endpoint_process> endpoints_leaving{}; //!< Those that were not known to leave.
+    std::vector<std::uint64_t> calls_refused{};        //!< Fingerprints of those that are refused from now on.
 
     friend bool operator==(const peer_change&, const peer_change&) = default;
 };
@@ -52,6 +54,7 @@
     [[nodiscard]] static std::int64_t age_us(const std::optional<duration>& age) noexcept;
     void take_evidence(const peer_state& in, peer_change& out, time_point now);
     void take_loads(const peer_state& in, time_point now);
+    void take_losses(const peer_state& in, peer_change& out, time_point now);
     void follow_routers(time_point now);
 
 public:
@@ -74,7 +77,7 @@
 
     /*! @brief Creates it. @param self This router. @param incarnation Of this process. @param address For peers. */
     peer_board(host_id self, std::uint64_t incarnation, socket_address address, registry_view& view,
-               dispatcher& dispatch, config_reader reader);
+               dispatcher& dispatch, lost_runs& losses, config_reader reader);
 
     /*! @brief Takes over which routers announced themselves to the registry. */
     void announced(const std::vector<router_entry>& routers, time_point now);
@@ -112,6 +115,7 @@
     socket_address address_;
     registry_view* view_;
     dispatcher* dispatch_;
+    lost_runs* losses_;
     config_reader reader_;
     std::string config_text_{};
     bool leaving_{};
--- a/src/dandelionbay/peer/peer_state.cpp
+++ b/src/dandelionbay/peer/peer_state.cpp
@@ -17,6 +17,8 @@
 using use_row = std::tuple<std::uint32_t, std::uint64_t, std::uint32_t>; // The endpoint is a position in the names.
 using queue_row = std::tuple<std::string, double>;
 using leaving_row = std::tuple<std::string, std::uint64_t>;
+using lost_row = std::tuple<std::string, std::uint64_t, std::int64_t, std::int64_t>;
+using losses_row = std::tuple<std::uint64_t, std::vector<lost_row>, std::vector<std::int64_t>>;
 using team_row = std::tuple<std::string, double, double>;
 using endpoint_row = std::tuple<std::string, std::string, std::string, address_row, std::uint32_t, bool, std::int64_t,
                                 std::uint64_t, std::uint64_t>;
@@ -24,9 +26,10 @@
 using operators_row = std::tuple<std::uint64_t, std::uint64_t, std::vector<zone_row>, std::int64_t>;
 using list_row = std::tuple<std::uint64_t, std::int64_t, bool, std::vector<endpoint_row>>;
 using uses_row = std::tuple<std::vector<std::string>, std::vector<use_row>>;
-using message_row = std::tuple<std::uint32_t, std::string, std::uint64_t, address_row, bool, clock_row, operators_row,
-                               list_row, std::vector<load_row>, uses_row, std::vector<team_row>, std::vector<queue_row>,
-                               std::vector<address_row>, std::string, std::vector<leaving_row>>;
+using message_row =
+    std::tuple<std::uint32_t, std::string, std::uint64_t, address_row, bool, clock_row, operators_row, list_row,
+               std::vector<load_row>, uses_row, std::vector<team_row>, std::vector<queue_row>, std::vector<address_row>,
+               std::string, std::vector<leaving_row>, std::vector<losses_row>>;
 
 /*! Version of this format; routers of one fleet may be replaced one after the other. */
 constexpr std::uint32_t format_version = 1;
@@ -100,9 +103,34 @@
     return out;
 }
 
+[[nodiscard]] losses_row row_of(const call_losses& it) {
+    losses_row out{it.call, {}, {}};
+    for (const auto& run : it.runs) {
+        std::get<1>(out).emplace_back(run.at.id.value, run.at.started, run.began.time_since_epoch().count(),
+                                      run.ended.time_since_epoch().count());
+    }
+    if (it.answered) {
+        std::get<2>(out).push_back(it.answered->time_since_epoch().count());
+    }
+    return out;
+}
+
+[[nodiscard]] call_losses losses_of(const losses_row& row) {
+    const auto& [call, runs, answered] = row;
+    call_losses out{call, {}, std::nullopt};
+    for (const auto& [endpoint, started, began, ended] : runs) {
+        out.runs.push_back(lost_run{endpoint_process{endpoint_id{endpoint}, started}, time_point{duration{began}},
+                                    time_point{duration{ended}}});
+    }
+    if (!answered.empty()) {
+        out.answered = time_point{duration{answered.front()}};
+    }
+    return out;
+}
+
 [[nodiscard]] peer_state state_of(const message_row& row) {
     const auto& [version, host, incarnation, address, leaving, clocks, operators, list, loads, uses, teams, queues,
-                 peers, text, endpoints_leaving] = row;
+                 peers, text, endpoints_leaving, losses] = row;
     peer_state out;
     out.host = host_id{host};
     out.incarnation = incarnation;
@@ -139,7 +167,10 @@
     }
     out.config_text = text;
     for (const auto& [endpoint, started] : endpoints_leaving) {
-        out.endpoints_leaving.push_back(leaving_endpoint{endpoint_id{endpoint}, started});
+        out.endpoints_leaving.push_back(endpoint_process{endpoint_id{endpoint}, started});
+    }
+    for (const auto& it : losses) {
+        out.losses.push_back(losses_of(it));
     }
     return out;
 }
@@ -167,6 +198,10 @@
     for (const auto& endpoint : it.endpoints_leaving) {
         endpoints_leaving.emplace_back(endpoint.id.value, endpoint.started);
     }
+    std::vector<losses_row> losses;
+    for (const auto& lost : it.losses) {
+        losses.push_back(row_of(lost));
+    }
     const message_row row{format_version,
                           it.host.value,
                           it.incarnation,
@@ -181,7 +216,8 @@
                           queues,
                           peers,
                           it.config_text,
-                          endpoints_leaving};
+                          endpoints_leaving,
+                          losses};
     msgpack::sbuffer buf;
     msgpack::pack(buf, row);
     return {buf.data(), buf.size()};
--- a/src/dandelionbay/peer/peer_state.hpp
+++ b/src/dandelionbay/peer/peer_state.hpp
@@ -10,6 +10,7 @@
 #include "dandelionbay/dispatch/dispatcher.hpp"
 #include "dandelionbay/gateway/endpoint_entry.hpp"
 #include "dandelionbay/gateway/registry_view.hpp"
+#include "dandelionbay/limit/lost_runs.hpp"
 #include "dandelionbay/peer/fwd.hpp"
 
 namespace dandelionbay {
@@ -22,7 +23,7 @@
     friend bool operator==(const peer_load&, const peer_load&) = default;
 };
 
-/*! @brief What one router tells another. All of it replaces what it told before, except the uses of parts. */
+/*! @brief What one router tells another. All of it replaces what it told before, except uses of parts and losses. */
 struct peer_state {
     host_id host{};
     std::uint64_t incarnation{};
@@ -42,7 +43,8 @@
     std::vector<socket_address> peers{};               //!< Other routers that the sender knows.
     std::string config_text{};                         //!< The configuration, if the receiver's is older; else empty.
     std::optional<endpoint_list> list{};               //!< The endpoints, if the receiver's list is older.
-    std::vector<leaving_endpoint> endpoints_leaving{}; //!< Endpoints that said in an answer that they leave.
+    std::vector<endpoint_process> endpoints_leaving{}; //!< Endpoints that said in an answer that they leave.
+    std::vector<call_losses> losses{};                 //!< Those that the receiver may not know, by the sender's clock.
 
     friend bool operator==(const peer_state&, const peer_state&) = default;
 };
--- a/src/dandelionbay/proxy/channel.cpp
+++ b/src/dandelionbay/proxy/channel.cpp
@@ -70,7 +70,7 @@
             self->timer_->cancel();
         }
         if (failed) {
-            self->fail(channel_end::unreachable);
+            self->fail(failed == asio::error::connection_refused ? channel_end::refused : channel_end::unreachable);
             return;
         }
         self->connected_ = true;
--- a/src/dandelionbay/proxy/channel.hpp
+++ b/src/dandelionbay/proxy/channel.hpp
@@ -18,6 +18,7 @@
 
 /*! @brief Why a channel ended. */
 enum class channel_end : std::uint8_t {
+    refused,     //!< No process listens there; nothing was sent.
     unreachable, //!< No connection was made; nothing was sent.
     closed,      //!< The other side ended it in order.
     broken       //!< It was reset or failed.
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -83,6 +83,10 @@
         team_ = team->id;
         team_regions_ = team->home_regions;
     }
+    if (crashes_endpoints()) {
+        refuse_as_crashing();
+        return false;
+    }
     limit_ = arrived_ + std::min(terms_.time_left.value_or(default_time_left), route_->time_limit);
     service_ = owner_->pick_service(*route_);
     if (!owner_->can_finish(*route_, service_, terms_.output_tokens)) {
@@ -146,6 +150,11 @@
     const auto now = owner_->now();
     stage_ = stage::running;
     choice_ = choice;
+    if (crashes_endpoints()) { // That became known while it waited.
+        end_attempt(false);
+        refuse_as_crashing();
+        return;
+    }
     sent_at_ = now;
     ++sends_;
     ++runs_;
@@ -190,12 +199,14 @@
     const auto now = owner_->now();
     if (why == request_failure::not_sent) {
         --runs_;
-        owner_->dispatch().unreachable(choice_.endpoint, now);
-        owner_->environment().view->note_refused(choice_.endpoint, now);
+        owner_->unreachable(choice_.endpoint);
         end_attempt(true);
         try_again("unreachable", false);
         return;
     }
+    if (why == request_failure::broken) {
+        note_lost_run(now);
+    }
     end_attempt(true);
     try_again(why == request_failure::broken ? "connection_broken" : "garbage", true);
 }
@@ -218,7 +229,7 @@
     const auto now = owner_->now();
     log_attempt_failed(*owner_->environment().log, record(), reason);
     excluded_.insert(choice_.endpoint);
-    if (!may_run_again(now)) {
+    if (!may_run_again(now) || (runs_ > 0 && owner_->losses().doubtful(fingerprint()))) {
         give_up(reason);
         return;
     }
@@ -231,6 +242,29 @@
     submit(now);
 }
 
+void exchange::note_lost_run(time_point now) {
+    const lost_run run{{choice_.endpoint, choice_.process_started}, arrived_ + waited_, now};
+    owner_->run_lost(fingerprint(), run, choice_.address);
+}
+
+void exchange::note_answered(time_point now) {
+    if (!owner_->losses().empty()) {
+        owner_->losses().answered(fingerprint(), now);
+    }
+}
+
+bool exchange::crashes_endpoints() const {
+    return !owner_->losses().empty() && owner_->losses().refused(fingerprint());
+}
+
+void exchange::refuse_as_crashing() {
+    if (runs_ > 0 || begun_) {
+        give_up(describe(result_code::crashes_endpoints).name);
+    } else {
+        refuse(422, result_code::crashes_endpoints, {});
+    }
+}
+
 void exchange::give_up(std::string_view reason) {
     if (begun_) {
         if (caller_ != nullptr) {
@@ -266,9 +300,12 @@
 void exchange::leave() {
     if (stage_ == stage::waiting) {
         owner_->dispatch().withdraw(ticket_);
-    } else {
-        end_attempt(false);
+        return;
+    }
+    if (const auto now = owner_->now(); seems_lost(now)) {
+        note_lost_run(now);
     }
+    end_attempt(false);
 }
 
 void exchange::caller_gone() {
@@ -305,6 +342,7 @@
         return;
     }
     if (seems_lost(now) && now >= next_move_ && can_move(now)) {
+        note_lost_run(now);
         end_attempt(true);
         try_again("silent", false); // Already counted.
     }
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -35,6 +35,12 @@
     [[nodiscard]] std::string request_bytes(const endpoint_choice& choice, time_point now) const;
     [[nodiscard]] duration fresh_connection_limit() const noexcept;
     void note_wishes(const answer_terms& answer);
+    void note_lost_run(time_point now);
+    void note_answered(time_point now);
+
+    /*! Tells whether endpoints are known to end when they run the call. */
+    [[nodiscard]] bool crashes_endpoints() const;
+    void refuse_as_crashing();
     void send_events();
     void begin_stream();
     void complete_stream();
--- a/src/dandelionbay/proxy/fwd.hpp
+++ b/src/dandelionbay/proxy/fwd.hpp
@@ -10,6 +10,7 @@
 class event_scanner;
 class exchange;
 class http_connection;
+class listen_probe;
 class listener;
 class overload_gauge;
 class proxy;
--- a/src/dandelionbay/proxy/http_connection.cpp
+++ b/src/dandelionbay/proxy/http_connection.cpp
@@ -111,7 +111,8 @@
         deliver(read_result::complete);
         return;
     }
-    fail(end == channel_end::unreachable ? request_failure::not_sent : request_failure::broken);
+    const bool not_sent = end == channel_end::refused || end == channel_end::unreachable;
+    fail(not_sent ? request_failure::not_sent : request_failure::broken);
 }
 
 std::shared_ptr<http_connection> endpoint_pool::take(const socket_address& to, duration longest_idle, time_point now) {
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "absl/cleanup/cleanup.h"
+#include "dandelionbay/base/fingerprint.hpp"
 #include "dandelionbay/proxy/caller_connection.hpp"
 #include "dandelionbay/proxy/exchange.hpp"
 
@@ -137,6 +138,7 @@
     environment_.view->expire(now);
     dispatcher_.refresh(now);
     pool_.expire(now);
+    check_broken_endpoints(now);
     const auto callers = std::vector<std::shared_ptr<caller_connection>>{callers_.begin(), callers_.end()};
     for (const auto& it : callers) {
         if (!it->check(now)) {
@@ -209,6 +211,62 @@
     return it;
 }
 
+void proxy::unreachable(const endpoint_id& id) {
+    dispatcher_.unreachable(id, now());
+    environment_.view->note_refused(id, now());
+}
+
+void proxy::run_lost(std::uint64_t call, const lost_run& run, const socket_address& address) {
+    if (losses_.broke_off(call, run)) {
+        note_loss(call);
+    } else if (!probes_.contains(run.at)) {
+        const auto answered = [this, at = run.at](bool listening) {
+            if (listening) {
+                losses_.process_lives(at);
+                return;
+            }
+            unreachable(at.id);
+            endpoint_ended(at, "refused");
+        };
+        probes_[run.at] = std::make_unique<listen_probe>(*environment_.loop, address, connect_limit, answered);
+    }
+}
+
+void proxy::check_broken_endpoints(time_point now) {
+    std::erase_if(probes_, [](const auto& it) { return it.second->done(); });
+    for (const auto& it : losses_.unconfirmed()) {
+        if (environment_.view->ended(it)) {
+            endpoint_ended(it, "registry");
+        }
+    }
+    losses_.expire(now);
+}
+
+void proxy::endpoint_ended(const endpoint_process& it, std::string_view from) {
+    const auto calls = losses_.process_ended(it, now());
+    environment_.metrics->add("endpoints_ended_total", from);
+    environment_.log->write(log_level::info, "endpoint_ended",
+                            {{"endpoint", it.id.value},
+                             {"endpoint_started", std::to_string(it.started)},
+                             {"from", std::string{from}},
+                             {"lost_calls", std::to_string(calls.size())}});
+    for (const auto call : calls) {
+        note_loss(call);
+    }
+}
+
+void proxy::note_loss(std::uint64_t call) {
+    const auto n = losses_.losses(call);
+    if (n <= 1) {
+        return; // The endpoint's line counts it.
+    }
+    environment_.log->write(log_level::warn, "call_lost_again",
+                            {{"call", fingerprint_text(call)},
+                             {"losses", std::to_string(n)},
+                             {"refused", losses_.refused(call) ? "yes" : "no"},
+                             {"from", "own"}});
+}
+
 void proxy::pump() {
     if (!stopped_) {
         dispatcher_.pump(now());
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -7,6 +7,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 #include <boost/asio/io_context.hpp>
@@ -21,9 +22,11 @@
 #include "dandelionbay/dispatch/retry_window.hpp"
 #include "dandelionbay/dispatch/round_pacer.hpp"
 #include "dandelionbay/gateway/registry_view.hpp"
+#include "dandelionbay/limit/lost_runs.hpp"
 #include "dandelionbay/proxy/call_protocol.hpp"
 #include "dandelionbay/proxy/fwd.hpp"
 #include "dandelionbay/proxy/http_connection.hpp"
+#include "dandelionbay/proxy/listen_probe.hpp"
 #include "dandelionbay/proxy/listener.hpp"
 #include "dandelionbay/proxy/overload_gauge.hpp"
 
@@ -58,6 +61,9 @@
     void tick();
     void note_turn(duration late, time_point now);
     void check_all(time_point now);
+    void check_broken_endpoints(time_point now);
+    void endpoint_ended(const endpoint_process& it, std::string_view from);
+    void note_loss(std::uint64_t call);
 
 public:
     /*! @brief Longest time to make a connection to an endpoint: several round trips between regions. */
@@ -119,6 +125,17 @@
     /*! @brief Takes an idle connection to an endpoint or makes a new one. */
     [[nodiscard]] std::shared_ptr<http_connection> connect(const endpoint_choice& to, duration longest_idle);
 
+    /*! @brief A connection to an endpoint could not be made. */
+    void unreachable(const endpoint_id& id);
+
+    /**
+     * @brief A run got no whole answer; finds out whether its endpoint's process has ended.
+     * @param call Fingerprint.
+     * @param run The run.
+     * @param address Of its endpoint.
+     */
+    void run_lost(std::uint64_t call, const lost_run& run, const socket_address& address);
+
     /*! @brief The network, the fleet or the clock moved on: decides about waiting calls. */
     void pump();
 
@@ -132,6 +149,9 @@
     [[nodiscard]] const proxy_options& options() const noexcept { return options_; }
     [[nodiscard]] dispatcher& dispatch() noexcept { return dispatcher_; }
     [[nodiscard]] endpoint_pool& pool() noexcept { return pool_; }
+
+    /*! @brief Calls whose runs ended with their endpoints, here and at peers. */
+    [[nodiscard]] lost_runs& losses() noexcept { return losses_; }
     [[nodiscard]] time_point now() const noexcept { return environment_.time->now(); }
     [[nodiscard]] std::size_t open_calls() const noexcept { return exchanges_.size(); }
 
@@ -150,6 +170,8 @@
     proxy_options options_;
     dispatcher dispatcher_;
     endpoint_pool pool_{};
+    lost_runs losses_{};
+    std::map<endpoint_process, std::unique_ptr<listen_probe>> probes_{};
     std::mt19937_64 random_;
     listener listener_;
     boost::asio::steady_timer timer_;
--- a/test/dandelionbay/gateway/registry_view_test.cpp
+++ b/test/dandelionbay/gateway/registry_view_test.cpp
@@ -150,6 +150,27 @@
     }
 }
 
+// Guards against endpoints that count as ended although they run, and against ended ones that count as alive because
+// another process has their name.
+TEST(registry_view, a_process_has_ended_when_its_entry_is_gone_or_names_a_later_one) {
+    const auto started = [](std::uint64_t row_version, std::uint64_t at) {
+        auto out = entry("a", row_version);
+        out.started = at;
+        return out;
+    };
+    const endpoint_process first{endpoint_id{"a"}, 1'000};
+    const endpoint_process unknown_start{endpoint_id{"a"}, 0};
+    registry_view view{{}};
+    view.merge(endpoint_list{10, {started(9, 1'000)}}, start, start);
+    EXPECT_FALSE(view.ended(first));
+    view.merge(endpoint_list{20, {started(19, 2'000)}}, start, start);
+    EXPECT_TRUE(view.ended(first));
+    EXPECT_FALSE(view.ended({endpoint_id{"a"}, 2'000}));
+    EXPECT_FALSE(view.ended(unknown_start)) << "it did not say when it started";
+    view.merge(endpoint_list{30, {}}, start, start);
+    EXPECT_TRUE(view.ended({endpoint_id{"a"}, 2'000}));
+}
+
 // Guards against calls to an endpoint that said in an answer that it leaves: its entry may say so much later or never,
 // and may go and come back in the meantime.
 TEST(registry_view, an_endpoint_that_says_that_it_leaves_gets_no_work_until_it_is_a_new_process) {
@@ -166,7 +187,7 @@
     EXPECT_TRUE(view.note_leaving({endpoint_id{"a"}, first_start}, start));
     EXPECT_FALSE(view.takes_work(only(view)));
     EXPECT_FALSE(view.note_leaving({endpoint_id{"a"}, first_start}, start)) << "that is known";
-    EXPECT_EQ(view.leaving(), (std::vector<leaving_endpoint>{{endpoint_id{"a"}, first_start}}));
+    EXPECT_EQ(view.leaving(), (std::vector<endpoint_process>{{endpoint_id{"a"}, first_start}}));
     {
         SCOPED_TRACE("its entry is written again, is lost in an outage of the store, and comes back");
         view.merge(endpoint_list{20, {started("a", 19, first_start)}}, start, start + seconds{1});
--- /dev/null
+++ b/test/dandelionbay/limit/lost_runs_test.cpp
@@ -0,0 +1,230 @@
+#include "dandelionbay/limit/lost_runs.hpp"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace dandelionbay {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t call = 42;
+const time_point start{seconds{1'000}};
+
+[[nodiscard]] endpoint_process process(const std::string& name, std::uint64_t started = 1) {
+    return {endpoint_id{name}, started};
+}
+
+/*! A run that lasted 50 ms and ended at this time after the start. */
+[[nodiscard]] lost_run run_at(const std::string& name, duration ended) {
+    return {process(name), start + ended - milliseconds{50}, start + ended};
+}
+
+/*! A run ends with its endpoint. */
+void lose(lost_runs& it, const lost_run& run, std::uint64_t of = call) {
+    it.broke_off(of, run);
+    it.process_ended(run.at, run.ended);
+}
+
+// Guards against a call that ends each endpoint that runs it and is never refused.
+TEST(lost_runs, a_call_is_refused_after_three_endpoints_ended_under_it) {
+    lost_runs it;
+    lose(it, run_at("a", seconds{1}));
+    lose(it, run_at("b", seconds{2}));
+    EXPECT_EQ(it.losses(call), 2);
+    EXPECT_FALSE(it.refused(call));
+    lose(it, run_at("c", seconds{3}));
+    EXPECT_TRUE(it.refused(call));
+    EXPECT_FALSE(it.refused(call + 1)) << "another call";
+    {
+        SCOPED_TRACE("an endpoint that runs under the same name again is another process");
+        lost_runs again;
+        for (std::uint64_t life = 1; life <= 3; ++life) {
+            const auto ended = start + seconds{life};
+            lose(again, {process("a", life), ended - milliseconds{50}, ended});
+        }
+        EXPECT_TRUE(again.refused(call));
+    }
+    {
+        SCOPED_TRACE("forgotten ten minutes after the last loss");
+        it.expire(start + seconds{3} + lost_runs::kept - milliseconds{1});
+        EXPECT_TRUE(it.refused(call));
+        it.expire(start + seconds{3} + lost_runs::kept);
+        EXPECT_TRUE(it.empty());
+    }
+}
+
+// Guards against calls that are refused because connections broke whose endpoints live on.
+TEST(lost_runs, a_broken_connection_counts_once_its_endpoint_is_known_to_have_ended) {
+    lost_runs it;
+    EXPECT_FALSE(it.broke_off(call, run_at("a", seconds{1})));
+    EXPECT_FALSE(it.broke_off(call, run_at("b", seconds{2})));
+    EXPECT_FALSE(it.broke_off(call, run_at("c", seconds{3})));
+    EXPECT_EQ(it.losses(call), 0);
+    EXPECT_TRUE(it.doubtful(call)) << "they may have ended";
+    EXPECT_EQ(it.unconfirmed().size(), 3);
+    EXPECT_EQ(it.process_ended(process("b"), start + seconds{4}), std::vector<std::uint64_t>{call});
+    EXPECT_EQ(it.losses(call), 1);
+    EXPECT_EQ(it.unconfirmed().size(), 2);
+    {
+        SCOPED_TRACE("its other connections break after the first one");
+        EXPECT_TRUE(it.broke_off(call + 1, run_at("b", seconds{4})));
+        EXPECT_EQ(it.losses(call + 1), 1);
+    }
+    {
+        SCOPED_TRACE("an end that is learned too late is another one");
+        it.expire(start + seconds{3} + lost_runs::confirmed_within);
+        EXPECT_TRUE(it.unconfirmed().empty());
+        EXPECT_TRUE(it.process_ended(process("a"), start + seconds{14}).empty());
+        EXPECT_EQ(it.losses(call), 1);
+        EXPECT_FALSE(it.doubtful(call));
+    }
+    {
+        SCOPED_TRACE("a process that still listens has not ended");
+        lost_runs alive;
+        alive.broke_off(call, run_at("a", seconds{1}));
+        alive.broke_off(call, run_at("b", seconds{2}));
+        alive.process_lives(process("a"));
+        EXPECT_FALSE(alive.doubtful(call));
+        EXPECT_EQ(alive.unconfirmed(), std::vector<endpoint_process>{process("b")});
+        EXPECT_TRUE(alive.process_ended(process("a"), start + seconds{3}).empty());
+    }
+    {
+        SCOPED_TRACE("a process that lost the call twice counts from the later time");
+        lost_runs twice;
+        twice.broke_off(call, run_at("a", seconds{1}));
+        lose(twice, run_at("a", seconds{9}));
+        lose(twice, run_at("b", seconds{5}));
+        EXPECT_EQ(twice.losses(call), 2);
+    }
+}
+
+// Guards against an innocent call, which many callers send alike, that is refused after one fault took all endpoints.
+TEST(lost_runs, endpoints_that_end_at_once_count_once) {
+    lost_runs it;
+    for (const auto* const name : {"a", "b", "c", "d"}) {
+        lose(it, run_at(name, seconds{1}));
+    }
+    EXPECT_EQ(it.losses(call), 1);
+    lose(it, run_at("e", seconds{2}));
+    EXPECT_EQ(it.losses(call), 2);
+    {
+        SCOPED_TRACE("a failed zone: the call was sent on to endpoints that had ended with the first one");
+        lost_runs zone;
+        for (int n = 0; n < 4; ++n) {
+            const auto began = start + milliseconds{n * 2};
+            lose(zone, {process(std::to_string(n)), began, began + milliseconds{1}});
+        }
+        EXPECT_EQ(zone.losses(call), 1);
+        EXPECT_TRUE(zone.doubtful(call)) << "only its caller may have it run again";
+    }
+    {
+        SCOPED_TRACE("a long run that covers two others adds nothing to them");
+        lose(it, {process("f"), start, start + seconds{3}});
+        EXPECT_EQ(it.losses(call), 2);
+    }
+}
+
+// Guards against an innocent call that stays suspected for losses before an answer.
+TEST(lost_runs, an_answer_clears_the_losses_before_it) {
+    lost_runs it;
+    it.answered(call, start);
+    EXPECT_TRUE(it.empty()) << "nothing to clear";
+    lose(it, run_at("a", seconds{1}));
+    lose(it, run_at("b", seconds{2}));
+    it.answered(call, start + seconds{3});
+    EXPECT_EQ(it.losses(call), 0);
+    lose(it, run_at("c", seconds{4}));
+    EXPECT_EQ(it.losses(call), 1);
+    {
+        SCOPED_TRACE("a late message does not bring them back");
+        EXPECT_FALSE(
+            it.merge(call_losses{call, {run_at("a", seconds{1}), run_at("b", seconds{2})}, {}}, start + seconds{5}));
+        EXPECT_EQ(it.losses(call), 1);
+    }
+    {
+        SCOPED_TRACE("the peers hear of it");
+        lost_runs peer;
+        lose(peer, run_at("a", seconds{1}));
+        for (const auto& told : it.changed_since(start)) {
+            peer.merge(told, start + seconds{5});
+        }
+        EXPECT_EQ(peer.losses(call), 1) << "that of c";
+    }
+}
+
+// Guards against losses that are told too seldom, so that a call is refused at some routers only, or for ever.
+TEST(lost_runs, what_changed_is_told) {
+    lost_runs it;
+    it.broke_off(call, run_at("a", seconds{1}));
+    EXPECT_TRUE(it.changed_since(start).empty()) << "nothing counts yet";
+    it.process_ended(process("a"), start + seconds{2});
+    ASSERT_EQ(it.changed_since(start + seconds{2}).size(), 1);
+    EXPECT_EQ(it.changed_since(start + seconds{2})[0], (call_losses{call, {run_at("a", seconds{1})}, {}}));
+    EXPECT_TRUE(it.changed_since(start + seconds{3}).empty());
+}
+
+// Guards against a record that grows without bound, and against a bound that lets a refused call through again.
+TEST(lost_runs, is_bounded) {
+    lost_runs small{2};
+    for (const auto* const name : {"a", "b", "c"}) {
+        lose(small, run_at(name, seconds{1 + name[0] - 'a'}));
+    }
+    for (std::uint64_t other = call + 1; other < call + 9; ++other) {
+        lose(small, run_at("z", seconds{9}), other);
+        EXPECT_LE(small.size(), 2);
+    }
+    EXPECT_TRUE(small.refused(call));
+    {
+        SCOPED_TRACE("a call has a bounded number of runs");
+        lost_runs long_one;
+        for (int n = 0; n < 50; ++n) {
+            lose(long_one, run_at(std::to_string(n), seconds{n}));
+        }
+        EXPECT_EQ(long_one.losses(call), lost_runs::most_runs);
+    }
+}
+
+/*! Merges messages in an order and tells what came of it. */
+[[nodiscard]] std::vector<call_losses> merged(const std::vector<call_losses>& messages) {
+    lost_runs it;
+    for (const auto& message : messages) {
+        it.merge(message, start);
+    }
+    auto out = it.changed_since(time_point{});
+    for (auto& told : out) {
+        std::ranges::sort(told.runs, {}, &lost_run::at);
+    }
+    return out;
+}
+
+// Guards against routers that believe different things after the same messages in another order, or repeated.
+TEST(lost_runs, messages_merge_to_the_same_in_any_order) {
+    const bool held = rc::check("any order, and repeated", [] {
+        std::vector<call_losses> messages;
+        const auto n = *rc::gen::inRange(0, 8);
+        for (int left = n; left > 0; --left) {
+            const auto at = *rc::gen::inRange(0, 6);
+            call_losses out{call, {}, std::nullopt};
+            if (*rc::gen::arbitrary<bool>()) {
+                out.answered = start + seconds{at};
+            } else {
+                out.runs = {run_at(std::to_string(at), seconds{at})};
+            }
+            messages.push_back(out);
+        }
+        auto others = messages;
+        others.insert(others.end(), messages.rbegin(), messages.rend());
+        std::ranges::rotate(others, others.begin() + *rc::gen::inRange(0, n + 1));
+        RC_ASSERT(merged(messages) == merged(others));
+    });
+    EXPECT_TRUE(held);
+}
+
+} // namespace
+} // namespace dandelionbay
--- a/test/dandelionbay/peer/peer_board_test.cpp
+++ b/test/dandelionbay/peer/peer_board_test.cpp
@@ -27,7 +27,7 @@
 struct router {
     router(const std::string& name, std::uint16_t port)
         : dispatch{view, router_place{host_id{name}, {}, {}, {}}, {}, listener, 1},
-          board{host_id{name}, 1, {"127.0.0.1", port}, view, dispatch, read_config} {}
+          board{host_id{name}, 1, {"127.0.0.1", port}, view, dispatch, losses, read_config} {}
 
     void read_store(std::uint64_t as_of, std::uint64_t version, time_point at) {
         view.adopt(std::make_shared<const route_config>(*read_config("version " + std::to_string(version))));
@@ -42,6 +42,7 @@
     silent_listener listener{};
     registry_view view{{}};
     dispatcher dispatch;
+    lost_runs losses{};
     peer_board board;
 };
 
@@ -170,10 +171,10 @@
     router second{"b", 2};
     first.read_store(10, 3, start);
     second.read_store(10, 3, start);
-    const leaving_endpoint leaves{endpoint_id{"e10"}, 0};
+    const endpoint_process leaves{endpoint_id{"e10"}, 0};
     ASSERT_TRUE(first.view.note_leaving(leaves, start));
     const auto change = second.board.receive(first.board.compose(second_address, start), start);
-    EXPECT_EQ(change.endpoints_leaving, (std::vector<leaving_endpoint>{leaves}));
+    EXPECT_EQ(change.endpoints_leaving, (std::vector<endpoint_process>{leaves}));
     EXPECT_FALSE(second.view.takes_work(second.view.endpoints().begin()->second));
     EXPECT_TRUE(second.board.receive(first.board.compose(second_address, start), start).endpoints_leaving.empty());
     {
@@ -188,6 +189,53 @@
     }
 }
 
+// Guards against a call that ends its endpoints and goes on to run at routers that were not told, or whose connection
+// to the teller broke meanwhile.
+TEST(peer_board, losses_of_calls_are_told_until_the_peer_has_them) {
+    constexpr std::uint64_t call = 42;
+    const auto lost_at = [](const std::string& name, time_point ended) {
+        return lost_run{{endpoint_id{name}, 1}, ended - milliseconds{10}, ended};
+    };
+    const auto lose = [&](router& at, const std::string& name, time_point ended) {
+        at.losses.broke_off(call, lost_at(name, ended));
+        at.losses.process_ended({endpoint_id{name}, 1}, ended);
+    };
+    const auto skew = seconds{77'000}; // The clocks have nothing to do with each other.
+    router first{"a", 1};
+    router second{"b", 2};
+    first.board.receive(second.board.compose(first_address, start + skew), start);
+    lose(first, "e1", start - seconds{1});
+    lose(first, "e2", start);
+    std::ignore = first.board.compose(second_address, start + milliseconds{25}); // Is lost on the way.
+    const auto told = first.board.compose(second_address, start + milliseconds{30});
+    second.board.receive(told, start + skew + milliseconds{31});
+    EXPECT_EQ(second.losses.losses(call), 2);
+    {
+        SCOPED_TRACE("once the peer has them they are not told again");
+        first.board.receive(second.board.compose(first_address, start + skew + milliseconds{40}),
+                            start + milliseconds{41});
+        EXPECT_TRUE(first.board.compose(second_address, start + milliseconds{42}).losses.empty());
+    }
+    {
+        SCOPED_TRACE("the third loss, at the peer, refuses the call at both");
+        lose(second, "e3", start + skew + seconds{1});
+        EXPECT_TRUE(second.losses.refused(call));
+        const auto change = first.board.receive(second.board.compose(first_address, start + skew + milliseconds{1'001}),
+                                                start + milliseconds{1'002});
+        EXPECT_EQ(change.calls_refused, std::vector<std::uint64_t>{call});
+        EXPECT_TRUE(first.losses.refused(call));
+    }
+    {
+        SCOPED_TRACE("a peer that starts again is told all");
+        router restarted{"b", 2};
+        auto hello = restarted.board.compose(first_address, start + skew + seconds{2});
+        hello.incarnation = 2;
+        first.board.receive(hello, start + seconds{2});
+        restarted.board.receive(first.board.compose(second_address, start + seconds{3}), start + skew + seconds{3});
+        EXPECT_TRUE(restarted.losses.refused(call));
+    }
+}
+
 // Guards against messages that can't be decoded, of another version or cut short, taking the process down.
 TEST(peer_state, messages_survive_the_wire_and_garbage_is_refused) {
     peer_state it;
@@ -208,7 +256,9 @@
     it.queues = {service_queue{service_id{"s"}, 12.0}};
     it.peers = {second_address};
     it.config_text = "version 3";
-    it.endpoints_leaving = {leaving_endpoint{endpoint_id{"e"}, 99}};
+    it.endpoints_leaving = {endpoint_process{endpoint_id{"e"}, 99}};
+    it.losses = {call_losses{42, {lost_run{{endpoint_id{"e"}, 99}, start, start + seconds{1}}}, std::nullopt},
+                 call_losses{43, {}, start}};
     const auto bytes = encode(it);
     EXPECT_EQ(*decode_peer_state(bytes), it);
     for (std::size_t n = 0; n < bytes.size(); ++n) {
@@ -216,15 +266,18 @@
     }
     EXPECT_FALSE(decode_peer_state("\x93\x01\x02\x03").ok());
     {
-        SCOPED_TRACE("routers are replaced one after the other: one that does not name leaving endpoints is heard");
+        SCOPED_TRACE("routers are replaced one after the other: those that tell less are heard");
         it.endpoints_leaving.clear();
+        it.losses.clear();
         auto before = encode(it);
-        constexpr char array_of_14 = '\x9e';
-        before.front() = array_of_14;
-        before.pop_back();
-        const auto read = decode_peer_state(before);
-        ASSERT_TRUE(read.ok()) << read.status();
-        EXPECT_EQ(*read, it);
+        constexpr std::size_t long_head = 3; // Of an array of more than 15.
+        for (const char head : {'\x9f', '\x9e'}) {
+            before = head + before.substr(head == '\x9f' ? long_head : 1, before.npos);
+            before.pop_back();
+            const auto read = decode_peer_state(before);
+            ASSERT_TRUE(read.ok()) << read.status();
+            EXPECT_EQ(*read, it);
+        }
     }
 }
 
