Keep refused calls in the registry for gateways that start later

What callers saw (on the test): after all gateways had started again, a call that had ended three endpoints ended more. Evidence: the new test fails without the call of keep_refusal (no row; both gateways answer 502; more endpoints end). Change: the gateway at which a call is refused first, or that lost it and hears the loss that makes it refused, writes one row; each gateway reads the rows once at its start and removes those older than ten minutes; an answer removes the row. Times are kept on the store's clock. Also: a call that only one gateway lost, and that is then answered, is forgotten at once and not told to peers; one function writes the line call_lost_again. Ruled out: writing every loss (calls to the platform are dear); reading at intervals (peers tell).

--- a/src/dandelionbay/base/fingerprint.cpp
+++ b/src/dandelionbay/base/fingerprint.cpp
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include "absl/strings/numbers.h"
 #include "dandelionbay/base/text.hpp"
 
 namespace dandelionbay {
@@ -18,4 +19,13 @@
     return concat(absl::Hex(it, absl::kZeroPad16));
 }
 
+std::optional<std::uint64_t> parse_fingerprint(std::string_view text) {
+    constexpr std::size_t digits = 16;
+    std::uint64_t out = 0;
+    if (text.size() != digits || !absl::SimpleHexAtoi(to_absl(text), &out)) {
+        return std::nullopt;
+    }
+    return out;
+}
+
 } // namespace dandelionbay
--- a/src/dandelionbay/base/fingerprint.hpp
+++ b/src/dandelionbay/base/fingerprint.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -13,4 +14,7 @@
 /*! @brief A fingerprint as logs show it. @return 16 hexadecimal digits. */
 [[nodiscard]] std::string fingerprint_text(std::uint64_t it);
 
+/*! @brief Reads what fingerprint_text() wrote. @return Nothing for another text. */
+[[nodiscard]] std::optional<std::uint64_t> parse_fingerprint(std::string_view text);
+
 } // namespace dandelionbay
--- a/src/dandelionbay/gateway/registry.hpp
+++ b/src/dandelionbay/gateway/registry.hpp
@@ -10,6 +10,7 @@
 #include "dandelionbay/gateway/endpoint_entry.hpp"
 #include "dandelionbay/gateway/registry_view.hpp"
 #include "dandelionbay/gateway/route_config.hpp"
+#include "dandelionbay/limit/lost_runs.hpp"
 
 namespace dandelionbay {
 
@@ -43,6 +44,9 @@
     /*! @brief The announcements of all routers were read. */
     virtual void on_routers(const std::vector<router_entry>& routers) = 0;
 
+    /*! @brief Refused calls that routers kept were read, some of them perhaps long ago. Comes once. */
+    virtual void on_losses(const std::vector<call_losses>& losses) = 0;
+
     /*! @brief The registry did not answer, or not as it should. @param call What was called. @param reason Why. */
     virtual void on_registry_failed(std::string_view call, std::string_view reason) = 0;
 
@@ -63,6 +67,12 @@
     /*! @brief Begins to read and to announce this router. */
     virtual void start() = 0;
 
+    /*! @brief Keeps the losses of a refused call for routers that start later. */
+    virtual void keep(const call_losses& it) = 0;
+
+    /*! @brief Removes what was kept of a call. @param call Fingerprint. */
+    virtual void drop(std::uint64_t call) = 0;
+
     /*! @brief Withdraws the announcement and ends; gives the last write a short time. */
     virtual void stop() = 0;
 };
--- a/src/dandelionbay/limit/lost_runs.cpp
+++ b/src/dandelionbay/limit/lost_runs.cpp
@@ -24,16 +24,26 @@
     return count(std::move(runs), one_fault);
 }
 
-bool lost_runs::add(record& to, const lost_run& run, bool counts) {
-    if (to.answered && run.ended <= *to.answered) {
+call_losses lost_runs::message_of(std::uint64_t call, const record& in) {
+    call_losses out{call, {}, in.answered};
+    for (const auto& it : in.runs) {
+        if (it.counts) {
+            out.runs.push_back(it.run);
+        }
+    }
+    return out;
+}
+
+bool lost_runs::add(record& to, const entry& lost) {
+    if (to.answered && lost.run.ended <= *to.answered) {
         return false;
     }
-    const auto it = std::ranges::find(to.runs, run.at, [](const entry& known) { return known.run.at; });
+    const auto it = std::ranges::find(to.runs, lost.run.at, [](const entry& known) { return known.run.at; });
     if (it != to.runs.end()) {
         if (it->counts) {
             return false;
         }
-        *it = entry{run, counts};
+        *it = lost;
         return true;
     }
     if (to.runs.size() >= most_runs) {
@@ -43,7 +53,7 @@
         }
         to.runs.erase(unconfirmed);
     }
-    to.runs.push_back(entry{run, counts});
+    to.runs.push_back(lost);
     return true;
 }
 
@@ -71,7 +81,7 @@
         broken_[run.at] = run.ended;
     }
     auto& it = find_or_make(call);
-    if (!add(it, run, counts)) {
+    if (!add(it, entry{run, counts, true})) {
         return false;
     }
     it.changed = run.ended;
@@ -83,9 +93,9 @@
     broken_.erase(it);
     std::vector<std::uint64_t> out;
     for (auto& [call, known] : records_) {
-        for (auto& [run, counts] : known.runs) {
-            if (run.at == it && !counts) {
-                counts = true;
+        for (auto& lost : known.runs) {
+            if (lost.run.at == it && !lost.counts) {
+                lost.counts = true;
                 known.changed = now;
                 out.push_back(call);
             }
@@ -103,7 +113,12 @@
 
 void lost_runs::answered(std::uint64_t call, time_point now) {
     const auto it = records_.find(call);
-    if (it != records_.end() && clear(it->second, now)) {
+    if (it == records_.end()) {
+        return;
+    }
+    if (!it->second.answered && std::ranges::none_of(it->second.runs, &entry::counts)) {
+        records_.erase(it); // Nobody else knows of it.
+    } else if (clear(it->second, now)) {
         it->second.changed = now;
     }
 }
@@ -115,7 +130,7 @@
     auto& it = find_or_make(in.call);
     bool changed = in.answered && clear(it, *in.answered);
     for (const auto& run : in.runs) {
-        changed = add(it, run, true) || changed;
+        changed = add(it, entry{run, true, false}) || changed;
     }
     if (changed) {
         it.changed = now;
@@ -128,11 +143,21 @@
     return it != records_.end() ? losses(it->second) : 0;
 }
 
+bool lost_runs::lost_here(std::uint64_t call) const {
+    const auto it = records_.find(call);
+    return it != records_.end() && std::ranges::any_of(it->second.runs, &entry::here);
+}
+
 bool lost_runs::doubtful(std::uint64_t call) const {
     const auto it = records_.find(call);
     return it != records_.end() && count(it->second.runs, duration{}) >= doubtful_at;
 }
 
+call_losses lost_runs::known(std::uint64_t call) const {
+    const auto it = records_.find(call);
+    return it != records_.end() ? message_of(call, it->second) : call_losses{call, {}, std::nullopt};
+}
+
 std::vector<endpoint_process> lost_runs::unconfirmed() const {
     std::vector<endpoint_process> out;
     out.reserve(broken_.size());
@@ -148,12 +173,7 @@
         if (it.changed < since) {
             continue;
         }
-        call_losses told{call, {}, it.answered};
-        for (const auto& [run, counts] : it.runs) {
-            if (counts) {
-                told.runs.push_back(run);
-            }
-        }
+        auto told = message_of(call, it);
         if (!told.runs.empty() || told.answered) {
             out.push_back(std::move(told));
         }
--- a/src/dandelionbay/limit/lost_runs.hpp
+++ b/src/dandelionbay/limit/lost_runs.hpp
@@ -42,6 +42,7 @@
     struct entry {
         lost_run run{};
         bool counts{};
+        bool here{}; //!< It was lost at this router, which others do not tell.
     };
     struct record {
         std::vector<entry> runs{};
@@ -51,7 +52,8 @@
 
     [[nodiscard]] static std::size_t count(std::vector<entry> runs, duration apart);
     [[nodiscard]] static std::size_t losses(const record& in);
-    [[nodiscard]] static bool add(record& to, const lost_run& run, bool counts);
+    [[nodiscard]] static call_losses message_of(std::uint64_t call, const record& in);
+    [[nodiscard]] static bool add(record& to, const entry& lost);
     static bool clear(record& in, time_point answered);
     [[nodiscard]] record& find_or_make(std::uint64_t call);
 
@@ -101,9 +103,15 @@
     /*! @brief Tells whether a call is refused. @param call Fingerprint. */
     [[nodiscard]] bool refused(std::uint64_t call) const { return losses(call) >= refused_at; }
 
+    /*! @brief Tells whether a loss of a call was at this router. @param call Fingerprint. */
+    [[nodiscard]] bool lost_here(std::uint64_t call) const;
+
     /*! @brief Tells whether a call should run again only if its caller wants it to. @param call Fingerprint. */
     [[nodiscard]] bool doubtful(std::uint64_t call) const;
 
+    /*! @brief What counts against a call. @param call Fingerprint. */
+    [[nodiscard]] call_losses known(std::uint64_t call) const;
+
     /*! @brief Processes at which a run broke off and which may have ended. */
     [[nodiscard]] std::vector<endpoint_process> unconfirmed() const;
 
--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -1,10 +1,11 @@
 #include "dandelionbay/node/gateway_node.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
-#include "dandelionbay/base/fingerprint.hpp"
 #include "dandelionbay/base/text.hpp"
+#include "dandelionbay/proxy/call_record.hpp"
 
 namespace dandelionbay {
 
@@ -59,6 +60,7 @@
     store.list_interval = options_.bounds.leaving / parts_of_bound;
     store.watch = options_.bounds.config * 2 / parts_of_bound;
     registry_ = platform_.make_registry(loop_, clock_, log_, metrics_, store, *this);
+    proxy_.on_refusal_changed([this](std::uint64_t call) { keep_refusal(call); });
     for (const auto& peer : options_.first_peers) {
         board_.introduce(peer, clock_.now());
     }
@@ -201,6 +203,14 @@
     stop_timer_.async_wait([this](boost::system::error_code /*ec*/) { loop_.stop(); });
 }
 
+void gateway_node::keep_refusal(std::uint64_t call) {
+    if (proxy_.losses().refused(call)) {
+        registry_->keep(proxy_.losses().known(call));
+    } else {
+        registry_->drop(call);
+    }
+}
+
 void gateway_node::peers_changed(const peer_change& change) {
     if (change.peer_found) {
         log_.write(log_level::info, "peer_found", {{"routers", std::to_string(proxy_.dispatch().routers())}});
@@ -214,11 +224,10 @@
         log_.write(log_level::info, "endpoint_leaving", {{"endpoint", it.id.value}, {"from", "peer"}});
     }
     for (const auto call : change.calls_refused) {
-        log_.write(log_level::warn, "call_lost_again",
-                   {{"call", fingerprint_text(call)},
-                    {"losses", std::to_string(proxy_.losses().losses(call))},
-                    {"refused", "yes"},
-                    {"from", "peer"}});
+        log_call_lost(log_, call, proxy_.losses(), "peer");
+        if (proxy_.losses().lost_here(call)) { // The others need not write it too.
+            keep_refusal(call);
+        }
     }
     if (change.list_renewed) {
         metrics_.add("lists_from_peers_total");
@@ -261,6 +270,18 @@
     board_.announced(routers, clock_.now());
 }
 
+void gateway_node::on_losses(const std::vector<call_losses>& losses) {
+    const auto now = clock_.now();
+    for (const auto& it : losses) {
+        const auto recent = [&](const lost_run& run) { return now - run.ended < lost_runs::kept; };
+        if (std::ranges::none_of(it.runs, recent)) {
+            registry_->drop(it.call);
+        } else if (proxy_.losses().merge(it, now)) {
+            log_call_lost(log_, it.call, proxy_.losses(), "registry");
+        }
+    }
+}
+
 void gateway_node::on_registry_failed(std::string_view call, std::string_view reason) {
     const auto now = clock_.now();
     view_.store_failed();
--- a/src/dandelionbay/node/gateway_node.hpp
+++ b/src/dandelionbay/node/gateway_node.hpp
@@ -48,6 +48,7 @@
     void reload();
     void watch_settings();
     void peers_changed(const peer_change& change);
+    void keep_refusal(std::uint64_t call);
 
 public:
     /*! @brief Time after the start of a stop for which idle connections stay open: the balancer needs it to notice. */
@@ -84,6 +85,7 @@
     void on_operators(const operator_state& state, time_point read_at) override;
     void on_endpoints(const endpoint_list& list, time_point read_at) override;
     void on_routers(const std::vector<router_entry>& routers) override;
+    void on_losses(const std::vector<call_losses>& losses) override;
     void on_registry_failed(std::string_view call, std::string_view reason) override;
     void on_registry_back() override;
 
--- a/src/dandelionbay/proxy/call_record.cpp
+++ b/src/dandelionbay/proxy/call_record.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_format.h"
 #include "dandelionbay/base/fingerprint.hpp"
+#include "dandelionbay/limit/lost_runs.hpp"
 
 namespace dandelionbay {
 
@@ -60,4 +61,12 @@
                {"config_age_ms", to_text(it.config_age)}});
 }
 
+void log_call_lost(bounded_log& log, std::uint64_t call, const lost_runs& losses, std::string_view from) {
+    log.write(log_level::warn, "call_lost_again",
+              {{"call", fingerprint_text(call)},
+               {"losses", std::to_string(losses.losses(call))},
+               {"refused", losses.refused(call) ? "yes" : "no"},
+               {"from", std::string{from}}});
+}
+
 } // namespace dandelionbay
--- a/src/dandelionbay/proxy/call_record.hpp
+++ b/src/dandelionbay/proxy/call_record.hpp
@@ -9,6 +9,7 @@
 #include "dandelionbay/base/clock.hpp"
 #include "dandelionbay/base/ids.hpp"
 #include "dandelionbay/dispatch/work.hpp"
+#include "dandelionbay/limit/fwd.hpp"
 
 namespace dandelionbay {
 
@@ -39,4 +40,8 @@
 /*! @brief Writes that a call ended. @param outcome How. @param status Sent to the caller; 0 for none. */
 void log_call_ended(bounded_log& log, const call_record& it, std::string_view outcome, int status);
 
+/*! @brief Writes that a call was lost with endpoints more than once. @param call Fingerprint. @param from Who says so.
+ */
+void log_call_lost(bounded_log& log, std::uint64_t call, const lost_runs& losses, std::string_view from);
+
 } // namespace dandelionbay
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -247,9 +247,9 @@
     owner_->run_lost(fingerprint(), run, choice_.address);
 }
 
-void exchange::note_answered(time_point now) {
+void exchange::note_answered() {
     if (!owner_->losses().empty()) {
-        owner_->losses().answered(fingerprint(), now);
+        owner_->run_answered(fingerprint());
     }
 }
 
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -36,7 +36,7 @@
     [[nodiscard]] duration fresh_connection_limit() const noexcept;
     void note_wishes(const answer_terms& answer);
     void note_lost_run(time_point now);
-    void note_answered(time_point now);
+    void note_answered();
 
     /*! Tells whether endpoints are known to end when they run the call. */
     [[nodiscard]] bool crashes_endpoints() const;
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "absl/cleanup/cleanup.h"
-#include "dandelionbay/base/fingerprint.hpp"
+#include "dandelionbay/proxy/call_record.hpp"
 #include "dandelionbay/proxy/caller_connection.hpp"
 #include "dandelionbay/proxy/exchange.hpp"
 
@@ -260,11 +260,18 @@
     if (n <= 1) {
         return; // The endpoint's line counts it.
     }
-    environment_.log->write(log_level::warn, "call_lost_again",
-                            {{"call", fingerprint_text(call)},
-                             {"losses", std::to_string(n)},
-                             {"refused", losses_.refused(call) ? "yes" : "no"},
-                             {"from", "own"}});
+    log_call_lost(*environment_.log, call, losses_, "own");
+    if (n == lost_runs::refused_at && refusal_changed_) {
+        refusal_changed_(call);
+    }
+}
+
+void proxy::run_answered(std::uint64_t call) {
+    const bool was_refused = losses_.refused(call);
+    losses_.answered(call, now());
+    if (was_refused && refusal_changed_) {
+        refusal_changed_(call);
+    }
 }
 
 void proxy::pump() {
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -72,6 +72,9 @@
     /*! @brief Creates it. @param environment All members outlive it. @param options Settings. */
     proxy(proxy_environment environment, proxy_options options);
 
+    /*! @brief Names who is told which call is refused, or not refused any more, after what happened to it here. */
+    void on_refusal_changed(std::function<void(std::uint64_t call)> handler) { refusal_changed_ = std::move(handler); }
+
     /*! @brief Listens. @return Unavailable if the address can't be bound. */
     [[nodiscard]] absl::Status start();
 
@@ -136,6 +139,9 @@
      */
     void run_lost(std::uint64_t call, const lost_run& run, const socket_address& address);
 
+    /*! @brief An endpoint answered a call with success. @param call Fingerprint. */
+    void run_answered(std::uint64_t call);
+
     /*! @brief The network, the fleet or the clock moved on: decides about waiting calls. */
     void pump();
 
@@ -172,6 +178,7 @@
     endpoint_pool pool_{};
     lost_runs losses_{};
     std::map<endpoint_process, std::unique_ptr<listen_probe>> probes_{};
+    std::function<void(std::uint64_t call)> refusal_changed_{};
     std::mt19937_64 random_;
     listener listener_;
     boost::asio::steady_timer timer_;
--- a/test/dandelionbay/limit/lost_runs_test.cpp
+++ b/test/dandelionbay/limit/lost_runs_test.cpp
@@ -135,6 +135,9 @@
     lost_runs it;
     it.answered(call, start);
     EXPECT_TRUE(it.empty()) << "nothing to clear";
+    it.broke_off(call, run_at("z", milliseconds{500}));
+    it.answered(call, start + milliseconds{600});
+    EXPECT_TRUE(it.empty()) << "nothing that the peers know of";
     lose(it, run_at("a", seconds{1}));
     lose(it, run_at("b", seconds{2}));
     it.answered(call, start + seconds{3});
@@ -155,6 +158,8 @@
             peer.merge(told, start + seconds{5});
         }
         EXPECT_EQ(peer.losses(call), 1) << "that of c";
+        EXPECT_TRUE(it.lost_here(call));
+        EXPECT_FALSE(peer.lost_here(call)) << "that of a was cleared";
     }
 }
 
--- a/test/dandelionbay/platform/documents_test.cpp
+++ b/test/dandelionbay/platform/documents_test.cpp
@@ -163,5 +163,26 @@
     }
 }
 
+// Guards against refused calls that are taken for others, or for recent ones, when they are read back by a router with
+// another clock, and against rows that others wrote.
+TEST(losses, are_read_back_in_the_readers_time) {
+    using std::chrono::hours;
+    using std::chrono::seconds;
+    const time_point ended{seconds{5'000}};
+    const call_losses it{42, {lost_run{{endpoint_id{"e"}, 99}, ended - seconds{1}, ended}}, std::nullopt};
+    const auto text = write_losses(it, hours{3});
+    const auto read = read_losses("000000000000002a", text, hours{2});
+    ASSERT_TRUE(read);
+    auto moved = it;
+    moved.runs[0].began += hours{1};
+    moved.runs[0].ended += hours{1};
+    EXPECT_EQ(*read, moved);
+    EXPECT_FALSE(read_losses("no fingerprint", text, {}));
+    for (const auto* const bad : {"", "{", "[]", "{}", R"({"runs": []})", R"({"runs": [{"endpoint": 1}]})",
+                                  R"({"runs": [{"endpoint": "e", "started": 1, "began_ms": 9e99, "ended_ms": 1}]})"}) {
+        EXPECT_FALSE(read_losses("000000000000002a", bad, {})) << bad;
+    }
+}
+
 } // namespace
 } // namespace dandelionbay::platform
--- a/test/dandelionbay/platform/gateway_crash_test.cpp
+++ b/test/dandelionbay/platform/gateway_crash_test.cpp
@@ -91,5 +91,37 @@
     }
 }
 
+// Guards against a call that ends endpoints anew after all gateways started again, when none is there to tell of it.
+TEST_F(gateway_crash, a_refused_call_stays_refused_when_all_gateways_start_again) {
+    const std::string path = concat("/look", crashing_service::crashing_path);
+    crash_endpoints(path, 3);
+    EXPECT_TRUE(eventually([&] {
+        desks.restart_ended();
+        return gateway->get(path).find(" 422 ") != std::string::npos;
+    }));
+    EXPECT_TRUE(eventually([&] { return store.rows("lost-calls") == 1; }));
+    const int before = desks.crashes();
+    other.reset();
+    start_gateway();
+    other = std::make_unique<running_gateway>("g2", store.address(), gateway_bounds{},
+                                              std::vector<socket_address>{gateway->peer_address()});
+    ASSERT_TRUE(desks_serve());
+    std::this_thread::sleep_for(contact);
+    EXPECT_NE(gateway->get(path).find(" 422 "), std::string::npos);
+    EXPECT_NE(other->get(path).find(" 422 "), std::string::npos);
+    EXPECT_EQ(desks.crashes(), before);
+}
+
+// Guards against rows of refused calls that pile up in the platform's store, and against ones that make no sense.
+TEST_F(gateway_crash, rows_of_calls_that_are_not_refused_any_more_are_removed) {
+    const auto old = standin_store::ms_before(std::chrono::duration_cast<milliseconds>(lost_runs::kept) + seconds{1});
+    const nlohmann::json run{{"endpoint", "e"}, {"started", 1}, {"began_ms", old - 10}, {"ended_ms", old}};
+    store.put("lost-calls", "000000000000002a", nlohmann::json{{"runs", nlohmann::json::array({run})}}.dump());
+    store.put("lost-calls", "000000000000002b", "{");
+    start_gateway();
+    EXPECT_TRUE(eventually([&] { return !store.holds("lost-calls", "000000000000002a"); }));
+    EXPECT_NE(gateway->get("/look/any").find("200 X"), std::string::npos);
+}
+
 } // namespace
 } // namespace dandelionbay::platform
--- a/test/dandelionbay/platform/standin_store.hpp
+++ b/test/dandelionbay/platform/standin_store.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <condition_variable>
 #include <map>
 #include <string>
@@ -65,6 +66,16 @@
         return it != rows_.end() && !it->second.removed;
     }
 
+    /*! @brief Number of rows in a table. */
+    [[nodiscard]] std::ptrdiff_t rows(const std::string& table) {
+        const std::scoped_lock lock{mutex_};
+        return std::ranges::count_if(rows_,
+                                     [&](const auto& it) { return it.first.first == table && !it.second.removed; });
+    }
+
+    /*! @brief The store's clock at some time before now. */
+    [[nodiscard]] static std::int64_t ms_before(std::chrono::milliseconds time) { return now_ms() - time.count(); }
+
     void stop() {
         set_down(true);
         server_.stop();
@@ -85,6 +96,11 @@
                         "\r\n\r\n", body));
     }
 
+    static std::int64_t now_ms() {
+        const auto now = std::chrono::steady_clock::now().time_since_epoch() + std::chrono::hours{1'000};
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    }
+
     std::string rows_since(const std::string& table, std::uint64_t after, bool with_removed) {
         nlohmann::json list = nlohmann::json::array();
         for (const auto& [name, it] : rows_) {
@@ -99,7 +115,7 @@
             }
             list.push_back(std::move(out));
         }
-        return nlohmann::json{{"rows", list}, {"has_more", false}, {"ver", version_}, {"now_ms", 1}}.dump();
+        return nlohmann::json{{"rows", list}, {"has_more", false}, {"ver", version_}, {"now_ms", now_ms()}}.dump();
     }
 
     void watch(const http_request& request, raw_server::connection& to, std::unique_lock<std::mutex>& lock) {
@@ -134,7 +150,7 @@
             rows_[{it["table"], it["key"]}] = row{"", version_, true};
         }
         changed_.notify_all();
-        answer(to, 200, nlohmann::json{{"ver", version_}, {"now_ms", 1}}.dump());
+        answer(to, 200, nlohmann::json{{"ver", version_}, {"now_ms", now_ms()}}.dump());
     }
 
     void serve(const http_request& request, raw_server::connection& to) {
