--- a/test/dandelionbay/platform/gateway_crash_test.cpp
+++ b/test/dandelionbay/platform/gateway_crash_test.cpp
@@ -71,6 +71,31 @@
     }
 }
 
+// Guards against a call that ends its endpoints and is sent on for longer because its caller sends copies at once.
+TEST_F(gateway_crash, copies_of_a_call_that_ends_its_endpoints_are_not_sent_again_and_again) {
+    const std::string path = concat("/look", crashing_service::crashing_path);
+    const auto send_copies = [&] {
+        std::vector<std::thread> callers;
+        for (int n = 0; n < 3; ++n) {
+            callers.emplace_back([&, n] { std::ignore = (n % 2 == 0 ? *gateway : *other).get(path); });
+        }
+        for (auto& it : callers) {
+            it.join();
+        }
+        desks.restart_ended();
+        ASSERT_TRUE(desks_serve());
+        std::this_thread::sleep_for(milliseconds{700}); // All new endpoints are known.
+    };
+    send_copies();
+    ASSERT_GE(desks.crashes(), 3);
+    std::this_thread::sleep_for(contact);
+    const int before = desks.crashes();
+    for (int round = 0; round < 5; ++round) {
+        send_copies();
+    }
+    EXPECT_LE(desks.crashes() - before, allowed_later);
+}
+
 // Guards against a refusal of calls that only happened to run at endpoints that ended: many at a time, and again later.
 TEST_F(gateway_crash, a_call_that_was_lost_with_its_endpoints_is_served_afterwards) {
     const std::string path = concat("/look", crashing_service::slow_path);
--- a/test/dandelionbay/platform/raw_server.hpp
+++ b/test/dandelionbay/platform/raw_server.hpp
@@ -84,8 +84,11 @@
 
     /*! @brief Ends like a killed process: connections break and new ones are refused. From a handler or elsewhere. */
     void crash() {
-        shutdown(acceptor_.native_handle(), SHUT_RDWR); // The system refuses connections from here on.
         const std::scoped_lock lock{mutex_};
+        if (stopped_) {
+            return;
+        }
+        shutdown(acceptor_.native_handle(), SHUT_RDWR); // The system refuses connections from here on.
         for (auto& it : connections_) {
             it.interrupt();
         }
@@ -98,12 +101,14 @@
         boost::system::error_code ec;
         shutdown(acceptor_.native_handle(), SHUT_RDWR); // Wakes the accepting thread.
         accepting_.join();
-        acceptor_.close(ec);
-        const std::scoped_lock lock{mutex_};
-        for (auto& it : connections_) {
-            it.interrupt();
+        {
+            const std::scoped_lock lock{mutex_};
+            acceptor_.close(ec);
+            for (auto& it : connections_) {
+                it.interrupt();
+            }
         }
-        for (auto& it : threads_) {
+        for (auto& it : threads_) { // None is added any more; their handlers may wait for the lock.
             it.join();
         }
     }
