Close the listener of a gateway whose start failed, and hold the addresses of tests

A gateway that could not listen at a later address returned an error and left its listener for callers open, so the system took callers for whom nobody was there. Change: a start that fails closes the data path. reserved_address keeps the port bound for as long as a test uses it. A test that reads an answer fails after 30 s of silence. Before: gateway_start.a_gateway_that_cannot_listen_keeps_no_callers fails (connected).

--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -74,6 +74,7 @@
           std::function<absl::Status()>{[this] { return status_.start(options_.metrics_listen); }}}) {
         if (auto status = step(); !status.ok()) {
             log_.write(log_level::error, "start_failed", {{"reason", std::string{from_absl(status.message())}}});
+            proxy_.stop(); // Callers that the system has accepted would wait for ever.
             return status;
         }
     }
--- a/test/dandelionbay/platform/gateway_fleet.hpp
+++ b/test/dandelionbay/platform/gateway_fleet.hpp
@@ -11,12 +11,14 @@
 #include <vector>
 
 #include <gtest/gtest.h>
+#include <poll.h>
 
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/str_cat.h"
 #include "dandelionbay/base/text.hpp"
+#include "dandelionbay/net/reserved_address.hpp"
 #include "dandelionbay/node/gateway_node.hpp"
 #include "platform/binding.hpp"
 #include "raw_server.hpp"
@@ -41,12 +43,6 @@
     return true;
 }
 
-[[nodiscard]] inline socket_address free_address() {
-    boost::asio::io_context loop;
-    const tcp::acceptor acceptor{loop, tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), 0}};
-    return {"127.0.0.1", acceptor.local_endpoint().port()};
-}
-
 [[nodiscard]] inline std::string event(int id) {
     return concat("id: ", id, "\ndata: token\n\n");
 }
@@ -161,11 +157,13 @@
 
 /*! One gateway on a thread of its own. */
 class running_gateway {
+    /*! Several times the longest time limit of a call; a connection that is silent for longer is a fault. */
+    static constexpr int longest_silence_ms = 30'000;
+
 public:
     running_gateway(const std::string& name, const socket_address& store, const gateway_bounds& bounds,
                     const std::vector<socket_address>& peers, std::size_t max_connections = 1'000)
-        : caller_{free_address()}, peer_{free_address()}, ready_{free_address()},
-          node_{options(name, store, bounds, peers, max_connections), make_binding(), nullptr}, thread_{[this] {
+        : node_{options(name, store, bounds, peers, max_connections), make_binding(), nullptr}, thread_{[this] {
               result_ = node_.run([] {});
           }} {}
     running_gateway(const running_gateway&) = delete;
@@ -178,14 +176,14 @@
         EXPECT_TRUE(result_.ok()) << result_;
     }
 
-    [[nodiscard]] socket_address peer_address() const { return peer_; }
+    [[nodiscard]] socket_address peer_address() const { return peer_.get(); }
 
     /*! Sends bytes on a new connection and returns all that comes until the connection ends. */
-    [[nodiscard]] std::string exchange(const std::string& bytes) const { return exchange(caller_, bytes); }
+    [[nodiscard]] std::string exchange(const std::string& bytes) const { return exchange(caller_.get(), bytes); }
 
     /*! Tells whether it wants new callers. */
     [[nodiscard]] bool ready() const {
-        return exchange(ready_, "GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").find(" 200 ") !=
+        return exchange(ready_.get(), "GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").find(" 200 ") !=
                std::string::npos;
     }
 
@@ -221,7 +219,7 @@
                       "Dandelionbay-Deadline-Ms: 5000\r\n", more, "\r\n");
     }
 
-    [[nodiscard]] const socket_address& caller() const { return caller_; }
+    [[nodiscard]] const socket_address& caller() const { return caller_.get(); }
 
 private:
     [[nodiscard]] gateway_options options(const std::string& name, const socket_address& store,
@@ -229,10 +227,10 @@
                                           std::size_t max_connections) const {
         gateway_options out;
         out.place = {host_id{name}, zone_id{"zone-1"}, region_id{"here"}, {{zone_id{"zone-1"}, region_id{"here"}}}};
-        out.caller_listen = caller_;
-        out.ready_listen = ready_;
-        out.peer_listen = peer_;
-        out.metrics_listen = free_address();
+        out.caller_listen = caller_.get();
+        out.ready_listen = ready_.get();
+        out.peer_listen = peer_.get();
+        out.metrics_listen = metrics_.get();
         out.first_peers = peers;
         out.store = store;
         out.bounds = bounds;
@@ -257,6 +255,10 @@
         std::string out;
         std::array<char, 4'096> buf{};
         while (true) {
+            if (pollfd readable{socket.native_handle(), POLLIN, 0}; poll(&readable, 1, longest_silence_ms) == 0) {
+                ADD_FAILURE() << "nothing came for " << longest_silence_ms << " ms after: " << out;
+                return out;
+            }
             const auto n = socket.read_some(boost::asio::buffer(buf), ec);
             if (ec) {
                 return out;
@@ -265,9 +267,10 @@
         }
     }
 
-    socket_address caller_;
-    socket_address peer_;
-    socket_address ready_;
+    reserved_address caller_{};
+    reserved_address peer_{};
+    reserved_address ready_{};
+    reserved_address metrics_{};
     gateway_node node_;
     absl::Status result_{};
     std::thread thread_;
--- a/test/dandelionbay/platform/gateway_test.cpp
+++ b/test/dandelionbay/platform/gateway_test.cpp
@@ -5,6 +5,22 @@
 namespace dandelionbay::platform {
 namespace {
 
+// Guards against callers whose connections a gateway takes that could not start, and that wait for it without end.
+TEST(gateway_start, a_gateway_that_cannot_listen_keeps_no_callers) {
+    const reserved_address callers;
+    raw_server other{[](const http_request& /*request*/, raw_server::connection& /*to*/) {}};
+    gateway_options options;
+    options.caller_listen = callers.get();
+    options.peer_listen = other.address();
+    gateway_node node{options, make_binding(), nullptr};
+    EXPECT_EQ(node.run([] {}).code(), absl::StatusCode::kUnavailable);
+    boost::asio::io_context loop;
+    tcp::socket caller{loop};
+    boost::system::error_code ec;
+    caller.connect(to_endpoint(callers.get()), ec);
+    EXPECT_EQ(ec, boost::asio::error::connection_refused);
+}
+
 // Guards against calls that reach an endpoint under a wrong team, with the caller's key or meant for another endpoint.
 TEST_F(gateway_fleet, a_call_reaches_the_endpoint_with_the_routers_own_fields) {
     const auto answer = gateway->post("/book/a?x=1", "Dandelionbay-Tenant: forged\r\nX-Mine: 7\r\n");
@@ -196,7 +212,8 @@
 
 // Guards against a gateway that the store turns away and that stops although its peers reach the store.
 TEST_F(gateway_fleet, a_gateway_without_the_store_serves_through_its_peer) {
-    const running_gateway second{"g2", free_address(), {}, {gateway->peer_address()}};
+    const reserved_address no_store;
+    const running_gateway second{"g2", no_store.get(), {}, {gateway->peer_address()}};
     EXPECT_TRUE(eventually([&] { return second.get("/look/x").find(" 200 ") != std::string::npos; }));
     store.put("op", "config", config(2, R"(["key-2"])"));
     EXPECT_TRUE(eventually([&] { return second.get("/look/x").find(" 401 ") != std::string::npos; }, seconds{3}));
--- a/test/dandelionbay/proxy/listener_test.cpp
+++ b/test/dandelionbay/proxy/listener_test.cpp
@@ -10,6 +10,7 @@
 
 #include <gtest/gtest.h>
 
+#include "dandelionbay/net/reserved_address.hpp"
 #include "dandelionbay/proxy/http_message.hpp"
 
 namespace dandelionbay {
@@ -48,11 +49,6 @@
 
 class listener_test : public testing::Test {
 protected:
-    void SetUp() override {
-        const tcp::acceptor probe{loop, tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), 0}};
-        at = {"127.0.0.1", probe.local_endpoint().port()};
-    }
-
     [[nodiscard]] absl::Status start(listener& it) {
         return it.start(at, [this](channel::tcp::socket socket) { accepted.push_back(std::move(socket)); });
     }
@@ -76,7 +72,8 @@
     bounded_log log{std::make_shared<event_log>(event_log_options{log_level::info, path, host_id{"h"}, zone_id{"z"}}),
                     time};
     boost::asio::io_context loop{};
-    socket_address at{};
+    const reserved_address place{};
+    const socket_address at{place.get()};
     std::vector<channel::tcp::socket> accepted{};
 };
 
--- a/test/dandelionbay/proxy/proxy_test.cpp
+++ b/test/dandelionbay/proxy/proxy_test.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include "dandelionbay/net/reserved_address.hpp"
 #include "platform/call_headers.hpp"
 
 namespace dandelionbay {
@@ -19,22 +20,16 @@
 class proxy_test : public testing::Test {
 protected:
     void SetUp() override {
-        const auto port = free_port();
         proxy_options options;
-        options.listen = {"127.0.0.1", port};
+        options.listen = listen.get();
         options.max_connections = 100;
         router =
             std::make_unique<proxy>(proxy_environment{&loop, &time, &log, &metrics, &view, protocol.get()}, options);
         ASSERT_TRUE(router->start().ok());
-        caller.connect(tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), port});
+        caller.connect(to_endpoint(listen.get()));
         run();
     }
 
-    [[nodiscard]] std::uint16_t free_port() {
-        const tcp::acceptor probe{loop, tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), 0}};
-        return probe.local_endpoint().port();
-    }
-
     void run() {
         loop.restart();
         loop.run_for(milliseconds{50});
@@ -54,6 +49,7 @@
         return {buf.data(), n};
     }
 
+    const reserved_address listen{};
     boost::asio::io_context loop{};
     monotonic_clock time{};
     bounded_log log{nullptr, time};
