Bound what endpoints send before, inside and beside an answer

Cause: the parser keeps the head of a chunk and a trailer until they are whole and limits neither; nobody counted what came before the answer; answers that stay unfinished had no common limit. Change: what the parser leaves is limited to a head's size, for callers too; 8 MiB may come before an answer; unfinished answers hold 24 MiB together, beyond which the largest is given up. The stand-in can fall dark, for a later test.

--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -197,6 +197,7 @@
         return;
     }
     const auto now = owner_->now();
+    body_ = std::string{}; // Its memory is needed while the call waits for another endpoint.
     if (why == request_failure::not_sent) {
         --runs_;
         owner_->unreachable(choice_.endpoint);
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -64,6 +64,8 @@
 public:
     /*! @brief Answers up to this size are held back until they are complete; a stream is not. */
     static constexpr std::size_t held_bytes = std::size_t{8} << 20U;
+    /*! @brief A call that holds less is not looked at when the answers of all calls take too much memory. */
+    static constexpr std::size_t large_answer = std::size_t{256} << 10U;
     /*! @brief Endpoints that are asked before the call ends as not run. */
     static constexpr std::uint32_t most_sends = 4;
     /*! @brief A call with less time left is not sent again. */
@@ -100,6 +102,9 @@
     void on_complete() override;
     void on_failed(request_failure why) override;
 
+    /*! @brief Bytes of its answer that are held until it, or an event of it, is complete. */
+    [[nodiscard]] std::size_t held() const noexcept { return body_.size() + scanner_.rest().size(); }
+
     /*! @brief Bytes of the request's body. */
     [[nodiscard]] std::size_t body_bytes() const noexcept { return request_.body.size(); }
 
--- a/src/dandelionbay/proxy/exchange_answer.cpp
+++ b/src/dandelionbay/proxy/exchange_answer.cpp
@@ -92,16 +92,22 @@
 }
 
 void exchange::on_body(std::string bytes) {
+    const auto self = shared_from_this(); // Events may end the call.
     owner_->dispatch().heard(choice_.endpoint, owner_->now());
     if (streaming_) {
         scanner_.append(bytes);
     } else {
         body_ += bytes;
     }
-    if (body_.size() > held_bytes || scanner_.rest().size() > held_bytes) {
+    if (held() > held_bytes) {
         on_failed(request_failure::garbage);
-    } else if (streaming_) {
-        send_events(); // May end the call, which then is gone.
+        return;
+    }
+    if (streaming_) {
+        send_events();
+    }
+    if (stage_ == stage::running && held() > large_answer) {
+        owner_->limit_held_answers();
     }
 }
 
--- a/src/dandelionbay/proxy/http_connection.cpp
+++ b/src/dandelionbay/proxy/http_connection.cpp
@@ -21,6 +21,8 @@
     handler_ = handler;
     busy_ = true;
     foreign_ = false;
+    answer_begun_ = false;
+    before_answer_ = 0;
     keep_ = true;
     reader_.expect(without_body);
     channel_->write(bytes);
@@ -49,6 +51,11 @@
         close(); // Bytes that nobody asked for.
         return;
     }
+    before_answer_ += answer_begun_ ? 0 : bytes.size();
+    if (before_answer_ > most_before_answer) {
+        fail(request_failure::garbage);
+        return;
+    }
     reader_.append(bytes);
     read_answers();
 }
@@ -71,6 +78,7 @@
     if (const auto head = reader_.take_head()) {
         keep_ = keep_ && head->keep_alive;
         foreign_ = handler_ != nullptr && !handler_->on_head(*head);
+        answer_begun_ = !foreign_;
     }
     auto body = reader_.take_body();
     if (!body.empty() && !foreign_ && handler_ != nullptr) {
--- a/src/dandelionbay/proxy/http_connection.hpp
+++ b/src/dandelionbay/proxy/http_connection.hpp
@@ -55,6 +55,9 @@
     void fail(request_failure why);
 
 public:
+    /*! @brief Bytes that may come before an answer, as interim ones or late copies of earlier ones. */
+    static constexpr std::size_t most_before_answer = std::size_t{8} << 20U;
+
     /*! @brief Connects. @param loop Event loop. @param to The other side. @param limit Longest time to connect. */
     http_connection(boost::asio::io_context& loop, const socket_address& to, std::chrono::milliseconds limit);
     http_connection(const http_connection&) = delete;
@@ -96,6 +99,8 @@
     response_handler* handler_{};
     bool connected_{};
     bool busy_{};
+    std::size_t before_answer_{}; //!< Bytes since the request was sent, until its answer begins.
+    bool answer_begun_{};
     bool foreign_{};  //!< The answer that is read belongs to another request.
     bool keep_{true}; //!< The other side keeps the connection open after the answer.
 };
--- a/src/dandelionbay/proxy/http_reader.cpp
+++ b/src/dandelionbay/proxy/http_reader.cpp
@@ -34,9 +34,10 @@
     return out;
 }
 
-/*! Feeds a parser with what was received and removes what it took. */
+/*! Feeds a parser with what was received and removes what it took. It leaves the head of a message, of a chunk or of a
+ * trailer until that is whole, but limits only the first of them by itself. */
 template<typename Parser>
-[[nodiscard]] read_result feed(Parser& parser, std::string& in) {
+[[nodiscard]] read_result feed(Parser& parser, std::string& in, std::size_t max_header) {
     while (!parser.is_done()) {
         if (in.empty()) {
             return read_result::incomplete;
@@ -45,7 +46,7 @@
         const auto n = parser.put(boost::asio::buffer(in), ec);
         in.erase(0, n);
         if (ec == http::error::need_more) {
-            return read_result::incomplete;
+            return in.size() > max_header ? read_result::header_too_long : read_result::incomplete;
         }
         if (ec == http::error::header_limit) {
             return read_result::header_too_long;
@@ -103,7 +104,7 @@
 }
 
 read_result request_reader::read() {
-    return feed(*state_->parser, state_->in);
+    return feed(*state_->parser, state_->in, state_->max_header);
 }
 
 http_request request_reader::take() {
@@ -180,10 +181,10 @@
 }
 
 read_result response_reader::read() {
-    auto result = feed(*state_->parser, state_->in);
+    auto result = feed(*state_->parser, state_->in, max_response_header);
     while (result == read_result::complete && state_->interim()) {
         state_->reset();
-        result = feed(*state_->parser, state_->in);
+        result = feed(*state_->parser, state_->in, max_response_header);
     }
     return result;
 }
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -197,6 +197,24 @@
     exchanges_.erase(it);
 }
 
+std::uint64_t proxy::held_answers() const {
+    std::uint64_t out = 0;
+    for (const auto& [ticket, it] : exchanges_) {
+        out += it->held();
+    }
+    return out;
+}
+
+void proxy::limit_held_answers() {
+    if (held_answers() <= options_.max_held_answers) {
+        return;
+    }
+    const auto largest = std::ranges::max_element(exchanges_, {}, [](const auto& it) { return it.second->held(); });
+    environment_.metrics->add("held_answers_given_up_total");
+    const auto call = largest->second;
+    call->on_failed(request_failure::garbage);
+}
+
 void proxy::close_caller(const std::shared_ptr<caller_connection>& it) {
     callers_.erase(it);
 }
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -39,6 +39,7 @@
     dispatch_limits dispatch{};
     retry_limits retry{};
     std::uint64_t max_buffered_bytes{std::uint64_t{24} << 20U}; //!< Bodies of all open requests together.
+    std::uint64_t max_held_answers{std::uint64_t{24} << 20U};   //!< Parts of unfinished answers together, in bytes.
     std::size_t max_connections{}; //!< Connections of callers; above half of them none is kept after its answer.
 };
 
@@ -164,6 +165,12 @@
     /*! @brief Bytes of bodies that open requests hold. */
     [[nodiscard]] std::uint64_t buffered_bytes() const noexcept { return buffered_; }
 
+    /*! @brief Bytes of answers that are held until they are complete. */
+    [[nodiscard]] std::uint64_t held_answers() const;
+
+    /*! @brief Gives up the largest answer if all that are held take too much memory. */
+    void limit_held_answers();
+
     /*! @brief Time to the first event or to the whole answer, and time to the end, of answered calls. */
     [[nodiscard]] latency_histogram& first_answer() noexcept { return first_answer_; }
     [[nodiscard]] latency_histogram& whole_answer() noexcept { return whole_answer_; }
--- /dev/null
+++ b/test/dandelionbay/platform/gateway_endless_test.cpp
@@ -0,0 +1,147 @@
+#include "dandelionbay/proxy/exchange.hpp"
+#include "gateway_fleet.hpp"
+
+namespace dandelionbay::platform {
+namespace {
+
+/*! Bytes that an endpoint sends without end in place of an answer. */
+struct endless_bytes {
+    std::string name{};
+    std::string path{}; //!< Of the calls.
+    std::string first{};
+    std::string then{}; //!< Again and again.
+};
+
+[[nodiscard]] std::vector<endless_bytes> kinds() {
+    const std::string filler(1'000, 'a');
+    const std::string chunked = "HTTP/1.1 200 X\r\nDandelionbay-Request-Id: ID\r\nDandelionbay-Response-Seal: s\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string by_close =
+        "HTTP/1.1 200 X\r\nDandelionbay-Request-Id: ID\r\nDandelionbay-Response-Seal: s\r\n\r\n";
+    return {{"no_http", "/look/a", "", filler},
+            {"fields", "/look/a", "HTTP/1.1 200 X\r\n", concat("X-A: ", filler, "\r\n")},
+            {"field_line", "/look/a", "HTTP/1.1 200 X\r\nX-A: ", filler},
+            {"early_answers", "/look/a", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+            {"nameless_answers", "/look/a", "", "HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nno"},
+            {"nameless_body", "/look/a", "HTTP/1.1 200 X\r\n\r\n", filler},
+            {"body", "/look/a", by_close, filler},
+            {"chunks", "/look/a", chunked, chunk(filler)},
+            {"chunk_size", "/look/a", chunked, "00000000"},
+            {"chunk_extension", "/look/a", concat(chunked, "2;"), filler},
+            {"trailer_line", "/look/a", concat(chunked, "0\r\nX-A: "), filler},
+            {"trailers", "/look/a", concat(chunked, "0\r\n"), concat("X-A: ", filler, "\r\n")},
+            {"stream_without_events", "/chat/a", chunked, chunk(filler)},
+            {"stream_of_comments", "/chat/a", chunked, chunk(concat(":", filler, "\n"))},
+            {"stream_chunk_extension", "/chat/a", concat(chunked, chunk(event(1)), "2;"), filler}};
+}
+
+class gateway_endless : public gateway_fleet, public testing::WithParamInterface<endless_bytes> {
+protected:
+    /*! What one call may hold, and what the sockets' buffers take. */
+    static constexpr std::size_t most_taken = exchange::held_bytes + (std::size_t{8} << 20U);
+    /*! The routes' longest time limit, and some time to tell both sides. */
+    static constexpr seconds longest{5};
+
+    void TearDown() override {
+        ended = true;
+        gateway_fleet::TearDown();
+    }
+
+    /*! Makes endpoints send the bytes until the gateway closes the connection. */
+    void send_without_end(scripted_endpoint& from) {
+        from.otherwise([this](const http_request& request, raw_server::connection& to) {
+            auto first = GetParam().first;
+            if (const auto at = first.find("ID"); at != std::string::npos) {
+                first.replace(at, 2, find_field(request.fields, "Dandelionbay-Request-Id"));
+            }
+            to.write(first);
+            std::string many;
+            while (many.size() < 10'000) {
+                many += GetParam().then;
+            }
+            ++sending;
+            while (!ended && to.write(many)) {
+                sent += many.size();
+            }
+            --sending;
+        });
+    }
+
+    std::atomic<bool> ended{};
+    std::atomic<int> sending{};
+    std::atomic<std::size_t> sent{};
+};
+
+// Guards against an endpoint that sends without end and so takes a gateway's memory or its time, or looks like an
+// answer.
+TEST_P(gateway_endless, bytes_without_end_end_with_their_call) {
+    for (auto* const it : {&engine_1, &desk_1}) {
+        send_without_end(*it);
+    }
+    const auto began = std::chrono::steady_clock::now();
+    const auto answer = gateway->get(GetParam().path);
+    EXPECT_LE(std::chrono::steady_clock::now() - began, longest);
+    EXPECT_TRUE(eventually([&] { return sending == 0; }, seconds{1})) << "the connection is still open";
+    EXPECT_LE(sent, most_taken);
+    EXPECT_FALSE(answer.ends_with("0\r\n\r\n")) << "a whole stream: " << answer;
+    if (answer.find(" 200 ") != std::string::npos) {
+        EXPECT_NE(answer.find("chunked"), std::string::npos) << answer;
+    }
+    {
+        SCOPED_TRACE("the gateway serves on");
+        for (auto* const it : {&engine_1, &desk_1}) {
+            it->otherwise({});
+        }
+        EXPECT_TRUE(eventually([&] { return gateway->get("/look/b").find("200 X") != std::string::npos; }));
+    }
+}
+
+class gateway_held : public gateway_fleet {
+protected:
+    void TearDown() override {
+        ended = true;
+        gateway_fleet::TearDown();
+    }
+
+    [[nodiscard]] std::uint64_t held_bytes() const {
+        const std::string name = "\ndandelionbay_held_answer_bytes ";
+        const auto page = gateway->metrics();
+        const auto at = page.find(name);
+        return at == std::string::npos ? 0 : std::stoull(page.substr(at + name.size()));
+    }
+
+    std::atomic<bool> ended{};
+};
+
+// Guards against a gateway that runs out of memory because many large answers stay without an end at the same time.
+TEST_F(gateway_held, large_answers_that_do_not_end_take_a_bounded_amount_together) {
+    constexpr int calls = 8;
+    constexpr std::size_t part = std::size_t{6} << 20U;
+    std::atomic<int> halted{};
+    desk_1.otherwise([&](const http_request& request, raw_server::connection& to) {
+        to.write(concat(scripted_endpoint::head(request, 200), "\r\n", std::string(part, 'a')));
+        ++halted;
+        while (!ended && to.open()) {
+            std::this_thread::sleep_for(milliseconds{5});
+        }
+    });
+    std::vector<std::thread> callers;
+    for (int n = 0; n < calls; ++n) {
+        callers.emplace_back([&, n] { std::ignore = gateway->get(concat("/look/", n)); });
+    }
+    EXPECT_TRUE(eventually([&] { return halted == calls; }));
+    std::this_thread::sleep_for(milliseconds{200}); // The rest of what was written is read.
+    const auto held = held_bytes();
+    EXPECT_GE(held, part) << "answers within the limit stay";
+    EXPECT_LE(held, proxy_options{}.max_held_answers);
+    ended = true;
+    for (auto& it : callers) {
+        it.join();
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(kinds, gateway_endless, testing::ValuesIn(kinds()),
+                         [](const auto& it) { return it.param.name; });
+
+} // namespace
+} // namespace dandelionbay::platform
--- a/test/dandelionbay/platform/gateway_fleet.hpp
+++ b/test/dandelionbay/platform/gateway_fleet.hpp
@@ -144,6 +144,7 @@
 
     [[nodiscard]] const std::string& id() const { return id_; }
     void crash() { server_.crash(); }
+    void go_dark() { server_.go_dark(); }
     void stop() { server_.stop(); }
 
 private:
@@ -187,6 +188,11 @@
                std::string::npos;
     }
 
+    /*! The page of counters. */
+    [[nodiscard]] std::string metrics() const {
+        return exchange(metrics_.get(), "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    }
+
     /*! Makes its loop miss all events for some time. */
     void block_for(milliseconds time) {
         boost::asio::post(node_.loop(), [time] { std::this_thread::sleep_for(time); });
--- a/test/dandelionbay/platform/raw_server.hpp
+++ b/test/dandelionbay/platform/raw_server.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/write.hpp>
 
 #include "dandelionbay/base/socket_address.hpp"
+#include "dandelionbay/proxy/channel.hpp"
 #include "dandelionbay/proxy/http_reader.hpp"
 
 namespace dandelionbay::platform {
@@ -24,11 +25,17 @@
     /*! @brief One connection, as the handler sees it. */
     class connection {
     public:
-        explicit connection(tcp::socket socket) : socket_{std::move(socket)}, handle_{socket_.native_handle()} {}
+        connection(tcp::socket socket, const std::atomic<bool>& dark)
+            : socket_{std::move(socket)}, handle_{socket_.native_handle()}, dark_{&dark} {}
 
-        void write(const std::string& bytes) {
+        /*! @brief Writes bytes. @return False if the other side has gone. */
+        bool write(const std::string& bytes) {
+            if (*dark_) {
+                return true;
+            }
             boost::system::error_code ec;
             boost::asio::write(socket_, boost::asio::buffer(bytes), ec);
+            return !ec;
         }
 
         /*! @brief Ends the connection with a reset. */
@@ -66,6 +73,7 @@
     private:
         tcp::socket socket_;
         const int handle_;
+        const std::atomic<bool>* dark_;
         std::atomic<bool> ended_{};
     };
 
@@ -94,6 +102,19 @@
         }
     }
 
+    /*! @brief Falls silent like a host without power: connections stay open and nothing comes on them, and new ones are
+     *  neither accepted nor refused. */
+    void go_dark() {
+        if (dark_.exchange(true)) {
+            return;
+        }
+        boost::system::error_code ec;
+        acceptor_.listen(0, ec);
+        for (auto* const it : {&last_accepted_, &never_accepted_}) { // With one that waits the queue is full.
+            it->connect(to_endpoint(address_), ec);
+        }
+    }
+
     void stop() {
         if (stopped_.exchange(true)) {
             return;
@@ -119,11 +140,11 @@
             boost::system::error_code ec;
             tcp::socket socket{loop_};
             acceptor_.accept(socket, ec);
-            if (ec || stopped_) {
+            if (ec || stopped_ || dark_) {
                 return;
             }
             const std::scoped_lock lock{mutex_};
-            connections_.emplace_back(std::move(socket));
+            connections_.emplace_back(std::move(socket), dark_);
             threads_.emplace_back([this, it = &connections_.back()] { serve(*it); });
         }
     }
@@ -137,7 +158,7 @@
                 return;
             }
             reader.append({buf.data(), n});
-            while (reader.read() == read_result::complete) {
+            while (!dark_ && reader.read() == read_result::complete) {
                 serve_(reader.take(), it);
             }
         }
@@ -148,6 +169,9 @@
     tcp::acceptor acceptor_;
     socket_address address_{"127.0.0.1", acceptor_.local_endpoint().port()};
     std::atomic<bool> stopped_{};
+    std::atomic<bool> dark_{};
+    tcp::socket last_accepted_{loop_};
+    tcp::socket never_accepted_{loop_};
     std::mutex mutex_{};
     std::list<connection> connections_{};
     std::list<std::thread> threads_{};
--- a/test/dandelionbay/proxy/http_reader_test.cpp
+++ b/test/dandelionbay/proxy/http_reader_test.cpp
@@ -50,6 +50,31 @@
     EXPECT_EQ(body.read(), read_result::body_too_long);
 }
 
+// Guards against bytes without end, in the head of a message, a chunk or a trailer, that are kept until memory is gone.
+TEST(message_readers, heads_of_messages_chunks_and_trailers_are_bounded) {
+    const std::string filler(10'000, 'a');
+    const std::string request = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string begin : {"2;", "00000000", "2\r\nab\r\n1;", "0\r\nX-A: "}) {
+        request_reader caller{16'384, 1'024};
+        response_reader endpoint;
+        caller.append(request + begin);
+        endpoint.append(answer + begin);
+        EXPECT_EQ(caller.read(), read_result::incomplete) << begin;
+        EXPECT_EQ(endpoint.read(), read_result::incomplete) << begin;
+        auto at_caller = read_result::incomplete;
+        auto at_endpoint = read_result::incomplete;
+        for (int n = 0; n < 10; ++n) {
+            caller.append(filler);
+            endpoint.append(filler);
+            at_caller = caller.read();
+            at_endpoint = endpoint.read();
+        }
+        EXPECT_NE(at_caller, read_result::incomplete) << begin;
+        EXPECT_NE(at_endpoint, read_result::incomplete) << begin;
+    }
+}
+
 // Guards against answers that are cut off and look complete, and against bytes after an answer that count as the next.
 TEST(response_reader, an_answer_is_complete_only_by_its_own_framing) {
     {
