Count a silent run as lost with its endpoint only if that was alive after it was sent

Cause: a silent run counted as ended when it was given up, so runs at endpoints that one fault had taken did not overlap and lay over 100 ms apart. Ruled out: the losses of broken connections, which are known within milliseconds (gateway_crash.a_call_that_was_lost_...). Change: a silent run counts only if its endpoint was heard after the run was sent, and ends when it was last heard. Silence that is forgiven after a late turn is no sign of life, so endpoint_load keeps the two times apart. Before: gateway_crash.a_call_that_came_to_dark_endpoints_is_served_afterwards fails (422 at both gateways, a row in the store). After: passes, and so does a_call_under_which_endpoints_fall_dark_is_refused, the same from the other side.

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -221,7 +221,7 @@
 
 void dispatcher::forgive_silence(time_point now) {
     for (auto& [id, load] : loads_) {
-        load.heard(now);
+        load.forgive_silence(now);
     }
 }
 
--- a/src/dandelionbay/dispatch/endpoint_load.cpp
+++ b/src/dandelionbay/dispatch/endpoint_load.cpp
@@ -96,6 +96,7 @@
 
 void endpoint_load::heard(time_point now) noexcept {
     heard_ = now;
+    silent_since_ = now;
 }
 
 void endpoint_load::unreachable(time_point now) noexcept {
@@ -148,7 +149,7 @@
         oldest = std::min(oldest, it.sent_at);
         expected_ms = std::max(expected_ms, it.started ? 0.0 : it.ahead_ms);
     }
-    return now - std::max(oldest, heard_) > silence_limit + from_ms(expected_ms);
+    return now - std::max(oldest, silent_since_) > silence_limit + from_ms(expected_ms);
 }
 
 } // namespace dandelionbay
--- a/src/dandelionbay/dispatch/endpoint_load.hpp
+++ b/src/dandelionbay/dispatch/endpoint_load.hpp
@@ -81,6 +81,12 @@
     /*! @brief Bytes came from the endpoint. @param now Time. */
     void heard(time_point now) noexcept;
 
+    /*! @brief Its silence so far says nothing, because this router did not listen. @param now Time. */
+    void forgive_silence(time_point now) noexcept { silent_since_ = now; }
+
+    /*! @brief When bytes last came from the endpoint. */
+    [[nodiscard]] time_point last_heard() const noexcept { return heard_; }
+
     /*! @brief A connection could not be made. @param now Time. */
     void unreachable(time_point now) noexcept;
 
@@ -150,6 +156,7 @@
     time_point reading_since_{};
     time_point paused_until_{};
     time_point heard_{};
+    time_point silent_since_{}; //!< When it was heard, or its silence was forgiven.
     time_point ejected_until_{};
     std::uint32_t failures_{};
     std::uint64_t process_started_{};
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -243,11 +243,17 @@
     submit(now);
 }
 
-void exchange::note_lost_run(time_point now) {
-    const lost_run run{{choice_.endpoint, choice_.process_started}, arrived_ + waited_, now};
+void exchange::note_lost_run(time_point ended) {
+    const lost_run run{{choice_.endpoint, choice_.process_started}, placed_at(), ended};
     owner_->run_lost(fingerprint(), run, choice_.address);
 }
 
+void exchange::note_silent_run() {
+    if (const auto heard = owner_->dispatch().load(choice_.endpoint).last_heard(); heard > placed_at()) {
+        note_lost_run(heard);
+    }
+}
+
 void exchange::note_answered() {
     if (!owner_->losses().empty()) {
         owner_->run_answered(fingerprint());
@@ -303,8 +309,8 @@
         owner_->dispatch().withdraw(ticket_);
         return;
     }
-    if (const auto now = owner_->now(); seems_lost(now)) {
-        note_lost_run(now);
+    if (seems_lost(owner_->now())) {
+        note_silent_run();
     }
     end_attempt(false);
 }
@@ -343,7 +349,7 @@
         return;
     }
     if (seems_lost(now) && now >= next_move_ && can_move(now)) {
-        note_lost_run(now);
+        note_silent_run();
         end_attempt(true);
         try_again("silent", false); // Already counted.
     }
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -35,7 +35,10 @@
     [[nodiscard]] std::string request_bytes(const endpoint_choice& choice, time_point now) const;
     [[nodiscard]] duration fresh_connection_limit() const noexcept;
     void note_wishes(const answer_terms& answer);
-    void note_lost_run(time_point now);
+    void note_lost_run(time_point ended);
+
+    /*! A run whose endpoint was not heard since it was sent can't have ended it: that may have fallen dark before. */
+    void note_silent_run();
     void note_answered();
 
     /*! Tells whether endpoints are known to end when they run the call. */
@@ -57,6 +60,7 @@
     [[nodiscard]] std::uint64_t fingerprint() const noexcept;
     void finish(std::string_view outcome, int status);
     [[nodiscard]] duration time_left(time_point now) const noexcept;
+    [[nodiscard]] time_point placed_at() const noexcept { return arrived_ + waited_; }
 
     /*! Tells whether another endpoint may be asked: no endpoint can have run the call, or it may be repeated. */
     [[nodiscard]] bool may_run_again(time_point now) const noexcept;
--- a/test/dandelionbay/dispatch/limits_test.cpp
+++ b/test/dandelionbay/dispatch/limits_test.cpp
@@ -125,6 +125,20 @@
     EXPECT_EQ(load.calls(start + seconds{10}), 0);
 }
 
+// Guards against an endpoint that fell dark and counts as alive because its router did not listen for some time.
+TEST(endpoint_load, forgiven_silence_is_not_a_sign_of_life) {
+    endpoint_load load;
+    load.heard(start);
+    load.sent(1, call_load{}, start);
+    const auto later = start + seconds{5};
+    EXPECT_TRUE(load.stalled(later));
+    load.forgive_silence(later);
+    EXPECT_FALSE(load.stalled(later));
+    EXPECT_EQ(load.last_heard(), start);
+    load.heard(later);
+    EXPECT_EQ(load.last_heard(), later);
+}
+
 // Guards against prompts that count as kept by a process that has just started under its old name.
 TEST(endpoint_load, a_new_process_keeps_nothing) {
     endpoint_load load;
--- a/test/dandelionbay/platform/crashing_service.hpp
+++ b/test/dandelionbay/platform/crashing_service.hpp
@@ -21,6 +21,9 @@
 public:
     /*! @brief Part of the path of calls that end their endpoint. */
     static constexpr std::string_view crashing_path = "/crash";
+    /*! @brief Part of the path of calls under which their endpoint falls dark after some time. */
+    static constexpr std::string_view darkening_path = "/darken";
+    static constexpr milliseconds darkening_time{400};
     /*! @brief Part of the path of calls that take some time. */
     static constexpr std::string_view slow_path = "/slow";
     static constexpr milliseconds slow_time{300};
@@ -58,6 +61,14 @@
         }
     }
 
+    /*! @brief All hosts fall silent at once. Their processes count as ended, but nobody can tell from outside. */
+    void go_dark() {
+        for (auto& it : lives_) {
+            *it.crashed = true;
+            it.endpoint->go_dark();
+        }
+    }
+
     /*! @brief Ends all processes for good. */
     void stop() {
         for (auto* const list : {&lives_, &ended_}) {
@@ -81,6 +92,14 @@
                     }
                     return;
                 }
+                if (request.path().find(darkening_path) != std::string_view::npos) {
+                    std::this_thread::sleep_for(darkening_time);
+                    if (!crashed->exchange(true)) {
+                        ++crashes_;
+                        endpoint->go_dark();
+                    }
+                    return;
+                }
                 if (request.path().find(slow_path) != std::string_view::npos) {
                     ++running_;
                     std::this_thread::sleep_for(slow_time);
--- a/test/dandelionbay/platform/gateway_crash_test.cpp
+++ b/test/dandelionbay/platform/gateway_crash_test.cpp
@@ -116,6 +116,67 @@
     }
 }
 
+// Guards against a refusal of calls that were silent at one endpoint after the other, when all of these had fallen dark
+// before they came.
+TEST_F(gateway_crash, a_call_that_came_to_dark_endpoints_is_served_afterwards) {
+    const std::string path = concat("/look", crashing_service::slow_path);
+    for (const auto* const it : {gateway.get(), other.get()}) { // Each keeps connections to all endpoints.
+        std::vector<std::thread> callers;
+        for (int n = 0; n < 6; ++n) {
+            callers.emplace_back([&, n] { std::ignore = it->get(concat(path, n)); });
+        }
+        for (auto& caller : callers) {
+            caller.join();
+        }
+    }
+    desks.go_dark();
+    std::thread before{[&] { std::ignore = gateway->get_within(concat(path, "-other"), milliseconds{1'500}); }};
+    std::this_thread::sleep_for(milliseconds{20}); // The other call is at the first endpoint, this one at the next two.
+    for (const auto* const it : {gateway.get(), other.get()}) {
+        std::ignore = it->get_within(path, milliseconds{1'500});
+    }
+    before.join();
+    desks.restart_ended();
+    ASSERT_TRUE(desks_serve());
+    std::this_thread::sleep_for(contact); // All know that the processes have ended.
+    EXPECT_NE(gateway->get(path).find("200 X"), std::string::npos);
+    EXPECT_NE(other->get(path).find("200 X"), std::string::npos);
+    EXPECT_EQ(store.rows("lost-calls"), 0);
+}
+
+// Guards against a call under which one host after the other falls dark and that is never refused, because a silent run
+// does not count.
+TEST_F(gateway_crash, a_call_under_which_endpoints_fall_dark_is_refused) {
+    std::atomic<bool> done{};
+    std::vector<std::thread> others;
+    for (const auto* const it : {gateway.get(), other.get()}) { // Their answers tell when an endpoint was last alive.
+        for (int n = 0; n < 6; ++n) {
+            others.emplace_back([&, it, n] {
+                while (!done) {
+                    std::ignore = it->get(concat("/look", crashing_service::slow_path, n));
+                }
+            });
+        }
+    }
+    const std::string path = concat("/look", crashing_service::darkening_path);
+    crash_endpoints(path, 3);
+    EXPECT_TRUE(eventually([&] {
+        desks.restart_ended();
+        return gateway->get(path).find(" 422 ") != std::string::npos &&
+               other->get(path).find(" 422 ") != std::string::npos;
+    }));
+    EXPECT_LE(desks.crashes(), 3 + allowed_later);
+    done = true;
+    for (auto& it : others) {
+        it.join();
+    }
+    desks.restart_ended();
+    ASSERT_TRUE(desks_serve());
+    for (int n = 0; n < 6; ++n) {
+        EXPECT_NE(gateway->get(concat("/look", crashing_service::slow_path, n)).find("200 X"), std::string::npos);
+    }
+}
+
 // Guards against a call that ends endpoints anew after all gateways started again, when none is there to tell of it.
 TEST_F(gateway_crash, a_refused_call_stays_refused_when_all_gateways_start_again) {
     const std::string path = concat("/look", crashing_service::crashing_path);
--- a/test/dandelionbay/platform/gateway_fleet.hpp
+++ b/test/dandelionbay/platform/gateway_fleet.hpp
@@ -208,6 +208,10 @@
         return exchange(request("GET", path, more));
     }
 
+    [[nodiscard]] std::string get_within(const std::string& path, milliseconds limit) const {
+        return exchange(request("GET", path, {}, "close", limit));
+    }
+
     /*! Asks for the connection to be kept; returns when the gateway ends it all the same. */
     [[nodiscard]] std::string get_kept(const std::string& path) const {
         return exchange(request("GET", path, {}, "keep-alive"));
@@ -218,11 +222,12 @@
     }
 
     [[nodiscard]] static std::string request(const std::string& method, const std::string& path,
-                                             const std::string& more, const std::string& connection = "close") {
+                                             const std::string& more, const std::string& connection = "close",
+                                             milliseconds limit = seconds{5}) {
         static std::atomic<int> last{0};
         return concat(method, " ", path, " HTTP/1.1\r\nHost: a.example\r\nConnection: ", connection, "\r\n",
                       "Dandelionbay-Request-Id: r", ++last, "\r\nAuthorization: Token key-1\r\n",
-                      "Dandelionbay-Deadline-Ms: 5000\r\n", more, "\r\n");
+                      "Dandelionbay-Deadline-Ms: ", limit.count(), "\r\n", more, "\r\n");
     }
 
     [[nodiscard]] const socket_address& caller() const { return caller_.get(); }
--- a/test/dandelionbay/platform/raw_server.hpp
+++ b/test/dandelionbay/platform/raw_server.hpp
@@ -103,16 +103,18 @@
     }
 
     /*! @brief Falls silent like a host without power: connections stay open and nothing comes on them, and new ones are
-     *  neither accepted nor refused. */
+     *  neither accepted nor refused. From a handler or elsewhere. */
     void go_dark() {
         if (dark_.exchange(true)) {
             return;
         }
         boost::system::error_code ec;
         acceptor_.listen(0, ec);
-        for (auto* const it : {&last_accepted_, &never_accepted_}) { // With one that waits the queue is full.
-            it->connect(to_endpoint(address_), ec);
+        last_accepted_.connect(to_endpoint(address_), ec);
+        while (!accept_ended_) {
+            std::this_thread::yield();
         }
+        never_accepted_.connect(to_endpoint(address_), ec); // With one that waits the queue is full.
     }
 
     void stop() {
@@ -141,12 +143,13 @@
             tcp::socket socket{loop_};
             acceptor_.accept(socket, ec);
             if (ec || stopped_ || dark_) {
-                return;
+                break;
             }
             const std::scoped_lock lock{mutex_};
             connections_.emplace_back(std::move(socket), dark_);
             threads_.emplace_back([this, it = &connections_.back()] { serve(*it); });
         }
+        accept_ended_ = true;
     }
 
     void serve(connection& it) {
@@ -170,6 +173,7 @@
     socket_address address_{"127.0.0.1", acceptor_.local_endpoint().port()};
     std::atomic<bool> stopped_{};
     std::atomic<bool> dark_{};
+    std::atomic<bool> accept_ended_{};
     tcp::socket last_accepted_{loop_};
     tcp::socket never_accepted_{loop_};
     std::mutex mutex_{};
