Let copies of a call take turns once a run of it was lost

Cause: runs that overlap, or whose endpoints end within 100 ms, count as one loss, so that an innocent call under one fault is not refused; three copies at a time ended three endpoints for each loss that counted. Ruled out: counting overlapping runs one by one. lost_runs.endpoints_that_end_at_once_count_once is the innocent call, and nothing in what a gateway sees tells the two apart. Change: limit/copy_turns. While a lost run is known and not cleared, a gateway runs one copy at a time, each for 1 s at most before the next may start, and no first run within 100 ms of a loss. The name of a call is worked out once.

--- a/src/dandelionbay/limit/lost_runs.cpp
+++ b/src/dandelionbay/limit/lost_runs.cpp
@@ -143,6 +143,17 @@
     return it != records_.end() ? losses(it->second) : 0;
 }
 
+bool lost_runs::suspected(std::uint64_t call) const {
+    const auto it = records_.find(call);
+    return it != records_.end() && !it->second.runs.empty();
+}
+
+bool lost_runs::just_lost(std::uint64_t call, time_point now) const {
+    const auto it = records_.find(call);
+    return it != records_.end() &&
+           std::ranges::any_of(it->second.runs, [&](const entry& lost) { return now - lost.run.ended < one_fault; });
+}
+
 bool lost_runs::lost_here(std::uint64_t call) const {
     const auto it = records_.find(call);
     return it != records_.end() && std::ranges::any_of(it->second.runs, &entry::here);
--- a/src/dandelionbay/limit/lost_runs.hpp
+++ b/src/dandelionbay/limit/lost_runs.hpp
@@ -103,6 +103,12 @@
     /*! @brief Tells whether a call is refused. @param call Fingerprint. */
     [[nodiscard]] bool refused(std::uint64_t call) const { return losses(call) >= refused_at; }
 
+    /*! @brief Tells whether a run of a call was lost, counted or not. @param call Fingerprint. */
+    [[nodiscard]] bool suspected(std::uint64_t call) const;
+
+    /*! @brief Tells whether a run that is lost now may still be taken for the same fault as an earlier one. */
+    [[nodiscard]] bool just_lost(std::uint64_t call, time_point now) const;
+
     /*! @brief Tells whether a loss of a call was at this router. @param call Fingerprint. */
     [[nodiscard]] bool lost_here(std::uint64_t call) const;
 
--- a/src/dandelionbay/proxy/call_record.cpp
+++ b/src/dandelionbay/proxy/call_record.cpp
@@ -61,6 +61,13 @@
                {"config_age_ms", to_text(it.config_age)}});
 }
 
+void log_copy_waits(bounded_log& log, std::string_view request, std::uint64_t call, const lost_runs& losses) {
+    log.write(log_level::info, "copy_waits",
+              {{"request", std::string{request}},
+               {"call", fingerprint_text(call)},
+               {"losses", std::to_string(losses.losses(call))}});
+}
+
 void log_call_lost(bounded_log& log, std::uint64_t call, const lost_runs& losses, std::string_view from) {
     log.write(log_level::warn, "call_lost_again",
               {{"call", fingerprint_text(call)},
--- a/src/dandelionbay/proxy/call_record.hpp
+++ b/src/dandelionbay/proxy/call_record.hpp
@@ -40,6 +40,9 @@
 /*! @brief Writes that a call ended. @param outcome How. @param status Sent to the caller; 0 for none. */
 void log_call_ended(bounded_log& log, const call_record& it, std::string_view outcome, int status);
 
+/*! @brief Writes that a copy of a call waits for another one to end. @param call Fingerprint. */
+void log_copy_waits(bounded_log& log, std::string_view request, std::uint64_t call, const lost_runs& losses);
+
 /*! @brief Writes that a call was lost with endpoints more than once. @param call Fingerprint. @param from Who says so.
  */
 void log_call_lost(bounded_log& log, std::uint64_t call, const lost_runs& losses, std::string_view from);
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -124,12 +124,42 @@
 
 void exchange::submit(time_point now) {
     stage_ = stage::waiting;
+    if (!may_run(now)) {
+        await_turn();
+        return;
+    }
     const bool refusable = runs_ == 0 && !begun_; // Otherwise waiting in vain would end in a cut or an unclear answer.
     if (refusable || !owner_->dispatch().place_now(work(), now)) {
         owner_->dispatch().submit(work(), now);
     }
 }
 
+bool exchange::may_run(time_point now) const {
+    const auto& losses = owner_->losses();
+    if (losses.empty() || !losses.suspected(fingerprint())) {
+        return true;
+    }
+    const bool first = sends_ == 0;
+    return !(first && losses.just_lost(fingerprint(), now)) && owner_->turns().take(fingerprint(), ticket_, now);
+}
+
+void exchange::await_turn() {
+    awaits_turn_ = true;
+    owner_->environment().metrics->add("copies_waited_total");
+    log_copy_waits(*owner_->environment().log, terms_.id, fingerprint(), owner_->losses());
+}
+
+void exchange::check_turn(time_point now) {
+    if (crashes_endpoints()) {
+        refuse_as_crashing();
+    } else if (runs_ > 0 && owner_->losses().doubtful(fingerprint())) {
+        give_up("doubtful");
+    } else if (may_run(now)) {
+        awaits_turn_ = false;
+        submit(now);
+    }
+}
+
 duration exchange::fresh_connection_limit() const noexcept {
     if (route_->idempotent()) {
         return duration::max();
@@ -155,6 +185,15 @@
         refuse_as_crashing();
         return;
     }
+    if (!may_run(now)) { // A copy was lost while it waited.
+        end_attempt(false);
+        stage_ = stage::waiting;
+        await_turn();
+        return;
+    }
+    if (!owner_->turns().empty()) {
+        owner_->turns().sent(fingerprint(), ticket_, now);
+    }
     sent_at_ = now;
     ++sends_;
     ++runs_;
@@ -345,6 +384,10 @@
         }
         return;
     }
+    if (awaits_turn_) {
+        check_turn(now);
+        return;
+    }
     if (stage_ != stage::running || paused_ || !route_->idempotent() || !may_run_again(now)) {
         return;
     }
@@ -379,8 +422,11 @@
     give_up("stopping");
 }
 
-std::uint64_t exchange::fingerprint() const noexcept {
-    return fingerprint_of({request_.method, request_.host, request_.target, request_.body, team_.value});
+std::uint64_t exchange::fingerprint() const {
+    if (!fingerprint_) {
+        fingerprint_ = fingerprint_of({request_.method, request_.host, request_.target, request_.body, team_.value});
+    }
+    return *fingerprint_;
 }
 
 call_record exchange::record() const {
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -27,6 +27,15 @@
     [[nodiscard]] work_item work() const;
     void submit(time_point now);
 
+    /*! Tells whether it may run beside the other copies of the call. */
+    [[nodiscard]] bool may_run(time_point now) const;
+
+    /*! Waits for the turn of this copy of the call. */
+    void await_turn();
+
+    /*! Goes on if this copy has the turn now, or shall not run any more. */
+    void check_turn(time_point now);
+
     /*! Tells whether its endpoint is silent for longer than it should be. */
     [[nodiscard]] bool seems_lost(time_point now) const;
 
@@ -55,9 +64,6 @@
     void give_up(std::string_view reason);
     void refuse(int status, result_code code, duration retry_after);
     [[nodiscard]] call_record record() const;
-
-    /*! Names the call; the caller's further attempts of it have the same name. */
-    [[nodiscard]] std::uint64_t fingerprint() const noexcept;
     void finish(std::string_view outcome, int status);
     [[nodiscard]] duration time_left(time_point now) const noexcept;
     [[nodiscard]] time_point placed_at() const noexcept { return arrived_ + waited_; }
@@ -107,7 +113,10 @@
     void on_failed(request_failure why) override;
 
     /*! @brief Bytes of its answer that are held until it, or an event of it, is complete. */
-    [[nodiscard]] std::size_t held() const noexcept { return body_.size() + scanner_.rest().size(); }
+    [[nodiscard]] std::size_t held_answer() const noexcept { return body_.size() + scanner_.rest().size(); }
+
+    /*! @brief Names the call; the caller's further attempts of it have the same name. Depends on the team. */
+    [[nodiscard]] std::uint64_t fingerprint() const;
 
     /*! @brief Bytes of the request's body. */
     [[nodiscard]] std::size_t body_bytes() const noexcept { return request_.body.size(); }
@@ -129,6 +138,7 @@
     std::vector<region_id> team_regions_{};
     time_point limit_{};
     stage stage_{stage::waiting};
+    bool awaits_turn_{}; //!< It waits for another copy of the call.
     std::set<endpoint_id> excluded_{};
     std::uint32_t sends_{};
     std::uint32_t runs_{}; //!< Endpoints that may have run it.
@@ -149,6 +159,7 @@
     double ahead_ms_{};                   //!< Expected wait behind other calls, if it was refused.
     duration waited_{};                   //!< From the arrival to the newest placement.
     duration list_age_{};                 //!< Age of the list of endpoints at that placement.
+    mutable std::optional<std::uint64_t> fingerprint_{};
 };
 
 } // namespace dandelionbay
--- a/src/dandelionbay/proxy/exchange_answer.cpp
+++ b/src/dandelionbay/proxy/exchange_answer.cpp
@@ -99,14 +99,14 @@
     } else {
         body_ += bytes;
     }
-    if (held() > held_bytes) {
+    if (held_answer() > held_bytes) {
         on_failed(request_failure::garbage);
         return;
     }
     if (streaming_) {
         send_events();
     }
-    if (stage_ == stage::running && held() > large_answer) {
+    if (stage_ == stage::running && held_answer() > large_answer) {
         owner_->limit_held_answers();
     }
 }
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -194,13 +194,16 @@
         return;
     }
     buffered_ -= it->second->body_bytes();
+    if (!turns_.empty()) {
+        turns_.ended(it->second->fingerprint(), ticket);
+    }
     exchanges_.erase(it);
 }
 
 std::uint64_t proxy::held_answers() const {
     std::uint64_t out = 0;
     for (const auto& [ticket, it] : exchanges_) {
-        out += it->held();
+        out += it->held_answer();
     }
     return out;
 }
@@ -209,7 +212,8 @@
     if (held_answers() <= options_.max_held_answers) {
         return;
     }
-    const auto largest = std::ranges::max_element(exchanges_, {}, [](const auto& it) { return it.second->held(); });
+    const auto largest =
+        std::ranges::max_element(exchanges_, {}, [](const auto& it) { return it.second->held_answer(); });
     environment_.metrics->add("held_answers_given_up_total");
     const auto call = largest->second;
     call->on_failed(request_failure::garbage);
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -22,6 +22,7 @@
 #include "dandelionbay/dispatch/retry_window.hpp"
 #include "dandelionbay/dispatch/round_pacer.hpp"
 #include "dandelionbay/gateway/registry_view.hpp"
+#include "dandelionbay/limit/copy_turns.hpp"
 #include "dandelionbay/limit/lost_runs.hpp"
 #include "dandelionbay/proxy/call_protocol.hpp"
 #include "dandelionbay/proxy/fwd.hpp"
@@ -159,6 +160,7 @@
 
     /*! @brief Calls whose runs ended with their endpoints, here and at peers. */
     [[nodiscard]] lost_runs& losses() noexcept { return losses_; }
+    [[nodiscard]] copy_turns& turns() noexcept { return turns_; }
     [[nodiscard]] time_point now() const noexcept { return environment_.time->now(); }
     [[nodiscard]] std::size_t open_calls() const noexcept { return exchanges_.size(); }
 
@@ -184,6 +186,7 @@
     dispatcher dispatcher_;
     endpoint_pool pool_{};
     lost_runs losses_{};
+    copy_turns turns_{};
     std::map<endpoint_process, std::unique_ptr<listen_probe>> probes_{};
     std::function<void(std::uint64_t call)> refusal_changed_{};
     std::mt19937_64 random_;
--- a/test/dandelionbay/limit/lost_runs_test.cpp
+++ b/test/dandelionbay/limit/lost_runs_test.cpp
@@ -130,6 +130,18 @@
     }
 }
 
+// Guards against a copy of a call that runs so early after a loss that its own loss would count as the same one.
+TEST(lost_runs, a_call_is_just_lost_for_as_long_as_one_fault_lasts) {
+    lost_runs it;
+    EXPECT_FALSE(it.suspected(call));
+    it.broke_off(call, run_at("a", seconds{1}));
+    EXPECT_TRUE(it.suspected(call)) << "its endpoint may have ended";
+    EXPECT_TRUE(it.just_lost(call, start + seconds{1} + lost_runs::one_fault - milliseconds{1}));
+    EXPECT_FALSE(it.just_lost(call, start + seconds{1} + lost_runs::one_fault));
+    it.process_lives(process("a"));
+    EXPECT_FALSE(it.suspected(call));
+}
+
 // Guards against an innocent call that stays suspected for losses before an answer.
 TEST(lost_runs, an_answer_clears_the_losses_before_it) {
     lost_runs it;
