Run copies at different gateways one after the other once three endpoints ended under a call

Cause: copies take turns at each gateway only, so a round of copies ends as many endpoints as there are gateways, and all of them count as one loss. Ruled out: sending all copies to one endpoint, as the agents' path does. One that is dark or full would hold up innocent callers for as long as they wait. Change: when three endpoints have ended under a call and it is not refused yet, its copies also wait 200 ms for each gateway that ranks before (rendezvous hashing, 2 s at most), which is longer than the news of a loss takes. dispatch/router_rank is the one rank for this and for shares of cold endpoints.

--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -16,6 +16,7 @@
 #include "dandelionbay/dispatch/endpoint_load.hpp"
 #include "dandelionbay/dispatch/fwd.hpp"
 #include "dandelionbay/dispatch/placement.hpp"
+#include "dandelionbay/dispatch/router_rank.hpp"
 #include "dandelionbay/dispatch/team_usage.hpp"
 #include "dandelionbay/dispatch/work.hpp"
 #include "dandelionbay/gateway/registry_view.hpp"
@@ -142,6 +143,11 @@
         routers_complete_ = complete;
     }
 
+    /*! @brief Rank of this router for something that all of them share. @param key Of it. @return From 0. */
+    [[nodiscard]] std::size_t rank_for(std::uint64_t key) const noexcept {
+        return router_rank(routers_, place_.host, key);
+    }
+
     /*! @brief Number of routers that may send. */
     [[nodiscard]] std::size_t routers() const noexcept { return routers_.size(); }
 
--- a/src/dandelionbay/dispatch/placement.cpp
+++ b/src/dandelionbay/dispatch/placement.cpp
@@ -4,7 +4,7 @@
 #include <limits>
 #include <string>
 
-#include <xxhash.h>
+#include "dandelionbay/dispatch/router_rank.hpp"
 
 namespace dandelionbay {
 
@@ -30,10 +30,6 @@
     return item.parts.size() >= 2 ? item.parts[item.parts.size() - 2].id : item.parts.front().id;
 }
 
-[[nodiscard]] std::uint64_t hash_of(const std::string& name, std::uint64_t seed) noexcept {
-    return XXH3_64bits_withSeed(name.data(), name.size(), seed);
-}
-
 [[nodiscard]] bool contains(const std::vector<region_id>& list, const region_id& region) {
     return list.empty() || std::ranges::find(list, region) != list.end();
 }
@@ -81,10 +77,8 @@
         return false;
     }
     const auto& id = it.known->entry.id.value;
-    const auto mine = hash_of(place_->host.value, hash_of(id, 0));
-    const auto rank = std::ranges::count_if(
-        *routers_, [&](const host_id& other) { return hash_of(other.value, hash_of(id, 0)) < mine; });
-    const auto share = cold_pacer::share(calls_per_s, routers_->size(), static_cast<std::size_t>(rank));
+    const auto rank = router_rank(*routers_, place_->host, name_hash(id, 0));
+    const auto share = cold_pacer::share(calls_per_s, routers_->size(), rank);
     return it.load->pacer().allows(share, now_);
 }
 
@@ -144,7 +138,7 @@
         const bool fits = it.calls == 0 || item.prompt_tokens + item.output_tokens <= it.memory_left;
         out.ready = out.ready && fits && it.wait_ms <= reading_ahead_ms(team);
     }
-    const auto spread = hash_of(it.known->entry.id.value, subject_of(item)) % spread_steps;
+    const auto spread = name_hash(it.known->entry.id.value, subject_of(item)) % spread_steps;
     out.score += spread_ms * static_cast<double>(spread) / static_cast<double>(spread_steps);
     return out;
 }
--- a/src/dandelionbay/limit/lost_runs.cpp
+++ b/src/dandelionbay/limit/lost_runs.cpp
@@ -148,6 +148,11 @@
     return it != records_.end() && !it->second.runs.empty();
 }
 
+std::size_t lost_runs::endpoints(std::uint64_t call) const {
+    const auto it = records_.find(call);
+    return it != records_.end() ? static_cast<size_type>(std::ranges::count(it->second.runs, true, &entry::counts)) : 0;
+}
+
 bool lost_runs::just_lost(std::uint64_t call, time_point now) const {
     const auto it = records_.find(call);
     return it != records_.end() &&
--- a/src/dandelionbay/limit/lost_runs.hpp
+++ b/src/dandelionbay/limit/lost_runs.hpp
@@ -106,6 +106,10 @@
     /*! @brief Tells whether a run of a call was lost, counted or not. @param call Fingerprint. */
     [[nodiscard]] bool suspected(std::uint64_t call) const;
 
+    /*! @brief Endpoints that ended under a call, also those that count as one loss together. @param call Fingerprint.
+     */
+    [[nodiscard]] size_type endpoints(std::uint64_t call) const;
+
     /*! @brief Tells whether a run that is lost now may still be taken for the same fault as an earlier one. */
     [[nodiscard]] bool just_lost(std::uint64_t call, time_point now) const;
 
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -124,7 +124,7 @@
 
 void exchange::submit(time_point now) {
     stage_ = stage::waiting;
-    if (!may_run(now)) {
+    if (!take_turn(now)) {
         await_turn();
         return;
     }
@@ -134,13 +134,13 @@
     }
 }
 
-bool exchange::may_run(time_point now) const {
+bool exchange::take_turn(time_point now) {
     const auto& losses = owner_->losses();
     if (losses.empty() || !losses.suspected(fingerprint())) {
         return true;
     }
-    const bool first = sends_ == 0;
-    return !(first && losses.just_lost(fingerprint(), now)) && owner_->turns().take(fingerprint(), ticket_, now);
+    const bool early = losses.just_lost(fingerprint(), now) || now < arrived_ + owner_->copy_delay(fingerprint());
+    return !(early && sends_ == 0) && owner_->turns().take(fingerprint(), ticket_, now);
 }
 
 void exchange::await_turn() {
@@ -154,7 +154,7 @@
         refuse_as_crashing();
     } else if (runs_ > 0 && owner_->losses().doubtful(fingerprint())) {
         give_up("doubtful");
-    } else if (may_run(now)) {
+    } else if (take_turn(now)) {
         awaits_turn_ = false;
         submit(now);
     }
@@ -185,7 +185,7 @@
         refuse_as_crashing();
         return;
     }
-    if (!may_run(now)) { // A copy was lost while it waited.
+    if (!take_turn(now)) { // A copy was lost while it waited.
         end_attempt(false);
         stage_ = stage::waiting;
         await_turn();
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -27,8 +27,8 @@
     [[nodiscard]] work_item work() const;
     void submit(time_point now);
 
-    /*! Tells whether it may run beside the other copies of the call. */
-    [[nodiscard]] bool may_run(time_point now) const;
+    /*! Tells whether it may run now: unless a run of the call was lost, or if this copy of it gets the turn. */
+    [[nodiscard]] bool take_turn(time_point now);
 
     /*! Waits for the turn of this copy of the call. */
     void await_turn();
@@ -74,7 +74,7 @@
 public:
     /*! @brief Answers up to this size are held back until they are complete; a stream is not. */
     static constexpr std::size_t held_bytes = std::size_t{8} << 20U;
-    /*! @brief A call that holds less is not looked at when the answers of all calls take too much memory. */
+    /*! @brief The memory of all answers is looked at only when a call holds more than this. */
     static constexpr std::size_t large_answer = std::size_t{256} << 10U;
     /*! @brief Endpoints that are asked before the call ends as not run. */
     static constexpr std::uint32_t most_sends = 4;
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -296,6 +296,13 @@
     }
 }
 
+duration proxy::copy_delay(std::uint64_t call) const {
+    if (losses_.endpoints(call) < lost_runs::refused_at) {
+        return {};
+    }
+    return std::min(longest_copy_delay, copy_step * static_cast<duration::rep>(dispatcher_.rank_for(call)));
+}
+
 void proxy::pump() {
     if (!stopped_) {
         dispatcher_.pump(now());
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -71,6 +71,12 @@
     /*! @brief Longest time to make a connection to an endpoint: several round trips between regions. */
     static constexpr std::chrono::milliseconds connect_limit{400};
 
+    /*! @brief Time between copies of a call at routers of neighbouring ranks: news of a loss takes one round of
+     * messages and a trip between regions. */
+    static constexpr duration copy_step = std::chrono::milliseconds{200};
+    /*! @brief Longest such wait. */
+    static constexpr duration longest_copy_delay = std::chrono::seconds{2};
+
     /*! @brief Creates it. @param environment All members outlive it. @param options Settings. */
     proxy(proxy_environment environment, proxy_options options);
 
@@ -144,6 +150,13 @@
     /*! @brief An endpoint answered a call with success. @param call Fingerprint. */
     void run_answered(std::uint64_t call);
 
+    /**
+     * @brief Time after its arrival for which a copy of a call waits for what copies at other routers show.
+     * @param call Fingerprint.
+     * @return Zero unless so many endpoints ended at once under the call that one fault may be the reason, or the call.
+     */
+    [[nodiscard]] duration copy_delay(std::uint64_t call) const;
+
     /*! @brief The network, the fleet or the clock moved on: decides about waiting calls. */
     void pump();
 
--- a/test/dandelionbay/limit/lost_runs_test.cpp
+++ b/test/dandelionbay/limit/lost_runs_test.cpp
@@ -111,6 +111,7 @@
         lose(it, run_at(name, seconds{1}));
     }
     EXPECT_EQ(it.losses(call), 1);
+    EXPECT_EQ(it.endpoints(call), 4);
     lose(it, run_at("e", seconds{2}));
     EXPECT_EQ(it.losses(call), 2);
     {
--- a/test/dandelionbay/platform/crashing_service.hpp
+++ b/test/dandelionbay/platform/crashing_service.hpp
@@ -28,9 +28,10 @@
     static constexpr std::string_view slow_path = "/slow";
     static constexpr milliseconds slow_time{300};
 
-    /*! @brief Starts the endpoints. @param store Registers them; outlives this. @param name Of the service. */
-    crashing_service(standin_store& store, std::string name, std::size_t endpoints)
-        : store_{&store}, name_{std::move(name)} {
+    /*! @brief Starts the endpoints. @param store Registers them; outlives this. @param name Of the service. @param
+     * prefix Of the endpoints' names. */
+    crashing_service(standin_store& store, std::string name, std::size_t endpoints, std::string prefix)
+        : store_{&store}, name_{std::move(name)}, prefix_{std::move(prefix)} {
         for (std::size_t n = 0; n < endpoints; ++n) {
             lives_.push_back(start());
         }
@@ -81,7 +82,7 @@
 private:
     [[nodiscard]] life start() {
         life out;
-        out.endpoint = std::make_unique<scripted_endpoint>(concat(name_, "-life-", ++started_));
+        out.endpoint = std::make_unique<scripted_endpoint>(concat(prefix_, ++started_));
         auto* const endpoint = out.endpoint.get();
         endpoint->otherwise(
             [this, endpoint, crashed = out.crashed](const http_request& request, raw_server::connection& to) {
@@ -113,6 +114,7 @@
 
     standin_store* store_;
     std::string name_;
+    std::string prefix_;
     int started_{};
     std::atomic<int> crashes_{};
     std::atomic<int> running_{};
--- a/test/dandelionbay/platform/gateway_crash_test.cpp
+++ b/test/dandelionbay/platform/gateway_crash_test.cpp
@@ -44,7 +44,7 @@
         ASSERT_GE(desks.crashes(), n);
     }
 
-    crashing_service desks{store, "desk", 3};
+    crashing_service desks{store, "desk", 3, "desk-life-"};
     std::unique_ptr<running_gateway> other{};
 };
 
@@ -96,6 +96,45 @@
     EXPECT_LE(desks.crashes() - before, allowed_later);
 }
 
+// Guards against a call whose copies each gateway lets run once in each round, so that it ends as many endpoints.
+TEST_F(gateway_crash, copies_at_many_gateways_end_few_endpoints) {
+    crashing_service more{store, "desk", 2, "desk-life-more-"};
+    std::vector<std::unique_ptr<running_gateway>> others;
+    for (const auto* const name : {"g3", "g4"}) {
+        others.push_back(std::make_unique<running_gateway>(name, store.address(), gateway_bounds{},
+                                                           std::vector<socket_address>{gateway->peer_address()}));
+    }
+    const std::vector<const running_gateway*> all{gateway.get(), other.get(), others[0].get(), others[1].get()};
+    const std::string path = concat("/look", crashing_service::crashing_path);
+    const auto send_copies = [&] {
+        std::vector<std::thread> callers;
+        for (const auto* const it : all) {
+            callers.emplace_back([&, it] { std::ignore = it->get(path); });
+        }
+        for (auto& it : callers) {
+            it.join();
+        }
+        desks.restart_ended();
+        more.restart_ended();
+        ASSERT_TRUE(desks_serve());
+        std::this_thread::sleep_for(milliseconds{700}); // All new endpoints are known.
+    };
+    for (const auto* const it : all) {
+        ASSERT_TRUE(eventually([&] { return it->get("/look/any").find("200 X") != std::string::npos; }));
+    }
+    const auto crashes = [&] { return desks.crashes() + more.crashes(); };
+    send_copies();
+    ASSERT_GE(crashes(), 3);
+    std::this_thread::sleep_for(contact);
+    const int before = crashes();
+    for (int round = 0; round < 5; ++round) {
+        send_copies();
+    }
+    EXPECT_LE(crashes() - before, allowed_later);
+    others.clear();
+    more.stop();
+}
+
 // Guards against a refusal of calls that only happened to run at endpoints that ended: many at a time, and again later.
 TEST_F(gateway_crash, a_call_that_was_lost_with_its_endpoints_is_served_afterwards) {
     const std::string path = concat("/look", crashing_service::slow_path);
