--- a/test/dandelionbay/platform/gateway_endless_test.cpp
+++ b/test/dandelionbay/platform/gateway_endless_test.cpp
@@ -10,6 +10,8 @@
     std::string path{}; //!< Of the calls.
     std::string first{};
     std::string then{}; //!< Again and again.
+
+    friend void PrintTo(const endless_bytes& it, std::ostream* out) { *out << it.name; }
 };
 
 [[nodiscard]] std::vector<endless_bytes> kinds() {
