--- a/src/dandelionbay/agent/agent_grants.cpp
+++ b/src/dandelionbay/agent/agent_grants.cpp
@@ -3,7 +3,7 @@
 #include <tuple>
 
 #include "dandelionbay/agent/agent_state.hpp"
-#include "xxhash.h"
+#include "dandelionbay/base/name_hash.hpp"
 
 namespace dandelionbay {
 
@@ -22,8 +22,7 @@
 constexpr std::uint32_t spare_part = 4;
 
 std::uint64_t spread(const host_id& agent, const host_id& router) {
-    const auto text = agent.value + '\0' + router.value;
-    return XXH3_64bits(text.data(), text.size());
+    return name_hash(agent.value + '\0' + router.value);
 }
 
 } // namespace
--- a/src/dandelionbay/dispatch/placement.cpp
+++ b/src/dandelionbay/dispatch/placement.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 #include <string>
 
+#include "dandelionbay/base/name_hash.hpp"
 #include "dandelionbay/dispatch/router_rank.hpp"
 
 namespace dandelionbay {
@@ -77,7 +78,7 @@
         return false;
     }
     const auto& id = it.known->entry.id.value;
-    const auto rank = router_rank(*routers_, place_->host, name_hash(id, 0));
+    const auto rank = router_rank(*routers_, place_->host, name_hash(id));
     const auto share = cold_pacer::share(calls_per_s, routers_->size(), rank);
     return it.load->pacer().allows(share, now_);
 }
--- a/src/dandelionbay/dispatch/router_rank.hpp
+++ b/src/dandelionbay/dispatch/router_rank.hpp
@@ -3,15 +3,11 @@
 #include <cstddef>
 #include <cstdint>
 #include <set>
-#include <string_view>
 
 #include "dandelionbay/base/ids.hpp"
 
 namespace dandelionbay {
 
-/*! @brief Hashes a name. @param name It. @param seed Another name's hash, or 0. */
-[[nodiscard]] std::uint64_t name_hash(std::string_view name, std::uint64_t seed) noexcept;
-
 /**
  * @brief Rank of a router for something that routers share, by rendezvous hashing: all that know the same routers
  * agree.
--- a/src/dandelionbay/limit/lost_runs.cpp
+++ b/src/dandelionbay/limit/lost_runs.cpp
@@ -75,6 +75,12 @@
     return records_[call];
 }
 
+const lost_runs::record& lost_runs::find(std::uint64_t call) const {
+    static const record unknown{};
+    const auto it = records_.find(call);
+    return it != records_.end() ? it->second : unknown;
+}
+
 bool lost_runs::broke_off(std::uint64_t call, const lost_run& run) {
     const bool counts = ended_.contains(run.at);
     if (!counts) {
@@ -139,39 +145,31 @@
 }
 
 std::size_t lost_runs::losses(std::uint64_t call) const {
-    const auto it = records_.find(call);
-    return it != records_.end() ? losses(it->second) : 0;
+    return losses(find(call));
 }
 
 bool lost_runs::suspected(std::uint64_t call) const {
-    const auto it = records_.find(call);
-    return it != records_.end() && !it->second.runs.empty();
+    return !find(call).runs.empty();
 }
 
 std::size_t lost_runs::endpoints(std::uint64_t call) const {
-    const auto it = records_.find(call);
-    return it != records_.end() ? static_cast<size_type>(std::ranges::count(it->second.runs, true, &entry::counts)) : 0;
+    return static_cast<size_type>(std::ranges::count(find(call).runs, true, &entry::counts));
 }
 
 bool lost_runs::just_lost(std::uint64_t call, time_point now) const {
-    const auto it = records_.find(call);
-    return it != records_.end() &&
-           std::ranges::any_of(it->second.runs, [&](const entry& lost) { return now - lost.run.ended < one_fault; });
+    return std::ranges::any_of(find(call).runs, [&](const entry& it) { return now - it.run.ended < one_fault; });
 }
 
 bool lost_runs::lost_here(std::uint64_t call) const {
-    const auto it = records_.find(call);
-    return it != records_.end() && std::ranges::any_of(it->second.runs, &entry::here);
+    return std::ranges::any_of(find(call).runs, &entry::here);
 }
 
 bool lost_runs::doubtful(std::uint64_t call) const {
-    const auto it = records_.find(call);
-    return it != records_.end() && count(it->second.runs, duration{}) >= doubtful_at;
+    return count(find(call).runs, duration{}) >= doubtful_at;
 }
 
 call_losses lost_runs::known(std::uint64_t call) const {
-    const auto it = records_.find(call);
-    return it != records_.end() ? message_of(call, it->second) : call_losses{call, {}, std::nullopt};
+    return message_of(call, find(call));
 }
 
 std::vector<endpoint_process> lost_runs::unconfirmed() const {
--- a/src/dandelionbay/limit/lost_runs.hpp
+++ b/src/dandelionbay/limit/lost_runs.hpp
@@ -56,6 +56,7 @@
     [[nodiscard]] static bool add(record& to, const entry& lost);
     static bool clear(record& in, time_point answered);
     [[nodiscard]] record& find_or_make(std::uint64_t call);
+    [[nodiscard]] const record& find(std::uint64_t call) const; // An empty one if the call is unknown.
 
 public:
     using size_type = std::size_t;
--- a/src/dandelionbay/member/exchange_tree.cpp
+++ b/src/dandelionbay/member/exchange_tree.cpp
@@ -6,15 +6,14 @@
 #include <tuple>
 #include <utility>
 
-#include "xxhash.h"
+#include "dandelionbay/base/name_hash.hpp"
 
 namespace dandelionbay {
 
 namespace {
 
 std::uint64_t score(const region_id& region, const host_id& host) {
-    const auto text = region.value + '\0' + host.value;
-    return XXH3_64bits(text.data(), text.size());
+    return name_hash(region.value + '\0' + host.value);
 }
 
 } // namespace
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -136,7 +136,7 @@
 
 bool exchange::take_turn(time_point now) {
     const auto& losses = owner_->losses();
-    if (losses.empty() || !losses.suspected(fingerprint())) {
+    if (!losses.suspected(fingerprint())) {
         return true;
     }
     const bool early = losses.just_lost(fingerprint(), now) || now < arrived_ + owner_->copy_delay(fingerprint());
@@ -191,9 +191,7 @@
         await_turn();
         return;
     }
-    if (!owner_->turns().empty()) {
-        owner_->turns().sent(fingerprint(), ticket_, now);
-    }
+    owner_->turns().sent(fingerprint(), ticket_, now);
     sent_at_ = now;
     ++sends_;
     ++runs_;
@@ -293,14 +291,8 @@
     }
 }
 
-void exchange::note_answered() {
-    if (!owner_->losses().empty()) {
-        owner_->run_answered(fingerprint());
-    }
-}
-
 bool exchange::crashes_endpoints() const {
-    return !owner_->losses().empty() && owner_->losses().refused(fingerprint());
+    return owner_->losses().refused(fingerprint());
 }
 
 void exchange::refuse_as_crashing() {
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -48,7 +48,6 @@
 
     /*! A run whose endpoint was not heard since it was sent can't have ended it: that may have fallen dark before. */
     void note_silent_run();
-    void note_answered();
 
     /*! Tells whether endpoints are known to end when they run the call. */
     [[nodiscard]] bool crashes_endpoints() const;
--- a/src/dandelionbay/proxy/exchange_answer.cpp
+++ b/src/dandelionbay/proxy/exchange_answer.cpp
@@ -131,7 +131,7 @@
         return;
     }
     owner_->dispatch().started(ticket_, owner_->now());
-    note_answered();
+    owner_->run_answered(fingerprint());
     end_attempt(false);
     if (!begun_) {
         begin_stream();
@@ -181,7 +181,7 @@
     const int status = head_->status;
     owner_->dispatch().started(ticket_, owner_->now());
     if (status / 100 == 2) {
-        note_answered();
+        owner_->run_answered(fingerprint());
     }
     end_attempt(status >= 500);
     if (begun_) { // A resumed stream was answered by something else.
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -194,9 +194,7 @@
         return;
     }
     buffered_ -= it->second->body_bytes();
-    if (!turns_.empty()) {
-        turns_.ended(it->second->fingerprint(), ticket);
-    }
+    turns_.ended(it->second->fingerprint(), ticket);
     exchanges_.erase(it);
 }
 
--- a/src/dandelionbay/router/internal/state_dispatch.cpp
+++ b/src/dandelionbay/router/internal/state_dispatch.cpp
@@ -1,7 +1,6 @@
 #include <algorithm>
 
-#include <xxhash.h>
-
+#include "dandelionbay/base/name_hash.hpp"
 #include "dandelionbay/router/internal/state.hpp"
 
 namespace dandelionbay {
@@ -31,7 +30,7 @@
     if (!missing) {
         return home->second;
     }
-    XXH64_hash_t highest = 0;
+    std::uint64_t highest = 0;
     const auto group = access_.group_of(order.team);
     for (const auto& [host, agent] : agents_) {
         const auto& groups = access_.allowed(agent.endpoint);
@@ -40,8 +39,7 @@
             endpoint == nullptr || config_->zone_out(endpoint->zone) || config_->leaving(agent.endpoint)) {
             continue;
         }
-        const auto& name = agent.endpoint.value;
-        const auto hash = XXH3_64bits_withSeed(name.data(), name.size(), order.fingerprint);
+        const auto hash = name_hash(agent.endpoint.value, order.fingerprint);
         if (home->second.empty() || hash > highest) {
             highest = hash;
             home->second = host;
--- a/test/dandelionbay/platform/gateway_endless_test.cpp
+++ b/test/dandelionbay/platform/gateway_endless_test.cpp
@@ -37,18 +37,24 @@
             {"stream_chunk_extension", "/chat/a", concat(chunked, chunk(event(1)), "2;"), filler}};
 }
 
-class gateway_endless : public gateway_fleet, public testing::WithParamInterface<endless_bytes> {
+/*! Endpoints that go on until the test ends. */
+class unending_endpoints : public gateway_fleet {
 protected:
-    /*! What one call may hold, and what the sockets' buffers take. */
-    static constexpr std::size_t most_taken = exchange::held_bytes + (std::size_t{8} << 20U);
-    /*! The routes' longest time limit, and some time to tell both sides. */
-    static constexpr seconds longest{5};
-
     void TearDown() override {
         ended = true;
         gateway_fleet::TearDown();
     }
 
+    std::atomic<bool> ended{};
+};
+
+class gateway_endless : public unending_endpoints, public testing::WithParamInterface<endless_bytes> {
+protected:
+    /*! What one call may hold, and what the sockets' buffers take. */
+    static constexpr std::size_t most_taken = exchange::held_bytes + (std::size_t{8} << 20U);
+    /*! The routes' longest time limit, and some time to tell both sides. */
+    static constexpr seconds longest{5};
+
     /*! Makes endpoints send the bytes until the gateway closes the connection. */
     void send_without_end(scripted_endpoint& from) {
         from.otherwise([this](const http_request& request, raw_server::connection& to) {
@@ -69,7 +75,6 @@
         });
     }
 
-    std::atomic<bool> ended{};
     std::atomic<int> sending{};
     std::atomic<std::size_t> sent{};
 };
@@ -98,21 +103,14 @@
     }
 }
 
-class gateway_held : public gateway_fleet {
+class gateway_held : public unending_endpoints {
 protected:
-    void TearDown() override {
-        ended = true;
-        gateway_fleet::TearDown();
-    }
-
     [[nodiscard]] std::uint64_t held_bytes() const {
         const std::string name = "\ndandelionbay_held_answer_bytes ";
         const auto page = gateway->metrics();
         const auto at = page.find(name);
         return at == std::string::npos ? 0 : std::stoull(page.substr(at + name.size()));
     }
-
-    std::atomic<bool> ended{};
 };
 
 // Guards against a gateway that runs out of memory because many large answers stay without an end at the same time.
