--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -51,8 +51,9 @@
       links_{peer_environment{&loop_, &clock_, &log_, &metrics_, &board_}, options_.peer_listen,
              [this](const peer_change& change) { peers_changed(change); }},
       ready_{loop_, log_, [this](std::string_view path) { return page_of(path); }},
-      status_{loop_, log_, [this](std::string_view path) { return page_of(path); }},
-      signals_{loop_, SIGTERM, SIGINT, SIGHUP}, stop_timer_{loop_}, settings_timer_{loop_}, reader_{std::move(reader)} {
+      status_{loop_, log_, [this](std::string_view path) { return page_of(path); }}, signals_{loop_, SIGTERM, SIGINT,
+                                                                                              SIGHUP},
+      stop_timer_{loop_}, settings_timer_{loop_}, facts_timer_{loop_}, reader_{std::move(reader)} {
     registry_options store;
     store.address = options_.store;
     store.host = options_.place.host;
@@ -80,6 +81,7 @@
     }
     wait_for_signal();
     watch_settings();
+    log_facts();
     registry_->start();
     log_.write(log_level::info, "started");
     started();
@@ -124,6 +126,37 @@
     });
 }
 
+void gateway_node::log_facts() {
+    facts_timer_.expires_after(facts_interval);
+    facts_timer_.async_wait([this](boost::system::error_code ec) {
+        if (ec) {
+            return;
+        }
+        const auto now = clock_.now();
+        const auto total = [&](std::string_view name) { return std::to_string(metrics_.total(name)); };
+        log_.write(log_level::info, "facts",
+                   {{"config", std::to_string(view_.config() == nullptr ? 0 : view_.config()->version)},
+                    {"config_age_ms", age_text(view_.operator_age(now))},
+                    {"list_as_of", std::to_string(view_.list().as_of)},
+                    {"list_age_ms", age_text(view_.endpoints_age(now))},
+                    {"loop_late_us", std::to_string(proxy_.lateness().count())},
+                    {"peers_live", std::to_string(board_.live(now))},
+                    {"peer_redials", total("peer_redials_total")},
+                    {"peer_bytes", total("peer_bytes_sent_total")},
+                    {"peer_messages", total("peer_messages_sent_total")},
+                    {"peer_list_bytes", std::to_string(metrics_.get("peer_bytes_sent_total", "list"))},
+                    {"peer_config_bytes", std::to_string(metrics_.get("peer_bytes_sent_total", "config"))},
+                    {"lists_taken", total("lists_from_peers_total")},
+                    {"registry_calls", total("registry_calls_total")},
+                    {"registry_late", total("registry_calls_late_total")},
+                    {"registry_us", total("registry_call_us_total")},
+                    {"registry_bytes", total("registry_answer_bytes_total")},
+                    {"call_bytes_far", std::to_string(metrics_.get("call_bytes_sent_total", "other_region"))},
+                    {"call_bytes_near", std::to_string(metrics_.get("call_bytes_sent_total", "same_region"))}});
+        log_facts();
+    });
+}
+
 void gateway_node::reload() {
     if (!reader_) {
         return;
@@ -199,6 +232,7 @@
     links_.stop();
     registry_->stop();
     settings_timer_.cancel();
+    facts_timer_.cancel();
     // The last writes get a moment; then the process ends whatever is left.
     constexpr std::chrono::milliseconds last_writes{150};
     stop_timer_.expires_after(last_writes);
@@ -233,6 +267,7 @@
     }
     if (change.list_renewed) {
         metrics_.add("lists_from_peers_total");
+        log_leaving("list_of_peer");
     }
 }
 
@@ -261,6 +296,7 @@
     const auto known = view_.endpoints().size();
     view_.merge(list, read_at, now);
     proxy_.dispatch().refresh(now);
+    log_leaving("registry");
     if (view_.endpoints().size() != known) {
         log_.write(log_level::info, "endpoints_changed",
                    {{"known", std::to_string(view_.endpoints().size())}, {"before", std::to_string(known)}});
@@ -268,6 +304,24 @@
     proxy_.pump();
 }
 
+void gateway_node::log_leaving(std::string_view from) {
+    std::set<endpoint_id> leaving;
+    for (const auto& it : view_.list().entries) {
+        if (!it.leaving) {
+            continue;
+        }
+        leaving.insert(it.id);
+        if (!leaving_.contains(it.id)) {
+            log_.write(log_level::info, "endpoint_leaving",
+                       {{"endpoint", it.id.value},
+                        {"from", std::string{from}},
+                        {"as_of", std::to_string(view_.list().as_of)},
+                        {"list_age_ms", age_text(view_.endpoints_age(clock_.now()))}});
+        }
+    }
+    leaving_ = std::move(leaving);
+}
+
 void gateway_node::on_routers(const std::vector<router_entry>& routers) {
     board_.announced(routers, clock_.now());
 }
--- a/src/dandelionbay/node/gateway_node.hpp
+++ b/src/dandelionbay/node/gateway_node.hpp
@@ -2,7 +2,9 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -47,6 +49,8 @@
     void wait_for_signal();
     void reload();
     void watch_settings();
+    void log_facts();
+    void log_leaving(std::string_view from);
     void peers_changed(const peer_change& change);
     void keep_refusal(std::uint64_t call);
 
@@ -61,6 +65,9 @@
     /*! @brief Interval of looking whether the settings changed without a signal. */
     static constexpr std::chrono::seconds settings_interval{5};
 
+    /*! @brief Interval of the log lines that tell how old the facts are and what the ways that bring them carry. */
+    static constexpr std::chrono::seconds facts_interval{2};
+
     /*! @brief Reads the settings again. */
     using settings_reader = std::function<absl::StatusOr<gateway_options>()>;
 
@@ -106,7 +113,9 @@
     boost::asio::signal_set signals_;
     boost::asio::steady_timer stop_timer_;
     boost::asio::steady_timer settings_timer_;
+    boost::asio::steady_timer facts_timer_;
     settings_reader reader_;
+    std::set<endpoint_id> leaving_{}; //!< By the newest list.
     bool registry_failed_{};
 };
 
--- a/src/dandelionbay/peer/peer_links.cpp
+++ b/src/dandelionbay/peer/peer_links.cpp
@@ -66,8 +66,12 @@
         if (channel_->unsent() > 0) {
             return;
         }
-        const auto bytes = with_length(encode(owner_->environment_.board->compose(to_, now)));
-        owner_->environment_.metrics->add("peer_bytes_sent_total", {}, static_cast<counters::value_type>(bytes.size()));
+        const auto state = owner_->environment_.board->compose(to_, now);
+        const auto bytes = with_length(encode(state));
+        const std::string_view kind = state.list ? "list" : state.config_text.empty() ? "state" : "config";
+        owner_->environment_.metrics->add("peer_messages_sent_total", kind);
+        owner_->environment_.metrics->add("peer_bytes_sent_total", kind,
+                                          static_cast<counters::value_type>(bytes.size()));
         channel_->write(bytes);
     }
 
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -209,7 +209,9 @@
         return;
     }
     client_ = owner_->connect(choice, fresh_connection_limit());
-    client_->send(request_bytes(choice, now), request_.method == "HEAD", this);
+    const auto bytes = request_bytes(choice, now);
+    owner_->count_sent(choice.endpoint, bytes.size());
+    client_->send(bytes, request_.method == "HEAD", this);
 }
 
 void exchange::refused(const refusal& why) {
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -231,6 +231,18 @@
     return it;
 }
 
+void proxy::count_sent(const endpoint_id& to, std::size_t bytes) {
+    const auto known = environment_.view->endpoints().find(to);
+    if (known == environment_.view->endpoints().end()) {
+        return;
+    }
+    const auto& place = options_.place;
+    const auto zone = place.zones.find(known->second.entry.zone);
+    const bool near = zone != place.zones.end() && zone->second == place.region;
+    environment_.metrics->add("call_bytes_sent_total", near ? "same_region" : "other_region",
+                              static_cast<counters::value_type>(bytes));
+}
+
 void proxy::unreachable(const endpoint_id& id) {
     dispatcher_.unreachable(id, now());
     environment_.view->note_refused(id, now());
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -136,6 +136,9 @@
     /*! @brief Takes an idle connection to an endpoint or makes a new one. */
     [[nodiscard]] std::shared_ptr<http_connection> connect(const endpoint_choice& to, duration longest_idle);
 
+    /*! @brief Counts bytes of calls sent to an endpoint, by whether it is in this region. */
+    void count_sent(const endpoint_id& to, std::size_t bytes);
+
     /*! @brief A connection to an endpoint could not be made. */
     void unreachable(const endpoint_id& id);
 
