--- /dev/null
+++ b/test/dandelionbay/peer/board_router.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "dandelionbay/dispatch/dispatcher.hpp"
+#include "dandelionbay/peer/peer_board.hpp"
+
+namespace dandelionbay {
+
+/*! @brief A router's facts and its board, without a network. */
+struct board_router {
+    class silent_listener final : public dispatch_listener {
+    public:
+        void placed(ticket_id /*ticket*/, const endpoint_choice& /*choice*/) override {}
+        void refused(ticket_id /*ticket*/, const refusal& /*why*/) override {}
+    };
+
+    board_router(const std::string& name, std::uint16_t port)
+        : dispatch{view, router_place{host_id{name}, {}, {}, {}}, {}, listener, 1},
+          board{host_id{name}, 1, {"127.0.0.1", port}, view, dispatch, losses, read_config} {}
+
+    /*! @brief Reads "version N", whatever follows. */
+    [[nodiscard]] static absl::StatusOr<route_config> read_config(const std::string& text) {
+        route_config it;
+        it.version = std::stoull(text.substr(text.find(' ') + 1));
+        return make_route_config(std::move(it));
+    }
+
+    /*! @brief A configuration was read from the store. @param bytes Length of its text. */
+    void adopt(std::uint64_t version, std::size_t bytes = 0) {
+        auto text = "version " + std::to_string(version) + " ";
+        text.resize(std::max(bytes, text.size()), '.');
+        if (view.adopt(std::make_shared<const route_config>(*read_config(text)))) {
+            board.set_config_text(std::move(text));
+        }
+    }
+
+    /*! @brief All was read from the store. */
+    void read_store(std::uint64_t as_of, std::uint64_t version, time_point at) {
+        adopt(version);
+        view.confirm(operator_state{as_of, version, {}}, at);
+        view.merge(
+            endpoint_list{
+                as_of, {endpoint_entry{endpoint_id{"e" + std::to_string(as_of)}, {}, {}, {}, 1, false, {}, 0, as_of}}},
+            at, at);
+    }
+
+    silent_listener listener{};
+    registry_view view{{}};
+    dispatcher dispatch;
+    lost_runs losses{};
+    peer_board board;
+};
+
+} // namespace dandelionbay
--- a/test/dandelionbay/peer/peer_board_test.cpp
+++ b/test/dandelionbay/peer/peer_board_test.cpp
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "dandelionbay/peer/peer_board.hpp"
+#include "board_router.hpp"
 
 namespace dandelionbay {
 namespace {
@@ -10,41 +10,7 @@
 
 constexpr time_point start{seconds{500}};
 
-class silent_listener final : public dispatch_listener {
-public:
-    void placed(ticket_id /*ticket*/, const endpoint_choice& /*choice*/) override {}
-    void refused(ticket_id /*ticket*/, const refusal& /*why*/) override {}
-};
-
-/*! Reads "version N". */
-[[nodiscard]] absl::StatusOr<route_config> read_config(const std::string& text) {
-    route_config it;
-    it.version = std::stoull(text.substr(text.find(' ') + 1));
-    return make_route_config(std::move(it));
-}
-
-/*! A router with its own clock, whose zero differs from that of the others. */
-struct router {
-    router(const std::string& name, std::uint16_t port)
-        : dispatch{view, router_place{host_id{name}, {}, {}, {}}, {}, listener, 1},
-          board{host_id{name}, 1, {"127.0.0.1", port}, view, dispatch, losses, read_config} {}
-
-    void read_store(std::uint64_t as_of, std::uint64_t version, time_point at) {
-        view.adopt(std::make_shared<const route_config>(*read_config("version " + std::to_string(version))));
-        board.set_config_text("version " + std::to_string(version));
-        view.confirm(operator_state{as_of, version, {}}, at);
-        view.merge(
-            endpoint_list{
-                as_of, {endpoint_entry{endpoint_id{"e" + std::to_string(as_of)}, {}, {}, {}, 1, false, {}, 0, as_of}}},
-            at, at);
-    }
-
-    silent_listener listener{};
-    registry_view view{{}};
-    dispatcher dispatch;
-    lost_runs losses{};
-    peer_board board;
-};
+using router = board_router;
 
 const socket_address first_address{"127.0.0.1", 1};
 const socket_address second_address{"127.0.0.1", 2};
