Let the time limits on peers grow with the interval at which they are told

Cause: a confirmation takes up to two intervals of messages, 12 ms for each peer, and was waited for 1.2 s. From about 50 gateways on each connection that worked was made anew at every second message, which was not sent; peers that were heard at every interval of 1.22 s counted as silent after 1 s. The class: a constant that was set as a multiple of something that grows with the fleet. Ruled out: a shorter interval; a router's messages would grow with the fleet, and the smallest hosts have 0.09 of a core. Change: the limits are a least time or several intervals, whichever is longer (round_limit), and the board that knows the fleet decides on them and on the interval.

--- a/src/dandelionbay/peer/peer_board.cpp
+++ b/src/dandelionbay/peer/peer_board.cpp
@@ -53,7 +53,7 @@
     out.queues = dispatch_->queues();
     out.endpoints_leaving = view_->leaving();
     for (const auto& [host, it] : peers_) {
-        if (now - it.heard < silent_after) { // Others would never be forgotten.
+        if (now - it.heard < silent_after.at(interval())) { // Others would never be forgotten.
             out.peers.push_back(it.address);
         }
     }
@@ -190,20 +190,21 @@
     auto routers = announced_.value_or(std::set<host_id>{});
     routers.insert(self_);
     for (const auto& [host, it] : peers_) {
-        if (!it.leaving || now - it.heard < silent_after) {
+        if (!it.leaving || now - it.heard < silent_after.at(interval())) {
             routers.insert(host);
         } else {
             routers.erase(host);
         }
     }
-    const bool complete = announced_ || (first_round_ && now - *first_round_ >= all_heard_after);
+    const bool complete = announced_ || (first_round_ && now - *first_round_ >= all_heard_after.at(interval()));
     dispatch_->set_routers(std::move(routers), complete);
 }
 
 void peer_board::begin_round(time_point now) {
     first_round_ = first_round_.value_or(now);
-    std::erase_if(peers_, [&](const auto& it) { return now - it.second.heard > forgotten_after; });
-    std::erase_if(introduced_, [&](const auto& it) { return now - it.second > forgotten_after; });
+    const auto kept = forgotten_after.at(interval());
+    std::erase_if(peers_, [&](const auto& it) { return now - it.second.heard > kept; });
+    std::erase_if(introduced_, [&](const auto& it) { return now - it.second > kept; });
     follow_routers(now);
     const auto uses = dispatch_->take_part_uses();
     for (auto& [host, it] : peers_) {
@@ -222,14 +223,22 @@
     return out;
 }
 
-bool peer_board::unconfirmed(const socket_address& to, time_point now) const {
+duration peer_board::interval() const noexcept {
+    return std::max(shortest_interval, interval_per_peer * static_cast<duration::rep>(introduced_.size()));
+}
+
+bool peer_board::stuck(const socket_address& to, time_point dialled, time_point now) const {
+    if (now - dialled <= stuck_after.at(interval())) {
+        return false;
+    }
     const auto it = std::ranges::find_if(peers_, [&](const auto& item) { return item.second.address == to; });
-    return it == peers_.end() || now - it->second.confirmed > confirmed_within;
+    return it == peers_.end() || now - it->second.confirmed > confirmed_within.at(interval());
 }
 
 std::size_t peer_board::live(time_point now) const {
-    const auto n = std::ranges::count_if(
-        peers_, [&](const auto& it) { return !it.second.leaving && now - it.second.heard < silent_after; });
+    const auto n = std::ranges::count_if(peers_, [&](const auto& it) {
+        return !it.second.leaving && now - it.second.heard < silent_after.at(interval());
+    });
     return static_cast<std::size_t>(n);
 }
 
--- a/src/dandelionbay/peer/peer_board.hpp
+++ b/src/dandelionbay/peer/peer_board.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -31,6 +32,17 @@
     friend bool operator==(const peer_change&, const peer_change&) = default;
 };
 
+/*! @brief A time limit on peers: a fixed time, or several intervals of messages where these are longer. */
+struct round_limit {
+    duration least{};
+    int rounds{};
+
+    /*! @brief The limit. @param interval Of messages to a peer. */
+    [[nodiscard]] constexpr duration at(duration interval) const noexcept { return std::max(least, rounds * interval); }
+
+    friend bool operator==(const round_limit&, const round_limit&) = default;
+};
+
 /**
  * @brief Decides what a router tells its peers and what it believes of what they tell.
  *
@@ -61,15 +73,21 @@
     /*! @brief Reads the text of a configuration. */
     using config_reader = std::function<absl::StatusOr<route_config>(const std::string&)>;
 
+    /*! @brief Shortest interval of messages to a peer; a prompt takes twice as long to be read. */
+    static constexpr duration shortest_interval = std::chrono::milliseconds{40};
+    /*! @brief Time that each peer adds to the interval, so that a router's messages do not grow with the fleet. */
+    static constexpr duration interval_per_peer = std::chrono::milliseconds{12};
     /*! @brief A peer that was not heard for this time may be gone; it still counts as sending to endpoints. */
-    static constexpr duration silent_after = std::chrono::seconds{1};
-    /*! @brief Messages that are not confirmed within this time count as lost: several intervals and a round trip. */
-    static constexpr duration confirmed_within = std::chrono::milliseconds{1'200};
-    /*! @brief Without the registry, all routers that are there were heard this long after the start: several intervals.
-     */
-    static constexpr duration all_heard_after = std::chrono::milliseconds{2'000};
+    static constexpr round_limit silent_after{std::chrono::seconds{1}, 3};
+    /*! @brief Messages that are not confirmed within this time count as lost. The answer to a message comes an interval
+     *  later, and is the newest for another one. */
+    static constexpr round_limit confirmed_within{std::chrono::milliseconds{1'200}, 4};
+    /*! @brief Without the registry, all routers that are there were heard this long after the start. */
+    static constexpr round_limit all_heard_after{std::chrono::seconds{2}, 3};
     /*! @brief A peer that was not heard for this time is forgotten. */
-    static constexpr duration forgotten_after = std::chrono::seconds{20};
+    static constexpr round_limit forgotten_after{std::chrono::seconds{20}, 10};
+    /*! @brief A connection whose messages are not confirmed is made anew after this time. */
+    static constexpr round_limit stuck_after{std::chrono::milliseconds{1'500}, 4};
     /*! @brief A peer whose list of endpoints is older than this gets a newer one. */
     static constexpr duration list_stale = std::chrono::milliseconds{1'200};
     /*! @brief Uses of parts kept for a peer that is not heard. */
@@ -103,8 +121,12 @@
     /*! @brief Addresses of the other routers. */
     [[nodiscard]] std::vector<socket_address> addresses() const;
 
-    /*! @brief Tells whether a peer has confirmed no message lately: its connection may have gone silent. */
-    [[nodiscard]] bool unconfirmed(const socket_address& to, time_point now) const;
+    /*! @brief Interval of messages to each peer. */
+    [[nodiscard]] duration interval() const noexcept;
+
+    /*! @brief Tells whether a connection may have gone silent: its peer has confirmed no message lately.
+     *  @param to The peer. @param dialled When the connection was made. */
+    [[nodiscard]] bool stuck(const socket_address& to, time_point dialled, time_point now) const;
 
     /*! @brief Number of peers heard lately. */
     [[nodiscard]] std::size_t live(time_point now) const;
--- a/src/dandelionbay/peer/peer_links.cpp
+++ b/src/dandelionbay/peer/peer_links.cpp
@@ -57,7 +57,7 @@
         if (!connected_) {
             return;
         }
-        if (now - dialled_ > stuck_limit && owner_->environment_.board->unconfirmed(to_, now)) {
+        if (owner_->environment_.board->stuck(to_, dialled_, now)) {
             owner_->environment_.metrics->add("peer_redials_total");
             drop(); // It may have gone silent while new connections work.
             dial(now);
@@ -182,12 +182,8 @@
     it->start();
 }
 
-std::chrono::milliseconds peer_links::interval() const {
-    return std::max(shortest_interval, interval_per_peer * static_cast<int>(senders_.size()));
-}
-
 void peer_links::tick() {
-    timer_.expires_after(interval());
+    timer_.expires_after(environment_.board->interval());
     timer_.async_wait([this](error_code ec) {
         if (ec || stopped_) {
             return;
--- a/src/dandelionbay/peer/peer_links.hpp
+++ b/src/dandelionbay/peer/peer_links.hpp
@@ -41,22 +41,15 @@
     void tick();
     void send_round();
     void received(const peer_state& in);
-    [[nodiscard]] std::chrono::milliseconds interval() const;
 
 public:
     /*! @brief Called after a message changed something. */
     using change_handler = std::function<void(const peer_change&)>;
 
-    /*! @brief Shortest interval of messages to a peer; a prompt takes twice as long to be read. */
-    static constexpr std::chrono::milliseconds shortest_interval{40};
-    /*! @brief Time that each peer adds to the interval, so that a router's messages do not grow with the fleet. */
-    static constexpr std::chrono::milliseconds interval_per_peer{12};
     /*! @brief Longest time to make a connection. */
     static constexpr std::chrono::milliseconds connect_limit{500};
     /*! @brief Time after a failed connection before the next one. */
     static constexpr std::chrono::milliseconds redial_pause{300};
-    /*! @brief A connection whose messages are not confirmed is made anew after this time. */
-    static constexpr std::chrono::milliseconds stuck_limit{1'500};
 
     /*! @brief Creates them. @param environment All members outlive it. @param listen Address for peers. */
     peer_links(peer_environment environment, socket_address listen, change_handler changed);
--- a/test/dandelionbay/peer/board_fleet.hpp
+++ b/test/dandelionbay/peer/board_fleet.hpp
@@ -14,7 +14,6 @@
 
 #include "board_router.hpp"
 #include "dandelionbay/base/text.hpp"
-#include "dandelionbay/peer/peer_links.hpp"
 
 namespace dandelionbay {
 
@@ -252,9 +251,7 @@
         for (const auto& to : addresses) {
             send(it, to);
         }
-        const auto interval =
-            std::max(peer_links::shortest_interval, peer_links::interval_per_peer * static_cast<int>(addresses.size()));
-        at(now_ + interval, [this, &it] { round(it); });
+        at(now_ + board.interval(), [this, &it] { round(it); });
     }
 
     void send(member& from, const socket_address& address) {
@@ -263,7 +260,7 @@
         if (added) {
             return;
         }
-        if (now_ - dialled->second > peer_links::stuck_limit && from.router->board.unconfirmed(address, now_)) {
+        if (from.router->board.stuck(address, dialled->second, now_)) {
             ++redials_;
             dialled->second = now_;
             return;
--- a/test/dandelionbay/peer/peer_board_test.cpp
+++ b/test/dandelionbay/peer/peer_board_test.cpp
@@ -124,7 +124,7 @@
         SCOPED_TRACE("the registry does not answer: it is alone if nobody was heard for some time");
         router self{"a", 1};
         self.board.begin_round(start);
-        const auto later = start + peer_board::all_heard_after;
+        const auto later = start + peer_board::all_heard_after.least;
         self.board.begin_round(later);
         EXPECT_EQ(placed_of_20(self, later), 10);
     }
