Ask one peer for a list or a configuration instead of being sent them by all

Cause: each router that had a list sent it to every peer whose own was told to be older than 1.2 s, and each that had a new configuration its whole text to every peer that was not known to have it, once for each message until the peer told otherwise, an interval later. A change of the configuration is read by all at once, so each text went to all pairs of routers. The class: what is sent grows with the pairs of hosts, and waiting for it makes more of it. Ruled out: asking those known to read the registry all at once; and longer ages before a list counts as old, which would only move the load. Change: messages tell versions and ages; a router that lacks something asks one peer, which answers at once, and another one 400 ms later. Only a process that is heard for the first time is told unasked.

--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -13,6 +13,10 @@
 
 /*! Parts of a bound after which the store is read again, so that a call that fails once leaves time for others. */
 constexpr int parts_of_bound = 5;
+/*! Of these parts, those after which a peer is asked: a reading that came in time is not as old. A watch tells what
+ *  was so when it began, two parts before its end. */
+constexpr int parts_of_list = 2;
+constexpr int parts_of_evidence = 3;
 /*! Part of a bound for which facts are trusted; the rest covers the way to the endpoint. */
 constexpr double trusted_share = 0.9;
 /*! Time before the kill at which a stop ends what still runs, so that the process can end in order. */
@@ -24,6 +28,13 @@
     return out;
 }
 
+[[nodiscard]] fact_limits fact_limits_of(const gateway_bounds& bounds) {
+    fact_limits out;
+    out.evidence = std::min(bounds.config, bounds.key_withdrawal) * parts_of_evidence / parts_of_bound;
+    out.list = bounds.leaving * parts_of_list / parts_of_bound;
+    return out;
+}
+
 [[nodiscard]] proxy_options data_path_of(const gateway_options& it) {
     return {.listen = it.caller_listen,
             .place = it.place,
@@ -44,9 +55,12 @@
       view_{freshness_of(options_.bounds)}, proxy_{proxy_environment{&loop_, &clock_, &log_, &metrics_, &view_,
                                                                      platform_.protocol.get()},
                                                    data_path_of(options_)},
-      board_{options_.place.host,  static_cast<std::uint64_t>(clock_.now().time_since_epoch().count()),
-             options_.peer_listen, view_,
-             proxy_.dispatch(),    proxy_.losses(),
+      board_{board_identity{options_.place.host, static_cast<std::uint64_t>(clock_.now().time_since_epoch().count()),
+                            options_.peer_listen, options_.place.region},
+             fact_limits_of(options_.bounds),
+             view_,
+             proxy_.dispatch(),
+             proxy_.losses(),
              platform_.read_config},
       links_{peer_environment{&loop_, &clock_, &log_, &metrics_, &board_}, options_.peer_listen,
              [this](const peer_change& change) { peers_changed(change); }},
--- a/src/dandelionbay/peer/peer_board.cpp
+++ b/src/dandelionbay/peer/peer_board.cpp
@@ -1,15 +1,18 @@
 #include "dandelionbay/peer/peer_board.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
+#include "dandelionbay/base/name_hash.hpp"
+
 namespace dandelionbay {
 
-peer_board::peer_board(host_id self, std::uint64_t incarnation, socket_address address, registry_view& view,
-                       dispatcher& dispatch, lost_runs& losses, config_reader reader)
-    : self_{std::move(self)}, incarnation_{incarnation}, address_{std::move(address)}, view_{&view},
-      dispatch_{&dispatch}, losses_{&losses}, reader_{std::move(reader)} {
-    dispatch_->set_routers({self_}, false);
+peer_board::peer_board(board_identity self, const fact_limits& limits, registry_view& view, dispatcher& dispatch,
+                       lost_runs& losses, config_reader reader)
+    : self_{std::move(self)}, limits_{limits}, view_{&view}, dispatch_{&dispatch}, losses_{&losses}, reader_{std::move(
+                                                                                                         reader)} {
+    dispatch_->set_routers({self_.host}, false);
 }
 
 std::int64_t peer_board::age_us(const std::optional<duration>& age) noexcept {
@@ -17,7 +20,7 @@
 }
 
 void peer_board::introduce(const socket_address& address, time_point now) {
-    if (address != address_) {
+    if (address != self_.address) {
         introduced_[address] = now;
     }
 }
@@ -33,9 +36,10 @@
 
 peer_state peer_board::compose(const socket_address& to, time_point now) {
     peer_state out;
-    out.host = self_;
-    out.incarnation = incarnation_;
-    out.address = address_;
+    out.host = self_.host;
+    out.incarnation = self_.incarnation;
+    out.address = self_.address;
+    out.region = self_.region;
     out.leaving = leaving_;
     out.sent_us = now.time_since_epoch().count();
     out.operators = view_->operators();
@@ -66,13 +70,77 @@
     out.echo_held_us = (now - known.stamp_at).count();
     out.part_uses = std::exchange(known.untold, {});
     out.losses = losses_->changed_since(known.confirmed);
-    if (known.config_version < out.operators.config_version) {
+    answer(known, out);
+    known.asks = {};
+    if (to_ask_ == it->first) {
+        out.asks = missing(now);
+        to_ask_.reset();
+    }
+    return out;
+}
+
+void peer_board::answer(const peer& to, peer_state& out) const {
+    if (to.asks.config && to.config_version < out.operators.config_version) {
         out.config_text = config_text_;
     }
-    const bool stale = known.list_age_us < 0 || known.list_age_us > list_stale.count();
-    if (stale && out.list_age_us >= 0 && (known.list_age_us < 0 || out.list_age_us < known.list_age_us)) {
+    if (to.asks.list && out.list_age_us >= 0) {
         out.list = view_->list();
     }
+}
+
+fact_request peer_board::missing(time_point now) const {
+    const auto version = view_->config() == nullptr ? 0 : view_->config()->version;
+    const auto older = [](const std::optional<duration>& age, duration limit) { return !age || *age > limit; };
+    fact_request out;
+    out.evidence = older(view_->operator_age(now), limits_.evidence);
+    out.config = version == 0 || (version < newest_config_ && now - *config_heard_ >= config_patience);
+    out.list = older(view_->endpoints_age(now), limits_.list);
+    return out;
+}
+
+int peer_board::can_tell(const peer& it, const fact_request& wanted) const {
+    const auto young = [](std::int64_t age_us, duration limit) { return age_us >= 0 && age_us <= limit.count(); };
+    int out = 0;
+    out += wanted.evidence && young(it.operators_age_us, limits_.evidence) ? 1 : 0;
+    out += wanted.config && newest_config_ > 0 && it.config_version == newest_config_ ? 1 : 0;
+    out += wanted.list && young(it.list_age_us, limits_.list) ? 1 : 0;
+    return out;
+}
+
+void peer_board::choose_peer_to_ask(time_point now) {
+    const auto wanted = missing(now);
+    if (!wanted.any() || (asked_at_ && now - *asked_at_ < ask_interval)) {
+        return;
+    }
+    // Those that can tell most; of these the ones in this region, and others for each router and each time.
+    const auto seed = name_hash(self_.host.value, asks_);
+    const auto silent = silent_after.at(interval());
+    std::tuple<int, bool, std::uint64_t> best{};
+    for (const auto& [host, it] : peers_) {
+        const std::tuple rank{can_tell(it, wanted), it.region == self_.region, name_hash(host.value, seed)};
+        if (std::get<int>(rank) > 0 && !it.leaving && now - it.heard < silent && rank > best) {
+            best = rank;
+            to_ask_ = host;
+        }
+    }
+    if (to_ask_) {
+        asked_at_ = now;
+        ++asks_;
+    }
+}
+
+bool peer_board::asked() const {
+    return std::ranges::any_of(peers_, [](const auto& it) { return it.second.asks.any(); });
+}
+
+std::vector<socket_address> peer_board::due(time_point now) {
+    choose_peer_to_ask(now);
+    std::vector<socket_address> out;
+    for (const auto& [host, it] : peers_) {
+        if (it.asks.any() || to_ask_ == host) {
+            out.push_back(it.address);
+        }
+    }
     return out;
 }
 
@@ -145,9 +213,26 @@
     }
 }
 
+void peer_board::note_facts(const peer_state& in, peer& from, bool found, time_point now) {
+    from.region = in.region;
+    from.config_version = in.operators.config_version;
+    from.operators_age_us = in.operators_age_us;
+    from.list_age_us = in.list_age_us;
+    from.asks.evidence |= in.asks.evidence;
+    from.asks.config |= in.asks.config;
+    from.asks.list |= in.asks.list;
+    if (found) { // It can't ask those that it doesn't know.
+        from.asks = {true, true, in.list_age_us < 0 || duration{in.list_age_us} > limits_.list};
+    }
+    if (in.operators.config_version > newest_config_) {
+        newest_config_ = in.operators.config_version;
+        config_heard_ = now;
+    }
+}
+
 peer_change peer_board::receive(const peer_state& in, time_point now) {
     peer_change out;
-    if (in.host == self_) {
+    if (in.host == self_.host) {
         return out;
     }
     auto [it, added] = peers_.try_emplace(in.host);
@@ -164,8 +249,7 @@
     known.stamp_at = now;
     const time_point echoed{duration{in.echo_us}};
     known.confirmed = out.peer_found ? echoed : std::max(known.confirmed, echoed); // A new process knows nothing.
-    known.config_version = in.operators.config_version;
-    known.list_age_us = in.list_age_us;
+    note_facts(in, known, out.peer_found, now);
     introduce(in.address, now);
     for (const auto& address : in.peers) {
         if (!introduced_.contains(address)) {
@@ -188,7 +272,7 @@
 
 void peer_board::follow_routers(time_point now) {
     auto routers = announced_.value_or(std::set<host_id>{});
-    routers.insert(self_);
+    routers.insert(self_.host);
     for (const auto& [host, it] : peers_) {
         if (!it.leaving || now - it.heard < silent_after.at(interval())) {
             routers.insert(host);
--- a/src/dandelionbay/peer/peer_board.hpp
+++ b/src/dandelionbay/peer/peer_board.hpp
@@ -32,6 +32,24 @@
     friend bool operator==(const peer_change&, const peer_change&) = default;
 };
 
+/*! @brief The process that a board speaks for. */
+struct board_identity {
+    host_id host{};
+    std::uint64_t incarnation{};
+    socket_address address{}; //!< Where it listens for its peers.
+    region_id region{};
+
+    friend bool operator==(const board_identity&, const board_identity&) = default;
+};
+
+/*! @brief Ages beyond which a router asks a peer for newer facts. */
+struct fact_limits {
+    duration evidence{std::chrono::milliseconds{1'500}}; //!< What operators want.
+    duration list{std::chrono::milliseconds{1'000}};     //!< The endpoints.
+
+    friend bool operator==(const fact_limits&, const fact_limits&) = default;
+};
+
 /*! @brief A time limit on peers: a fixed time, or several intervals of messages where these are longer. */
 struct round_limit {
     duration least{};
@@ -46,6 +64,9 @@
 /**
  * @brief Decides what a router tells its peers and what it believes of what they tell.
  *
+ * Each message has what is small. The endpoints and the text of a configuration are large: a router that lacks them
+ * asks one peer at a time, so what they take grows with the routers that lack them and not with the pairs of routers.
+ *
  * A peer's evidence counts from a moment that is not after its reading: the message was sent after the receiver's own
  * stamp, which it echoes, had arrived there. A message that was delayed therefore never makes evidence look newer.
  */
@@ -53,13 +74,16 @@
     struct peer {
         std::uint64_t incarnation{};
         socket_address address{};
+        region_id region{};
         time_point heard{};
         bool leaving{};
         std::int64_t stamp_us{}; //!< Newest stamp of the peer.
         time_point stamp_at{};   //!< When it arrived.
         time_point confirmed{};  //!< Sending of the newest message that the peer says it received.
         std::uint64_t config_version{};
+        std::int64_t operators_age_us{-1};
         std::int64_t list_age_us{-1};
+        fact_request asks{};            //!< Not answered yet.
         std::vector<part_use> untold{}; //!< Uses of parts that it was not told yet.
     };
 
@@ -68,6 +92,11 @@
     void take_loads(const peer_state& in, time_point now);
     void take_losses(const peer_state& in, peer_change& out, time_point now);
     void follow_routers(time_point now);
+    void note_facts(const peer_state& in, peer& from, bool found, time_point now);
+    [[nodiscard]] fact_request missing(time_point now) const;
+    [[nodiscard]] int can_tell(const peer& it, const fact_request& wanted) const;
+    void choose_peer_to_ask(time_point now);
+    void answer(const peer& to, peer_state& out) const;
 
 public:
     /*! @brief Reads the text of a configuration. */
@@ -88,14 +117,17 @@
     static constexpr round_limit forgotten_after{std::chrono::seconds{20}, 10};
     /*! @brief A connection whose messages are not confirmed is made anew after this time. */
     static constexpr round_limit stuck_after{std::chrono::milliseconds{1'500}, 4};
-    /*! @brief A peer whose list of endpoints is older than this gets a newer one. */
-    static constexpr duration list_stale = std::chrono::milliseconds{1'200};
+    /*! @brief Another peer is asked after this time: several round trips between regions. */
+    static constexpr duration ask_interval = std::chrono::milliseconds{400};
+    /*! @brief A newer configuration that a peer has is asked for after this time; the registry mostly tells it sooner.
+     */
+    static constexpr duration config_patience = std::chrono::milliseconds{200};
     /*! @brief Uses of parts kept for a peer that is not heard. */
     static constexpr std::size_t most_untold = 500;
 
-    /*! @brief Creates it. @param self This router. @param incarnation Of this process. @param address For peers. */
-    peer_board(host_id self, std::uint64_t incarnation, socket_address address, registry_view& view,
-               dispatcher& dispatch, lost_runs& losses, config_reader reader);
+    /*! @brief Creates it. @param self This process. @param limits Ages of facts. @param reader Of configurations. */
+    peer_board(board_identity self, const fact_limits& limits, registry_view& view, dispatcher& dispatch,
+               lost_runs& losses, config_reader reader);
 
     /*! @brief Takes over which routers announced themselves to the registry. */
     void announced(const std::vector<router_entry>& routers, time_point now);
@@ -115,6 +147,12 @@
     /*! @brief Takes a message over. @param in The message. @param now Time of its arrival. */
     peer_change receive(const peer_state& in, time_point now);
 
+    /*! @brief Peers that get a message out of turn: those that asked for something, and one to ask. */
+    [[nodiscard]] std::vector<socket_address> due(time_point now);
+
+    /*! @brief Tells whether a peer waits for an answer. */
+    [[nodiscard]] bool asked() const;
+
     /*! @brief Collects what the next messages tell, and forgets peers. To be called before each round of messages. */
     void begin_round(time_point now);
 
@@ -132,9 +170,8 @@
     [[nodiscard]] std::size_t live(time_point now) const;
 
 private:
-    host_id self_;
-    std::uint64_t incarnation_;
-    socket_address address_;
+    board_identity self_;
+    fact_limits limits_;
     registry_view* view_;
     dispatcher* dispatch_;
     lost_runs* losses_;
@@ -145,6 +182,11 @@
     std::map<socket_address, time_point> introduced_{}; //!< Addresses, and when they were last heard of.
     std::optional<std::set<host_id>> announced_{};      //!< In the registry, as of its last reading.
     std::optional<time_point> first_round_{};
+    std::uint64_t newest_config_{};            //!< Of those that peers have.
+    std::optional<time_point> config_heard_{}; //!< When that was first heard.
+    std::optional<host_id> to_ask_{};          //!< The next message to this peer asks it.
+    std::optional<time_point> asked_at_{};     //!< When a peer was last chosen.
+    std::uint64_t asks_{};                     //!< Peers chosen so far.
 };
 
 } // namespace dandelionbay
--- a/src/dandelionbay/peer/peer_links.cpp
+++ b/src/dandelionbay/peer/peer_links.cpp
@@ -183,19 +183,33 @@
 }
 
 void peer_links::tick() {
-    timer_.expires_after(environment_.board->interval());
+    timer_.expires_after(std::min<duration>(environment_.board->interval(), due_interval));
     timer_.async_wait([this](error_code ec) {
         if (ec || stopped_) {
             return;
         }
         const absl::Cleanup next = [this] { tick(); }; // Also after an error.
-        send_round();
+        if (environment_.time->now() >= next_round_) {
+            send_round();
+        } else {
+            send_due();
+        }
     });
 }
 
+void peer_links::send_due() {
+    const auto now = environment_.time->now();
+    for (const auto& address : environment_.board->due(now)) {
+        if (const auto it = senders_.find(address); it != senders_.end()) { // Else the next round makes it.
+            it->second->send(now);
+        }
+    }
+}
+
 void peer_links::send_round() {
     const auto now = environment_.time->now();
     environment_.board->begin_round(now);
+    next_round_ = now + environment_.board->interval();
     const auto addresses = environment_.board->addresses();
     std::erase_if(senders_, [&](const auto& it) { return std::ranges::find(addresses, it.first) == addresses.end(); });
     for (const auto& address : addresses) {
@@ -211,6 +225,9 @@
 void peer_links::received(const peer_state& in) {
     const auto change = environment_.board->receive(in, environment_.time->now());
     changed_(change);
+    if (environment_.board->asked()) {
+        send_due();
+    }
 }
 
 void peer_links::stop() {
--- a/src/dandelionbay/peer/peer_links.hpp
+++ b/src/dandelionbay/peer/peer_links.hpp
@@ -40,12 +40,15 @@
     void accept(channel::tcp::socket socket);
     void tick();
     void send_round();
+    void send_due();
     void received(const peer_state& in);
 
 public:
     /*! @brief Called after a message changed something. */
     using change_handler = std::function<void(const peer_change&)>;
 
+    /*! @brief Messages out of turn wait at most this long. */
+    static constexpr std::chrono::milliseconds due_interval{100};
     /*! @brief Longest time to make a connection. */
     static constexpr std::chrono::milliseconds connect_limit{500};
     /*! @brief Time after a failed connection before the next one. */
@@ -73,6 +76,7 @@
     boost::asio::steady_timer timer_;
     std::map<socket_address, std::shared_ptr<sender>> senders_{};
     std::set<std::shared_ptr<receiver>> receivers_{};
+    time_point next_round_{};
     bool stopped_{};
 };
 
--- a/src/dandelionbay/peer/peer_state.cpp
+++ b/src/dandelionbay/peer/peer_state.cpp
@@ -26,10 +26,12 @@
 using operators_row = std::tuple<std::uint64_t, std::uint64_t, std::vector<zone_row>, std::int64_t>;
 using list_row = std::tuple<std::uint64_t, std::int64_t, bool, std::vector<endpoint_row>>;
 using uses_row = std::tuple<std::vector<std::string>, std::vector<use_row>>;
+using request_row = std::tuple<bool, bool, bool>;
+/*! New fields come last: a router of an earlier version neither writes nor reads them. */
 using message_row =
     std::tuple<std::uint32_t, std::string, std::uint64_t, address_row, bool, clock_row, operators_row, list_row,
                std::vector<load_row>, uses_row, std::vector<team_row>, std::vector<queue_row>, std::vector<address_row>,
-               std::string, std::vector<leaving_row>, std::vector<losses_row>>;
+               std::string, std::vector<leaving_row>, std::vector<losses_row>, std::string, request_row>;
 
 /*! Version of this format; routers of one fleet may be replaced one after the other. */
 constexpr std::uint32_t format_version = 1;
@@ -130,7 +132,7 @@
 
 [[nodiscard]] peer_state state_of(const message_row& row) {
     const auto& [version, host, incarnation, address, leaving, clocks, operators, list, loads, uses, teams, queues,
-                 peers, text, endpoints_leaving, losses] = row;
+                 peers, text, endpoints_leaving, losses, region, asks] = row;
     peer_state out;
     out.host = host_id{host};
     out.incarnation = incarnation;
@@ -172,6 +174,8 @@
     for (const auto& it : losses) {
         out.losses.push_back(losses_of(it));
     }
+    out.region = region_id{region};
+    std::tie(out.asks.evidence, out.asks.config, out.asks.list) = asks;
     return out;
 }
 
@@ -217,7 +221,9 @@
                           peers,
                           it.config_text,
                           endpoints_leaving,
-                          losses};
+                          losses,
+                          it.region.value,
+                          request_row{it.asks.evidence, it.asks.config, it.asks.list}};
     msgpack::sbuffer buf;
     msgpack::pack(buf, row);
     return {buf.data(), buf.size()};
--- a/src/dandelionbay/peer/peer_state.hpp
+++ b/src/dandelionbay/peer/peer_state.hpp
@@ -23,6 +23,18 @@
     friend bool operator==(const peer_load&, const peer_load&) = default;
 };
 
+/*! @brief What a router asks a peer for; a peer that is asked for anything answers at once. */
+struct fact_request {
+    bool evidence{}; //!< What operators want, as of lately.
+    bool config{};   //!< The configuration's text.
+    bool list{};     //!< The endpoints.
+
+    /*! @brief Tells whether anything is asked for. */
+    [[nodiscard]] bool any() const noexcept { return evidence || config || list; }
+
+    friend bool operator==(const fact_request&, const fact_request&) = default;
+};
+
 /*! @brief What one router tells another. All of it replaces what it told before, except uses of parts and losses. */
 struct peer_state {
     host_id host{};
@@ -41,10 +53,12 @@
     std::vector<team_service> teams{};
     std::vector<service_queue> queues{};
     std::vector<socket_address> peers{};               //!< Other routers that the sender knows.
-    std::string config_text{};                         //!< The configuration, if the receiver's is older; else empty.
-    std::optional<endpoint_list> list{};               //!< The endpoints, if the receiver's list is older.
+    std::string config_text{};                         //!< The configuration, if the receiver lacks it; else empty.
+    std::optional<endpoint_list> list{};               //!< The endpoints, if the receiver lacks them.
     std::vector<endpoint_process> endpoints_leaving{}; //!< Endpoints that said in an answer that they leave.
     std::vector<call_losses> losses{};                 //!< Those that the receiver may not know, by the sender's clock.
+    region_id region{};                                //!< Where the sender stands.
+    fact_request asks{};
 
     friend bool operator==(const peer_state&, const peer_state&) = default;
 };
--- a/test/dandelionbay/peer/board_fleet.hpp
+++ b/test/dandelionbay/peer/board_fleet.hpp
@@ -14,6 +14,7 @@
 
 #include "board_router.hpp"
 #include "dandelionbay/base/text.hpp"
+#include "dandelionbay/peer/peer_links.hpp"
 
 namespace dandelionbay {
 
@@ -57,6 +58,7 @@
     /*! @brief Intervals and limits of a router's reading, for a bound of 5 s on facts. */
     static constexpr duration list_interval{std::chrono::seconds{1}};
     static constexpr duration watch{std::chrono::seconds{2}};
+    static constexpr fact_limits limits{std::chrono::seconds{3}, std::chrono::seconds{2}};
     static constexpr duration answer_limit{std::chrono::milliseconds{900}};
     static constexpr duration retry_pause{std::chrono::milliseconds{250}};
     static constexpr duration store_time{std::chrono::milliseconds{4}};
@@ -77,7 +79,8 @@
         list_.as_of = 1;
         for (std::size_t n = 0; n < options_.routers; ++n) {
             auto& it = members_.emplace_back();
-            it.router = std::make_unique<board_router>(concat("r", n), static_cast<std::uint16_t>(n + 1));
+            it.router = std::make_unique<board_router>(concat("r", n), static_cast<std::uint16_t>(n + 1),
+                                                       concat("region-", n % 2), limits);
             it.region = n % 2;
         }
         for (auto& it : members_) {
@@ -91,6 +94,7 @@
             at(start + offset, [this, &it] { read_list(it); });
             at(start + offset, [this, &it] { read_operators(it); });
             at(start + offset, [this, &it] { round(it); });
+            at(start + offset, [this, &it] { tick(it); });
         }
     }
 
@@ -254,6 +258,17 @@
         at(now_ + board.interval(), [this, &it] { round(it); });
     }
 
+    void tick(member& it) {
+        send_due(it);
+        at(now_ + peer_links::due_interval, [this, &it] { tick(it); });
+    }
+
+    void send_due(member& it) {
+        for (const auto& to : it.router->board.due(now_)) {
+            send(it, to);
+        }
+    }
+
     void send(member& from, const socket_address& address) {
         auto& to = members_[address.port - 1U];
         const auto [dialled, added] = from.dialled.try_emplace(address, now_);
@@ -273,6 +288,9 @@
         at(now_ + way(from.region, to.region, bytes), [this, &to, state] {
             to.router->board.receive(*state, now_);
             note(to);
+            if (to.router->board.asked()) {
+                send_due(to);
+            }
         });
     }
 
--- a/test/dandelionbay/peer/board_router.hpp
+++ b/test/dandelionbay/peer/board_router.hpp
@@ -18,9 +18,15 @@
         void refused(ticket_id /*ticket*/, const refusal& /*why*/) override {}
     };
 
-    board_router(const std::string& name, std::uint16_t port)
+    board_router(const std::string& name, std::uint16_t port, const std::string& region = {},
+                 const fact_limits& limits = {})
         : dispatch{view, router_place{host_id{name}, {}, {}, {}}, {}, listener, 1},
-          board{host_id{name}, 1, {"127.0.0.1", port}, view, dispatch, losses, read_config} {}
+          board{board_identity{host_id{name}, 1, {"127.0.0.1", port}, region_id{region}},
+                limits,
+                view,
+                dispatch,
+                losses,
+                read_config} {}
 
     /*! @brief Reads "version N", whatever follows. */
     [[nodiscard]] static absl::StatusOr<route_config> read_config(const std::string& text) {
--- a/test/dandelionbay/peer/peer_board_test.cpp
+++ b/test/dandelionbay/peer/peer_board_test.cpp
@@ -130,6 +130,81 @@
     }
 }
 
+// Guards against links between regions that lists and configurations fill: each router that had them sent them to each
+// one whose own looked old, all of them at the same time.
+TEST(peer_board, a_router_that_lacks_facts_asks_one_peer_at_a_time) {
+    router self{"self", 1, "west"};
+    router near{"near", 2, "west"};
+    router far{"far", 3, "east"};
+    const socket_address third_address{"127.0.0.1", 3};
+    const auto all = {&self, &near, &far};
+    const auto greet = [&](time_point now) {
+        for (auto* const from : all) {
+            for (auto* const to : all) {
+                const auto port = static_cast<std::uint16_t>(to == &self ? 1 : to == &near ? 2 : 3);
+                to->board.receive(from->board.compose({"127.0.0.1", port}, now), now);
+            }
+        }
+    };
+    for (auto* const it : all) {
+        it->read_store(10, 3, start);
+    }
+    greet(start);
+    greet(start + milliseconds{10});
+    {
+        SCOPED_TRACE("nobody lacks anything");
+        EXPECT_TRUE(self.board.due(start + milliseconds{20}).empty());
+        EXPECT_FALSE(near.board.asked());
+    }
+    const auto later = start + seconds{2};
+    near.read_store(20, 4, later);
+    far.read_store(20, 4, later);
+    greet(later);
+    {
+        SCOPED_TRACE("what is large is not sent unasked");
+        EXPECT_TRUE(near.board.compose(first_address, later).config_text.empty());
+        EXPECT_FALSE(near.board.compose(first_address, later).list);
+        EXPECT_EQ(self.view.config()->version, 3);
+    }
+    {
+        SCOPED_TRACE("the peer in its own region is asked, and answers at once");
+        const auto now = later + peer_board::config_patience;
+        ASSERT_EQ(self.board.due(now), std::vector<socket_address>{second_address});
+        near.board.receive(self.board.compose(second_address, now), now);
+        ASSERT_TRUE(near.board.asked());
+        ASSERT_EQ(near.board.due(now), std::vector<socket_address>{first_address});
+        const auto change = self.board.receive(near.board.compose(first_address, now), now);
+        EXPECT_TRUE(change.config_adopted);
+        EXPECT_TRUE(change.list_renewed);
+        EXPECT_FALSE(near.board.asked());
+        EXPECT_TRUE(near.board.due(now).empty());
+    }
+    {
+        SCOPED_TRACE("without an answer another one is asked, and then again");
+        const auto now = later + seconds{2};
+        near.read_store(30, 4, now);
+        far.read_store(30, 4, now);
+        self.board.receive(near.board.compose(first_address, now), now);
+        self.board.receive(far.board.compose(first_address, now), now);
+        ASSERT_EQ(self.board.due(now).size(), 1);
+        EXPECT_EQ(self.board.due(now + milliseconds{10}).size(), 1) << "the same one until the message was sent";
+        std::ignore = self.board.compose(second_address, now + milliseconds{10});
+        EXPECT_TRUE(self.board.due(now + milliseconds{20}).empty());
+        EXPECT_EQ(self.board.due(now + peer_board::ask_interval).size(), 1);
+    }
+    {
+        SCOPED_TRACE("a peer that leaves, or knows no better, is not asked");
+        const auto now = later + seconds{3};
+        near.board.leave();
+        self.board.receive(near.board.compose(first_address, now), now);
+        self.board.receive(far.board.compose(first_address, now), now);
+        EXPECT_EQ(self.board.due(now), std::vector<socket_address>{third_address});
+        self.board.receive(far.board.compose(first_address, now + seconds{3}), now + seconds{3});
+        std::ignore = self.board.compose(third_address, now);
+        EXPECT_TRUE(self.board.due(now + seconds{3}).empty());
+    }
+}
+
 // Guards against calls from other routers to an endpoint that told only one router that it leaves, also after that
 // router's process was replaced.
 TEST(peer_board, what_an_endpoint_told_one_router_reaches_the_others) {
@@ -225,6 +300,8 @@
     it.endpoints_leaving = {endpoint_process{endpoint_id{"e"}, 99}};
     it.losses = {call_losses{42, {lost_run{{endpoint_id{"e"}, 99}, start, start + seconds{1}}}, std::nullopt},
                  call_losses{43, {}, start}};
+    it.region = region_id{"west"};
+    it.asks = {true, false, true};
     const auto bytes = encode(it);
     EXPECT_EQ(*decode_peer_state(bytes), it);
     for (std::size_t n = 0; n < bytes.size(); ++n) {
@@ -235,11 +312,17 @@
         SCOPED_TRACE("routers are replaced one after the other: those that tell less are heard");
         it.endpoints_leaving.clear();
         it.losses.clear();
+        it.region = {};
+        it.asks = {};
         auto before = encode(it);
-        constexpr std::size_t long_head = 3; // Of an array of more than 15.
-        for (const char head : {'\x9f', '\x9e'}) {
-            before = head + before.substr(head == '\x9f' ? long_head : 1, before.npos);
-            before.pop_back();
+        using namespace std::string_literals;
+        // The head of the array, and the bytes of the field that came last.
+        const std::vector<std::pair<std::string, std::size_t>> earlier{
+            {"\xdc\x00\x11"s, 4}, {"\xdc\x00\x10"s, 1}, {"\x9f"s, 1}, {"\x9e"s, 1}};
+        std::size_t head_bytes = 3;
+        for (const auto& [head, last_bytes] : earlier) {
+            before = head + before.substr(head_bytes, before.size() - head_bytes - last_bytes);
+            head_bytes = head.size();
             const auto read = decode_peer_state(before);
             ASSERT_TRUE(read.ok()) << read.status();
             EXPECT_EQ(*read, it);
