Name eight peers in a message, and do less for each message of a large fleet

Cause: 102 addresses are some 1.5 KB of a message (arithmetic: 15 bytes each), in 8,600 messages a second, half of them between regions; and each first contact rebuilt the set of all routers, which costs the square of the fleet at a start. Change: eight addresses in turn, all of them to a new process; one router is added to the set where one was found; zones are compared only while one is out of service; peers that wait for an answer are kept by name.

--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -143,6 +143,9 @@
         routers_complete_ = complete;
     }
 
+    /*! @brief One more router may send. */
+    void add_router(const host_id& router) { routers_.insert(router); }
+
     /*! @brief Rank of this router for something that all of them share. @param key Of it. @return From 0. */
     [[nodiscard]] std::size_t rank_for(std::uint64_t key) const noexcept {
         return router_rank(routers_, place_.host, key);
--- a/src/dandelionbay/gateway/registry_view.cpp
+++ b/src/dandelionbay/gateway/registry_view.cpp
@@ -29,6 +29,9 @@
 }
 
 void registry_view::note_returned_zones(const operator_state& next) {
+    if (zones_out_.empty()) {
+        return;
+    }
     const auto still_out = [&](const zone_id& zone) {
         return std::ranges::any_of(next.zones_out, [&](const zone_out& it) { return it.zone == zone; });
     };
--- a/src/dandelionbay/peer/peer_board.cpp
+++ b/src/dandelionbay/peer/peer_board.cpp
@@ -56,11 +56,7 @@
     out.teams = dispatch_->usage().own(now);
     out.queues = dispatch_->queues();
     out.endpoints_leaving = view_->leaving();
-    for (const auto& [host, it] : peers_) {
-        if (now - it.heard < silent_after.at(interval())) { // Others would never be forgotten.
-            out.peers.push_back(it.address);
-        }
-    }
+    out.peers = told_peers_;
     const auto it = std::ranges::find_if(peers_, [&](const auto& item) { return item.second.address == to; });
     if (it == peers_.end()) {
         return out; // Its first message tells what it lacks.
@@ -72,6 +68,10 @@
     out.losses = losses_->changed_since(known.confirmed);
     answer(known, out);
     known.asks = {};
+    asking_.erase(it->first);
+    if (!std::exchange(known.greeted, true)) {
+        out.peers = live_addresses(now);
+    }
     if (to_ask_ == it->first) {
         out.asks = missing(now);
         to_ask_.reset();
@@ -79,6 +79,25 @@
     return out;
 }
 
+std::vector<socket_address> peer_board::live_addresses(time_point now) const {
+    std::vector<socket_address> out;
+    const auto silent = silent_after.at(interval());
+    for (const auto& [host, it] : peers_) {
+        if (now - it.heard < silent) { // Others would never be forgotten.
+            out.push_back(it.address);
+        }
+    }
+    return out;
+}
+
+void peer_board::choose_peers_to_tell(time_point now) {
+    const auto all = live_addresses(now);
+    told_peers_.clear();
+    for (std::size_t n = 0; n < std::min(most_peers_told, all.size()); ++n) {
+        told_peers_.push_back(all[next_told_++ % all.size()]);
+    }
+}
+
 void peer_board::answer(const peer& to, peer_state& out) const {
     if (to.asks.config && to.config_version < out.operators.config_version) {
         out.config_text = config_text_;
@@ -129,16 +148,16 @@
     }
 }
 
-bool peer_board::asked() const {
-    return std::ranges::any_of(peers_, [](const auto& it) { return it.second.asks.any(); });
-}
-
 std::vector<socket_address> peer_board::due(time_point now) {
     choose_peer_to_ask(now);
     std::vector<socket_address> out;
-    for (const auto& [host, it] : peers_) {
-        if (it.asks.any() || to_ask_ == host) {
-            out.push_back(it.address);
+    auto hosts = asking_;
+    if (to_ask_) {
+        hosts.insert(*to_ask_);
+    }
+    for (const auto& host : hosts) {
+        if (const auto it = peers_.find(host); it != peers_.end()) {
+            out.push_back(it->second.address);
         }
     }
     return out;
@@ -222,8 +241,12 @@
     from.asks.config |= in.asks.config;
     from.asks.list |= in.asks.list;
     if (found) { // It can't ask those that it doesn't know.
+        from.greeted = false;
         from.asks = {true, true, in.list_age_us < 0 || duration{in.list_age_us} > limits_.list};
     }
+    if (from.asks.any()) {
+        asking_.insert(in.host);
+    }
     if (in.operators.config_version > newest_config_) {
         newest_config_ = in.operators.config_version;
         config_heard_ = now;
@@ -265,7 +288,7 @@
         }
     }
     if (out.peer_found) {
-        follow_routers(now);
+        dispatch_->add_router(in.host);
     }
     return out;
 }
@@ -288,8 +311,10 @@
     first_round_ = first_round_.value_or(now);
     const auto kept = forgotten_after.at(interval());
     std::erase_if(peers_, [&](const auto& it) { return now - it.second.heard > kept; });
+    std::erase_if(asking_, [&](const auto& it) { return !peers_.contains(it); });
     std::erase_if(introduced_, [&](const auto& it) { return now - it.second > kept; });
     follow_routers(now);
+    choose_peers_to_tell(now);
     const auto uses = dispatch_->take_part_uses();
     for (auto& [host, it] : peers_) {
         it.untold.insert(it.untold.end(), uses.begin(), uses.end());
--- a/src/dandelionbay/peer/peer_board.hpp
+++ b/src/dandelionbay/peer/peer_board.hpp
@@ -84,6 +84,7 @@
         std::int64_t operators_age_us{-1};
         std::int64_t list_age_us{-1};
         fact_request asks{};            //!< Not answered yet.
+        bool greeted{};                 //!< It was told of all peers.
         std::vector<part_use> untold{}; //!< Uses of parts that it was not told yet.
     };
 
@@ -96,6 +97,8 @@
     [[nodiscard]] fact_request missing(time_point now) const;
     [[nodiscard]] int can_tell(const peer& it, const fact_request& wanted) const;
     void choose_peer_to_ask(time_point now);
+    [[nodiscard]] std::vector<socket_address> live_addresses(time_point now) const;
+    void choose_peers_to_tell(time_point now);
     void answer(const peer& to, peer_state& out) const;
 
 public:
@@ -122,6 +125,8 @@
     /*! @brief A newer configuration that a peer has is asked for after this time; the registry mostly tells it sooner.
      */
     static constexpr duration config_patience = std::chrono::milliseconds{200};
+    /*! @brief Addresses of peers in one message; the next ones follow in the next round. A new process gets all. */
+    static constexpr std::size_t most_peers_told = 8;
     /*! @brief Uses of parts kept for a peer that is not heard. */
     static constexpr std::size_t most_untold = 500;
 
@@ -151,7 +156,7 @@
     [[nodiscard]] std::vector<socket_address> due(time_point now);
 
     /*! @brief Tells whether a peer waits for an answer. */
-    [[nodiscard]] bool asked() const;
+    [[nodiscard]] bool asked() const noexcept { return !asking_.empty(); }
 
     /*! @brief Collects what the next messages tell, and forgets peers. To be called before each round of messages. */
     void begin_round(time_point now);
@@ -182,6 +187,9 @@
     std::map<socket_address, time_point> introduced_{}; //!< Addresses, and when they were last heard of.
     std::optional<std::set<host_id>> announced_{};      //!< In the registry, as of its last reading.
     std::optional<time_point> first_round_{};
+    std::set<host_id> asking_{};               //!< Peers that were not answered yet.
+    std::vector<socket_address> told_peers_{}; //!< In the messages of this round.
+    std::size_t next_told_{};                  //!< Position of the first of the next round.
     std::uint64_t newest_config_{};            //!< Of those that peers have.
     std::optional<time_point> config_heard_{}; //!< When that was first heard.
     std::optional<host_id> to_ask_{};          //!< The next message to this peer asks it.
--- a/test/dandelionbay/peer/peer_board_test.cpp
+++ b/test/dandelionbay/peer/peer_board_test.cpp
@@ -1,3 +1,5 @@
+#include <set>
+
 #include <gtest/gtest.h>
 
 #include "board_router.hpp"
@@ -205,6 +207,30 @@
     }
 }
 
+// Guards against messages that grow with the fleet by naming all of it, and against a router that does not find it.
+TEST(peer_board, addresses_of_peers_are_told_in_turn_and_all_to_a_new_process) {
+    constexpr std::size_t peers = 20;
+    router self{"self", 1};
+    const auto address_of = [](std::size_t n) {
+        return socket_address{"127.0.0.1", static_cast<std::uint16_t>(n + 2)};
+    };
+    for (std::size_t n = 0; n < peers; ++n) {
+        peer_state hello;
+        hello.host = host_id{"r" + std::to_string(n)};
+        hello.address = address_of(n);
+        self.board.receive(hello, start);
+    }
+    EXPECT_EQ(self.board.compose(address_of(0), start).peers.size(), peers);
+    std::set<socket_address> told;
+    for (std::size_t n = 0; n < peers; n += peer_board::most_peers_told) {
+        self.board.begin_round(start);
+        const auto some = self.board.compose(address_of(0), start).peers;
+        EXPECT_EQ(some.size(), peer_board::most_peers_told);
+        told.insert(some.begin(), some.end());
+    }
+    EXPECT_EQ(told.size(), peers);
+}
+
 // Guards against calls from other routers to an endpoint that told only one router that it leaves, also after that
 // router's process was replaced.
 TEST(peer_board, what_an_endpoint_told_one_router_reaches_the_others) {
