Tell lost runs once, by the router that lost them

Cause: what a router learnt of lost runs from a peer counted as changed and was told on to all peers, until each had confirmed it, which takes two intervals. A crash of a fifth of the engines loses hundreds of runs at once, so each was told about a hundred times to each router. Change: a router tells of its own lost runs and answers; once a call has lost two endpoints all who know tell of it, in case the first teller is gone. Messages that repeat are harmless, as before.

--- a/src/dandelionbay/limit/lost_runs.cpp
+++ b/src/dandelionbay/limit/lost_runs.cpp
@@ -24,10 +24,14 @@
     return count(std::move(runs), one_fault);
 }
 
-call_losses lost_runs::message_of(std::uint64_t call, const record& in) {
-    call_losses out{call, {}, in.answered};
+std::size_t lost_runs::endpoints(const record& in) {
+    return static_cast<size_type>(std::ranges::count(in.runs, true, &entry::counts));
+}
+
+call_losses lost_runs::message_of(std::uint64_t call, const record& in, bool own) {
+    call_losses out{call, {}, own && !in.answered_here ? std::nullopt : in.answered};
     for (const auto& it : in.runs) {
-        if (it.counts) {
+        if (it.counts && (it.here || !own)) {
             out.runs.push_back(it.run);
         }
     }
@@ -57,11 +61,12 @@
     return true;
 }
 
-bool lost_runs::clear(record& in, time_point answered) {
+bool lost_runs::clear(record& in, time_point answered, bool here) {
     if (in.answered && answered <= *in.answered) {
         return false;
     }
     in.answered = answered;
+    in.answered_here = here;
     std::erase_if(in.runs, [&](const entry& it) { return it.run.ended <= answered; });
     return true;
 }
@@ -124,7 +129,7 @@
     }
     if (!it->second.answered && std::ranges::none_of(it->second.runs, &entry::counts)) {
         records_.erase(it); // Nobody else knows of it.
-    } else if (clear(it->second, now)) {
+    } else if (clear(it->second, now, true)) {
         it->second.changed = now;
     }
 }
@@ -134,7 +139,7 @@
         return false;
     }
     auto& it = find_or_make(in.call);
-    bool changed = in.answered && clear(it, *in.answered);
+    bool changed = in.answered && clear(it, *in.answered, false);
     for (const auto& run : in.runs) {
         changed = add(it, entry{run, true, false}) || changed;
     }
@@ -153,7 +158,7 @@
 }
 
 std::size_t lost_runs::endpoints(std::uint64_t call) const {
-    return static_cast<size_type>(std::ranges::count(find(call).runs, true, &entry::counts));
+    return endpoints(find(call));
 }
 
 bool lost_runs::just_lost(std::uint64_t call, time_point now) const {
@@ -169,7 +174,7 @@
 }
 
 call_losses lost_runs::known(std::uint64_t call) const {
-    return message_of(call, find(call));
+    return message_of(call, find(call), false);
 }
 
 std::vector<endpoint_process> lost_runs::unconfirmed() const {
@@ -187,7 +192,7 @@
         if (it.changed < since) {
             continue;
         }
-        auto told = message_of(call, it);
+        auto told = message_of(call, it, endpoints(it) < told_by_all_at);
         if (!told.runs.empty() || told.answered) {
             out.push_back(std::move(told));
         }
--- a/src/dandelionbay/limit/lost_runs.hpp
+++ b/src/dandelionbay/limit/lost_runs.hpp
@@ -47,14 +47,16 @@
     struct record {
         std::vector<entry> runs{};
         std::optional<time_point> answered{};
+        bool answered_here{}; //!< At this router, which others do not tell.
         time_point changed{};
     };
 
     [[nodiscard]] static std::size_t count(std::vector<entry> runs, duration apart);
     [[nodiscard]] static std::size_t losses(const record& in);
-    [[nodiscard]] static call_losses message_of(std::uint64_t call, const record& in);
+    [[nodiscard]] static std::size_t endpoints(const record& in);
+    [[nodiscard]] static call_losses message_of(std::uint64_t call, const record& in, bool own);
     [[nodiscard]] static bool add(record& to, const entry& lost);
-    static bool clear(record& in, time_point answered);
+    static bool clear(record& in, time_point answered, bool here);
     [[nodiscard]] record& find_or_make(std::uint64_t call);
     [[nodiscard]] const record& find(std::uint64_t call) const; // An empty one if the call is unknown.
 
@@ -71,6 +73,9 @@
     static constexpr duration kept = std::chrono::minutes{10};
     /*! @brief A process that is not known to have ended within this time after a run broke off counts as alive. */
     static constexpr duration confirmed_within = std::chrono::seconds{10};
+    /*! @brief Endpoints from which on all routers tell a peer of a call's losses, in case those that lost them are
+     * gone. Below it each one tells of its own: a fault that ends many endpoints ends them under many calls. */
+    static constexpr size_type told_by_all_at = 2;
     /*! @brief Largest number of runs kept for a call. */
     static constexpr size_type most_runs = 8;
     /*! @brief Largest number of calls by default: 64 calls at each of 64 endpoints that fail together. */
@@ -126,7 +131,7 @@
     /*! @brief Processes at which a run broke off and which may have ended. */
     [[nodiscard]] std::vector<endpoint_process> unconfirmed() const;
 
-    /*! @brief All that counts and changed at this time or later, for the peers. */
+    /*! @brief What counts and changed at this time or later, as far as this router is to tell its peers. */
     [[nodiscard]] std::vector<call_losses> changed_since(time_point since) const;
 
     /*! @brief Forgets what is old; to be called from time to time. */
--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -160,6 +160,7 @@
                     {"peer_messages", total("peer_messages_sent_total")},
                     {"peer_list_bytes", std::to_string(metrics_.get("peer_bytes_sent_total", "list"))},
                     {"peer_config_bytes", std::to_string(metrics_.get("peer_bytes_sent_total", "config"))},
+                    {"peer_losses", total("peer_losses_sent_total")},
                     {"lists_taken", total("lists_from_peers_total")},
                     {"registry_calls", total("registry_calls_total")},
                     {"registry_late", total("registry_calls_late_total")},
--- a/src/dandelionbay/peer/peer_links.cpp
+++ b/src/dandelionbay/peer/peer_links.cpp
@@ -70,6 +70,8 @@
         const auto bytes = with_length(encode(state));
         const std::string_view kind = state.list ? "list" : state.config_text.empty() ? "state" : "config";
         owner_->environment_.metrics->add("peer_messages_sent_total", kind);
+        owner_->environment_.metrics->add("peer_losses_sent_total", {},
+                                          static_cast<counters::value_type>(state.losses.size()));
         owner_->environment_.metrics->add("peer_bytes_sent_total", kind,
                                           static_cast<counters::value_type>(bytes.size()));
         channel_->write(bytes);
--- a/test/dandelionbay/peer/fleet_facts_test.cpp
+++ b/test/dandelionbay/peer/fleet_facts_test.cpp
@@ -53,5 +53,20 @@
     EXPECT_EQ(fleet.redials(), 0);
 }
 
+// Guards against links that a crash of many endpoints fills for seconds, because each router tells all others what they
+// have just told it.
+TEST_P(fleet_facts, lost_runs_are_told_by_the_router_that_lost_them) {
+    constexpr std::size_t calls = 500; // Some 15 at each of 32 endpoints.
+    board_fleet fleet{{.routers = GetParam()}};
+    fleet.run_until(board_fleet::start + seconds{4});
+    fleet.lose_runs(calls);
+    fleet.run_until(fleet.now() + facts_bound);
+    EXPECT_EQ(fleet.routers_that_know(0), GetParam());
+    EXPECT_EQ(fleet.routers_that_know(calls - 1), GetParam());
+    // Until a peer has confirmed, which takes two intervals, and once more for messages that crossed.
+    EXPECT_LE(fleet.losses_sent(), 4 * calls * GetParam());
+    RecordProperty("losses", std::to_string(fleet.losses_sent()));
+}
+
 } // namespace
 } // namespace dandelionbay
