Do not tell on an answer that another router passed on

Callers would have seen: a call that ends endpoints and is not refused, and messages that never get shorter. Cause: the time of an answer is moved to the receiver's clock by the longest way, so each router that told it on made it later, and its own teller took it for a newer answer: it went back and forth for as long as both ran, and cleared losses that came after it. Change: only the router that passed the answer on tells of it.

--- a/src/dandelionbay/limit/lost_runs.cpp
+++ b/src/dandelionbay/limit/lost_runs.cpp
@@ -29,7 +29,7 @@
 }
 
 call_losses lost_runs::message_of(std::uint64_t call, const record& in, bool own) {
-    call_losses out{call, {}, own && !in.answered_here ? std::nullopt : in.answered};
+    call_losses out{call, {}, in.answered};
     for (const auto& it : in.runs) {
         if (it.counts && (it.here || !own)) {
             out.runs.push_back(it.run);
@@ -193,6 +193,9 @@
             continue;
         }
         auto told = message_of(call, it, endpoints(it) < told_by_all_at);
+        if (!it.answered_here) {
+            told.answered.reset(); // Its time is later at each router that tells it on.
+        }
         if (!told.runs.empty() || told.answered) {
             out.push_back(std::move(told));
         }
--- a/test/dandelionbay/limit/lost_runs_test.cpp
+++ b/test/dandelionbay/limit/lost_runs_test.cpp
@@ -206,9 +206,13 @@
         EXPECT_EQ(it.losses(call), 0);
         EXPECT_TRUE(it.changed_since(time_point{}).empty());
         lose(it, run_at("c", seconds{4}));
-        it.answered(call, start + seconds{5});
+        lose(it, run_at("d", seconds{5}));
         ASSERT_EQ(it.changed_since(time_point{}).size(), 1);
-        EXPECT_EQ(it.changed_since(time_point{})[0], (call_losses{call, {}, start + seconds{5}}));
+        EXPECT_FALSE(it.changed_since(time_point{})[0].answered)
+            << "it would go back and forth, a little later each time";
+        it.answered(call, start + seconds{6});
+        ASSERT_EQ(it.changed_since(time_point{}).size(), 1);
+        EXPECT_EQ(it.changed_since(time_point{})[0], (call_losses{call, {}, start + seconds{6}}));
     }
 }
 
