--- a/src/dandelionbay/base/fwd.hpp
+++ b/src/dandelionbay/base/fwd.hpp
@@ -10,6 +10,7 @@
 class manual_clock;
 class monotonic_clock;
 class boot_clock;
+class remote_clock;
 struct socket_address;
 class counters;
 class bounded_log;
--- a/test/dandelionbay/platform/gateway_test.cpp
+++ b/test/dandelionbay/platform/gateway_test.cpp
@@ -193,6 +193,19 @@
     }
 }
 
+// Guards against calls that are refused although the store is sound: what a watch tells counted from its question, and
+// the store answers it a second later if nothing changed.
+TEST_F(gateway_fleet, keys_stay_in_force_while_nothing_changes) {
+    gateway_bounds bounds;
+    bounds.key_withdrawal = seconds{2}; // Trusted for nine tenths of it.
+    start_gateway(bounds);
+    const auto end = std::chrono::steady_clock::now() + seconds{4};
+    while (std::chrono::steady_clock::now() < end) {
+        ASSERT_NE(gateway->get("/look/x").find(" 200 "), std::string::npos);
+        std::this_thread::sleep_for(milliseconds{20});
+    }
+}
+
 // Guards against a process that ends, or stops to read, over one answer of the store that it can't read.
 TEST_F(gateway_fleet, answers_of_the_store_that_make_no_sense_change_nothing) {
     for (const auto* const text :
