--- a/bench/dispatch_bench.cpp
+++ b/bench/dispatch_bench.cpp
@@ -56,7 +56,11 @@
 public:
     explicit busy_router(std::size_t self = 0)
         : router{view, place(router_host(self)), {}, log, 1},
-          board{router_host(self), 1, {"127.0.0.1", static_cast<std::uint16_t>(1 + self)}, view, router, losses,
+          board{board_identity{router_host(self), 1, {"127.0.0.1", static_cast<std::uint16_t>(1 + self)}, {}},
+                {},
+                view,
+                router,
+                losses,
                 read_config} {
         view.adopt(config());
         endpoint_list list;
