Take back service of runs that were lost before they began

Cause: a call's cost counts as its team's service from the moment it is placed, and stayed when its endpoint failed it, refused it as full or went silent under it; its repeat counted once more. Change: a run that ends before its answer began is taken back if its endpoint failed it or was silent. One that its caller gives up at an endpoint at work stays: it may have been read.

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -81,7 +81,7 @@
     for (std::size_t n = 0; n + 1 < item.parts.size() && part_uses_.size() < most_part_uses; ++n) {
         part_uses_.push_back(part_use{entry.id, item.parts[n]});
     }
-    placed_[item.ticket] = entry.id;
+    placed_[item.ticket] = placed_call{entry.id, item.team, item.cost(), now};
     usage_.add(item.team, item.cost(), now);
     listener_->placed(item.ticket, choice);
 }
@@ -204,13 +204,18 @@
 
 void dispatcher::started(ticket_id ticket, time_point now) {
     if (const auto it = placed_.find(ticket); it != placed_.end()) {
-        loads_[it->second].started(ticket, now);
+        loads_[it->second.endpoint].started(ticket, now);
     }
 }
 
 void dispatcher::ended(ticket_id ticket, bool failed, time_point now) {
     if (const auto it = placed_.find(ticket); it != placed_.end()) {
-        loads_[it->second].ended(ticket, failed, now);
+        const auto& call = it->second;
+        auto& load = loads_[call.endpoint];
+        if (!load.has_started(ticket) && (failed || load.stalled(now))) { // The team got nothing for it.
+            usage_.take_back(call.team, call.cost, call.at);
+        }
+        load.ended(ticket, failed, now);
         placed_.erase(it);
     }
 }
--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -54,6 +54,12 @@
         std::optional<time_point> give_up{}; //!< Set when its endpoints were first looked at.
         double best_reading_ms{};
     };
+    struct placed_call {
+        endpoint_id endpoint{};
+        team_id team{};
+        double cost{};
+        time_point at{};
+    };
     struct peer_queues {
         std::vector<service_queue> queues{};
         time_point at{};
@@ -188,7 +194,7 @@
     bool routers_complete_{true};
     std::map<endpoint_id, endpoint_load> loads_{};
     std::map<ticket_id, waiting_call> waiting_{}; // tickets grow with time
-    std::unordered_map<ticket_id, endpoint_id> placed_{};
+    std::unordered_map<ticket_id, placed_call> placed_{};
     team_usage usage_{};
     std::vector<part_use> part_uses_{};
     std::map<host_id, peer_queues> peer_queues_{};
--- a/src/dandelionbay/dispatch/team_usage.cpp
+++ b/src/dandelionbay/dispatch/team_usage.cpp
@@ -44,6 +44,20 @@
     charge_team(team, account{cost, 0.0}, now);
 }
 
+void team_usage::take_back(const team_id& team, double cost, time_point added) {
+    auto it = std::ranges::lower_bound(charges_, added, {}, &charge::at);
+    while (it != charges_.end() && it->at == added && (it->team != team || it->amount.used != cost)) {
+        ++it;
+    }
+    if (it == charges_.end() || it->at != added) {
+        return; // It has left the window.
+    }
+    charges_.erase(it);
+    own_[team].used -= cost;
+    totals_[team].used -= cost;
+    extremes_known_ = false;
+}
+
 void team_usage::deny(const team_id& team, double cost, time_point now) {
     charge_team(team, account{0.0, cost}, now);
 }
--- a/src/dandelionbay/dispatch/team_usage.hpp
+++ b/src/dandelionbay/dispatch/team_usage.hpp
@@ -55,6 +55,10 @@
     /*! @brief Counts dispatched work. @param team Its team. @param cost Prompt tokens plus twice the generated ones. */
     void add(const team_id& team, double cost, time_point now);
 
+    /*! @brief Takes back dispatched work that was lost before it began. @param team Its team. @param cost As in add().
+     *  @param added When it was counted. */
+    void take_back(const team_id& team, double cost, time_point added);
+
     /*! @brief Counts refused work. @param team Its team. @param cost As in add(). */
     void deny(const team_id& team, double cost, time_point now);
 
--- a/test/dandelionbay/dispatch/dispatcher_test.cpp
+++ b/test/dandelionbay/dispatch/dispatcher_test.cpp
@@ -127,6 +127,49 @@
     EXPECT_EQ(placed_of_6(40'000.0, 500.0), 1) << "it is not refused more than now and then: it lacks nothing";
 }
 
+// Guards against the pattern "the engines nearest to one team fall dark": its calls are lost there, count as service
+// that it got, and it gives way to teams that are served (FAIR).
+TEST(dispatcher, runs_that_were_lost_before_they_began_are_no_service) {
+    const team_id team{"unlucky"};
+    dispatch_fixture fleet{2};
+    const auto used = [&] {
+        fleet.now += milliseconds{50};
+        return fleet.router.usage().used(team, fleet.now);
+    };
+    const auto first = fleet.send(fleet.call(team.value, 1, 0, 1'000));
+    const auto second = fleet.send(fleet.call(team.value, 2, 0, 1'000));
+    const double one = used() / 2.0;
+    ASSERT_GT(one, 0.0);
+    {
+        SCOPED_TRACE("one fails before its answer began");
+        fleet.router.ended(first, true, fleet.now);
+        EXPECT_DOUBLE_EQ(used(), one);
+    }
+    {
+        SCOPED_TRACE("one is given up by its caller at an endpoint that went silent");
+        fleet.now += seconds{2};
+        fleet.router.ended(second, false, fleet.now);
+        EXPECT_DOUBLE_EQ(used(), 0.0);
+    }
+    {
+        SCOPED_TRACE("one whose answer began stays, however it ends");
+        const auto third = fleet.send(fleet.call(team.value, 3, 0, 1'000));
+        fleet.router.heard(endpoint_id{fleet.log.placements[third]}, fleet.now);
+        fleet.router.started(third, fleet.now);
+        fleet.router.ended(third, true, fleet.now);
+        EXPECT_DOUBLE_EQ(used(), one);
+    }
+    {
+        SCOPED_TRACE("one that its caller gives up at an endpoint at work stays too");
+        const auto fourth = fleet.send(fleet.call(team.value, 4, 0, 1'000));
+        fleet.router.heard(endpoint_id{fleet.log.placements[fourth]}, fleet.now);
+        fleet.router.ended(fourth, false, fleet.now);
+        EXPECT_DOUBLE_EQ(used(), 2.0 * one);
+        fleet.now += team_usage::window;
+        EXPECT_DOUBLE_EQ(used(), 0.0) << "all of it leaves the window";
+    }
+}
+
 // Guards against the pattern "a burst of calls while other routers have work waiting": calls that are refused in their
 // first round, because their reading does not count before it and the others' work looks like nearly all there is.
 TEST(dispatcher, a_burst_counts_with_its_reading_from_the_start) {
