Ask with a round of messages as well as between rounds

Callers would have seen: at fleets of up to eight gateways, one that the registry turns away keeps an old configuration. Cause: since a router asks one peer, that peer is chosen between rounds, and small fleets have a round at each tick. Change: a round chooses too.

--- a/src/dandelionbay/peer/peer_board.cpp
+++ b/src/dandelionbay/peer/peer_board.cpp
@@ -315,6 +315,7 @@
     std::erase_if(introduced_, [&](const auto& it) { return now - it.second > kept; });
     follow_routers(now);
     choose_peers_to_tell(now);
+    choose_peer_to_ask(now); // Small fleets are told so often that there is no time between rounds.
     const auto uses = dispatch_->take_part_uses();
     for (auto& [host, it] : peers_) {
         it.untold.insert(it.untold.end(), uses.begin(), uses.end());
--- a/src/dandelionbay/peer/peer_board.hpp
+++ b/src/dandelionbay/peer/peer_board.hpp
@@ -158,7 +158,7 @@
     /*! @brief Tells whether a peer waits for an answer. */
     [[nodiscard]] bool asked() const noexcept { return !asking_.empty(); }
 
-    /*! @brief Collects what the next messages tell, and forgets peers. To be called before each round of messages. */
+    /*! @brief Collects what the next messages tell and ask, and forgets peers. To be called before each round. */
     void begin_round(time_point now);
 
     /*! @brief Addresses of the other routers. */
--- a/test/dandelionbay/peer/peer_board_test.cpp
+++ b/test/dandelionbay/peer/peer_board_test.cpp
@@ -194,9 +194,18 @@
         EXPECT_TRUE(self.board.due(now + milliseconds{20}).empty());
         EXPECT_EQ(self.board.due(now + peer_board::ask_interval).size(), 1);
     }
+    {
+        SCOPED_TRACE("a round asks as well");
+        const auto now = later + seconds{2} + 2 * peer_board::ask_interval;
+        self.board.begin_round(now);
+        const auto to_near = self.board.compose(second_address, now);
+        const auto to_far = self.board.compose(third_address, now);
+        EXPECT_EQ(to_near.asks.list + to_far.asks.list, 1);
+    }
     {
         SCOPED_TRACE("a peer that leaves, or knows no better, is not asked");
-        const auto now = later + seconds{3};
+        const auto now = later + seconds{4};
+        far.read_store(40, 4, now);
         near.board.leave();
         self.board.receive(near.board.compose(first_address, now), now);
         self.board.receive(far.board.compose(first_address, now), now);
