--- a/src/dandelionbay/peer/fwd.hpp
+++ b/src/dandelionbay/peer/fwd.hpp
@@ -5,5 +5,9 @@
 class peer_board;
 class peer_links;
 struct peer_state;
+struct fact_request;
+struct fact_limits;
+struct board_identity;
+struct round_limit;
 
 } // namespace dandelionbay
