Log on what event loops spend their time, and how a team stood at each decision

The logs could not tell the hypotheses of the incident of drowned hosts apart. The line facts now has the time of each section of the event loop (loop_us_total); call_ended has the call's cost and target, how late the loop ran when it was read, and its team's rank also when it was placed.

--- a/src/dandelionbay/base/fwd.hpp
+++ b/src/dandelionbay/base/fwd.hpp
@@ -13,6 +13,7 @@
 class remote_clock;
 struct socket_address;
 class counters;
+class section_timer;
 class bounded_log;
 class event_log;
 class latency_histogram;
--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -70,10 +70,11 @@
     return placement{*view_, place_, limits_, routers_complete_ ? &routers_ : nullptr, loads_, now};
 }
 
-void dispatcher::place(const work_item& item, placement& sites, const placement::candidate& to, time_point now) {
+void dispatcher::place(const work_item& item, placement& sites, const placement::candidate& to, const team_rank& team,
+                       time_point now) {
     auto& at = *to.at;
     const auto& entry = at.known->entry;
-    const endpoint_choice choice{entry.id, entry.started, entry.address, to.unread_tokens, at.wait_ms, at.cold};
+    const endpoint_choice choice{entry.id, entry.started, entry.address, to.unread_tokens, at.wait_ms, at.cold, team};
     at.load->sent(item.ticket, call_load{to.unread_tokens, item.prompt_tokens + item.output_tokens}, now);
     at.load->parts().use(item.parts);
     at.load->pacer().sent(now);
@@ -163,9 +164,10 @@
     waiting_call call{std::move(item), now, std::nullopt, reading};
     if (waiting_.empty()) { // Otherwise the next round decides, in the order of the teams.
         auto sites = look(now);
-        const auto best = sites.consider(call.item, rank_of(call.item, now)).best;
+        const auto team = rank_of(call.item, now);
+        const auto best = sites.consider(call.item, team).best;
         if (best.at != nullptr && best.ready) {
-            place(call.item, sites, best, now);
+            place(call.item, sites, best, team, now);
             return;
         }
         set_give_up(call, best);
@@ -186,11 +188,12 @@
         return false;
     }
     auto sites = look(now);
-    const auto choice = sites.consider(item, rank_of(item, now)).best_ready;
+    const auto team = rank_of(item, now);
+    const auto choice = sites.consider(item, team).best_ready;
     if (choice.at == nullptr) {
         return false;
     }
-    place(item, sites, choice, now);
+    place(item, sites, choice, team, now);
     return true;
 }
 
@@ -292,7 +295,7 @@
     const auto& choice = late && !gives_way ? choices.best_ready : choices.best;
     if (choice.at != nullptr && choice.ready) {
         const auto node = waiting_.extract(found);
-        place(node.mapped().item, it.sites, choice, now);
+        place(node.mapped().item, it.sites, choice, team, now);
         return;
     }
     auto& queue = queue_of(call.item.service, it, now);
--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -79,7 +79,8 @@
 
     [[nodiscard]] team_rank rank_of(const work_item& item, time_point now);
     [[nodiscard]] placement look(time_point now);
-    void place(const work_item& item, placement& sites, const placement::candidate& to, time_point now);
+    void place(const work_item& item, placement& sites, const placement::candidate& to, const team_rank& team,
+               time_point now);
     void refuse(const work_item& item, refusal why, time_point now);
     void refuse_waiting(ticket_id ticket, const refusal& why, time_point now);
     [[nodiscard]] std::vector<ticket_id> order(time_point now);
--- a/src/dandelionbay/dispatch/work.hpp
+++ b/src/dandelionbay/dispatch/work.hpp
@@ -53,6 +53,7 @@
     double unread_tokens{};
     double backlog_ms{};
     bool cold{};
+    team_rank team{}; //!< Rank of the call's team at that moment.
 };
 
 /*! @brief A shared part of a prompt was sent to an endpoint, which keeps it now. */
--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -148,6 +148,7 @@
         }
         const auto now = clock_.now();
         const auto total = [&](std::string_view name) { return std::to_string(metrics_.total(name)); };
+        const auto section = [&](std::string_view name) { return std::to_string(metrics_.get("loop_us_total", name)); };
         log_.write(log_level::info, "facts",
                    {{"config", std::to_string(view_.config() == nullptr ? 0 : view_.config()->version)},
                     {"config_age_ms", age_text(view_.operator_age(now))},
@@ -167,7 +168,16 @@
                     {"registry_us", total("registry_call_us_total")},
                     {"registry_bytes", total("registry_answer_bytes_total")},
                     {"call_bytes_far", std::to_string(metrics_.get("call_bytes_sent_total", "other_region"))},
-                    {"call_bytes_near", std::to_string(metrics_.get("call_bytes_sent_total", "same_region"))}});
+                    {"call_bytes_near", std::to_string(metrics_.get("call_bytes_sent_total", "same_region"))},
+                    {"open_calls", std::to_string(proxy_.open_calls())},
+                    {"waiting_calls", std::to_string(proxy_.dispatch().waiting())},
+                    {"us_callers", section("callers")},
+                    {"us_answers", section("answers")},
+                    {"us_limits", section("limits")},
+                    {"us_rounds", section("rounds")},
+                    {"us_peers_in", section("peers_in")},
+                    {"us_peers_out", section("peers_out")},
+                    {"us_registry", section("registry")}});
         log_facts();
     });
 }
--- a/src/dandelionbay/peer/peer_links.cpp
+++ b/src/dandelionbay/peer/peer_links.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "absl/cleanup/cleanup.h"
+#include "dandelionbay/base/section_timer.hpp"
 #include "dandelionbay/base/text.hpp"
 
 namespace dandelionbay {
@@ -66,6 +67,7 @@
         if (channel_->unsent() > 0) {
             return;
         }
+        const section_timer timed{*owner_->environment_.time, *owner_->environment_.metrics, "peers_out"};
         const auto state = owner_->environment_.board->compose(to_, now);
         const auto bytes = with_length(encode(state));
         const std::string_view kind = state.list ? "list" : state.config_text.empty() ? "state" : "config";
@@ -126,6 +128,7 @@
 
     void on_bytes(std::string_view bytes) override {
         const auto self = shared_from_this();
+        const section_timer timed{*owner_->environment_.time, *owner_->environment_.metrics, "peers_in"};
         buf_.append(bytes);
         while (buf_.size() >= length_bytes) {
             const auto n = read_length(buf_);
--- a/src/dandelionbay/proxy/caller_connection.cpp
+++ b/src/dandelionbay/proxy/caller_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "dandelionbay/base/section_timer.hpp"
 #include "dandelionbay/http/error_body.hpp"
 #include "dandelionbay/proxy/exchange.hpp"
 #include "dandelionbay/proxy/proxy.hpp"
@@ -39,6 +40,8 @@
 
 void caller_connection::on_bytes(std::string_view bytes) {
     const auto self = shared_from_this();
+    const auto& env = owner_->environment();
+    const section_timer timed{*env.time, *env.metrics, "callers"};
     reader_->append(bytes);
     if (exchange_ != nullptr) {
         if (reader_->buffered() > read_ahead) {
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -37,7 +37,8 @@
 } // namespace
 
 exchange::exchange(proxy& owner, caller_connection& caller, http_request request, ticket_id ticket, time_point arrived)
-    : owner_{&owner}, caller_{&caller}, request_{std::move(request)}, ticket_{ticket}, arrived_{arrived} {}
+    : owner_{&owner}, caller_{&caller}, request_{std::move(request)}, ticket_{ticket}, arrived_{arrived},
+      read_late_{owner.lateness()} {}
 
 duration exchange::time_left(time_point now) const noexcept {
     return limit_ - now;
@@ -129,8 +130,10 @@
         return;
     }
     const bool refusable = runs_ == 0 && !begun_; // Otherwise waiting in vain would end in a cut or an unclear answer.
-    if (refusable || !owner_->dispatch().place_now(work(), now)) {
-        owner_->dispatch().submit(work(), now);
+    auto item = work();
+    cost_ = item.cost();
+    if (refusable || !owner_->dispatch().place_now(item, now)) {
+        owner_->dispatch().submit(std::move(item), now);
     }
 }
 
@@ -180,6 +183,7 @@
     const auto now = owner_->now();
     stage_ = stage::running;
     choice_ = choice;
+    team_rank_ = choice.team;
     if (crashes_endpoints()) { // That became known while it waited.
         end_attempt(false);
         refuse_as_crashing();
@@ -218,7 +222,7 @@
     waited_ = owner_->now() - arrived_;
     choice_.endpoint = why.best;
     choice_.backlog_ms = why.backlog_ms;
-    team_excess_ = why.team.excess;
+    team_rank_ = why.team;
     ahead_ms_ = why.ahead_ms;
     if (begun_) {
         give_up("no_endpoint");
@@ -438,7 +442,10 @@
     out.choice = choice_;
     out.waited = waited_;
     out.list_age = list_age_;
-    out.team_excess = team_excess_;
+    out.cost = cost_;
+    out.target = route_ == nullptr ? duration{} : route_->target_latency;
+    out.read_late = read_late_;
+    out.rank = team_rank_;
     out.ahead_ms = ahead_ms_;
     if (first_event_at_) {
         out.first = *first_event_at_ - arrived_;
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -154,10 +154,12 @@
     time_point next_move_{}; //!< When it may look for another endpoint again.
     time_point sent_at_{};   //!< When it was sent, or its newest event came.
     bool paused_{};
-    std::optional<double> team_excess_{}; //!< Rank of its team, if it was refused.
-    double ahead_ms_{};                   //!< Expected wait behind other calls, if it was refused.
-    duration waited_{};                   //!< From the arrival to the newest placement.
-    duration list_age_{};                 //!< Age of the list of endpoints at that placement.
+    std::optional<team_rank> team_rank_{}; //!< At the newest placement or the refusal.
+    double cost_{};                        //!< Cost units, once it was submitted.
+    duration read_late_{};                 //!< How late the event loop ran when the call was read.
+    double ahead_ms_{};                    //!< Expected wait behind other calls, if it was refused.
+    duration waited_{};                    //!< From the arrival to the newest placement.
+    duration list_age_{};                  //!< Age of the list of endpoints at that placement.
     mutable std::optional<std::uint64_t> fingerprint_{};
 };
 
--- a/src/dandelionbay/proxy/exchange_answer.cpp
+++ b/src/dandelionbay/proxy/exchange_answer.cpp
@@ -3,6 +3,7 @@
 
 #include <utility>
 
+#include "dandelionbay/base/section_timer.hpp"
 #include "dandelionbay/base/text.hpp"
 #include "dandelionbay/proxy/caller_connection.hpp"
 #include "dandelionbay/proxy/proxy.hpp"
@@ -93,6 +94,8 @@
 
 void exchange::on_body(std::string bytes) {
     const auto self = shared_from_this(); // Events may end the call.
+    const auto& env = owner_->environment();
+    const section_timer timed{*env.time, *env.metrics, "answers"};
     owner_->dispatch().heard(choice_.endpoint, owner_->now());
     if (streaming_) {
         scanner_.append(bytes);
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "absl/cleanup/cleanup.h"
+#include "dandelionbay/base/section_timer.hpp"
 #include "dandelionbay/proxy/call_record.hpp"
 #include "dandelionbay/proxy/caller_connection.hpp"
 #include "dandelionbay/proxy/exchange.hpp"
@@ -124,8 +125,11 @@
     for (const auto& [ticket, it] : exchanges_) {
         open.push_back(it);
     }
-    for (const auto& it : open) {
-        it->check(now);
+    {
+        const section_timer timed{*environment_.time, *environment_.metrics, "limits"};
+        for (const auto& it : open) {
+            it->check(now);
+        }
     }
     const auto waiting = dispatcher_.waiting();
     pump();
@@ -315,6 +319,7 @@
 
 void proxy::pump() {
     if (!stopped_) {
+        const section_timer timed{*environment_.time, *environment_.metrics, "rounds"};
         dispatcher_.pump(now());
     }
 }
