--- a/test/dandelionbay/dispatch/dispatcher_test.cpp
+++ b/test/dandelionbay/dispatch/dispatcher_test.cpp
@@ -170,6 +170,77 @@
     }
 }
 
+// Guards against the pattern "all are served, late": a team whose calls begin past their target is not seen to lack
+// service as long as hardly any of them is refused, and teams that got more do not give way (FAIR).
+TEST(dispatcher, calls_that_begin_late_show_that_their_team_lacks_service) {
+    const team_id team{"late"};
+    dispatch_fixture fleet{2};
+    const auto serve = [&](duration took) {
+        const auto ticket = fleet.send(fleet.call(team.value, 1, 0, 1'000));
+        fleet.now += took;
+        fleet.router.heard(endpoint_id{fleet.log.placements[ticket]}, fleet.now);
+        fleet.router.started(ticket, fleet.now);
+        fleet.router.started(ticket, fleet.now); // Each event tells so.
+        fleet.router.ended(ticket, false, fleet.now);
+    };
+    for (int n = 0; n < 4; ++n) {
+        serve(milliseconds{300});
+    }
+    EXPECT_FALSE(fleet.router.usage().refused(team, fleet.now)) << "all began in time";
+    serve(milliseconds{900});
+    EXPECT_TRUE(fleet.router.usage().refused(team, fleet.now));
+    EXPECT_NEAR(fleet.router.usage().used(team, fleet.now), 5.0 * 1'100.0, 1.0) << "it got the late one all the same";
+}
+
+// Guards against the pattern "callers leave before their answers begin": what they waited for in vain counts as service
+// that their team got, so that the team which waits longest looks best served (FAIR).
+TEST(dispatcher, calls_that_end_past_their_target_before_they_begin_are_no_service) {
+    const team_id team{"waits"};
+    dispatch_fixture fleet{2};
+    std::vector<ticket_id> calls;
+    for (std::uint64_t n = 1; n <= 4; ++n) {
+        calls.push_back(fleet.send(fleet.call(team.value, n, 0, 1'000)));
+    }
+    fleet.now += milliseconds{800};
+    for (const auto ticket : calls) {
+        fleet.router.heard(endpoint_id{fleet.log.placements[ticket]}, fleet.now); // The engines are at work.
+        fleet.router.ended(ticket, false, fleet.now);
+    }
+    EXPECT_DOUBLE_EQ(fleet.router.usage().used(team, fleet.now), 0.0);
+    EXPECT_TRUE(fleet.router.usage().refused(team, fleet.now));
+    {
+        SCOPED_TRACE("one that its caller gives up before its target is its team's own cost");
+        const auto early = fleet.send(fleet.call(team.value, 9, 0, 1'000));
+        fleet.router.heard(endpoint_id{fleet.log.placements[early]}, fleet.now);
+        fleet.router.ended(early, false, fleet.now);
+        EXPECT_NEAR(fleet.router.usage().used(team, fleet.now), 1'100.0, 1.0);
+    }
+}
+
+// Guards against the pattern "a slow host whose short queue one team has filled": a call of a team far behind is
+// refused on arrival, before teams are ordered (FAIR).
+TEST(dispatcher, a_full_queue_makes_room_for_a_team_far_behind) {
+    dispatch_fixture fleet{1};
+    fleet.router.usage().report(
+        host_id{"r2"},
+        {team_service{team_id{"most"}, 90'000.0, 0.0}, team_service{team_id{"behind"}, 2'000.0, 9'000.0}}, fleet.now);
+    fleet.router.limit_waiting(16);
+    while (fleet.router.waiting() < 16) {
+        fleet.send(fleet.call("most", 0, 0, 1'500));
+    }
+    const auto refused = fleet.log.refusals.size();
+    const auto behind = fleet.send(fleet.call("behind", 0, 0, 1'500));
+    EXPECT_FALSE(fleet.log.refusals.contains(behind));
+    ASSERT_EQ(fleet.log.refusals.size(), refused + 1) << "a call of the most served team gives way";
+    EXPECT_EQ(fleet.log.refusals.rbegin()->second.code, result_code::router_queue_full);
+    EXPECT_EQ(fleet.router.waiting(), 16) << "the queue does not grow";
+    {
+        SCOPED_TRACE("a further call of the most served team does not displace others");
+        const auto more = fleet.send(fleet.call("most", 0, 0, 1'500));
+        EXPECT_TRUE(fleet.log.refusals.contains(more));
+    }
+}
+
 // Guards against the pattern "a burst of calls while other routers have work waiting": calls that are refused in their
 // first round, because their reading does not count before it and the others' work looks like nearly all there is.
 TEST(dispatcher, a_burst_counts_with_its_reading_from_the_start) {
--- /dev/null
+++ b/test/dandelionbay/dispatch/fleet_fairness_test.cpp
@@ -0,0 +1,35 @@
+#include <tuple>
+
+#include <gtest/gtest.h>
+
+#include "shared_engines.hpp"
+
+namespace dandelionbay {
+namespace {
+
+using std::chrono::seconds;
+
+/*! Routers, and what all teams ask for as a part of what the engines read. */
+class fleet_fairness : public testing::TestWithParam<std::tuple<std::size_t, double>> {};
+
+INSTANTIATE_TEST_SUITE_P(sizes, fleet_fairness,
+                         testing::Combine(testing::Values<std::size_t>(8, 30), testing::Values(1.0, 1.3, 2.0)));
+
+// Guards against the pattern "one team asks for most, and another comes through few routers": that one gets less than
+// half of its share for six seconds while the other is served (FAIR).
+TEST_P(fleet_fairness, a_team_that_comes_through_few_routers_gets_its_share) {
+    const auto [routers, load] = GetParam();
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        shared_engines fleet{routers,
+                             routers,
+                             {{"wide", 0.55, routers}, {"narrow", 0.3, routers / 4}, {"small", 0.15, routers / 2}},
+                             load,
+                             seed};
+        fleet.run_for(seconds{12});
+        EXPECT_GE(fleet.least_part_of_due(6, 2), 1.0) << "seed " << seed;
+        EXPECT_GT(fleet.use(), 0.5) << "seed " << seed << ": engines idle while calls wait";
+    }
+}
+
+} // namespace
+} // namespace dandelionbay
--- /dev/null
+++ b/test/dandelionbay/dispatch/shared_engines.hpp
@@ -0,0 +1,345 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "dandelionbay/dispatch/dispatcher.hpp"
+#include "dandelionbay/peer/peer_board.hpp"
+
+namespace dandelionbay {
+
+/*! @brief Callers of one team. */
+struct team_demand {
+    std::string name{};
+    double share{};        //!< Of the tokens that all teams ask for.
+    std::size_t routers{}; //!< It comes through the first so many routers.
+};
+
+/**
+ * @brief Routers that share engines and callers that ask them, without a network and on a clock of its own.
+ *
+ * An engine reads prompts in the order in which they arrive. Routers hear of each other's work at the interval that a
+ * fleet of their number has. A caller whose call is refused comes again once, at another router of its team, and one
+ * whose answer does not begin in time leaves.
+ */
+class shared_engines {
+    using step = std::function<void()>;
+    struct event {
+        time_point at{};
+        std::uint64_t order{};
+        step run{};
+
+        [[nodiscard]] bool operator<(const event& other) const {
+            return std::pair{at, order} > std::pair{other.at, other.order}; // The queue's top is its greatest.
+        }
+    };
+    struct open_call {
+        std::size_t team{};
+        double prompt{};
+        double cost{};
+        time_point first_asked{};
+        bool again{}; //!< It was refused before.
+        bool begun{};
+    };
+    struct second {
+        double asked{};
+        double got{};
+        bool lacked{}; //!< A call was refused, left, or began past its target.
+    };
+
+    /*! One router and its calls. */
+    class member final : public dispatch_listener {
+    public:
+        member(shared_engines& world, std::size_t number)
+            : world_{&world}, number_{number}, router{view, place(number), {}, *this, number + 1} {}
+
+        void placed(ticket_id ticket, const endpoint_choice& choice) override { world_->arrive(*this, ticket, choice); }
+        void refused(ticket_id ticket, const refusal& why) override { world_->come_again(*this, ticket, why); }
+
+        [[nodiscard]] std::size_t number() const noexcept { return number_; }
+        [[nodiscard]] host_id host() const { return place(number_).host; }
+
+    private:
+        [[nodiscard]] static router_place place(std::size_t number) {
+            return {host_id{"r" + std::to_string(number)},
+                    zone_id{"z"},
+                    region_id{"here"},
+                    {{zone_id{"z"}, region_id{"here"}}}};
+        }
+
+        shared_engines* world_;
+        std::size_t number_;
+
+    public:
+        registry_view view{{}};
+        dispatcher router;
+        std::map<ticket_id, open_call> calls{};
+    };
+
+public:
+    static constexpr time_point start{std::chrono::seconds{1'000}};
+    static constexpr duration target{std::chrono::milliseconds{600}};
+    /*! @brief Callers leave if the answer does not begin within this time. */
+    static constexpr duration patience{std::chrono::milliseconds{2'400}};
+    static constexpr duration way{std::chrono::milliseconds{2}};
+    static constexpr duration first_step{std::chrono::milliseconds{47}};
+    static constexpr duration generation{std::chrono::milliseconds{250}};
+    static constexpr double least_prompt = 1'000.0;
+    static constexpr double largest_prompt = 6'000.0;
+    static constexpr double output = 50.0;
+
+    /*! @param load Tokens asked for, as a part of what the engines read. */
+    shared_engines(std::size_t routers, std::size_t engines, std::vector<team_demand> teams, double load,
+                   std::uint64_t seed)
+        : teams_{std::move(teams)}, free_(engines, start), random_{seed} {
+        endpoint_list list;
+        list.as_of = 1;
+        for (std::size_t n = 0; n < engines; ++n) {
+            endpoint_entry it;
+            it.id = endpoint_id{"e" + std::to_string(n)};
+            it.service = service_id{"model"};
+            it.zone = zone_id{"z"};
+            it.slots = 64;
+            it.row_version = 1;
+            list.entries.push_back(std::move(it));
+        }
+        route_config config;
+        config.version = 1;
+        endpoint_service model;
+        model.id = service_id{"model"};
+        model.engine = engine_profile{64, 300'000, 4};
+        config.services = {model};
+        const auto shared = std::make_shared<const route_config>(make_route_config(std::move(config)));
+        std::set<host_id> hosts;
+        for (std::size_t n = 0; n < routers; ++n) {
+            auto& it = *members_.emplace_back(std::make_unique<member>(*this, n));
+            it.view.adopt(shared);
+            it.view.merge(list, start, start);
+            it.router.refresh(start);
+            hosts.insert(it.host());
+        }
+        const auto interval = std::max<duration>(peer_board::shortest_interval,
+                                                 peer_board::interval_per_peer * static_cast<duration::rep>(routers));
+        for (auto& it : members_) {
+            it->router.set_routers(hosts);
+            const auto offset =
+                interval * static_cast<duration::rep>(it->number()) / static_cast<duration::rep>(routers);
+            at(start + offset, [this, &it, interval] { tell(*it, interval); });
+            at(start, [this, &it] { pump(*it); });
+        }
+        const double mean = (least_prompt + largest_prompt) / 2.0;
+        const double per_s = load * static_cast<double>(engines) * endpoint_load::first_rate * 1e3 / mean;
+        service_.resize(teams_.size());
+        for (std::size_t n = 0; n < teams_.size(); ++n) {
+            at(start, [this, n, rate = per_s * teams_[n].share] { ask_next(n, rate); });
+        }
+    }
+
+    void run_for(duration time) {
+        const auto end = now_ + time;
+        while (!events_.empty() && events_.top().at <= end) {
+            auto next = events_.top();
+            events_.pop();
+            now_ = next.at;
+            next.run();
+        }
+        now_ = end;
+    }
+
+    /**
+     * @brief Least service of a team that lacked some in each second of a stretch.
+     * @param length Of the stretch, in seconds.
+     * @param first Seconds at the beginning that do not count.
+     * @return What it got of the least it is due, from 0; 1 or more if no team got less than that. It is due half of
+     * what it asked for or of what the best served team got, whichever is less, second by second, less three calls.
+     */
+    [[nodiscard]] double least_part_of_due(std::size_t length, std::size_t first) const {
+        const auto seconds = static_cast<std::size_t>((now_ - start) / std::chrono::seconds{1});
+        double out = 1.0;
+        for (std::size_t team = 0; team < service_.size(); ++team) {
+            for (auto from = first; from + length <= seconds; ++from) {
+                double due = -3.0 * (largest_prompt + 2.0 * output);
+                double got = 0.0;
+                bool lacked = true;
+                for (auto n = from; n < from + length; ++n) {
+                    const auto it = at_second(team, n);
+                    due += std::min(it.asked, best_at(n)) / 2.0;
+                    got += it.got;
+                    lacked = lacked && it.lacked;
+                }
+                if (lacked && due > 0.0) {
+                    out = std::min(out, got / due);
+                }
+            }
+        }
+        return out;
+    }
+
+    /*! @brief Tokens that all teams got, as a part of what the engines read. */
+    [[nodiscard]] double use() const {
+        double got = 0.0;
+        for (const auto& team : service_) {
+            for (const auto& [n, it] : team) {
+                got += it.got;
+            }
+        }
+        return got / (to_ms(now_ - start) * endpoint_load::first_rate * static_cast<double>(free_.size()));
+    }
+
+private:
+    void at(time_point when, step run) { events_.push(event{when, ++order_, std::move(run)}); }
+
+    [[nodiscard]] second& this_second(std::size_t team) {
+        return service_[team][static_cast<std::size_t>((now_ - start) / std::chrono::seconds{1})];
+    }
+
+    [[nodiscard]] second at_second(std::size_t team, std::size_t n) const {
+        const auto it = service_[team].find(n);
+        return it == service_[team].end() ? second{} : it->second;
+    }
+
+    [[nodiscard]] double best_at(std::size_t n) const {
+        double out = 0.0;
+        for (std::size_t team = 0; team < service_.size(); ++team) {
+            out = std::max(out, at_second(team, n).got);
+        }
+        return out;
+    }
+
+    void ask_next(std::size_t team, double per_s) {
+        const std::exponential_distribution<double> pause{per_s};
+        at(now_ + from_ms(1e3 * std::exponential_distribution<double>{pause}(random_)), [this, team, per_s] {
+            open_call it;
+            it.team = team;
+            it.prompt = std::uniform_real_distribution<double>{least_prompt, largest_prompt}(random_);
+            it.cost = it.prompt + 2.0 * output;
+            it.first_asked = now_;
+            this_second(team).asked += it.cost;
+            submit(it);
+            ask_next(team, per_s);
+        });
+    }
+
+    void submit(const open_call& call) {
+        std::uniform_int_distribution<std::size_t> pick{0, teams_[call.team].routers - 1};
+        auto& to = *members_[pick(random_)];
+        work_item it;
+        it.ticket = ++last_;
+        it.team = team_id{teams_[call.team].name};
+        it.service = service_id{"model"};
+        it.parts = {{it.ticket, static_cast<std::uint32_t>(call.prompt)}};
+        it.prompt_tokens = call.prompt;
+        it.output_tokens = output;
+        it.target = target;
+        it.arrived = now_;
+        const auto ticket = it.ticket;
+        to.calls.emplace(ticket, call);
+        at(call.first_asked + patience, [this, &to, ticket] { leave(to, ticket); });
+        to.router.submit(std::move(it), now_);
+    }
+
+    void arrive(member& from, ticket_id ticket, const endpoint_choice& choice) {
+        const auto engine = static_cast<std::size_t>(std::stoul(choice.endpoint.value.substr(1)));
+        at(now_ + way, [this, &from, ticket, engine, id = choice.endpoint] {
+            const auto call = from.calls.find(ticket);
+            if (call == from.calls.end()) {
+                return; // Its caller left while it was on its way.
+            }
+            auto& free = free_[engine];
+            free = std::max(free, now_) + from_ms(call->second.prompt / endpoint_load::first_rate);
+            at(free + first_step, [this, &from, ticket, id] { begin(from, ticket, id); });
+        });
+    }
+
+    void begin(member& at_router, ticket_id ticket, const endpoint_id& id) {
+        const auto it = at_router.calls.find(ticket);
+        if (it == at_router.calls.end()) {
+            return; // Its caller left while its prompt was read.
+        }
+        auto& call = it->second;
+        call.begun = true;
+        auto& now = this_second(call.team);
+        now.got += call.cost;
+        now.lacked = now.lacked || now_ - call.first_asked > target;
+        at_router.router.heard(id, now_);
+        at_router.router.started(ticket, now_);
+        at(now_ + generation, [this, &at_router, ticket] {
+            at_router.router.ended(ticket, false, now_);
+            at_router.calls.erase(ticket);
+        });
+    }
+
+    void leave(member& from, ticket_id ticket) {
+        const auto it = from.calls.find(ticket);
+        if (it == from.calls.end() || it->second.begun) {
+            return;
+        }
+        this_second(it->second.team).lacked = true;
+        from.calls.erase(it);
+        if (!from.router.withdraw(ticket)) {
+            from.router.ended(ticket, false, now_);
+        }
+    }
+
+    void come_again(member& from, ticket_id ticket, const refusal& why) {
+        const auto node = from.calls.extract(ticket);
+        if (node.empty()) {
+            return;
+        }
+        auto call = node.mapped();
+        this_second(call.team).lacked = true;
+        if (!std::exchange(call.again, true) && now_ + why.retry_after < call.first_asked + patience) {
+            at(now_ + why.retry_after, [this, call] { submit(call); });
+        }
+    }
+
+    void pump(member& it) {
+        it.router.pump(now_);
+        at(now_ + std::chrono::milliseconds{8}, [this, &it] { pump(it); });
+    }
+
+    void tell(member& from, duration interval) {
+        const auto teams = from.router.usage().own(now_);
+        const auto queues = from.router.queues();
+        std::vector<std::pair<endpoint_id, endpoint_work>> work;
+        for (const auto& [id, load] : from.router.loads()) {
+            work.emplace_back(id, load.own(now_));
+        }
+        at(now_ + way, [this, host = from.host(), teams, queues, work] {
+            for (auto& to : members_) {
+                if (to->host() == host) {
+                    continue;
+                }
+                for (const auto& [id, it] : work) {
+                    to->router.load(id).report(host, it, now_);
+                }
+                to->router.usage().report(host, teams, now_);
+                to->router.report_queues(host, queues, now_);
+            }
+        });
+        at(now_ + interval, [this, &from, interval] { tell(from, interval); });
+    }
+
+    std::vector<team_demand> teams_;
+    std::vector<time_point> free_; //!< When each engine has read what it has.
+    std::mt19937_64 random_;
+    std::vector<std::unique_ptr<member>> members_{};
+    std::vector<std::map<std::size_t, second>> service_{}; //!< By team and second.
+    std::priority_queue<event> events_{};
+    std::uint64_t order_{};
+    ticket_id last_{};
+    time_point now_{start};
+};
+
+} // namespace dandelionbay
--- a/test/dandelionbay/platform/documents_test.cpp
+++ b/test/dandelionbay/platform/documents_test.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/call_headers.hpp"
 #include "platform/documents.hpp"
+#include "platform/rows.hpp"
 
 namespace dandelionbay::platform {
 namespace {
@@ -67,6 +68,43 @@
     }
 }
 
+// Guards against one odd row of another writer that makes all others unreadable, or takes megabytes at each reading.
+TEST(read_rows, a_row_with_an_odd_value_leaves_the_others_readable) {
+    const std::string deep = std::string(30'000, '[') + std::string(30'000, ']');
+    for (const std::string odd : {"1e400", "-1e999", "99999999999999999999999", "1e30", "null", "[]"}) {
+        const auto rows = read_rows(R"({"ver": 7, "rows": [{"key": "a", "ver": )" + odd +
+                                    R"(}, {"key": "1e400", "ver": 6, "value": "MWU0MDA="}]})");
+        ASSERT_TRUE(rows) << odd;
+        ASSERT_EQ(rows->rows.size(), 1) << odd;
+        EXPECT_EQ(rows->rows[0].key, "1e400") << "texts stay as they are";
+        EXPECT_EQ(rows->rows[0].value, "1e400");
+        EXPECT_EQ(rows->refused, 1);
+    }
+    EXPECT_FALSE(read_rows(R"({"ver": 7, "rows": )" + deep + "}"));
+    const auto nested = read_endpoint("i-1", deep, 1);
+    ASSERT_FALSE(nested.ok());
+    EXPECT_NE(std::string{nested.status().message()}.find("nested"), std::string::npos) << nested.status();
+    EXPECT_FALSE(read_router(R"({"peer": "10.0.0.1:80", "more": )" + deep + "}"));
+    EXPECT_FALSE(read_losses("0000000000000001", deep, {}));
+}
+
+// Guards against entries whose names or addresses are no such, which would end up in header fields or connections.
+TEST(read_endpoint, names_and_ports_are_taken_literally) {
+    const auto entry = [](const std::string& id, const std::string& address) {
+        return read_endpoint(
+            id, R"({"service": "m", "address": ")" + address + R"(", "zone": "z", "slots": 1, "state": "ready"})", 1);
+    };
+    EXPECT_TRUE(entry("i-1", "10.0.0.1:80").ok());
+    EXPECT_TRUE(entry(std::string(200, 'k'), "10.0.0.1:65535").ok());
+    for (const std::string port : {"+80", " 80", "80 ", "0x50", "0", "65536", "-1", "12345678901", "", "8 0"}) {
+        EXPECT_FALSE(entry("i-1", "10.0.0.1:" + port).ok()) << "\"" << port << "\"";
+    }
+    for (const auto& id : std::vector<std::string>{std::string{"a\r\nX: 1"}, std::string{"a\0b", 3}, std::string{"a b"},
+                                                   std::string{"a\x7f"}, std::string{}}) {
+        EXPECT_FALSE(entry(id, "10.0.0.1:80").ok()) << id;
+    }
+}
+
 // Guards against entries of other writers that count as endpoints, and against a draining endpoint that gets work.
 TEST(read_endpoint, entries_that_cannot_be_read_name_no_endpoint) {
     const auto good = read_endpoint(
--- a/test/dandelionbay/platform/gateway_stream_test.cpp
+++ b/test/dandelionbay/platform/gateway_stream_test.cpp
@@ -64,6 +64,68 @@
     EXPECT_LT(std::chrono::steady_clock::now() - began, limit + turns * turn);
 }
 
+// Guards against calls that are taken in by a host which can't decide about them in time: they are served late or given
+// up by their callers, while the hosts beside it have time (FAIR, and calls held past their route's limit: CONFIG).
+TEST_F(gateway_fleet, a_host_that_is_late_by_more_than_a_call_can_afford_turns_it_away_at_once) {
+    constexpr milliseconds turn{400};
+    gateway->hold_up_for(seconds{8}, turn);
+    std::this_thread::sleep_for(3 * turn);
+    const auto answer = gateway->post("/chat/late");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+    EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+    EXPECT_EQ(calls(engine_1, "/chat/late").size(), 0);
+    {
+        SCOPED_TRACE("once it is on time it serves");
+        ASSERT_TRUE(eventually([&] { return gateway->get("/look/late").starts_with("HTTP/1.1 200 "); }));
+        EXPECT_TRUE(gateway->post("/chat/on-time").ends_with(events(1, 6) + "0\r\n\r\n"));
+    }
+}
+
+// Guards against the text of an error, or of any other answer, in the middle of a caller's stream, and against a stream
+// that ends with it as if it were complete.
+TEST_F(gateway_fleet, only_a_stream_goes_on_with_a_stream) {
+    add_second_endpoints();
+    const auto sealed = [](const http_request& request, int status, const std::string& rest) {
+        return scripted_endpoint::head(request, status) + rest;
+    };
+    const std::string stream = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    using answer_text = std::function<std::string(const http_request&)>;
+    const std::vector<std::pair<std::string, answer_text>> wrong{
+        {"an error", [&](const auto& it) { return sealed(it, 500, "Content-Length: 5\r\n\r\nerror"); }},
+        {"json",
+         [&](const auto& it) {
+             return sealed(it, 200, "Content-Type: application/json\r\nContent-Length: 9\r\n\r\n{\"a\": 1}\n");
+         }},
+        {"json in events' place",
+         [&](const auto& it) { return sealed(it, 200, stream + chunk("{\"a\": 1}\n\n") + "0\r\n\r\n"); }},
+        {"text without an event's end",
+         [&](const auto& it) { return sealed(it, 200, stream + chunk("id: 4\ndata: x") + "0\r\n\r\n"); }},
+        {"an event without id",
+         [&](const auto& it) { return sealed(it, 200, stream + chunk("data: error\n\n") + "0\r\n\r\n"); }},
+        {"nothing", [&](const auto& it) { return sealed(it, 204, "\r\n"); }}};
+    int n = 0;
+    for (const auto& [what, answer_of] : wrong) {
+        SCOPED_TRACE(what);
+        const auto path = concat("/chat/wrong-", ++n);
+        for (auto* const it : {&engine_1, &engine_2}) {
+            it->otherwise([&, it](const http_request& request, raw_server::connection& to) {
+                if (request.path() != path) {
+                    it->serve(request, to);
+                } else if (find_field(request.fields, "Last-Event-Id").empty()) {
+                    scripted_endpoint::stream(request, to, 1, 3, false);
+                    to.reset();
+                } else {
+                    to.write(answer_of(request));
+                }
+            });
+        }
+        const auto answer = gateway->post(path);
+        EXPECT_TRUE(answer.ends_with("\r\n\r\n" + events(1, 3))) << answer;
+        EXPECT_EQ(calls(engine_1, path).size() + calls(engine_2, path).size(), 2);
+    }
+}
+
 // Guards against streams without an end: bytes that make no event are no progress.
 TEST_F(gateway_fleet, a_stream_that_sends_bytes_but_no_events_goes_on_elsewhere_or_ends) {
     {
--- a/test/dandelionbay/platform/gateway_test.cpp
+++ b/test/dandelionbay/platform/gateway_test.cpp
@@ -278,6 +278,75 @@
     EXPECT_GE(std::chrono::steady_clock::now() - began, milliseconds{1'500});
 }
 
+// Guards against an earlier refusal that a faulty endpoint writes once more on a kept connection: the caller is told
+// that its call was not run while the endpoint runs it, or it runs at a second endpoint; and against pauses and other
+// wishes in it.
+TEST_F(gateway_fleet, a_refusal_that_names_no_call_or_another_one_says_nothing) {
+    add_second_endpoints();
+    const std::string refusal = "Dandelionbay-Not-Executed: 1\r\nRetry-After: 3\r\nServer-Leaving: 1\r\n"
+                                "Dandelionbay-Cold-Ms: 9000\r\nContent-Length: 0\r\n\r\n";
+    for (const std::string name : {"", "Dandelionbay-Request-Id: another\r\n"}) {
+        SCOPED_TRACE(name.empty() ? "no id" : "another call's id");
+        const auto path = concat("/book/stale-", name.size());
+        for (auto* const it : {&desk_1, &desk_2}) {
+            it->otherwise([&, it](const http_request& request, raw_server::connection& to) {
+                if (request.path() == path) {
+                    to.write(concat("HTTP/1.1 503 X\r\n", name, refusal));
+                }
+                it->serve(request, to);
+            });
+        }
+        const auto answer = gateway->post(path);
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+        EXPECT_EQ(calls(desk_1, path).size() + calls(desk_2, path).size(), 1);
+        EXPECT_EQ(gateway->metrics().find("endpoint_pauses_total"), std::string::npos);
+        EXPECT_EQ(gateway->metrics().find("endpoints_leaving_total"), std::string::npos);
+    }
+}
+
+// Guards against a gateway that ends, or stops following what the registry holds, over one odd row of another writer.
+TEST_F(gateway_fleet, odd_rows_of_other_writers_change_nothing) {
+    const std::string deep = std::string(20'000, '[') + std::string(20'000, ']');
+    const std::string entry = engine_1.entry("m");
+    const auto with = [&](const std::string& what, const std::string& by) {
+        auto out = entry;
+        return out.replace(out.find(what), what.size(), by);
+    };
+    const auto port =
+        entry.substr(entry.find("127.0.0.1:"), entry.find('"', entry.find("127.0.0.1:")) - entry.find("127.0.0.1:"));
+    const std::vector<std::string> odd{deep,
+                                       std::string(60'000, '{'),
+                                       with("\"seq\":1", "\"seq\":" + deep),
+                                       with("\"slots\":8", "\"slots\":1e400"),
+                                       with("\"slots\":8", "\"slots\":99999999999999999999999"),
+                                       with(port, "127.0.0.1:65536"),
+                                       with(port, "127.0.0.1:+80"),
+                                       with(port, "127.0.0.1: 80"),
+                                       with(port, "127.0.0.1:0"),
+                                       with(port, "127.0.0.1:-1")};
+    for (std::size_t n = 0; n < odd.size(); ++n) {
+        for (const auto* const table : {"servers", "routers", "lost-calls"}) {
+            store.put(table, concat("odd-", n), odd[n]);
+        }
+        store.put("op", concat("evacuate/odd-", n), odd[n]);
+    }
+    store.put("servers", "odd\r\nX-Other: 1", entry);
+    store.put("servers", std::string(200, 'k'), entry);
+    store.put("op", "config", deep);
+    std::this_thread::sleep_for(milliseconds{1'500});
+    {
+        SCOPED_TRACE("what is registered afterwards is followed");
+        store.put("servers", desk_2.id(), desk_2.entry("desk"));
+        store.put("servers", desk_1.id(), desk_1.entry("desk", "draining"));
+        ASSERT_TRUE(eventually([&] {
+            return gateway->get("/look/odd").find("200 X") != std::string::npos && !calls(desk_2, "/look/odd").empty();
+        }));
+    }
+    const auto metrics = gateway->metrics();
+    EXPECT_EQ(metrics.find("event_errors_total"), std::string::npos) << metrics;
+    EXPECT_NE(metrics.find("endpoints_known 5"), std::string::npos) << "the four, and one with a long key\n" << metrics;
+}
+
 // Guards against endpoints that work on for callers that have left.
 TEST_F(gateway_fleet, an_endpoint_is_left_when_the_caller_leaves) {
     std::atomic<bool> left{false};
