Do work for what a message or a call changes, and not for the whole fleet

- A message of a peer touches the endpoints that it names or named last, not all that are known.
- Totals of teams change with each report; they were added up from all peers each 20 ms.
- Placement keeps what only changes with the fleet (service, region, distance, hash, share while cold) until the view's revision or the routers change; it was found anew for each call and round.
- Reports of peers and kept parts are looked up by hash.

The decisions stay the same but for the spread of equal scores, which is hashed from numbers now.

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -48,8 +48,11 @@
 
 dispatcher::dispatcher(const registry_view& view, router_place place, const dispatch_limits& limits,
                        dispatch_listener& listener, std::uint64_t seed)
-    : view_{&view}, place_{std::move(place)}, limits_{limits}, listener_{&listener}, random_{seed}, routers_{
-                                                                                                        place_.host} {}
+    : view_{&view}, place_{std::move(place)}, limits_{limits}, listener_{&listener}, random_{seed}, sites_{view, place_,
+                                                                                                           limits_,
+                                                                                                           loads_} {
+    sites_.add_router(place_.host);
+}
 
 team_rank dispatcher::rank_of(const work_item& item, time_point now) {
     const double least = usage_.least_denied(now) * limits_.yield_margin + item.cost();
@@ -66,19 +69,14 @@
     return {true, std::clamp(above / widest, 0.0, 1.0)};
 }
 
-placement dispatcher::look(time_point now) {
-    return placement{*view_, place_, limits_, routers_complete_ ? &routers_ : nullptr, loads_, now};
-}
-
-void dispatcher::place(const work_item& item, placement& sites, const placement::candidate& to, const team_rank& team,
-                       time_point now) {
+void dispatcher::place(const work_item& item, const placement::candidate& to, const team_rank& team, time_point now) {
     auto& at = *to.at;
     const auto& entry = at.known->entry;
     const endpoint_choice choice{entry.id, entry.started, entry.address, to.unread_tokens, at.wait_ms, at.cold, team};
     at.load->sent(item.ticket, call_load{to.unread_tokens, item.prompt_tokens + item.output_tokens}, now);
     at.load->parts().use(item.parts);
     at.load->pacer().sent(now);
-    sites.sent(at);
+    sites_.sent(at);
     for (std::size_t n = 0; n + 1 < item.parts.size() && part_uses_.size() < most_part_uses; ++n) {
         part_uses_.push_back(part_use{entry.id, item.parts[n]});
     }
@@ -108,12 +106,12 @@
     return sum;
 }
 
-dispatcher::queue_state& dispatcher::queue_of(const service_id& service, round& it, time_point now) const {
-    const auto [queue, first] = it.queues.try_emplace(service);
+dispatcher::queue_state& dispatcher::queue_of(const service_id& service, queue_states& queues, time_point now) const {
+    const auto [queue, first] = queues.try_emplace(service);
     if (first) {
         const double own = std::max(limits_.least_wait_ms, queued_ms(service));
         queue->second.own_share = own / (own + peers_queued_ms(service, now));
-        queue->second.endpoints = static_cast<double>(std::max<std::size_t>(1, it.sites.count(service)));
+        queue->second.endpoints = static_cast<double>(std::max<std::size_t>(1, sites_.count(service)));
     }
     return queue->second;
 }
@@ -163,11 +161,11 @@
     const double reading = std::max(limits_.least_wait_ms, usual_reading_ms(item));
     waiting_call call{std::move(item), now, std::nullopt, reading};
     if (waiting_.empty()) { // Otherwise the next round decides, in the order of the teams.
-        auto sites = look(now);
+        sites_.look(now);
         const auto team = rank_of(call.item, now);
-        const auto best = sites.consider(call.item, team).best;
+        const auto best = sites_.consider(call.item, team).best;
         if (best.at != nullptr && best.ready) {
-            place(call.item, sites, best, team, now);
+            place(call.item, best, team, now);
             return;
         }
         set_give_up(call, best);
@@ -187,18 +185,19 @@
     if (view_->config() == nullptr) {
         return false;
     }
-    auto sites = look(now);
+    sites_.look(now);
     const auto team = rank_of(item, now);
-    const auto choice = sites.consider(item, team).best_ready;
+    const auto choice = sites_.consider(item, team).best_ready;
     if (choice.at == nullptr) {
         return false;
     }
-    place(item, sites, choice, team, now);
+    place(item, choice, team, now);
     return true;
 }
 
 bool dispatcher::takes_now(const work_item& item, time_point now) {
-    return look(now).consider(item, rank_of(item, now)).best_ready.at != nullptr;
+    sites_.look(now);
+    return sites_.consider(item, rank_of(item, now)).best_ready.at != nullptr;
 }
 
 bool dispatcher::withdraw(ticket_id ticket) {
@@ -272,20 +271,21 @@
 }
 
 void dispatcher::decide_all(time_point now) {
-    round it{look(now)};
+    sites_.look(now);
+    queue_states queues;
     for (const auto ticket : order(now)) {
-        decide(ticket, it, now);
+        decide(ticket, queues, now);
     }
 }
 
-void dispatcher::decide(ticket_id ticket, round& it, time_point now) {
+void dispatcher::decide(ticket_id ticket, queue_states& queues, time_point now) {
     const auto found = waiting_.find(ticket);
     if (found == waiting_.end()) {
         return; // Withdrawn by a decision before it.
     }
     auto& call = found->second;
     const auto team = rank_of(call.item, now);
-    const auto choices = it.sites.consider(call.item, team);
+    const auto choices = sites_.consider(call.item, team);
     if (!call.give_up) {
         set_give_up(call, choices.best);
     }
@@ -295,10 +295,10 @@
     const auto& choice = late && !gives_way ? choices.best_ready : choices.best;
     if (choice.at != nullptr && choice.ready) {
         const auto node = waiting_.extract(found);
-        place(node.mapped().item, it.sites, choice, team, now);
+        place(node.mapped().item, choice, team, now);
         return;
     }
-    auto& queue = queue_of(call.item.service, it, now);
+    auto& queue = queue_of(call.item.service, queues, now);
     // The calls at other routers give way to the least served team.
     const double share = team.goes_first() ? 1.0 : queue.own_share;
     const double wait_ms = queue.ahead_ms / (queue.endpoints * share);
--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -71,24 +71,18 @@
         double own_share{1.0}; //!< Part of the fleet's waiting work that waits here, from 0 to 1.
         double ahead_ms{};     //!< Reading of the calls that stay, in their order.
     };
-    /*! One look at the waiting calls. */
-    struct round {
-        placement sites;
-        std::map<service_id, queue_state> queues{};
-    };
+    using queue_states = std::map<service_id, queue_state>;
 
     [[nodiscard]] team_rank rank_of(const work_item& item, time_point now);
-    [[nodiscard]] placement look(time_point now);
-    void place(const work_item& item, placement& sites, const placement::candidate& to, const team_rank& team,
-               time_point now);
+    void place(const work_item& item, const placement::candidate& to, const team_rank& team, time_point now);
     void refuse(const work_item& item, refusal why, time_point now);
     void refuse_waiting(ticket_id ticket, const refusal& why, time_point now);
     [[nodiscard]] std::vector<ticket_id> order(time_point now);
     void decide_all(time_point now);
-    void decide(ticket_id ticket, round& it, time_point now);
+    void decide(ticket_id ticket, queue_states& queues, time_point now);
     [[nodiscard]] double queued_ms(const service_id& service) const;
     [[nodiscard]] double peers_queued_ms(const service_id& service, time_point now) const;
-    [[nodiscard]] queue_state& queue_of(const service_id& service, round& it, time_point now) const;
+    [[nodiscard]] queue_state& queue_of(const service_id& service, queue_states& queues, time_point now) const;
     void set_give_up(waiting_call& call, const placement::candidate& best) const;
 
 public:
@@ -146,20 +140,19 @@
      * @param complete False if there may be others: cold endpoints get nothing from here until that is known.
      */
     void set_routers(std::set<host_id> routers, bool complete = true) {
-        routers_ = std::move(routers);
-        routers_complete_ = complete;
+        sites_.set_routers(std::move(routers), complete);
     }
 
     /*! @brief One more router may send. */
-    void add_router(const host_id& router) { routers_.insert(router); }
+    void add_router(const host_id& router) { sites_.add_router(router); }
 
     /*! @brief Rank of this router for something that all of them share. @param key Of it. @return From 0. */
     [[nodiscard]] std::size_t rank_for(std::uint64_t key) const noexcept {
-        return router_rank(routers_, place_.host, key);
+        return router_rank(sites_.routers(), place_.host, key);
     }
 
     /*! @brief Number of routers that may send. */
-    [[nodiscard]] std::size_t routers() const noexcept { return routers_.size(); }
+    [[nodiscard]] std::size_t routers() const noexcept { return sites_.routers().size(); }
 
     /*! @brief Load of an endpoint; created empty if unknown. */
     [[nodiscard]] endpoint_load& load(const endpoint_id& id) { return loads_[id]; }
@@ -191,9 +184,8 @@
     dispatch_limits limits_;
     dispatch_listener* listener_;
     std::mt19937_64 random_;
-    std::set<host_id> routers_{};
-    bool routers_complete_{true};
     std::map<endpoint_id, endpoint_load> loads_{};
+    placement sites_;
     std::map<ticket_id, waiting_call> waiting_{}; // tickets grow with time
     std::unordered_map<ticket_id, placed_call> placed_{};
     team_usage usage_{};
--- a/src/dandelionbay/dispatch/endpoint_load.hpp
+++ b/src/dandelionbay/dispatch/endpoint_load.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <unordered_map>
 
 #include "dandelionbay/base/clock.hpp"
@@ -146,7 +145,7 @@
     static constexpr double failure_cost_ms = 600.0; // A failed call is about as bad as one past its usual target.
 
     std::unordered_map<ticket_id, running_call> running_{};
-    std::map<host_id, peer_work> peers_{};
+    std::unordered_map<host_id, peer_work> peers_{};
     mutable endpoint_work peers_sum_{}; //!< Of the reports that count; asked for much more often than they change.
     mutable time_point peers_sum_until_{time_point::min()}; //!< When it has to be worked out again at the latest.
     kept_parts parts_{};
--- a/src/dandelionbay/dispatch/kept_parts.hpp
+++ b/src/dandelionbay/dispatch/kept_parts.hpp
@@ -3,8 +3,8 @@
 #include <cstdint>
 #include <list>
 #include <span>
-#include <unordered_map>
 
+#include "absl/container/flat_hash_map.h"
 #include "dandelionbay/dispatch/fwd.hpp"
 #include "dandelionbay/gateway/call_terms.hpp"
 
@@ -44,7 +44,7 @@
     std::uint64_t capacity_{};
     std::uint64_t used_{};
     order order_{};
-    std::unordered_map<std::uint64_t, order::iterator> index_{};
+    absl::flat_hash_map<std::uint64_t, order::iterator> index_{};
 };
 
 } // namespace dandelionbay
--- a/src/dandelionbay/dispatch/placement.cpp
+++ b/src/dandelionbay/dispatch/placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <string>
+#include <utility>
 
 #include "dandelionbay/base/name_hash.hpp"
 #include "dandelionbay/dispatch/router_rank.hpp"
@@ -35,34 +36,72 @@
     return list.empty() || std::ranges::find(list, region) != list.end();
 }
 
+[[nodiscard]] bool in_regions(const work_item& item, const region_id* region) {
+    return region != nullptr && contains(item.route_regions, *region) && contains(item.team_regions, *region);
+}
+
 } // namespace
 
 double work_item::cost() const noexcept {
     return parts.empty() && prompt_tokens <= 0.0 ? plain_cost : prompt_tokens + output_weight * output_tokens;
 }
 
-placement::placement(const registry_view& view, const router_place& place, const dispatch_limits& limits,
-                     const std::set<host_id>* routers, std::map<endpoint_id, endpoint_load>& loads, time_point now)
-    : view_{&view}, place_{&place}, limits_{&limits}, routers_{routers}, now_{now} {
-    for (const auto& [id, it] : view.endpoints()) {
-        if (!view.takes_work(it)) {
+void placement::set_routers(std::set<host_id> routers, bool complete) {
+    if (routers != routers_ || complete != routers_complete_) {
+        routers_ = std::move(routers);
+        routers_complete_ = complete;
+        found_at_.reset();
+    }
+}
+
+void placement::add_router(const host_id& router) {
+    if (routers_.insert(router).second) {
+        found_at_.reset();
+    }
+}
+
+std::size_t placement::cold_share(const site& it) const {
+    if (!routers_complete_ || it.service == nullptr || it.service->cold_calls_per_s <= 0.0) {
+        return 0;
+    }
+    return cold_pacer::share(it.service->cold_calls_per_s, routers_.size(),
+                             router_rank(routers_, place_->host, it.hash));
+}
+
+void placement::find_sites() {
+    sites_.clear();
+    config_ = view_->config();
+    for (const auto& [id, it] : view_->endpoints()) {
+        if (!view_->takes_work(it)) {
             continue;
         }
         site added;
         added.known = &it;
-        added.load = &loads[id];
-        rate(added);
+        added.load = &(*loads_)[id];
+        added.service = config_->find_service(it.entry.service);
+        added.engine = added.service != nullptr && added.service->engine.has_value();
+        added.hash = name_hash(id.value);
+        added.cold_share = cold_share(added);
+        added.distance_ms = distance_ms(it.entry.zone);
+        added.slots = std::max<std::uint32_t>(1, it.entry.slots);
+        if (const auto zone = place_->zones.find(it.entry.zone); zone != place_->zones.end()) {
+            added.region = &zone->second;
+        }
         sites_[it.entry.service].push_back(added);
     }
 }
 
-bool placement::in_regions(const work_item& item, const zone_id& zone) const {
-    if (item.route_regions.empty() && item.team_regions.empty()) {
-        return true;
+void placement::look(time_point now) {
+    now_ = now;
+    if (found_at_ != view_->revision()) {
+        find_sites();
+        found_at_ = view_->revision();
+    }
+    for (auto& [service, list] : sites_) {
+        for (auto& it : list) {
+            rate(it);
+        }
     }
-    const auto it = place_->zones.find(zone);
-    return it != place_->zones.end() && contains(item.route_regions, it->second) &&
-           contains(item.team_regions, it->second);
 }
 
 double placement::distance_ms(const zone_id& zone) const {
@@ -73,29 +112,18 @@
     return it != place_->zones.end() && it->second == place_->region ? limits_->zone_cost_ms : limits_->region_cost_ms;
 }
 
-bool placement::pace_allows(const site& it, double calls_per_s) const {
-    if (routers_ == nullptr) {
-        return false;
-    }
-    const auto& id = it.known->entry.id.value;
-    const auto rank = router_rank(*routers_, place_->host, name_hash(id));
-    const auto share = cold_pacer::share(calls_per_s, routers_->size(), rank);
-    return it.load->pacer().allows(share, now_);
-}
-
 void placement::rate(site& it) const {
-    const auto& entry = it.known->entry;
-    const auto* const service = view_->config()->find_service(entry.service);
-    it.engine = service != nullptr && service->engine.has_value();
     it.calls = it.load->calls(now_);
-    it.slots = std::max<std::uint32_t>(1, entry.slots);
     it.cold = view_->cold(*it.known, now_);
-    it.open = !it.load->ejected(now_) && !it.load->paused(now_) && !it.load->stalled(now_);
+    it.ejected = it.load->ejected(now_);
+    it.paused = it.load->paused(now_);
+    it.stalled = it.load->stalled(now_);
+    it.open = !it.ejected && !it.paused && !it.stalled;
     if (it.engine) {
         it.wait_ms = it.load->backlog_ms(now_);
         it.base_ms = it.wait_ms;
-        it.memory_left =
-            static_cast<double>(service->engine->memory_tokens) * limits_->memory_share - it.load->memory_tokens(now_);
+        it.memory_left = static_cast<double>(it.service->engine->memory_tokens) * limits_->memory_share -
+                         it.load->memory_tokens(now_);
         it.open = it.open && it.calls < it.slots;
     } else {
         it.wait_ms = it.calls < it.slots ? 0.0 : plain_call_ms * (it.calls - it.slots + 1) / it.slots;
@@ -103,13 +131,12 @@
         it.open = it.open && it.calls < it.slots + it.slots / 2;
     }
     it.base_ms += it.load->penalty_ms();
-    it.distance_ms = distance_ms(entry.zone);
     if (it.load->on_trial()) {
         it.base_ms += trial_cost_ms;
         it.open = it.open && it.load->own(now_).calls == 0;
     }
-    if (it.cold && it.open && service != nullptr && service->cold_calls_per_s > 0.0) {
-        it.open = pace_allows(it, service->cold_calls_per_s);
+    if (it.cold && it.open && it.service != nullptr && it.service->cold_calls_per_s > 0.0) {
+        it.open = it.load->pacer().allows(it.cold_share, now_);
     }
 }
 
@@ -129,7 +156,8 @@
     return team.contended ? limits_->least_distance_share + (1.0 - limits_->least_distance_share) * team.excess : 1.0;
 }
 
-placement::candidate placement::rate(const work_item& item, site& it, const team_rank& team) const {
+placement::candidate placement::rate(const work_item& item, site& it, const team_rank& team,
+                                     std::uint64_t subject) const {
     candidate out{&it};
     out.score = it.base_ms + it.distance_ms * distance_share(team);
     out.ready = it.open;
@@ -139,7 +167,7 @@
         const bool fits = it.calls == 0 || item.prompt_tokens + item.output_tokens <= it.memory_left;
         out.ready = out.ready && fits && it.wait_ms <= reading_ahead_ms(team);
     }
-    const auto spread = name_hash(it.known->entry.id.value, subject_of(item)) % spread_steps;
+    const auto spread = mixed_hash(it.hash, subject) % spread_steps;
     out.score += spread_ms * static_cast<double>(spread) / static_cast<double>(spread_steps);
     return out;
 }
@@ -155,22 +183,23 @@
     if (sites == sites_.end()) {
         return out;
     }
+    const auto subject = subject_of(item);
+    const bool anywhere = item.route_regions.empty() && item.team_regions.empty();
     for (auto& it : sites->second) {
-        const auto& entry = it.known->entry;
-        if (!in_regions(item, entry.zone)) {
+        if (!anywhere && !in_regions(item, it.region)) {
             continue;
         }
-        if (it.load->paused(now_)) {
+        if (it.paused) {
             first_back = std::min(first_back, it.load->paused_until());
             continue;
         }
         all_paused = false;
-        if (item.excluded.contains(entry.id) || it.load->ejected(now_)) {
+        if (it.ejected || (!item.excluded.empty() && item.excluded.contains(it.known->entry.id))) {
             continue;
         }
-        const auto next = rate(item, it, team);
+        const auto next = rate(item, it, team, subject);
         // An endpoint that is cold beyond its pace, or that stalls, is no reason to wait: the others are.
-        const bool worth_waiting = it.open || (!it.cold && !it.load->stalled(now_));
+        const bool worth_waiting = it.open || (!it.cold && !it.stalled);
         auto& slot = worth_waiting ? out.best : fallback;
         if (next.score < slot.score) {
             slot = next;
--- a/src/dandelionbay/dispatch/placement.hpp
+++ b/src/dandelionbay/dispatch/placement.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -19,7 +20,7 @@
  * @brief Rates the endpoints for calls, all as of one moment.
  *
  * What is the same for all calls is worked out once for each endpoint, because a round of decisions rates each endpoint
- * for each waiting call.
+ * for each waiting call. What only changes with the fleet is kept from one moment to the next.
  */
 class placement {
 public:
@@ -27,15 +28,24 @@
     struct site {
         const registry_view::known_endpoint* known{};
         endpoint_load* load{};
+        const endpoint_service* service{}; //!< Null if the configuration does not name it.
+        const region_id* region{};         //!< Null if its zone is not known.
+        std::uint64_t hash{};              //!< Of its name.
+        std::size_t cold_share{};          //!< Calls in a window that this router may send while it is cold.
+        double distance_ms{};              //!< Aversion to its place.
+        std::uint32_t slots{};
         bool engine{};
+
+        // As of the moment.
         double wait_ms{};     //!< Expected time until it begins with another call.
         double base_ms{};     //!< Part of the score that is the same for all calls.
-        double distance_ms{}; //!< Aversion to its place.
         double memory_left{}; //!< Tokens; engines only.
         std::uint32_t calls{};
-        std::uint32_t slots{};
         bool open{}; //!< It takes another call, as far as that does not depend on the call.
         bool cold{};
+        bool ejected{};
+        bool paused{};
+        bool stalled{};
     };
 
     /*! @brief A rated endpoint. */
@@ -54,26 +64,43 @@
     };
 
 private:
-    [[nodiscard]] bool in_regions(const work_item& item, const zone_id& zone) const;
+    void find_sites();
+    [[nodiscard]] std::size_t cold_share(const site& it) const;
     [[nodiscard]] double distance_ms(const zone_id& zone) const;
-    [[nodiscard]] bool pace_allows(const site& it, double calls_per_s) const;
     void rate(site& it) const;
-    [[nodiscard]] candidate rate(const work_item& item, site& it, const team_rank& team) const;
+    [[nodiscard]] candidate rate(const work_item& item, site& it, const team_rank& team, std::uint64_t subject) const;
     [[nodiscard]] double reading_ahead_ms(const team_rank& team) const noexcept;
     [[nodiscard]] double distance_share(const team_rank& team) const noexcept;
 
 public:
     /**
-     * @brief Looks at all endpoints.
-     * @param view What is known of the fleet, with a configuration; must outlive it unchanged.
-     * @param place Where the router stands.
-     * @param limits Limits.
-     * @param routers Names of all routers; null while they are not known, which keeps cold endpoints empty.
-     * @param loads Loads by endpoint; missing ones are added.
-     * @param now Time.
+     * @brief Creates it without endpoints; look() finds them.
+     * @param view What is known of the fleet; must outlive it.
+     * @param place Where the router stands; must outlive it.
+     * @param limits Limits; must outlive them.
+     * @param loads Loads by endpoint; missing ones are added. Those of endpoints in the view may not be removed.
      */
     placement(const registry_view& view, const router_place& place, const dispatch_limits& limits,
-              const std::set<host_id>* routers, std::map<endpoint_id, endpoint_load>& loads, time_point now);
+              std::map<endpoint_id, endpoint_load>& loads)
+        : view_{&view}, place_{&place}, limits_{&limits}, loads_{&loads} {}
+    placement(const placement&) = delete;
+    placement(placement&&) = delete;
+    placement& operator=(const placement&) = delete;
+    placement& operator=(placement&&) = delete;
+    ~placement() = default;
+
+    /*! @brief Names all routers, on which shares of cold endpoints depend. @param complete False if there may be
+     * others: cold endpoints stay empty until that is known. */
+    void set_routers(std::set<host_id> routers, bool complete);
+
+    /*! @brief One more router. */
+    void add_router(const host_id& router);
+
+    /*! @brief All routers that are known. */
+    [[nodiscard]] const std::set<host_id>& routers() const noexcept { return routers_; }
+
+    /*! @brief Looks at all endpoints. To be called first, with a configuration in the view. @param now Time. */
+    void look(time_point now);
 
     /*! @brief Rates the endpoints for a call. @param item The call. @param team Rank of its team. */
     [[nodiscard]] choices consider(const work_item& item, const team_rank& team);
@@ -88,8 +115,12 @@
     const registry_view* view_;
     const router_place* place_;
     const dispatch_limits* limits_;
-    const std::set<host_id>* routers_;
-    time_point now_;
+    std::map<endpoint_id, endpoint_load>* loads_;
+    std::set<host_id> routers_{};
+    bool routers_complete_{true};
+    time_point now_{};
+    std::shared_ptr<const route_config> config_{}; //!< That the sites were found with.
+    std::optional<std::uint64_t> found_at_{};      //!< Revision of the view then; nothing if they have to be found.
     std::unordered_map<service_id, std::vector<site>> sites_{};
 };
 
--- a/src/dandelionbay/dispatch/team_usage.cpp
+++ b/src/dandelionbay/dispatch/team_usage.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/*! Reports of peers are searched for old ones this often: several times within the window. */
+constexpr duration expiry_interval = std::chrono::milliseconds{100};
+
 /*! Tells whether a team was refused more than now and then. */
 [[nodiscard]] bool lacks_service(double used, double denied) noexcept {
     return denied > team_usage::denied_share * used;
@@ -15,6 +18,22 @@
 
 } // namespace
 
+void team_usage::change_total(const team_id& team, const account& by) {
+    const auto it = totals_.try_emplace(team).first;
+    it->second.used += by.used;
+    it->second.denied += by.denied;
+    if (it->second.used < 1.0 && it->second.denied < 1.0) { // Rounding must not add up.
+        totals_.erase(it);
+    }
+    extremes_known_ = false;
+}
+
+void team_usage::forget(const peer_report& it) {
+    for (const auto& part : it.teams) {
+        change_total(part.team, account{-part.cost, -part.denied});
+    }
+}
+
 void team_usage::expire(time_point now) {
     while (!charges_.empty() && now - charges_.front().at >= window) {
         const auto& oldest = charges_.front();
@@ -25,19 +44,28 @@
                 own_.erase(it);
             }
         }
+        change_total(oldest.team, account{-oldest.amount.used, -oldest.amount.denied});
         charges_.pop_front();
     }
-    std::erase_if(peers_, [&](const auto& it) { return now - it.second.at >= window; });
+    if (now - peers_looked_at_ < expiry_interval) {
+        return;
+    }
+    peers_looked_at_ = now;
+    std::erase_if(peers_, [&](const auto& it) {
+        const bool old = now - it.second.at >= window;
+        if (old) {
+            forget(it.second);
+        }
+        return old;
+    });
 }
 
 void team_usage::charge_team(const team_id& team, const account& amount, time_point now) {
     charges_.push_back(charge{now, team, amount});
-    for (auto* const sums : {&own_, &totals_}) {
-        auto& it = (*sums)[team];
-        it.used += amount.used;
-        it.denied += amount.denied;
-    }
-    extremes_known_ = false; // The team may be the least served one.
+    auto& own = own_[team];
+    own.used += amount.used;
+    own.denied += amount.denied;
+    change_total(team, amount);
 }
 
 void team_usage::add(const team_id& team, double cost, time_point now) {
@@ -54,8 +82,7 @@
     }
     charges_.erase(it);
     own_[team].used -= cost;
-    totals_[team].used -= cost;
-    extremes_known_ = false;
+    change_total(team, account{-cost, 0.0});
 }
 
 void team_usage::deny(const team_id& team, double cost, time_point now) {
@@ -64,32 +91,15 @@
 
 void team_usage::report(const host_id& peer, const std::vector<team_service>& teams, time_point now) {
     auto& it = peers_[peer];
-    it.at = now;
-    it.teams.clear();
+    forget(it);
+    it = peer_report{now, teams};
     for (const auto& part : teams) {
-        it.teams.emplace(part.team, account{part.cost, part.denied});
-    }
-}
-
-void team_usage::sum_up(time_point now) {
-    if (summed_ && now - *summed_ < sum_interval) {
-        return;
-    }
-    expire(now);
-    summed_ = now;
-    extremes_known_ = false;
-    totals_ = own_;
-    for (const auto& [peer, it] : peers_) {
-        for (const auto& [team, part] : it.teams) {
-            auto& sum = totals_[team];
-            sum.used += part.used;
-            sum.denied += part.denied;
-        }
+        change_total(part.team, account{part.cost, part.denied});
     }
 }
 
 void team_usage::find_extremes(time_point now) {
-    sum_up(now);
+    expire(now);
     if (std::exchange(extremes_known_, true)) {
         return;
     }
@@ -104,7 +114,7 @@
 }
 
 double team_usage::used(const team_id& team, time_point now) {
-    sum_up(now);
+    expire(now);
     const auto it = totals_.find(team);
     return it == totals_.end() ? 0.0 : it->second.used;
 }
@@ -115,7 +125,7 @@
 }
 
 bool team_usage::refused(const team_id& team, time_point now) {
-    sum_up(now);
+    expire(now);
     const auto it = totals_.find(team);
     return it != totals_.end() && lacks_service(it->second.used, it->second.denied);
 }
--- a/src/dandelionbay/dispatch/team_usage.hpp
+++ b/src/dandelionbay/dispatch/team_usage.hpp
@@ -38,17 +38,22 @@
         account amount{};
     };
 
+    struct peer_report {
+        time_point at{};
+        std::vector<team_service> teams{};
+    };
+
+    /*! Changes a team's total; a team without any is forgotten. */
+    void change_total(const team_id& team, const account& by);
+    void forget(const peer_report& it);
     void expire(time_point now);
     void charge_team(const team_id& team, const account& amount, time_point now);
-    void sum_up(time_point now);
     void find_extremes(time_point now);
 
 public:
     /*! @brief Length of the window. */
     static constexpr duration window = std::chrono::seconds{4}; // The time over which shares are to be even.
 
-    /*! @brief Peers' reports are added up this often; they come less often. Own work counts at once. */
-    static constexpr duration sum_interval = std::chrono::milliseconds{20};
     /*! @brief A team counts as refused if that is more than this share of what it got. */
     static constexpr double denied_share = 0.05;
 
@@ -85,19 +90,14 @@
     [[nodiscard]] std::vector<team_service> own(time_point now);
 
 private:
-    struct peer_report {
-        time_point at{};
-        std::map<team_id, account> teams{};
-    };
-
     std::deque<charge> charges_{};
     std::map<team_id, account> own_{};
     std::map<host_id, peer_report> peers_{};
-    std::map<team_id, account> totals_{}; //!< Over all routers: peers as of the last sum, and all own work.
+    std::map<team_id, account> totals_{}; //!< Over all routers.
     double least_denied_{};
     double most_{};
-    std::optional<time_point> summed_{};
     bool extremes_known_{};
+    time_point peers_looked_at_{}; //!< When reports were last searched for old ones.
 };
 
 } // namespace dandelionbay
--- a/src/dandelionbay/gateway/registry_view.cpp
+++ b/src/dandelionbay/gateway/registry_view.cpp
@@ -25,6 +25,7 @@
         return false;
     }
     config_ = std::move(next);
+    ++revision_;
     return true;
 }
 
@@ -49,9 +50,12 @@
         return false;
     }
     note_returned_zones(next);
-    zones_out_.clear();
-    for (const auto& it : next.zones_out) {
-        zones_out_.insert(it.zone);
+    if (next.zones_out != operators_.zones_out) {
+        zones_out_.clear();
+        for (const auto& it : next.zones_out) {
+            zones_out_.insert(it.zone);
+        }
+        ++revision_;
     }
     operators_ = next;
     if (config_ == nullptr || config_->version < next.config_version) {
@@ -98,6 +102,7 @@
     }
     merge_entries(next, now);
     list_ = next;
+    ++revision_;
     endpoints_read_ = std::max(endpoints_read_.value_or(read_at), read_at);
     expire(now);
     return true;
@@ -123,8 +128,9 @@
 }
 
 void registry_view::expire(time_point now) {
-    std::erase_if(endpoints_,
-                  [&](const auto& item) { return !item.second.present && !may_come_back(item.second, now); });
+    const auto gone = std::erase_if(
+        endpoints_, [&](const auto& item) { return !item.second.present && !may_come_back(item.second, now); });
+    revision_ += gone > 0 ? 1 : 0;
     std::erase_if(leaving_, [&](const auto& item) {
         return !endpoints_.contains(item.first) && now - item.second.noted >= leaving_kept;
     });
@@ -143,6 +149,7 @@
     found->second = remembered_leaving{it.started, now};
     if (const auto known = endpoints_.find(it.id); known != endpoints_.end()) {
         known->second.said_leaving = said_leaving(known->second.entry);
+        ++revision_;
     }
     return true;
 }
--- a/src/dandelionbay/gateway/registry_view.hpp
+++ b/src/dandelionbay/gateway/registry_view.hpp
@@ -155,6 +155,9 @@
     /*! @brief All known endpoints by name. */
     [[nodiscard]] const std::map<endpoint_id, known_endpoint>& endpoints() const noexcept { return endpoints_; }
 
+    /*! @brief Changes whenever the configuration, the endpoints or which of them may get new work changes. */
+    [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
+
     /*! @brief Tells whether an endpoint may get new work. @param it The endpoint. */
     [[nodiscard]] bool takes_work(const known_endpoint& it) const;
 
@@ -172,6 +175,7 @@
     std::optional<time_point> operators_read_{};
     std::optional<time_point> endpoints_read_{};
     std::optional<time_point> store_returned_{};
+    std::uint64_t revision_{};
     bool store_failing_{};
 };
 
--- a/src/dandelionbay/peer/peer_board.cpp
+++ b/src/dandelionbay/peer/peer_board.cpp
@@ -189,19 +189,23 @@
     }
 }
 
-void peer_board::take_loads(const peer_state& in, time_point now) {
-    std::set<endpoint_id> told;
+void peer_board::take_loads(const peer_state& in, peer& from, time_point now) {
+    std::vector<endpoint_id> loaded;
+    loaded.reserve(in.loads.size());
     for (const auto& it : in.loads) {
-        told.insert(it.endpoint);
+        loaded.push_back(it.endpoint);
         if (view_->endpoints().contains(it.endpoint)) {
             dispatch_->load(it.endpoint).report(in.host, it.work, now);
         }
     }
-    for (auto& [id, load] : dispatch_->loads()) {
-        if (!told.contains(id)) {
-            load.report(in.host, {}, now);
+    std::ranges::sort(loaded);
+    for (const auto& id : from.loaded) {
+        if (const auto it = dispatch_->loads().find(id);
+            it != dispatch_->loads().end() && !std::ranges::binary_search(loaded, id)) {
+            it->second.report(in.host, {}, now);
         }
     }
+    from.loaded = std::move(loaded);
     for (const auto& use : in.part_uses) {
         if (view_->endpoints().contains(use.endpoint)) {
             dispatch_->load(use.endpoint).parts().use(use.part.id, use.part.tokens);
@@ -280,7 +284,7 @@
         }
     }
     take_evidence(in, out, now);
-    take_loads(in, now);
+    take_loads(in, known, now);
     take_losses(in, out, now);
     for (const auto& endpoint : in.endpoints_leaving) {
         if (view_->note_leaving(endpoint, now)) {
--- a/src/dandelionbay/peer/peer_board.hpp
+++ b/src/dandelionbay/peer/peer_board.hpp
@@ -83,14 +83,15 @@
         std::uint64_t config_version{};
         std::int64_t operators_age_us{-1};
         std::int64_t list_age_us{-1};
-        fact_request asks{};            //!< Not answered yet.
-        bool greeted{};                 //!< It was told of all peers.
-        std::vector<part_use> untold{}; //!< Uses of parts that it was not told yet.
+        fact_request asks{};               //!< Not answered yet.
+        bool greeted{};                    //!< It was told of all peers.
+        std::vector<endpoint_id> loaded{}; //!< Endpoints at which it has calls, in order.
+        std::vector<part_use> untold{};    //!< Uses of parts that it was not told yet.
     };
 
     [[nodiscard]] static std::int64_t age_us(const std::optional<duration>& age) noexcept;
     void take_evidence(const peer_state& in, peer_change& out, time_point now);
-    void take_loads(const peer_state& in, time_point now);
+    void take_loads(const peer_state& in, peer& from, time_point now);
     void take_losses(const peer_state& in, peer_change& out, time_point now);
     void follow_routers(time_point now);
     void note_facts(const peer_state& in, peer& from, bool found, time_point now);
--- a/src/dandelionbay/proxy/call_record.hpp
+++ b/src/dandelionbay/proxy/call_record.hpp
@@ -28,13 +28,13 @@
     duration waited{};                    //!< From the arrival to the newest placement or the refusal.
     duration list_age{};                  //!< Age of the list of endpoints at that placement.
     double cost{};                        //!< Cost units: tokens, generated ones twice.
-    duration target{};    //!< Time to the first event, or the whole answer, that serves its caller well.
-    duration read_late{}; //!< How late the event loop ran when the call was read.
-    std::optional<team_rank> rank{};      //!< Of its team at the newest placement or the refusal.
-    double ahead_ms{};                    //!< Expected wait behind other calls, if it was refused.
-    std::optional<duration> first{};      //!< From the arrival to the first event.
-    duration total{};                     //!< From the arrival until this was recorded.
-    std::size_t waiting_calls{};          //!< At this router, when this was recorded.
+    duration target{};               //!< Time to the first event, or the whole answer, that serves its caller well.
+    duration read_late{};            //!< How late the event loop ran when the call was read.
+    std::optional<team_rank> rank{}; //!< Of its team at the newest placement or the refusal.
+    double ahead_ms{};               //!< Expected wait behind other calls, if it was refused.
+    std::optional<duration> first{}; //!< From the arrival to the first event.
+    duration total{};                //!< From the arrival until this was recorded.
+    std::size_t waiting_calls{};     //!< At this router, when this was recorded.
 };
 
 /*! @brief Writes that an attempt failed. @param reason Why. */
