Let a team lack service by lateness, and not be charged for what it waited for in vain

A full queue refused whoever came next, before the order.

What began after its target counts as lack; what ended after its target before it began is taken back and counts as lack; what a caller gives up before its target stays charged (docs/fairness.md says why).

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -80,7 +80,7 @@
     for (std::size_t n = 0; n + 1 < item.parts.size() && part_uses_.size() < most_part_uses; ++n) {
         part_uses_.push_back(part_use{entry.id, item.parts[n]});
     }
-    placed_[item.ticket] = placed_call{entry.id, item.team, item.cost(), now};
+    placed_[item.ticket] = placed_call{entry.id, item.team, item.cost(), now, item.arrived, item.target, false};
     usage_.add(item.team, item.cost(), now);
     listener_->placed(item.ticket, choice);
 }
@@ -150,9 +150,31 @@
     }
 }
 
+bool dispatcher::make_room(const work_item& item, time_point now) {
+    if (!rank_of(item, now).goes_first()) {
+        return false;
+    }
+    const double used = usage_.used(item.team, now);
+    auto most = used / limits_.behind_share;
+    std::optional<ticket_id> last; // The newest call of the most served team.
+    for (const auto& [ticket, it] : waiting_) {
+        if (const double other = usage_.used(it.item.team, now); it.item.team != item.team && other >= most) {
+            most = other;
+            last = ticket;
+        }
+    }
+    if (!last) {
+        return false;
+    }
+    refusal why;
+    why.code = result_code::router_queue_full;
+    refuse_waiting(*last, why, now);
+    return waiting_.size() < most_waiting_;
+}
+
 void dispatcher::submit(work_item item, time_point now) {
     const auto ticket = item.ticket;
-    if (view_->config() == nullptr || waiting_.size() >= most_waiting_) {
+    if (view_->config() == nullptr || (waiting_.size() >= most_waiting_ && !make_room(item, now))) {
         refusal why;
         why.code = result_code::router_queue_full;
         refuse(item, why, now);
@@ -206,7 +228,11 @@
 
 void dispatcher::started(ticket_id ticket, time_point now) {
     if (const auto it = placed_.find(ticket); it != placed_.end()) {
-        loads_[it->second.endpoint].started(ticket, now);
+        auto& call = it->second;
+        if (!std::exchange(call.begun, true) && now - call.arrived > call.target) {
+            usage_.deny(call.team, call.cost, now); // Late service does not show that a team lacks none.
+        }
+        loads_[call.endpoint].started(ticket, now);
     }
 }
 
@@ -214,8 +240,12 @@
     if (const auto it = placed_.find(ticket); it != placed_.end()) {
         const auto& call = it->second;
         auto& load = loads_[call.endpoint];
-        if (!load.has_started(ticket) && (failed || load.stalled(now))) { // The team got nothing for it.
+        const bool in_vain = now - call.arrived > call.target; // Its caller waited longer than it should have to.
+        if (!call.begun && (failed || in_vain || load.stalled(now))) { // The team got nothing for it.
             usage_.take_back(call.team, call.cost, call.at);
+            if (in_vain) {
+                usage_.deny(call.team, call.cost, now);
+            }
         }
         load.ended(ticket, failed, now);
         placed_.erase(it);
--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -59,6 +59,9 @@
         team_id team{};
         double cost{};
         time_point at{};
+        time_point arrived{};
+        duration target{};
+        bool begun{};
     };
     struct peer_queues {
         std::vector<service_queue> queues{};
@@ -77,6 +80,9 @@
     void place(const work_item& item, const placement::candidate& to, const team_rank& team, time_point now);
     void refuse(const work_item& item, refusal why, time_point now);
     void refuse_waiting(ticket_id ticket, const refusal& why, time_point now);
+
+    /*! Refuses a waiting call of a team that got much more than this call's. @return False if none waits. */
+    bool make_room(const work_item& item, time_point now);
     [[nodiscard]] std::vector<ticket_id> order(time_point now);
     void decide_all(time_point now);
     void decide(ticket_id ticket, queue_states& queues, time_point now);
--- a/src/dandelionbay/dispatch/endpoint_load.cpp
+++ b/src/dandelionbay/dispatch/endpoint_load.cpp
@@ -74,11 +74,6 @@
     failure_rate_ -= newest_share * failure_rate_;
 }
 
-bool endpoint_load::has_started(ticket_id ticket) const {
-    const auto it = running_.find(ticket);
-    return it != running_.end() && it->second.started;
-}
-
 void endpoint_load::ended(ticket_id ticket, bool failed, time_point now) {
     const auto it = running_.find(ticket);
     if (it == running_.end()) {
--- a/src/dandelionbay/dispatch/endpoint_load.hpp
+++ b/src/dandelionbay/dispatch/endpoint_load.hpp
@@ -74,9 +74,6 @@
     /*! @brief A call's answer began. @param ticket Its name. @param now Time. */
     void started(ticket_id ticket, time_point now);
 
-    /*! @brief Tells whether the answer of a call in flight began. */
-    [[nodiscard]] bool has_started(ticket_id ticket) const;
-
     /*! @brief A call ended. @param ticket Its name. @param failed The endpoint failed it. @param now Time. */
     void ended(ticket_id ticket, bool failed, time_point now);
 
