Ask whether a call is wanted still when the connection to its endpoint is made

It is looked at again then; a call that nobody waits for, or whose time is over, is not sent and counts as not run. The test is of the new question, so it could not fail before.

--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -251,6 +251,16 @@
     if (why == request_failure::broken) {
         note_lost_run(now);
     }
+    if (why == request_failure::unwanted) {
+        --runs_;
+        end_attempt(false);
+        if (caller_ != nullptr && !caller_->left()) {
+            refuse(504, result_code::deadline_exceeded, {});
+        } else {
+            finish("caller_gone", 0);
+        }
+        return;
+    }
     end_attempt(true);
     try_again(why == request_failure::broken ? "connection_broken" : "garbage", true);
 }
@@ -265,6 +275,10 @@
     if (client->busy()) {
         client->close();
         return;
+bool exchange::wanted() {
+    return caller_ != nullptr && !caller_->left() && time_left(owner_->now()) > duration{};
+}
+
     }
     owner_->pool().put(std::move(client), answer_.idle_timeout.value_or(duration{}), now);
 }
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -108,6 +108,7 @@
 
     [[nodiscard]] bool on_head(const response_head& head) override;
     void on_body(std::string bytes) override;
+    [[nodiscard]] bool wanted() override;
     void on_complete() override;
     void on_failed(request_failure why) override;
 
--- a/src/dandelionbay/proxy/http_connection.cpp
+++ b/src/dandelionbay/proxy/http_connection.cpp
@@ -43,6 +43,10 @@
 
 void http_connection::on_connected() {
     connected_ = true;
+    if (handler_ != nullptr && !handler_->wanted()) {
+        const auto self = shared_from_this();
+        fail(request_failure::unwanted);
+    }
 }
 
 void http_connection::on_bytes(std::string_view bytes) {
--- a/src/dandelionbay/proxy/http_connection.hpp
+++ b/src/dandelionbay/proxy/http_connection.hpp
@@ -20,6 +20,7 @@
 /*! @brief How a request failed. */
 enum class request_failure : std::uint8_t {
     not_sent, //!< No connection was made; the request can't have run.
+    unwanted, //!< Its caller had left before a connection was made; it was not sent.
     broken,   //!< The connection ended before the answer was complete.
     garbage   //!< What came is no answer.
 };
@@ -34,6 +35,9 @@
     response_handler& operator=(response_handler&&) = delete;
     virtual ~response_handler() = default;
 
+    /*! @brief Asked when the connection is made: tells whether the request is to be sent still. */
+    [[nodiscard]] virtual bool wanted() { return true; }
+
     /*! @brief Tells whether an answer belongs to the request; others are read and dropped. */
     [[nodiscard]] virtual bool on_head(const response_head& head) = 0;
 
--- a/test/dandelionbay/proxy/http_connection_test.cpp
+++ b/test/dandelionbay/proxy/http_connection_test.cpp
@@ -19,7 +19,7 @@
 using boost::system::error_code;
 
 /*! Counts what it hears of one request. */
-class noted_answer final : public response_handler {
+class noted_answer : public response_handler {
 public:
     [[nodiscard]] bool on_head(const response_head& head) override {
         status = head.status;
@@ -163,5 +163,23 @@
     EXPECT_EQ(noted.failed, 1);
 }
 
+// Guards against calls that are sent on after their callers have left, while the connection to the endpoint was made
+// (GONE).
+TEST_F(http_connection_test, a_request_whose_caller_has_left_when_the_connection_is_made_is_not_sent) {
+    class left_caller final : public noted_answer {
+    public:
+        [[nodiscard]] bool wanted() override { return false; }
+    };
+    left_caller handler;
+    const auto late = std::make_shared<http_connection>(
+        loop, socket_address{"127.0.0.1", acceptor.local_endpoint().port()}, milliseconds{500});
+    late->start();
+    late->send("GET / HTTP/1.1\r\n\r\n", false, &handler);
+    endpoint = acceptor.accept();
+    run();
+    EXPECT_EQ(handler.failed, 1);
+    EXPECT_EQ(read_all().first, 0);
+}
+
 } // namespace
 } // namespace dandelionbay
