Take only what names its call for an answer, and only a stream to go on with a stream

A refusal without a call's id that an endpoint wrote once more before the real answer was believed: the caller was told 'not run' while the endpoint ran its call; one with another call's id was passed over, but paused its endpoint and made it count as cold or leaving. Endpoints name the call of each answer, so one without a name is nobody's, whatever its status, and what a foreign answer asks for is not done.

After three events of one endpoint, the text of a second one's answer that was no stream stood in the caller's stream, which then ended as if it were complete; so it did after 204. What goes on with a stream has to be a series of events with ids, to its end; else the stream is cut. Looked for the same: the probe of listening reads no answer; a call is never sent twice to one endpoint; connections to the registry with unread bytes are not used again.

--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -152,6 +152,7 @@
     bool begun_{};     //!< The caller has the head of the answer.
     std::optional<std::uint64_t> last_event_{};
     std::optional<time_point> first_event_at_{};
+    bool goes_on_{};   //!< The answer goes on with what an earlier run began.
     time_point next_move_{}; //!< When it may look for another endpoint again.
     time_point sent_at_{};   //!< When it was sent, or its newest event came.
     bool paused_{};
--- a/src/dandelionbay/proxy/exchange_answer.cpp
+++ b/src/dandelionbay/proxy/exchange_answer.cpp
@@ -10,6 +10,17 @@
 
 namespace dandelionbay {
 
+namespace {
+
+/*! Tells whether the body of an answer is a series of events. */
+[[nodiscard]] bool is_event_stream(const response_head& head) {
+    constexpr int status_ok = 200;
+    const auto type = find_field(head.fields, "Content-Type");
+    return head.status == status_ok && same_field(type.substr(0, type.find(';')), "text/event-stream");
+}
+
+} // namespace
+
 void exchange::note_wishes(const answer_terms& answer) {
     const auto& env = owner_->environment();
     const auto now = owner_->now();
@@ -31,15 +42,15 @@
 bool exchange::on_head(const response_head& head) {
     const auto& env = owner_->environment();
     const auto answer = env.protocol->read_answer(head);
-    note_wishes(answer);
     if (!answer.id.empty() && answer.id != terms_.id) {
         env.metrics->add("foreign_answers_total");
         return false;
     }
-    if (answer.id.empty() && head.status / 100 == 2) { // It may be a late copy of an earlier answer.
+    if (answer.id.empty()) { // Endpoints name the call of each answer; this may be a copy of an earlier one.
         env.metrics->add("nameless_answers_total");
         return false;
     }
+    note_wishes(answer);
     const auto now = owner_->now();
     owner_->dispatch().heard(choice_.endpoint, now);
     head_ = head;
@@ -47,7 +58,9 @@
     if (answer_.cold_for) {
         env.view->note_cold(choice_.endpoint, *answer_.cold_for, now);
     }
-    streaming_ = route_->kind == call_kind::streaming && head.status / 100 == 2 && answer_.sealed && !answer_.encoded;
+    goes_on_ = begun_;
+    streaming_ = route_->kind == call_kind::streaming && head.status / 100 == 2 && answer_.sealed && !answer_.encoded &&
+                 (!goes_on_ || is_event_stream(head));
     return true;
 }
 
@@ -67,7 +80,8 @@
         if (event->id && last_event_ && *event->id <= *last_event_) {
             continue; // The caller has it from an earlier run.
         }
-        if (event->id && last_event_ && begun_ && *event->id != *last_event_ + 1) {
+        if ((goes_on_ && !event->id) ||
+            (event->id && last_event_ && begun_ && *event->id != *last_event_ + 1)) { // No part of this stream.
             owner_->environment().metrics->add("stream_gaps_total");
             on_failed(request_failure::garbage);
             return;
@@ -129,7 +143,7 @@
     const auto rest = scanner_.rest();
     const bool ended_by_close =
         !has_field(head_->fields, "Content-Length") && !has_field(head_->fields, "Transfer-Encoding");
-    if (ended_by_close && !rest.empty()) { // An endpoint that ends in order does so between events.
+    if ((ended_by_close || goes_on_) && !rest.empty()) { // An endpoint that ends in order does so between events.
         on_failed(request_failure::broken);
         return;
     }
