Turn calls away at once that a late host can't begin in time

The class is a queue before the decision that nothing bounds.

A call's time counts from when its bytes may have come. A call that can't begin within its target, by how long it may have waited and by how late two turns in a row were, is answered 503 router_overloaded as not run, may come again after 50 ms, and its connection ends, so that its caller comes to another host. It counts as refused for its team.

--- a/src/dandelionbay/base/result_code.hpp
+++ b/src/dandelionbay/base/result_code.hpp
@@ -29,6 +29,7 @@
     queue_timeout = 2003,
     retry_budget_exhausted = 2004,
     no_endpoint_in_service = 2005,
+    router_overloaded = 2006,
     // A part of the fleet admits no work in its present state.
     stopping = 3001,
     zone_out_of_service = 3002,
--- a/src/dandelionbay/proxy/caller_connection.cpp
+++ b/src/dandelionbay/proxy/caller_connection.cpp
@@ -61,6 +61,7 @@
         if (!reading_ && reader_->begun()) {
             reading_ = true;
             since_ = owner_->now();
+            read_delay_ = owner_->read_delay();
         }
         const auto result = reader_->read();
         if (result == read_result::complete) {
@@ -84,7 +85,7 @@
 }
 
 void caller_connection::take_request() {
-    const auto arrived = since_;
+    const auto arrived = since_ - read_delay_;
     auto request = reader_->take();
     reading_ = false;
     keep_ = request.keep_alive;
--- a/src/dandelionbay/proxy/caller_connection.hpp
+++ b/src/dandelionbay/proxy/caller_connection.hpp
@@ -33,6 +33,9 @@
     /*! @brief Starts to read. */
     void start();
 
+    /*! @brief The connection ends with the answer that is due. */
+    void end_after_answer() noexcept { keep_ = false; }
+
     /*! @brief Sends a whole answer. @param head Without framing. @param body Its body. */
     void respond(response_head head, std::string_view body);
 
@@ -74,9 +77,10 @@
     std::shared_ptr<channel> channel_;
     std::unique_ptr<request_reader> reader_;
     std::shared_ptr<exchange> exchange_{};
-    time_point since_; //!< Start of the wait for a request, or of its reading.
-    bool reading_{};   //!< A request has begun.
-    bool keep_{true};  //!< The connection stays open after the answer.
+    time_point since_;      //!< Start of the wait for a request, or of its reading.
+    duration read_delay_{}; //!< Time for which the request may have waited before its reading began.
+    bool reading_{};        //!< A request has begun.
+    bool keep_{true};       //!< The connection stays open after the answer.
     bool in_read_{};
 };
 
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -22,7 +22,7 @@
 constexpr duration short_idle = milliseconds{500};
 /*! When a call that no endpoint has run may come again. */
 constexpr duration usual_return = milliseconds{500};
-/*! When a call that this process can't finish may come again; it reaches another process. */
+/*! When a call that this process can't serve in time, or can't finish, may come again; it reaches another one. */
 constexpr duration short_return = milliseconds{50};
 /*! Time beyond the expected one after which a repeatable call counts as lost: about twice the usual target. */
 constexpr duration lost_stream = milliseconds{1'200};
@@ -38,7 +38,7 @@
 
 exchange::exchange(proxy& owner, caller_connection& caller, http_request request, ticket_id ticket, time_point arrived)
     : owner_{&owner}, caller_{&caller}, request_{std::move(request)}, ticket_{ticket}, arrived_{arrived},
-      read_late_{owner.lateness()} {}
+      read_late_{owner.read_delay()} {}
 
 duration exchange::time_left(time_point now) const noexcept {
     return limit_ - now;
@@ -84,6 +84,10 @@
         team_ = team->id;
         team_regions_ = team->home_regions;
     }
+    if (!owner_->can_serve(route_->target_latency)) {
+        turn_away(now);
+        return false;
+    }
     if (crashes_endpoints()) {
         refuse_as_crashing();
         return false;
@@ -98,6 +102,12 @@
     return true;
 }
 
+void exchange::turn_away(time_point now) {
+    owner_->dispatch().usage().deny(team_, work().cost(), now);
+    caller_->end_after_answer();
+    refuse(503, result_code::router_overloaded, short_return);
+}
+
 void exchange::start() {
     const auto now = owner_->now();
     if (!admit(now)) {
@@ -241,16 +251,6 @@
     }
     const auto now = owner_->now();
     body_ = std::string{}; // Its memory is needed while the call waits for another endpoint.
-    if (why == request_failure::not_sent) {
-        --runs_;
-        owner_->unreachable(choice_.endpoint);
-        end_attempt(true);
-        try_again("unreachable", false);
-        return;
-    }
-    if (why == request_failure::broken) {
-        note_lost_run(now);
-    }
     if (why == request_failure::unwanted) {
         --runs_;
         end_attempt(false);
@@ -261,10 +261,24 @@
         }
         return;
     }
+    if (why == request_failure::not_sent) {
+        --runs_;
+        owner_->unreachable(choice_.endpoint);
+        end_attempt(true);
+        try_again("unreachable", false);
+        return;
+    }
+    if (why == request_failure::broken) {
+        note_lost_run(now);
+    }
     end_attempt(true);
     try_again(why == request_failure::broken ? "connection_broken" : "garbage", true);
 }
 
+bool exchange::wanted() {
+    return caller_ != nullptr && !caller_->left() && time_left(owner_->now()) > duration{};
+}
+
 void exchange::end_attempt(bool failed) {
     const auto now = owner_->now();
     owner_->dispatch().ended(ticket_, failed, now);
@@ -275,10 +289,6 @@
     if (client->busy()) {
         client->close();
         return;
-bool exchange::wanted() {
-    return caller_ != nullptr && !caller_->left() && time_left(owner_->now()) > duration{};
-}
-
     }
     owner_->pool().put(std::move(client), answer_.idle_timeout.value_or(duration{}), now);
 }
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -24,6 +24,8 @@
     enum class stage : std::uint8_t { waiting, running, done };
 
     [[nodiscard]] bool admit(time_point now);
+    /*! Refuses it because this host is too late for it, and ends the connection: other hosts may have time. */
+    void turn_away(time_point now);
     [[nodiscard]] work_item work() const;
     void submit(time_point now);
 
@@ -106,9 +108,9 @@
     /*! @brief Ends it because the process stops. */
     void abandon();
 
+    [[nodiscard]] bool wanted() override;
     [[nodiscard]] bool on_head(const response_head& head) override;
     void on_body(std::string bytes) override;
-    [[nodiscard]] bool wanted() override;
     void on_complete() override;
     void on_failed(request_failure why) override;
 
@@ -150,9 +152,9 @@
     event_scanner scanner_{};
     bool streaming_{}; //!< The answer is passed on event by event.
     bool begun_{};     //!< The caller has the head of the answer.
+    bool goes_on_{};   //!< The answer goes on with what an earlier run began.
     std::optional<std::uint64_t> last_event_{};
     std::optional<time_point> first_event_at_{};
-    bool goes_on_{};   //!< The answer goes on with what an earlier run began.
     time_point next_move_{}; //!< When it may look for another endpoint again.
     time_point sent_at_{};   //!< When it was sent, or its newest event came.
     bool paused_{};
--- a/src/dandelionbay/proxy/overload_gauge.cpp
+++ b/src/dandelionbay/proxy/overload_gauge.cpp
@@ -1,12 +1,14 @@
 #include "dandelionbay/proxy/overload_gauge.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace dandelionbay {
 
 bool overload_gauge::turned(duration late, time_point now) noexcept {
     const auto passed = std::clamp(now - turned_, duration{}, longest_turn);
     turned_ = now;
+    late_before_ = std::exchange(last_late_, std::max(duration{}, late));
     const double weight = precise{passed} / precise{memory};
     late_ += weight * (precise{std::clamp(late, duration{}, latest)} - late_);
     if (!overloaded_ && late_ > most_late) {
--- a/src/dandelionbay/proxy/overload_gauge.hpp
+++ b/src/dandelionbay/proxy/overload_gauge.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 
@@ -35,6 +36,13 @@
     /*! @brief An overload this soon after the last one doubles the time. */
     static constexpr duration relapse_within = std::chrono::seconds{30};
 
+    /*! @brief Turns of the loop until a call's first event: to accept it, to read it, to send it on and to read its
+     * answer. */
+    static constexpr int turns_of_call = 4;
+
+    /*! @brief The next turn is due at a known time. */
+    void expect(time_point due) noexcept { due_ = due; }
+
     /**
      * @brief A turn of the loop that was due at a known time came.
      * @param late How much later it came; negative counts as on time.
@@ -46,13 +54,31 @@
     /*! @brief Tells whether callers should go elsewhere. */
     [[nodiscard]] bool overloaded() const noexcept { return overloaded_; }
 
+    /*! @brief Longest time for which bytes that are read now may have waited for the loop. @param now Time. */
+    [[nodiscard]] duration read_delay(time_point now) const noexcept {
+        return std::max({duration{}, last_late_, now - due_});
+    }
+
+    /*! @brief Tells whether the loop lets a call that is read now begin in time. @param target Of the call. */
+    [[nodiscard]] bool can_serve(duration target, time_point now) const noexcept {
+        return read_delay(now) + repeated_lateness(now) * (turns_of_call - 1) <= target;
+    }
+
     /*! @brief Lateness of the loop in the mean of the last second. */
     [[nodiscard]] duration lateness() const noexcept { return std::chrono::duration_cast<duration>(late_); }
 
 private:
+    /*! Lateness of two turns that follow each other: a single one is past when the call comes to its next turn. */
+    [[nodiscard]] duration repeated_lateness(time_point now) const noexcept {
+        return std::max(std::min(late_before_, last_late_), std::min(last_late_, now - due_));
+    }
+
     using precise = std::chrono::duration<double, duration::period>;
 
     precise late_{};
+    duration last_late_{};   //!< Of the last turn.
+    duration late_before_{}; //!< Of the one before it.
+    time_point due_{time_point::max()};
     time_point turned_{};
     time_point rests_until_{};
     std::optional<time_point> ended_{}; //!< End of the last overload.
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -88,8 +88,10 @@
 
 void proxy::tick() {
     const auto interval = pacer_.interval(dispatcher_.waiting() > 0);
+    const auto next_turn = now() + interval;
+    gauge_.expect(next_turn);
     timer_.expires_after(interval);
-    timer_.async_wait([this, due = now() + interval](error_code ec) {
+    timer_.async_wait([this, due = next_turn](error_code ec) {
         if (ec || stopped_) {
             return;
         }
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -118,6 +118,12 @@
     /*! @brief How late the event loop runs. */
     [[nodiscard]] duration lateness() const noexcept { return gauge_.lateness(); }
 
+    /*! @brief Longest time for which bytes that are read now may have waited to be read. */
+    [[nodiscard]] duration read_delay() const noexcept { return gauge_.read_delay(now()); }
+
+    /*! @brief Tells whether this host can begin a call that is read now in time. @param target Of the call. */
+    [[nodiscard]] bool can_serve(duration target) const noexcept { return gauge_.can_serve(target, now()); }
+
     /*! @brief Tells whether callers may send further requests on their connections. */
     [[nodiscard]] bool keeps_callers() const noexcept {
         return !draining_ && !overloaded() && callers_.size() <= options_.max_connections / 2;
--- a/test/dandelionbay/proxy/overload_gauge_test.cpp
+++ b/test/dandelionbay/proxy/overload_gauge_test.cpp
@@ -72,6 +72,37 @@
     EXPECT_FALSE(it.run(seconds{5}, milliseconds{1}));
 }
 
+// Guards against the pattern "more calls than a small host can read": calls that waited before they were read count as
+// new, are taken in and begin long after their target, at a host that goes on like that.
+TEST(overload_gauge, a_host_that_is_late_again_and_again_serves_no_calls_that_it_cannot_begin_in_time) {
+    constexpr milliseconds target{600};
+    host it;
+    it.run(seconds{1}, milliseconds{5});
+    EXPECT_TRUE(it.gauge.can_serve(target, it.now));
+    it.run(seconds{1}, milliseconds{140});
+    EXPECT_TRUE(it.gauge.can_serve(target, it.now)) << "four such turns end in time";
+    it.run(seconds{1}, milliseconds{160});
+    EXPECT_EQ(it.gauge.read_delay(it.now), milliseconds{160});
+    EXPECT_FALSE(it.gauge.can_serve(target, it.now));
+    EXPECT_TRUE(it.gauge.can_serve(milliseconds{800}, it.now)) << "a call with more time is served";
+    {
+        SCOPED_TRACE("a turn that is overdue counts as late already");
+        it.run(seconds{1}, milliseconds{50});
+        it.gauge.expect(it.now + milliseconds{10});
+        EXPECT_TRUE(it.gauge.can_serve(target, it.now));
+        EXPECT_FALSE(it.gauge.can_serve(target, it.now + milliseconds{500}));
+        EXPECT_EQ(it.gauge.read_delay(it.now + milliseconds{500}), milliseconds{490});
+    }
+    {
+        SCOPED_TRACE("a single late turn is past when a call comes to its next one");
+        it.run(seconds{1}, milliseconds{1});
+        it.run(milliseconds{10}, milliseconds{300});
+        it.gauge.expect(it.now + milliseconds{10});
+        EXPECT_TRUE(it.gauge.can_serve(target, it.now));
+        EXPECT_FALSE(it.gauge.can_serve(milliseconds{250}, it.now)) << "it may have waited that long already";
+    }
+}
+
 // Guards against flapping: each time that the host is back the same callers overload it for some seconds, until it has
 // noticed and the balancer too.
 TEST(overload_gauge, a_host_that_is_overloaded_again_stays_out_for_longer) {
