--- a/src/dandelionbay/base/socket_address.cpp
+++ b/src/dandelionbay/base/socket_address.cpp
@@ -21,8 +21,8 @@
 absl::StatusOr<socket_address> parse_address(std::string_view text) {
     const auto colon = text.rfind(':');
     std::uint32_t port = 0;
-    if (colon == std::string_view::npos || !absl::SimpleAtoi(to_absl(text.substr(colon + 1)), &port) || port == 0 ||
-        port > 65'535) {
+    if (colon == std::string_view::npos || text.find_first_not_of("0123456789", colon + 1) != std::string_view::npos ||
+        !absl::SimpleAtoi(to_absl(text.substr(colon + 1)), &port) || port == 0 || port > 65'535) {
         return absl::InvalidArgumentError("expected IP address, colon and a port from 1 to 65535");
     }
     const bool bracketed = text.starts_with('[') && colon > 0 && text[colon - 1] == ']';
--- a/src/dandelionbay/config/json_reader.cpp
+++ b/src/dandelionbay/config/json_reader.cpp
@@ -74,13 +74,43 @@
     std::vector<level> levels_;
 };
 
+/*! Tells it from the text alone: the parsed value would take a hundred times its bytes. */
+[[nodiscard]] bool has_too_many_levels(std::string_view text) noexcept {
+    std::size_t levels = 0;
+    bool quoted = false;
+    for (std::size_t n = 0; n < text.size(); ++n) {
+        const char c = text[n];
+        if (quoted) {
+            n += c == '\\' ? 1 : 0; // The next character does not end the string.
+            quoted = c != '"';
+        } else if (c == '"') {
+            quoted = true;
+        } else if (c == '[' || c == '{') {
+            if (++levels > most_levels) {
+                return true;
+            }
+        } else if (c == ']' || c == '}') {
+            levels -= levels > 0 ? 1 : 0;
+        }
+    }
+    return false;
+}
+
 [[nodiscard]] bool is_name_character(char c) noexcept {
     return absl::ascii_isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' || c == '.';
 }
 
 } // namespace
 
+json parse_json(std::string_view text) {
+    return has_too_many_levels(text) ? json(json::value_t::discarded) : json::parse(text, nullptr, false);
+}
+
 json parse_json(std::string_view text, fault_list& faults) {
+    if (has_too_many_levels(text)) {
+        faults.push_back(concat("$: nested more than ", most_levels, " levels deep"));
+        return json(json::value_t::discarded);
+    }
     duplicate_finder duplicates{faults};
     const auto callback = [&](int /*depth*/, json::parse_event_t kind, json& parsed) {
         duplicates.event(kind, parsed);
--- a/src/dandelionbay/config/json_reader.hpp
+++ b/src/dandelionbay/config/json_reader.hpp
@@ -21,6 +21,12 @@
 /*! @brief Whether a key must be present. */
 enum class presence : std::uint8_t { required, optional };
 
+/*! @brief Levels that a document may have; configurations have six. */
+inline constexpr std::size_t most_levels = 64;
+
+/*! @brief Parses JSON text from outside. @return The value; discarded if it is not JSON or has too many levels. */
+[[nodiscard]] nlohmann::json parse_json(std::string_view text);
+
 /**
  * @brief Parses JSON text and reports keys that an object has twice.
  * @param text The text.
