--- a/test/dandelionbay/dispatch/shared_engines.hpp
+++ b/test/dandelionbay/dispatch/shared_engines.hpp
@@ -4,10 +4,8 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
@@ -16,6 +14,7 @@
 
 #include "dandelionbay/dispatch/dispatcher.hpp"
 #include "dandelionbay/peer/peer_board.hpp"
+#include "dandelionbay/soak/event_queue.hpp"
 
 namespace dandelionbay {
 
@@ -34,16 +33,6 @@
  * whose answer does not begin in time leaves.
  */
 class shared_engines {
-    using step = std::function<void()>;
-    struct event {
-        time_point at{};
-        std::uint64_t order{};
-        step run{};
-
-        [[nodiscard]] bool operator<(const event& other) const {
-            return std::pair{at, order} > std::pair{other.at, other.order}; // The queue's top is its greatest.
-        }
-    };
     struct open_call {
         std::size_t team{};
         double prompt{};
@@ -88,7 +77,7 @@
     };
 
 public:
-    static constexpr time_point start{std::chrono::seconds{1'000}};
+    static constexpr time_point start{std::chrono::hours{1}}; // Of the queue of events.
     static constexpr duration target{std::chrono::milliseconds{600}};
     /*! @brief Callers leave if the answer does not begin within this time. */
     static constexpr duration patience{std::chrono::milliseconds{2'400}};
@@ -135,27 +124,18 @@
             it->router.set_routers(hosts);
             const auto offset =
                 interval * static_cast<duration::rep>(it->number()) / static_cast<duration::rep>(routers);
-            at(start + offset, [this, &it, interval] { tell(*it, interval); });
-            at(start, [this, &it] { pump(*it); });
+            events_.at(start + offset, [this, &it, interval] { tell(*it, interval); });
+            events_.at(start, [this, &it] { pump(*it); });
         }
         const double mean = (least_prompt + largest_prompt) / 2.0;
         const double per_s = load * static_cast<double>(engines) * endpoint_load::first_rate * 1e3 / mean;
         service_.resize(teams_.size());
         for (std::size_t n = 0; n < teams_.size(); ++n) {
-            at(start, [this, n, rate = per_s * teams_[n].share] { ask_next(n, rate); });
+            events_.at(start, [this, n, rate = per_s * teams_[n].share] { ask_next(n, rate); });
         }
     }
 
-    void run_for(duration time) {
-        const auto end = now_ + time;
-        while (!events_.empty() && events_.top().at <= end) {
-            auto next = events_.top();
-            events_.pop();
-            now_ = next.at;
-            next.run();
-        }
-        now_ = end;
-    }
+    void run_for(duration time) { events_.run_until(events_.now() + time); }
 
     /**
      * @brief Least service of a team that lacked some in each second of a stretch.
@@ -165,7 +145,7 @@
      * what it asked for or of what the best served team got, whichever is less, second by second, less three calls.
      */
     [[nodiscard]] double least_part_of_due(std::size_t length, std::size_t first) const {
-        const auto seconds = static_cast<std::size_t>((now_ - start) / std::chrono::seconds{1});
+        const auto seconds = static_cast<std::size_t>((events_.now() - start) / std::chrono::seconds{1});
         double out = 1.0;
         for (std::size_t team = 0; team < service_.size(); ++team) {
             for (auto from = first; from + length <= seconds; ++from) {
@@ -194,14 +174,12 @@
                 got += it.got;
             }
         }
-        return got / (to_ms(now_ - start) * endpoint_load::first_rate * static_cast<double>(free_.size()));
+        return got / (to_ms(events_.now() - start) * endpoint_load::first_rate * static_cast<double>(free_.size()));
     }
 
 private:
-    void at(time_point when, step run) { events_.push(event{when, ++order_, std::move(run)}); }
-
     [[nodiscard]] second& this_second(std::size_t team) {
-        return service_[team][static_cast<std::size_t>((now_ - start) / std::chrono::seconds{1})];
+        return service_[team][static_cast<std::size_t>((events_.now() - start) / std::chrono::seconds{1})];
     }
 
     [[nodiscard]] second at_second(std::size_t team, std::size_t n) const {
@@ -218,13 +196,13 @@
     }
 
     void ask_next(std::size_t team, double per_s) {
-        const std::exponential_distribution<double> pause{per_s};
-        at(now_ + from_ms(1e3 * std::exponential_distribution<double>{pause}(random_)), [this, team, per_s] {
+        const double pause_s = std::exponential_distribution<double>{per_s}(random_);
+        events_.after(from_ms(1e3 * pause_s), [this, team, per_s] {
             open_call it;
             it.team = team;
             it.prompt = std::uniform_real_distribution<double>{least_prompt, largest_prompt}(random_);
             it.cost = it.prompt + 2.0 * output;
-            it.first_asked = now_;
+            it.first_asked = events_.now();
             this_second(team).asked += it.cost;
             submit(it);
             ask_next(team, per_s);
@@ -242,23 +220,23 @@
         it.prompt_tokens = call.prompt;
         it.output_tokens = output;
         it.target = target;
-        it.arrived = now_;
+        it.arrived = events_.now();
         const auto ticket = it.ticket;
         to.calls.emplace(ticket, call);
-        at(call.first_asked + patience, [this, &to, ticket] { leave(to, ticket); });
-        to.router.submit(std::move(it), now_);
+        events_.at(call.first_asked + patience, [this, &to, ticket] { leave(to, ticket); });
+        to.router.submit(std::move(it), events_.now());
     }
 
     void arrive(member& from, ticket_id ticket, const endpoint_choice& choice) {
         const auto engine = static_cast<std::size_t>(std::stoul(choice.endpoint.value.substr(1)));
-        at(now_ + way, [this, &from, ticket, engine, id = choice.endpoint] {
+        events_.after(way, [this, &from, ticket, engine, id = choice.endpoint] {
             const auto call = from.calls.find(ticket);
             if (call == from.calls.end()) {
                 return; // Its caller left while it was on its way.
             }
             auto& free = free_[engine];
-            free = std::max(free, now_) + from_ms(call->second.prompt / endpoint_load::first_rate);
-            at(free + first_step, [this, &from, ticket, id] { begin(from, ticket, id); });
+            free = std::max(free, events_.now()) + from_ms(call->second.prompt / endpoint_load::first_rate);
+            events_.at(free + first_step, [this, &from, ticket, id] { begin(from, ticket, id); });
         });
     }
 
@@ -271,11 +249,11 @@
         call.begun = true;
         auto& now = this_second(call.team);
         now.got += call.cost;
-        now.lacked = now.lacked || now_ - call.first_asked > target;
-        at_router.router.heard(id, now_);
-        at_router.router.started(ticket, now_);
-        at(now_ + generation, [this, &at_router, ticket] {
-            at_router.router.ended(ticket, false, now_);
+        now.lacked = now.lacked || events_.now() - call.first_asked > target;
+        at_router.router.heard(id, events_.now());
+        at_router.router.started(ticket, events_.now());
+        events_.after(generation, [this, &at_router, ticket] {
+            at_router.router.ended(ticket, false, events_.now());
             at_router.calls.erase(ticket);
         });
     }
@@ -288,7 +266,7 @@
         this_second(it->second.team).lacked = true;
         from.calls.erase(it);
         if (!from.router.withdraw(ticket)) {
-            from.router.ended(ticket, false, now_);
+            from.router.ended(ticket, false, events_.now());
         }
     }
 
@@ -299,36 +277,36 @@
         }
         auto call = node.mapped();
         this_second(call.team).lacked = true;
-        if (!std::exchange(call.again, true) && now_ + why.retry_after < call.first_asked + patience) {
-            at(now_ + why.retry_after, [this, call] { submit(call); });
+        if (!std::exchange(call.again, true) && events_.now() + why.retry_after < call.first_asked + patience) {
+            events_.after(why.retry_after, [this, call] { submit(call); });
         }
     }
 
     void pump(member& it) {
-        it.router.pump(now_);
-        at(now_ + std::chrono::milliseconds{8}, [this, &it] { pump(it); });
+        it.router.pump(events_.now());
+        events_.after(std::chrono::milliseconds{8}, [this, &it] { pump(it); });
     }
 
     void tell(member& from, duration interval) {
-        const auto teams = from.router.usage().own(now_);
+        const auto teams = from.router.usage().own(events_.now());
         const auto queues = from.router.queues();
         std::vector<std::pair<endpoint_id, endpoint_work>> work;
         for (const auto& [id, load] : from.router.loads()) {
-            work.emplace_back(id, load.own(now_));
+            work.emplace_back(id, load.own(events_.now()));
         }
-        at(now_ + way, [this, host = from.host(), teams, queues, work] {
+        events_.after(way, [this, host = from.host(), teams, queues, work] {
             for (auto& to : members_) {
                 if (to->host() == host) {
                     continue;
                 }
                 for (const auto& [id, it] : work) {
-                    to->router.load(id).report(host, it, now_);
+                    to->router.load(id).report(host, it, events_.now());
                 }
-                to->router.usage().report(host, teams, now_);
-                to->router.report_queues(host, queues, now_);
+                to->router.usage().report(host, teams, events_.now());
+                to->router.report_queues(host, queues, events_.now());
             }
         });
-        at(now_ + interval, [this, &from, interval] { tell(from, interval); });
+        events_.after(interval, [this, &from, interval] { tell(from, interval); });
     }
 
     std::vector<team_demand> teams_;
@@ -336,10 +314,8 @@
     std::mt19937_64 random_;
     std::vector<std::unique_ptr<member>> members_{};
     std::vector<std::map<std::size_t, second>> service_{}; //!< By team and second.
-    std::priority_queue<event> events_{};
-    std::uint64_t order_{};
     ticket_id last_{};
-    time_point now_{start};
+    soak::event_queue events_{};
 };
 
 } // namespace dandelionbay
--- a/test/dandelionbay/peer/board_fleet.hpp
+++ b/test/dandelionbay/peer/board_fleet.hpp
@@ -3,11 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <string>
 #include <utility>
 #include <vector>
@@ -15,6 +13,7 @@
 #include "board_router.hpp"
 #include "dandelionbay/base/text.hpp"
 #include "dandelionbay/peer/peer_links.hpp"
+#include "dandelionbay/soak/event_queue.hpp"
 
 namespace dandelionbay {
 
@@ -33,16 +32,6 @@
  * its own. All that crosses the regions shares one link each way, in the order in which it was sent.
  */
 class board_fleet {
-    using step = std::function<void()>;
-    struct event {
-        time_point at{};
-        std::uint64_t order{};
-        step run{};
-
-        [[nodiscard]] bool operator<(const event& other) const {
-            return std::pair{at, order} > std::pair{other.at, other.order}; // The queue's top is its greatest.
-        }
-    };
     /*! A member, and its connections to the others. */
     struct member {
         std::unique_ptr<board_router> router{};
@@ -54,7 +43,7 @@
     };
 
 public:
-    static constexpr time_point start{std::chrono::seconds{500}};
+    static constexpr time_point start{std::chrono::hours{1}}; // Of the queue of events.
     /*! @brief Intervals and limits of a router's reading, for a bound of 5 s on facts. */
     static constexpr duration list_interval{std::chrono::seconds{1}};
     static constexpr duration watch{std::chrono::seconds{2}};
@@ -92,10 +81,10 @@
             it.router->board.announced(all, start);
             // Processes do not start at the same moment.
             const duration offset{std::chrono::milliseconds{10} * (&it - members_.data())};
-            at(start + offset, [this, &it] { read_list(it); });
-            at(start + offset, [this, &it] { read_operators(it); });
-            at(start + offset, [this, &it] { round(it); });
-            at(start + offset, [this, &it] { tick(it); });
+            events_.at(start + offset, [this, &it] { read_list(it); });
+            events_.at(start + offset, [this, &it] { read_operators(it); });
+            events_.at(start + offset, [this, &it] { round(it); });
+            events_.at(start + offset, [this, &it] { tick(it); });
         }
     }
 
@@ -111,16 +100,16 @@
     void endpoint_leaves() {
         list_.entries.front().leaving = true;
         list_.entries.front().row_version = ++version_;
-        leaving_at_ = now_;
+        leaving_at_ = events_.now();
     }
 
     /*! @brief The store acknowledges a new configuration, and wakes those that watch it. */
     void change_config() {
         ++version_;
-        configs_[++config_] = now_;
+        configs_[++config_] = events_.now();
         for (auto& it : members_) {
             if (!it.store_lost) {
-                take_operators(it, now_ + store_time + way(0, it.region, options_.config_bytes));
+                take_operators(it, events_.now() + store_time + way(0, it.region, options_.config_bytes));
             }
         }
     }
@@ -130,21 +119,13 @@
         for (std::size_t n = 0; n < calls; ++n) {
             const endpoint_process at{list_.entries[n % list_.entries.size()].id, 1};
             auto& losses = members_[n % members_.size()].router->losses;
-            losses.broke_off(n, lost_run{at, now_ - std::chrono::milliseconds{50}, now_});
-            losses.process_ended(at, now_);
+            losses.broke_off(n, lost_run{at, events_.now() - std::chrono::milliseconds{50}, events_.now()});
+            losses.process_ended(at, events_.now());
         }
     }
 
     /*! @brief Runs until a moment. */
-    void run_until(time_point end) {
-        while (!events_.empty() && events_.top().at <= end) {
-            auto next = events_.top();
-            events_.pop();
-            now_ = next.at;
-            next.run();
-        }
-        now_ = end;
-    }
+    void run_until(time_point end) { events_.run_until(end); }
 
     /*! @brief Longest time until a router knew that the endpoint leaves. @return Nothing if one does not know it. */
     [[nodiscard]] std::optional<duration> last_knew_leaving() const {
@@ -177,7 +158,7 @@
     [[nodiscard]] std::optional<duration> oldest_evidence() const {
         duration out{};
         for (const auto& it : members_) {
-            const auto age = it.router->view.operator_age(now_);
+            const auto age = it.router->view.operator_age(events_.now());
             if (!age) {
                 return std::nullopt;
             }
@@ -200,15 +181,13 @@
     }
     /*! @brief Longest time that something waited before the link between the regions. */
     [[nodiscard]] duration longest_wait() const noexcept { return longest_wait_; }
-    [[nodiscard]] time_point now() const noexcept { return now_; }
+    [[nodiscard]] time_point now() const noexcept { return events_.now(); }
 
 private:
     [[nodiscard]] static socket_address address_of(std::size_t n) {
         return {"127.0.0.1", static_cast<std::uint16_t>(n + 1)};
     }
 
-    void at(time_point when, step run) { events_.push(event{when, ++order_, std::move(run)}); }
-
     /*! Time that bytes need from one region to another, those before them on the link included. */
     [[nodiscard]] duration way(std::size_t from, std::size_t to, std::size_t bytes) {
         if (from == to) {
@@ -216,37 +195,37 @@
         }
         auto& free = link_free_[from];
         const double rate = options_.link_bytes_per_s * (1.0 - options_.calls_share);
-        const auto wait = std::max(duration{}, free - now_);
+        const auto wait = std::max(duration{}, free - events_.now());
         longest_wait_ = std::max(longest_wait_, wait);
         const auto lasts =
             std::chrono::duration_cast<duration>(std::chrono::duration<double>{static_cast<double>(bytes) / rate});
-        free = now_ + wait + lasts;
+        free = events_.now() + wait + lasts;
         return wait + lasts + way_between_regions;
     }
 
     void read_list(member& it) {
         if (it.store_lost) {
-            at(now_ + retry_pause, [this, &it] { read_list(it); });
+            events_.after(retry_pause, [this, &it] { read_list(it); });
             return;
         }
-        const auto sent = now_;
+        const auto sent = events_.now();
         auto list = list_;
         list.as_of = version_;
         const auto took = store_time + way(0, it.region, stored_row * list.entries.size());
         if (took > answer_limit) { // The bytes take their time on the link all the same.
-            at(now_ + answer_limit + retry_pause, [this, &it] { read_list(it); });
+            events_.after(answer_limit + retry_pause, [this, &it] { read_list(it); });
             return;
         }
-        at(now_ + took, [this, &it, sent, list] {
-            it.router->view.merge(list, sent, now_);
+        events_.after(took, [this, &it, sent, list] {
+            it.router->view.merge(list, sent, events_.now());
             note(it);
-            at(now_ + list_interval, [this, &it] { read_list(it); });
+            events_.after(list_interval, [this, &it] { read_list(it); });
         });
     }
 
     void take_operators(member& it, time_point when) {
-        const auto sent = now_;
-        at(when, [this, &it, sent, version = version_, config = config_] {
+        const auto sent = events_.now();
+        events_.at(when, [this, &it, sent, version = version_, config = config_] {
             if (it.store_lost) {
                 return;
             }
@@ -258,51 +237,51 @@
 
     void read_operators(member& it) {
         if (!it.store_lost) {
-            take_operators(it, now_ + store_time + way(0, it.region, 0));
+            take_operators(it, events_.now() + store_time + way(0, it.region, 0));
         }
-        at(now_ + watch, [this, &it] { read_operators(it); });
+        events_.after(watch, [this, &it] { read_operators(it); });
     }
 
     void round(member& it) {
         auto& board = it.router->board;
-        board.begin_round(now_);
+        board.begin_round(events_.now());
         const auto addresses = board.addresses();
         for (const auto& to : addresses) {
             send(it, to);
         }
-        at(now_ + board.interval(), [this, &it] { round(it); });
+        events_.after(board.interval(), [this, &it] { round(it); });
     }
 
     void tick(member& it) {
         send_due(it);
-        at(now_ + peer_links::due_interval, [this, &it] { tick(it); });
+        events_.after(peer_links::due_interval, [this, &it] { tick(it); });
     }
 
     void send_due(member& it) {
-        for (const auto& to : it.router->board.due(now_)) {
+        for (const auto& to : it.router->board.due(events_.now())) {
             send(it, to);
         }
     }
 
     void send(member& from, const socket_address& address) {
         auto& to = members_[address.port - 1U];
-        const auto [dialled, added] = from.dialled.try_emplace(address, now_);
+        const auto [dialled, added] = from.dialled.try_emplace(address, events_.now());
         if (added) {
             return;
         }
-        if (from.router->board.stuck(address, dialled->second, now_)) {
+        if (from.router->board.stuck(address, dialled->second, events_.now())) {
             ++redials_;
-            dialled->second = now_;
+            dialled->second = events_.now();
             return;
         }
-        const auto state = std::make_shared<peer_state>(from.router->board.compose(address, now_));
+        const auto state = std::make_shared<peer_state>(from.router->board.compose(address, events_.now()));
         lists_sent_ += state->list ? 1 : 0;
         configs_sent_ += state->config_text.empty() ? 0 : 1;
         losses_sent_ += state->losses.size();
         const auto bytes = usual_message + told_loss * state->losses.size() + state->config_text.size() +
                            (state->list ? told_row * state->list->entries.size() : 0);
-        at(now_ + way(from.region, to.region, bytes), [this, &to, state] {
-            to.router->board.receive(*state, now_);
+        events_.after(way(from.region, to.region, bytes), [this, &to, state] {
+            to.router->board.receive(*state, events_.now());
             note(to);
             if (to.router->board.asked()) {
                 send_due(to);
@@ -314,18 +293,16 @@
         const auto& view = it.router->view;
         const auto first = view.endpoints().find(list_.entries.front().id);
         if (!it.knows_leaving && first != view.endpoints().end() && !view.takes_work(first->second)) {
-            it.knows_leaving = now_;
+            it.knows_leaving = events_.now();
         }
         if (view.config() != nullptr) {
-            it.knows_config.try_emplace(view.config()->version, now_);
+            it.knows_config.try_emplace(view.config()->version, events_.now());
         }
     }
 
     board_fleet_options options_;
     std::vector<member> members_{};
-    std::priority_queue<event> events_{};
-    std::uint64_t order_{};
-    time_point now_{start};
+    soak::event_queue events_{};
     endpoint_list list_{};
     std::uint64_t version_{1};
     std::uint64_t config_{1};
