--- a/src/dandelionbay/dispatch/team_usage.hpp
+++ b/src/dandelionbay/dispatch/team_usage.hpp
@@ -2,8 +2,6 @@
 
 #include <deque>
 #include <map>
-#include <optional>
-#include <string>
 #include <vector>
 
 #include "dandelionbay/base/clock.hpp"
