Log for how long an endpoint was silent, whether this host listened, and how a caller left

The hypotheses of the incident of silent endpoints differ in whether the endpoint was silent, or the event loop late with bytes that had come, or the caller's connection at its end. The line endpoint_silent and the field caller_end of call_ended tell them apart. No decision changes.

--- a/src/dandelionbay/proxy/call_record.cpp
+++ b/src/dandelionbay/proxy/call_record.cpp
@@ -35,6 +35,18 @@
                {"after_ms", to_text(it.total)}});
 }
 
+void log_endpoint_silent(bounded_log& log, const call_record& it, const silence_record& silence) {
+    log.write(log_level::info, "endpoint_silent",
+              {{"request", it.request},
+               {"call", fingerprint_text(it.call)},
+               {"endpoint", it.choice.endpoint.value},
+               {"silent_ms", to_text(silence.silent)},
+               {"loop_late_ms", to_text(silence.loop_late)},
+               {"stalled", silence.stalled ? "yes" : "no"},
+               {"unread", silence.unread ? "yes" : "no"},
+               {"after_ms", to_text(it.total)}});
+}
+
 void log_call_ended(bounded_log& log, const call_record& it, std::string_view outcome, int status) {
     log.write(log_level::info, "call_ended",
               {{"request", it.request},
@@ -61,6 +73,7 @@
                {"team_excess", it.rank ? absl::StrFormat("%.2f", it.rank->excess) : std::string{}},
                {"ahead_ms", to_text(it.ahead_ms)},
                {"waiting_calls", std::to_string(it.waiting_calls)},
+               {"caller_end", it.caller_end},
                {"config", it.config_version == 0 ? std::string{} : std::to_string(it.config_version)},
                {"config_age_ms", to_text(it.config_age)}});
 }
--- a/src/dandelionbay/proxy/call_record.hpp
+++ b/src/dandelionbay/proxy/call_record.hpp
@@ -35,11 +35,25 @@
     std::optional<duration> first{}; //!< From the arrival to the first event.
     duration total{};                //!< From the arrival until this was recorded.
     std::size_t waiting_calls{};     //!< At this router, when this was recorded.
+    std::string caller_end{};        //!< How the caller left; empty if it did not.
 };
 
 /*! @brief Writes that an attempt failed. @param reason Why. */
 void log_attempt_failed(bounded_log& log, const call_record& it, std::string_view reason);
 
+/*! @brief What is known of an endpoint that sends nothing for a call. */
+struct silence_record {
+    duration silent{};    //!< Since the call was sent or its newest event came.
+    duration loop_late{}; //!< How late the event loop runs in the mean; it may not have listened.
+    bool stalled{};       //!< The endpoint sends nothing for its other calls either.
+    bool unread{};        //!< Bytes of it wait to be read.
+
+    friend bool operator==(const silence_record&, const silence_record&) = default;
+};
+
+/*! @brief Writes that the endpoint of a call is silent for too long. */
+void log_endpoint_silent(bounded_log& log, const call_record& it, const silence_record& silence);
+
 /*! @brief Writes that a call ended. @param outcome How. @param status Sent to the caller; 0 for none. */
 void log_call_ended(bounded_log& log, const call_record& it, std::string_view outcome, int status);
 
--- a/src/dandelionbay/proxy/caller_connection.cpp
+++ b/src/dandelionbay/proxy/caller_connection.cpp
@@ -167,10 +167,9 @@
 }
 
 void caller_connection::on_end(channel_end end) {
-    static_cast<void>(end);
     const auto self = shared_from_this();
     if (const auto call = std::exchange(exchange_, nullptr); call != nullptr) {
-        call->caller_gone();
+        call->caller_gone(end);
     }
     owner_->close_caller(self);
 }
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -376,8 +376,9 @@
     end_attempt(false);
 }
 
-void exchange::caller_gone() {
+void exchange::caller_gone(channel_end end) {
     caller_ = nullptr;
+    caller_end_ = end == channel_end::closed ? "closed" : "broken";
     const bool running = stage_ == stage::running;
     if (stage_ == stage::waiting || (running && (route_->idempotent() || route_->kind == call_kind::streaming))) {
         leave();
@@ -414,6 +415,9 @@
         return;
     }
     if (seems_lost(now) && now >= next_move_ && can_move(now)) {
+        log_endpoint_silent(*owner_->environment().log, record(),
+                            {now - std::max(sent_at_, owner_->attentive_since()), owner_->lateness(),
+                             owner_->dispatch().load(choice_.endpoint).stalled(now), client_->has_unread()});
         note_silent_run();
         end_attempt(true);
         try_again("silent", false); // Already counted.
@@ -476,6 +480,7 @@
     }
     out.total = now - arrived_;
     out.waiting_calls = owner_->dispatch().waiting();
+    out.caller_end = caller_end_;
     return out;
 }
 
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -96,8 +96,8 @@
     /*! @brief No endpoint can serve it in time. */
     void refused(const refusal& why);
 
-    /*! @brief The caller closed its connection. */
-    void caller_gone();
+    /*! @brief The caller's connection ended. @param end How. */
+    void caller_gone(channel_end end);
 
     /*! @brief The caller took what was written. */
     void caller_ready();
@@ -164,6 +164,7 @@
     double ahead_ms_{};                    //!< Expected wait behind other calls, if it was refused.
     duration waited_{};                    //!< From the arrival to the newest placement.
     duration list_age_{};                  //!< Age of the list of endpoints at that placement.
+    std::string_view caller_end_{};        //!< How the caller left.
     mutable std::optional<std::uint64_t> fingerprint_{};
 };
 
--- a/src/dandelionbay/proxy/http_connection.hpp
+++ b/src/dandelionbay/proxy/http_connection.hpp
@@ -85,6 +85,9 @@
     /*! @brief Tells whether it can take another request now: nothing is due and nothing has come. */
     [[nodiscard]] bool reusable();
 
+    /*! @brief Tells whether bytes, or an end, have come that were not read yet, or no connection is made yet. */
+    [[nodiscard]] bool has_unread() { return channel_->readable_now(); }
+
     /*! @brief Tells whether a request is unanswered. */
     [[nodiscard]] bool busy() const noexcept { return busy_; }
 
