Keep a silent endpoint's run until another endpoint has begun with the call

Callers saw a stream that was cut, or a 502, with no fault around it: their endpoint was silent for a second and went on, and the next one refused, failed or was silent too.

Cause: exchange::check closed the connection to the silent endpoint and only then asked another one. Silence was taken for loss, and what worked was given up before something better was certain. The router's own picture (takes_now) said that another endpoint had room; the endpoint need not agree.

Now the call is sent to a second endpoint beside the first, as one repeat of the budget. The first event or whole answer of either attempt decides: the other one is closed then, so both may work at the same time only until the second begins. A refusal, a 5xx or silence of the second changes nothing for the first. If the first breaks off, the second has the call. call_attempts holds the decision and needs no network; attempt holds what one sending has brought back. The team is not charged for the attempt that is not needed. Bytes that wait to be read on the silent connection count as heard, so a late host asks less often for nothing.

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -69,10 +69,11 @@
     return {true, std::clamp(above / widest, 0.0, 1.0)};
 }
 
-void dispatcher::place(const work_item& item, const placement::candidate& to, const team_rank& team, time_point now) {
+endpoint_choice dispatcher::place(const work_item& item, const placement::candidate& to, const team_rank& team,
+                                  time_point now) {
     auto& at = *to.at;
     const auto& entry = at.known->entry;
-    const endpoint_choice choice{entry.id, entry.started, entry.address, to.unread_tokens, at.wait_ms, at.cold, team};
+    endpoint_choice choice{entry.id, entry.started, entry.address, to.unread_tokens, at.wait_ms, at.cold, team};
     at.load->sent(item.ticket, call_load{to.unread_tokens, item.prompt_tokens + item.output_tokens}, now);
     at.load->parts().use(item.parts);
     at.load->pacer().sent(now);
@@ -82,7 +83,7 @@
     }
     placed_[item.ticket] = placed_call{entry.id, item.team, item.cost(), now, item.arrived, item.target, false};
     usage_.add(item.team, item.cost(), now);
-    listener_->placed(item.ticket, choice);
+    return choice;
 }
 
 double dispatcher::queued_ms(const service_id& service) const {
@@ -187,7 +188,7 @@
         const auto team = rank_of(call.item, now);
         const auto best = sites_.consider(call.item, team).best;
         if (best.at != nullptr && best.ready) {
-            place(call.item, best, team, now);
+            listener_->placed(ticket, place(call.item, best, team, now));
             return;
         }
         set_give_up(call, best);
@@ -203,18 +204,17 @@
     call.best_reading_ms = std::max(limits_.least_wait_ms, reading);
 }
 
-bool dispatcher::place_now(const work_item& item, time_point now) {
+std::optional<endpoint_choice> dispatcher::place_now(const work_item& item, time_point now) {
     if (view_->config() == nullptr) {
-        return false;
+        return std::nullopt;
     }
     sites_.look(now);
     const auto team = rank_of(item, now);
     const auto choice = sites_.consider(item, team).best_ready;
     if (choice.at == nullptr) {
-        return false;
+        return std::nullopt;
     }
-    place(item, choice, team, now);
-    return true;
+    return place(item, choice, team, now);
 }
 
 bool dispatcher::takes_now(const work_item& item, time_point now) {
@@ -252,6 +252,17 @@
     }
 }
 
+void dispatcher::not_needed(ticket_id ticket, time_point now) {
+    if (const auto it = placed_.find(ticket); it != placed_.end()) {
+        const auto& call = it->second;
+        if (!call.begun) {
+            usage_.take_back(call.team, call.cost, call.at);
+        }
+        loads_[call.endpoint].ended(ticket, false, now);
+        placed_.erase(it);
+    }
+}
+
 void dispatcher::heard(const endpoint_id& id, time_point now) {
     loads_[id].heard(now);
 }
@@ -325,7 +336,7 @@
     const auto& choice = late && !gives_way ? choices.best_ready : choices.best;
     if (choice.at != nullptr && choice.ready) {
         const auto node = waiting_.extract(found);
-        place(node.mapped().item, choice, team, now);
+        listener_->placed(ticket, place(node.mapped().item, choice, team, now));
         return;
     }
     auto& queue = queue_of(call.item.service, queues, now);
--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -77,7 +77,8 @@
     using queue_states = std::map<service_id, queue_state>;
 
     [[nodiscard]] team_rank rank_of(const work_item& item, time_point now);
-    void place(const work_item& item, const placement::candidate& to, const team_rank& team, time_point now);
+    [[nodiscard]] endpoint_choice place(const work_item& item, const placement::candidate& to, const team_rank& team,
+                                        time_point now);
     void refuse(const work_item& item, refusal why, time_point now);
     void refuse_waiting(ticket_id ticket, const refusal& why, time_point now);
 
@@ -106,9 +107,9 @@
     /*! @brief A call wants an endpoint; it is placed at once, or waits for pump(). @param item The call. */
     void submit(work_item item, time_point now);
 
-    /*! @brief Places a call at once, before all that wait. @return False if no endpoint takes it now; it is not kept.
-     */
-    bool place_now(const work_item& item, time_point now);
+    /*! @brief Places a call at once, before all that wait; the listener is not told.
+     *  @return Where it is to be sent now; nothing if no endpoint takes it, which is not kept then. */
+    [[nodiscard]] std::optional<endpoint_choice> place_now(const work_item& item, time_point now);
 
     /*! @brief Tells whether an endpoint would take a call at once. @param item The call. @param now Time. */
     [[nodiscard]] bool takes_now(const work_item& item, time_point now);
@@ -122,6 +123,10 @@
     /*! @brief A placed call ended. @param ticket Its name. @param failed The endpoint failed it. @param now Time. */
     void ended(ticket_id ticket, bool failed, time_point now);
 
+    /*! @brief A placed call is not needed any more, because the same call runs elsewhere: its team is not charged for
+     * it unless its answer had begun. @param ticket Its name. @param now Time. */
+    void not_needed(ticket_id ticket, time_point now);
+
     /*! @brief Bytes came from an endpoint. */
     void heard(const endpoint_id& id, time_point now);
 
--- a/src/dandelionbay/proxy/call_record.cpp
+++ b/src/dandelionbay/proxy/call_record.cpp
@@ -43,7 +43,16 @@
                {"silent_ms", to_text(silence.silent)},
                {"loop_late_ms", to_text(silence.loop_late)},
                {"stalled", silence.stalled ? "yes" : "no"},
-               {"unread", silence.unread ? "yes" : "no"},
+               {"asked", silence.asked.value},
+               {"after_ms", to_text(it.total)}});
+}
+
+void log_silence_ended(bounded_log& log, const call_record& it, bool taken_over) {
+    log.write(log_level::info, "silence_ended",
+              {{"request", it.request},
+               {"call", fingerprint_text(it.call)},
+               {"endpoint", it.choice.endpoint.value},
+               {"taken_over", taken_over ? "yes" : "no"},
                {"after_ms", to_text(it.total)}});
 }
 
--- a/src/dandelionbay/proxy/call_record.hpp
+++ b/src/dandelionbay/proxy/call_record.hpp
@@ -46,14 +46,18 @@
     duration silent{};    //!< Since the call was sent or its newest event came.
     duration loop_late{}; //!< How late the event loop runs in the mean; it may not have listened.
     bool stalled{};       //!< The endpoint sends nothing for its other calls either.
-    bool unread{};        //!< Bytes of it wait to be read.
+    endpoint_id asked{};  //!< The other endpoint that gets the call too.
 
     friend bool operator==(const silence_record&, const silence_record&) = default;
 };
 
-/*! @brief Writes that the endpoint of a call is silent for too long. */
+/*! @brief Writes that the endpoint of a call is silent for too long, and which other one is asked. */
 void log_endpoint_silent(bounded_log& log, const call_record& it, const silence_record& silence);
 
+/*! @brief Writes that a call goes on after a silence. @param it With the endpoint that goes on.
+ *  @param taken_over It is not the one that was silent. */
+void log_silence_ended(bounded_log& log, const call_record& it, bool taken_over);
+
 /*! @brief Writes that a call ended. @param outcome How. @param status Sent to the caller; 0 for none. */
 void log_call_ended(bounded_log& log, const call_record& it, std::string_view outcome, int status);
 
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -18,21 +18,10 @@
 
 /*! Calls that name no time limit get the route's. */
 constexpr duration default_time_left = std::chrono::hours{1};
-/*! A connection that was idle for longer may just be closing; a call that can't be repeated takes a fresh one. */
-constexpr duration short_idle = milliseconds{500};
 /*! When a call that no endpoint has run may come again. */
 constexpr duration usual_return = milliseconds{500};
 /*! When a call that this process can't serve in time, or can't finish, may come again; it reaches another one. */
 constexpr duration short_return = milliseconds{50};
-/*! Time beyond the expected one after which a repeatable call counts as lost: about twice the usual target. */
-constexpr duration lost_stream = milliseconds{1'200};
-constexpr duration lost_call = milliseconds{700};
-/*! How often a call that seems lost looks for another endpoint; until there is one, the silent one keeps it. */
-constexpr duration move_interval = milliseconds{100};
-/*! A call's reading may take this much longer than expected, and its own prompt may be read as slowly as this, in
- * tokens per ms, before it counts as lost: about half the usual rate. */
-constexpr double late_backlog = 1.5;
-constexpr double slow_rate = 20.0;
 
 } // namespace
 
@@ -46,7 +35,8 @@
 
 bool exchange::may_run_again(time_point now) const noexcept {
     const bool allowed = runs_ == 0 || (route_->idempotent() && runs_ < route_->max_attempts);
-    return allowed && caller_ != nullptr && sends_ < most_sends && time_left(now) > least_time;
+    const bool resumable = !begun_ || last_event_; // Without an event's id nothing tells where it goes on.
+    return allowed && resumable && caller_ != nullptr && sends_ < most_sends && time_left(now) > least_time;
 }
 
 bool exchange::admit(time_point now) {
@@ -130,6 +120,7 @@
     item.route_regions = route_->home_regions;
     item.team_regions = team_regions_;
     item.excluded = excluded_;
+    item.excluded.insert(refused_by_.begin(), refused_by_.end());
     return item;
 }
 
@@ -139,10 +130,12 @@
         await_turn();
         return;
     }
-    const bool refusable = runs_ == 0 && !begun_; // Otherwise waiting in vain would end in a cut or an unclear answer.
     auto item = work();
     cost_ = item.cost();
-    if (refusable || !owner_->dispatch().place_now(item, now)) {
+    const bool refusable = runs_ == 0 && !begun_; // Otherwise waiting in vain would end in a cut or an unclear answer.
+    if (const auto choice = refusable ? std::nullopt : owner_->dispatch().place_now(item, now)) {
+        placed(*choice);
+    } else {
         owner_->dispatch().submit(std::move(item), now);
     }
 }
@@ -173,61 +166,6 @@
     }
 }
 
-duration exchange::fresh_connection_limit() const noexcept {
-    if (route_->idempotent()) {
-        return duration::max();
-    }
-    return route_->kind == call_kind::unsafe ? duration{} : short_idle;
-}
-
-std::string exchange::request_bytes(const endpoint_choice& choice, time_point now) const {
-    field_list fields = request_.fields;
-    remove_hop_fields(fields);
-    std::erase_if(fields, [](const auto& it) { return same_field(it.first, "Expect"); });
-    owner_->environment().protocol->write_call(
-        fields, forward_terms{choice.endpoint, team_, std::max(duration{}, time_left(now)), last_event_});
-    return write_request(request_.method, request_.target, fields, request_.body);
-}
-
-void exchange::placed(const endpoint_choice& choice) {
-    const auto now = owner_->now();
-    stage_ = stage::running;
-    choice_ = choice;
-    team_rank_ = choice.team;
-    if (crashes_endpoints()) { // That became known while it waited.
-        end_attempt(false);
-        refuse_as_crashing();
-        return;
-    }
-    if (!take_turn(now)) { // A copy was lost while it waited.
-        end_attempt(false);
-        stage_ = stage::waiting;
-        await_turn();
-        return;
-    }
-    owner_->turns().sent(fingerprint(), ticket_, now);
-    sent_at_ = now;
-    ++sends_;
-    ++runs_;
-    head_.reset();
-    body_.clear();
-    scanner_.clear();
-    streaming_ = false;
-    paused_ = false;
-    waited_ = now - arrived_;
-    list_age_ = owner_->environment().view->endpoints_age(now).value_or(duration{});
-    if (caller_ != nullptr && caller_->left()) {
-        --runs_;
-        end_attempt(false);
-        finish("caller_gone", 0);
-        return;
-    }
-    client_ = owner_->connect(choice, fresh_connection_limit());
-    const auto bytes = request_bytes(choice, now);
-    owner_->count_sent(choice.endpoint, bytes.size());
-    client_->send(bytes, request_.method == "HEAD", this);
-}
-
 void exchange::refused(const refusal& why) {
     waited_ = owner_->now() - arrived_;
     choice_.endpoint = why.best;
@@ -245,82 +183,6 @@
     refuse(503, why.code, why.retry_after);
 }
 
-void exchange::on_failed(request_failure why) {
-    if (stage_ != stage::running) {
-        return;
-    }
-    const auto now = owner_->now();
-    body_ = std::string{}; // Its memory is needed while the call waits for another endpoint.
-    if (why == request_failure::unwanted) {
-        --runs_;
-        end_attempt(false);
-        if (caller_ != nullptr && !caller_->left()) {
-            refuse(504, result_code::deadline_exceeded, {});
-        } else {
-            finish("caller_gone", 0);
-        }
-        return;
-    }
-    if (why == request_failure::not_sent) {
-        --runs_;
-        owner_->unreachable(choice_.endpoint);
-        end_attempt(true);
-        try_again("unreachable", false);
-        return;
-    }
-    if (why == request_failure::broken) {
-        note_lost_run(now);
-    }
-    end_attempt(true);
-    try_again(why == request_failure::broken ? "connection_broken" : "garbage", true);
-}
-
-bool exchange::wanted() {
-    return caller_ != nullptr && !caller_->left() && time_left(owner_->now()) > duration{};
-}
-
-void exchange::end_attempt(bool failed) {
-    const auto now = owner_->now();
-    owner_->dispatch().ended(ticket_, failed, now);
-    if (client_ == nullptr) {
-        return;
-    }
-    auto client = std::exchange(client_, nullptr);
-    if (client->busy()) {
-        client->close();
-        return;
-    }
-    owner_->pool().put(std::move(client), answer_.idle_timeout.value_or(duration{}), now);
-}
-
-void exchange::try_again(std::string_view reason, bool counted) {
-    const auto now = owner_->now();
-    log_attempt_failed(*owner_->environment().log, record(), reason);
-    excluded_.insert(choice_.endpoint);
-    if (!may_run_again(now) || (runs_ > 0 && owner_->losses().doubtful(fingerprint()))) {
-        give_up(reason);
-        return;
-    }
-    if (counted && !owner_->repeats(service_).take(owner_->dispatch().routers(), now)) {
-        owner_->environment().metrics->add("repeats_refused_total", reason);
-        give_up(reason);
-        return;
-    }
-    owner_->environment().metrics->add("repeats_total", reason);
-    submit(now);
-}
-
-void exchange::note_lost_run(time_point ended) {
-    const lost_run run{{choice_.endpoint, choice_.process_started}, placed_at(), ended};
-    owner_->run_lost(fingerprint(), run, choice_.address);
-}
-
-void exchange::note_silent_run() {
-    if (const auto heard = owner_->dispatch().load(choice_.endpoint).last_heard(); heard > placed_at()) {
-        note_lost_run(heard);
-    }
-}
-
 bool exchange::crashes_endpoints() const {
     return owner_->losses().refused(fingerprint());
 }
@@ -370,10 +232,13 @@
         owner_->dispatch().withdraw(ticket_);
         return;
     }
-    if (seems_lost(owner_->now())) {
-        note_silent_run();
+    const auto now = owner_->now();
+    for (const auto& it : std::vector{attempts_}) {
+        if (silent(*it, now)) {
+            note_silent_run(*it);
+        }
+        end_attempt(*it, attempt_end::answered);
     }
-    end_attempt(false);
 }
 
 void exchange::caller_gone(channel_end end) {
@@ -388,9 +253,10 @@
 }
 
 void exchange::caller_ready() {
-    if (paused_ && client_ != nullptr) {
-        paused_ = false;
-        client_->pause_reading(false);
+    for (const auto& it : attempts_) {
+        if (std::exchange(it->paused, false)) {
+            it->client->pause_reading(false);
+        }
     }
 }
 
@@ -411,35 +277,14 @@
         check_turn(now);
         return;
     }
-    if (stage_ != stage::running || paused_ || !route_->idempotent() || !may_run_again(now)) {
+    if (stage_ != stage::running || !route_->idempotent() || !may_run_again(now) || now < next_look_) {
         return;
     }
-    if (seems_lost(now) && now >= next_move_ && can_move(now)) {
-        log_endpoint_silent(*owner_->environment().log, record(),
-                            {now - std::max(sent_at_, owner_->attentive_since()), owner_->lateness(),
-                             owner_->dispatch().load(choice_.endpoint).stalled(now), client_->has_unread()});
-        note_silent_run();
-        end_attempt(true);
-        try_again("silent", false); // Already counted.
+    if (std::ranges::all_of(attempts_, [&](const auto& it) { return !it->paused && silent(*it, now); })) {
+        ask_another(now);
     }
 }
 
-bool exchange::seems_lost(time_point now) const {
-    const auto limit =
-        (route_->kind == call_kind::streaming ? lost_stream : lost_call) +
-        (begun_ ? duration{} : from_ms(choice_.backlog_ms * late_backlog + choice_.unread_tokens / slow_rate));
-    const auto silent = now - std::max(sent_at_, owner_->attentive_since());
-    return silent > limit ||
-           (silent > endpoint_load::silence_limit && owner_->dispatch().load(choice_.endpoint).stalled(now));
-}
-
-bool exchange::can_move(time_point now) {
-    next_move_ = now + move_interval;
-    auto item = work();
-    item.excluded.insert(choice_.endpoint);
-    return owner_->dispatch().takes_now(item, now) && owner_->repeats(service_).take(owner_->dispatch().routers(), now);
-}
-
 void exchange::abandon() {
     if (stage_ == stage::done) {
         return;
@@ -455,6 +300,12 @@
     return *fingerprint_;
 }
 
+call_record exchange::record(const attempt& it) const {
+    auto out = record();
+    out.choice = it.choice;
+    return out;
+}
+
 call_record exchange::record() const {
     const auto now = owner_->now();
     call_record out;
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -3,12 +3,16 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "dandelionbay/dispatch/dispatcher.hpp"
+#include "dandelionbay/proxy/attempt.hpp"
+#include "dandelionbay/proxy/call_attempts.hpp"
 #include "dandelionbay/proxy/call_protocol.hpp"
 #include "dandelionbay/proxy/call_record.hpp"
-#include "dandelionbay/proxy/event_scanner.hpp"
 #include "dandelionbay/proxy/fwd.hpp"
 #include "dandelionbay/proxy/http_connection.hpp"
 
@@ -18,10 +22,16 @@
  * @brief One call of a caller: from its request through one or more endpoints to the end of its answer.
  *
  * Whether an endpoint may have run the call is kept with it, so that a refusal that says "not run" is true and a call
- * that may not be repeated is sent again only while no endpoint can have run it.
+ * that may not be repeated is sent again only while no endpoint can have run it. A call whose endpoint is silent is
+ * sent to another one too, and keeps both until one of them goes on.
  */
-class exchange final : public response_handler, public std::enable_shared_from_this<exchange> {
+class exchange final : public std::enable_shared_from_this<exchange> {
     enum class stage : std::uint8_t { waiting, running, done };
+    enum class attempt_end : std::uint8_t {
+        answered,
+        failed,    //!< By its endpoint.
+        not_needed //!< Another attempt has the call.
+    };
 
     [[nodiscard]] bool admit(time_point now);
     /*! Refuses it because this host is too late for it, and ends the connection: other hosts may have time. */
@@ -38,36 +48,49 @@
     /*! Goes on if this copy has the turn now, or shall not run any more. */
     void check_turn(time_point now);
 
-    /*! Tells whether its endpoint is silent for longer than it should be. */
-    [[nodiscard]] bool seems_lost(time_point now) const;
-
-    /*! Tells whether it may go on at another endpoint now; counts it as a repeat then. */
-    [[nodiscard]] bool can_move(time_point now);
+    /*! Sends it to an endpoint: as its only attempt, or beside one that is silent. */
+    void send_to(ticket_id ticket, const endpoint_choice& choice, time_point now);
     [[nodiscard]] std::string request_bytes(const endpoint_choice& choice, time_point now) const;
     [[nodiscard]] duration fresh_connection_limit() const noexcept;
-    void note_wishes(const answer_terms& answer);
-    void note_lost_run(time_point ended);
+    [[nodiscard]] silence_limits silence_limits_for(const endpoint_choice& choice) const;
+
+    /*! Tells whether an attempt's endpoint sends nothing for longer than it should. */
+    [[nodiscard]] bool silent(const attempt& it, time_point now) const;
+
+    /*! Asks another endpoint beside the silent ones, if one takes the call at once. */
+    void ask_another(time_point now);
+
+    /*! An attempt brought an event or a whole answer: the other one is not needed any more. */
+    void went_on(attempt& it, time_point now);
+
+    /*! An attempt that has ended brought nothing: the other one has the call, or it is tried again. */
+    void attempt_failed(const attempt& it, std::string_view reason, bool counted);
+    void end_attempt(attempt& it, attempt_end end);
+    void try_again(std::string_view reason, bool counted);
+
+    void note_wishes(const attempt& it);
+    void note_lost_run(const attempt& it, time_point ended);
 
     /*! A run whose endpoint was not heard since it was sent can't have ended it: that may have fallen dark before. */
-    void note_silent_run();
+    void note_silent_run(const attempt& it);
 
     /*! Tells whether endpoints are known to end when they run the call. */
     [[nodiscard]] bool crashes_endpoints() const;
     void refuse_as_crashing();
-    void send_events();
-    void begin_stream();
-    void complete_stream();
-    void complete_whole();
-    void answer_whole();
-    void end_attempt(bool failed);
+    void send_events(attempt& it);
+    void begin_stream(const attempt& it);
+    void complete_stream(attempt& it);
+    void complete_whole(attempt& it);
+    void complete_failure(attempt& it);
+    void answer_whole(attempt& it);
     void leave();
-    void try_again(std::string_view reason, bool counted);
     void give_up(std::string_view reason);
+
     void refuse(int status, result_code code, duration retry_after);
     [[nodiscard]] call_record record() const;
+    [[nodiscard]] call_record record(const attempt& it) const;
     void finish(std::string_view outcome, int status);
     [[nodiscard]] duration time_left(time_point now) const noexcept;
-    [[nodiscard]] time_point placed_at() const noexcept { return arrived_ + waited_; }
 
     /*! Tells whether another endpoint may be asked: no endpoint can have run the call, or it may be repeated. */
     [[nodiscard]] bool may_run_again(time_point now) const noexcept;
@@ -79,6 +102,8 @@
     static constexpr std::size_t large_answer = std::size_t{256} << 10U;
     /*! @brief Endpoints that are asked before the call ends as not run. */
     static constexpr std::uint32_t most_sends = 4;
+    /*! @brief How often a call looks for another endpoint. */
+    static constexpr duration look_interval = std::chrono::milliseconds{100};
     /*! @brief A call with less time left is not sent again. */
     static constexpr duration least_time = std::chrono::milliseconds{60};
     /*! @brief Unsent bytes to the caller at which the endpoint's stream is not read on. */
@@ -108,14 +133,21 @@
     /*! @brief Ends it because the process stops. */
     void abandon();
 
-    [[nodiscard]] bool wanted() override;
-    [[nodiscard]] bool on_head(const response_head& head) override;
-    void on_body(std::string bytes) override;
-    void on_complete() override;
-    void on_failed(request_failure why) override;
+    /*! @brief Tells whether it is to be sent still, now that a connection was made. */
+    [[nodiscard]] bool wanted();
+
+    // What comes back on an attempt.
+
+    [[nodiscard]] bool on_head(attempt& it, const response_head& head);
+    void on_body(attempt& it, std::string bytes);
+    void on_complete(attempt& it);
+    void on_failed(attempt& it, request_failure why);
+
+    /*! @brief Gives up the part of an answer that is held. */
+    void drop_held_answer();
 
-    /*! @brief Bytes of its answer that are held until it, or an event of it, is complete. */
-    [[nodiscard]] std::size_t held_answer() const noexcept { return body_.size() + scanner_.rest().size(); }
+    /*! @brief Bytes of its answers that are held until they, or an event of them, are complete. */
+    [[nodiscard]] std::size_t held_answer() const noexcept;
 
     /*! @brief Names the call; the caller's further attempts of it have the same name. Depends on the team. */
     [[nodiscard]] std::uint64_t fingerprint() const;
@@ -140,24 +172,18 @@
     std::vector<region_id> team_regions_{};
     time_point limit_{};
     stage stage_{stage::waiting};
-    bool awaits_turn_{}; //!< It waits for another copy of the call.
-    std::set<endpoint_id> excluded_{};
+    bool awaits_turn_{};                 //!< It waits for another copy of the call.
+    std::set<endpoint_id> excluded_{};   //!< Endpoints that failed it.
+    std::set<endpoint_id> refused_by_{}; //!< Endpoints that did not run it; they may take it later.
     std::uint32_t sends_{};
-    std::uint32_t runs_{}; //!< Endpoints that may have run it.
-    endpoint_choice choice_{};
-    std::shared_ptr<http_connection> client_{};
-    std::optional<response_head> head_{};
-    answer_terms answer_{};
-    std::string body_{};
-    event_scanner scanner_{};
-    bool streaming_{}; //!< The answer is passed on event by event.
-    bool begun_{};     //!< The caller has the head of the answer.
-    bool goes_on_{};   //!< The answer goes on with what an earlier run began.
+    std::uint32_t runs_{};     //!< Endpoints that may have run it.
+    endpoint_choice choice_{}; //!< The newest placement, or what a refused call waited for.
+    call_attempts open_{};
+    std::vector<std::shared_ptr<attempt>> attempts_{}; //!< The open ones.
+    bool begun_{};                                     //!< The caller has the head of the answer.
     std::optional<std::uint64_t> last_event_{};
     std::optional<time_point> first_event_at_{};
-    time_point next_move_{}; //!< When it may look for another endpoint again.
-    time_point sent_at_{};   //!< When it was sent, or its newest event came.
-    bool paused_{};
+    time_point next_look_{};               //!< When it may look for another endpoint again.
     std::optional<team_rank> team_rank_{}; //!< At the newest placement or the refusal.
     double cost_{};                        //!< Cost units, once it was submitted.
     duration read_late_{};                 //!< How late the event loop ran when the call was read.
--- a/src/dandelionbay/proxy/exchange_answer.cpp
+++ b/src/dandelionbay/proxy/exchange_answer.cpp
@@ -21,25 +21,26 @@
 
 } // namespace
 
-void exchange::note_wishes(const answer_terms& answer) {
+void exchange::note_wishes(const attempt& it) {
     const auto& env = owner_->environment();
     const auto now = owner_->now();
-    if (answer.leaving && env.view->note_leaving({choice_.endpoint, choice_.process_started}, now)) {
+    const auto& at = it.choice;
+    if (it.answer.leaving && env.view->note_leaving({at.endpoint, at.process_started}, now)) {
         env.metrics->add("endpoints_leaving_total", "answer");
         env.log->write(log_level::info, "endpoint_leaving",
-                       {{"endpoint", choice_.endpoint.value}, {"request", terms_.id}, {"from", "answer"}});
+                       {{"endpoint", at.endpoint.value}, {"request", terms_.id}, {"from", "answer"}});
     }
-    if (answer.pause > duration{}) {
-        owner_->dispatch().pause(choice_.endpoint, now + answer.pause);
+    if (it.answer.pause > duration{}) {
+        owner_->dispatch().pause(at.endpoint, now + it.answer.pause);
         env.metrics->add("endpoint_pauses_total");
         env.log->write(log_level::info, "endpoint_pauses",
-                       {{"endpoint", choice_.endpoint.value},
+                       {{"endpoint", at.endpoint.value},
                         {"request", terms_.id},
-                        {"for_ms", std::to_string(static_cast<std::int64_t>(to_ms(answer.pause)))}});
+                        {"for_ms", std::to_string(static_cast<std::int64_t>(to_ms(it.answer.pause)))}});
     }
 }
 
-bool exchange::on_head(const response_head& head) {
+bool exchange::on_head(attempt& it, const response_head& head) {
     const auto& env = owner_->environment();
     const auto answer = env.protocol->read_answer(head);
     if (!answer.id.empty() && answer.id != terms_.id) {
@@ -50,166 +51,189 @@
         env.metrics->add("nameless_answers_total");
         return false;
     }
-    note_wishes(answer);
+    it.head = head;
+    it.answer = answer;
+    note_wishes(it);
     const auto now = owner_->now();
-    owner_->dispatch().heard(choice_.endpoint, now);
-    head_ = head;
-    answer_ = answer;
-    if (answer_.cold_for) {
-        env.view->note_cold(choice_.endpoint, *answer_.cold_for, now);
-    }
-    goes_on_ = begun_;
-    streaming_ = route_->kind == call_kind::streaming && head.status / 100 == 2 && answer_.sealed && !answer_.encoded &&
-                 (!goes_on_ || is_event_stream(head));
+    owner_->dispatch().heard(it.choice.endpoint, now);
+    if (answer.cold_for) {
+        env.view->note_cold(it.choice.endpoint, *answer.cold_for, now);
+    }
+    it.goes_on = begun_;
+    it.streaming = route_->kind == call_kind::streaming && head.status / 100 == 2 && answer.sealed && !answer.encoded &&
+                   (!it.goes_on || is_event_stream(head));
     return true;
 }
 
-void exchange::begin_stream() {
+void exchange::begin_stream(const attempt& it) {
     begun_ = true;
     first_event_at_ = owner_->now();
     owner_->first_answer().add(*first_event_at_ - arrived_);
     if (caller_ != nullptr) {
-        auto head = *head_;
+        auto head = *it.head;
         remove_hop_fields(head.fields);
         caller_->begin(std::move(head));
     }
 }
 
-void exchange::send_events() {
-    while (auto event = scanner_.next()) {
+void exchange::send_events(attempt& it) {
+    while (auto event = it.scanner.next()) {
         if (event->id && last_event_ && *event->id <= *last_event_) {
             continue; // The caller has it from an earlier run.
         }
-        if ((goes_on_ && !event->id) ||
+        if ((it.goes_on && !event->id) ||
             (event->id && last_event_ && begun_ && *event->id != *last_event_ + 1)) { // No part of this stream.
             owner_->environment().metrics->add("stream_gaps_total");
-            on_failed(request_failure::garbage);
+            on_failed(it, request_failure::garbage);
             return;
         }
-        owner_->dispatch().started(ticket_, owner_->now());
+        const auto now = owner_->now();
+        owner_->dispatch().started(it.ticket, now);
         if (event->id) {
             last_event_ = event->id;
         }
         if (!begun_) {
-            begin_stream();
+            begin_stream(it);
         } else {
-            owner_->note_event_gap(owner_->now() - sent_at_);
+            owner_->note_event_gap(now - it.heard_at);
         }
-        sent_at_ = owner_->now();
+        went_on(it, now);
         if (caller_ != nullptr) {
             caller_->send(event->text);
         }
     }
-    if (caller_ != nullptr && client_ != nullptr && caller_->unsent() > unsent_limit) {
-        paused_ = true;
-        client_->pause_reading(true);
+    if (caller_ != nullptr && it.client != nullptr && caller_->unsent() > unsent_limit) {
+        it.paused = true;
+        it.client->pause_reading(true);
     }
 }
 
-void exchange::on_body(std::string bytes) {
-    const auto self = shared_from_this(); // Events may end the call.
+void exchange::on_body(attempt& it, std::string bytes) {
     const auto& env = owner_->environment();
     const section_timer timed{*env.time, *env.metrics, "answers"};
-    owner_->dispatch().heard(choice_.endpoint, owner_->now());
-    if (streaming_) {
-        scanner_.append(bytes);
+    owner_->dispatch().heard(it.choice.endpoint, owner_->now());
+    if (it.streaming) {
+        it.scanner.append(bytes);
     } else {
-        body_ += bytes;
+        it.body += bytes;
     }
-    if (held_answer() > held_bytes) {
-        on_failed(request_failure::garbage);
+    if (it.held_answer() > held_bytes) {
+        on_failed(it, request_failure::garbage);
         return;
     }
-    if (streaming_) {
-        send_events();
+    if (it.streaming) {
+        send_events(it);
     }
-    if (stage_ == stage::running && held_answer() > large_answer) {
+    if (it.client != nullptr && it.held_answer() > large_answer) {
         owner_->limit_held_answers();
     }
 }
 
-void exchange::on_complete() {
-    if (stage_ != stage::running) {
+void exchange::on_complete(attempt& it) {
+    if (it.client == nullptr) {
         return;
     }
-    if (streaming_) {
-        complete_stream();
+    if (it.streaming) {
+        complete_stream(it);
     } else {
-        complete_whole();
+        complete_whole(it);
     }
 }
 
-void exchange::complete_stream() {
-    const auto rest = scanner_.rest();
+void exchange::complete_stream(attempt& it) {
+    const auto rest = it.scanner.rest();
     const bool ended_by_close =
-        !has_field(head_->fields, "Content-Length") && !has_field(head_->fields, "Transfer-Encoding");
-    if ((ended_by_close || goes_on_) && !rest.empty()) { // An endpoint that ends in order does so between events.
-        on_failed(request_failure::broken);
+        !has_field(it.head->fields, "Content-Length") && !has_field(it.head->fields, "Transfer-Encoding");
+    if ((ended_by_close || it.goes_on) && !rest.empty()) { // An endpoint that ends in order does so between events.
+        on_failed(it, request_failure::broken);
         return;
     }
-    owner_->dispatch().started(ticket_, owner_->now());
+    const auto now = owner_->now();
+    owner_->dispatch().started(it.ticket, now);
     owner_->run_answered(fingerprint());
-    end_attempt(false);
+    went_on(it, now);
+    end_attempt(it, attempt_end::answered);
     if (!begun_) {
-        begin_stream();
+        begin_stream(it);
     }
     if (caller_ != nullptr) {
         caller_->send(rest);
         std::exchange(caller_, nullptr)->end();
     }
-    finish("served", head_->status);
+    finish("served", it.head->status);
 }
 
-void exchange::complete_whole() {
-    const int status = head_->status;
-    if (answer_.not_run || answer_.wrong_endpoint) {
+void exchange::complete_whole(attempt& it) {
+    if (it.answer.wrong_endpoint) {
         --runs_;
-        if (answer_.wrong_endpoint) {
-            owner_->dispatch().unreachable(choice_.endpoint, owner_->now());
-        }
-        end_attempt(!answer_.wrong_endpoint);
-        try_again(answer_.wrong_endpoint ? "wrong_endpoint" : "rejected", true);
+        excluded_.insert(it.choice.endpoint);
+        owner_->dispatch().unreachable(it.choice.endpoint, owner_->now());
+        end_attempt(it, attempt_end::answered);
+        attempt_failed(it, "wrong_endpoint", true);
+        return;
+    }
+    if (it.answer.not_run) {
+        --runs_;
+        refused_by_.insert(it.choice.endpoint);
+        end_attempt(it, attempt_end::failed);
+        attempt_failed(it, "rejected", true);
         return;
     }
+    const int status = it.head->status;
     const bool success = status / 100 == 2;
-    if (success && (!answer_.sealed || answer_.encoded)) {
-        end_attempt(true);
-        try_again("unsigned_answer", true);
+    if (success && (!it.answer.sealed || it.answer.encoded)) {
+        excluded_.insert(it.choice.endpoint);
+        end_attempt(it, attempt_end::failed);
+        attempt_failed(it, "unsigned_answer", true);
         return;
     }
     if (!success && promises_not_run(status)) {
-        end_attempt(true); // The endpoint does not say that it has not run, so this must not be passed on.
-        try_again("unclear_refusal", true);
+        excluded_.insert(it.choice.endpoint);
+        end_attempt(it, attempt_end::failed); // It does not say that it has not run, so this must not be passed on.
+        attempt_failed(it, "unclear_refusal", true);
         return;
     }
+    constexpr int status_too_late = 504;
+    const bool another = attempts_.size() > 1;
     const auto now = owner_->now();
-    if (status >= 500 && status != 504 && !begun_ && may_run_again(now) &&
-        owner_->repeats(service_).take(owner_->dispatch().routers(), now)) {
-        end_attempt(true);
-        excluded_.insert(choice_.endpoint);
+    if (another && (begun_ || status >= 500)) {
+        complete_failure(it);
+    } else if (status >= 500 && status != status_too_late && !begun_ && may_run_again(now) &&
+               owner_->repeats(service_).take(owner_->dispatch().routers(), now)) {
         owner_->environment().metrics->add("repeats_total", "endpoint_error");
-        submit(now);
-        return;
+        complete_failure(it);
+    } else {
+        answer_whole(it);
+    }
+}
+
+void exchange::complete_failure(attempt& it) {
+    excluded_.insert(it.choice.endpoint);
+    end_attempt(it, attempt_end::failed);
+    log_attempt_failed(*owner_->environment().log, record(it), "endpoint_error");
+    if (attempts_.empty()) {
+        submit(owner_->now());
     }
-    answer_whole();
 }
 
-void exchange::answer_whole() {
-    const int status = head_->status;
-    owner_->dispatch().started(ticket_, owner_->now());
+void exchange::answer_whole(attempt& it) {
+    const int status = it.head->status;
+    const auto now = owner_->now();
+    owner_->dispatch().started(it.ticket, now);
     if (status / 100 == 2) {
         owner_->run_answered(fingerprint());
     }
-    end_attempt(status >= 500);
+    went_on(it, now);
+    end_attempt(it, status >= 500 ? attempt_end::failed : attempt_end::answered);
     if (begun_) { // A resumed stream was answered by something else.
         give_up("endpoint_error");
         return;
     }
-    auto head = *head_;
+    auto head = *it.head;
     remove_hop_fields(head.fields);
-    owner_->first_answer().add(owner_->now() - arrived_);
+    owner_->first_answer().add(now - arrived_);
     if (caller_ != nullptr) {
-        std::exchange(caller_, nullptr)->respond(std::move(head), body_);
+        std::exchange(caller_, nullptr)->respond(std::move(head), it.body);
     }
     finish(status / 100 == 2 ? "served" : "failed_by_endpoint", status);
 }
--- /dev/null
+++ b/src/dandelionbay/proxy/exchange_attempts.cpp
@@ -0,0 +1,250 @@
+// The attempts of an exchange: how a call is sent to endpoints, and what follows when one fails or is silent.
+#include "dandelionbay/proxy/exchange.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "dandelionbay/proxy/caller_connection.hpp"
+#include "dandelionbay/proxy/proxy.hpp"
+
+namespace dandelionbay {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/*! A connection that was idle for longer may just be closing; a call that can't be repeated takes a fresh one. */
+constexpr duration short_idle = milliseconds{500};
+/*! Silence beyond the expected one after which another endpoint is asked: about twice the usual target. */
+constexpr duration silent_stream = milliseconds{1'200};
+constexpr duration silent_call = milliseconds{700};
+/*! Time after a refusal or failure of one endpoint before the next one is asked beside a silent one. */
+constexpr duration next_ask_after = milliseconds{500};
+/*! A call's reading may take this much longer than expected, and its own prompt may be read as slowly as this, in
+ * tokens per ms, before its endpoint counts as silent: about half the usual rate. */
+constexpr double late_backlog = 1.5;
+constexpr double slow_rate = 20.0;
+
+} // namespace
+
+duration exchange::fresh_connection_limit() const noexcept {
+    if (route_->idempotent()) {
+        return duration::max();
+    }
+    return route_->kind == call_kind::unsafe ? duration{} : short_idle;
+}
+
+std::string exchange::request_bytes(const endpoint_choice& choice, time_point now) const {
+    field_list fields = request_.fields;
+    remove_hop_fields(fields);
+    std::erase_if(fields, [](const auto& it) { return same_field(it.first, "Expect"); });
+    owner_->environment().protocol->write_call(
+        fields, forward_terms{choice.endpoint, team_, std::max(duration{}, time_left(now)), last_event_});
+    return write_request(request_.method, request_.target, fields, request_.body);
+}
+
+silence_limits exchange::silence_limits_for(const endpoint_choice& choice) const {
+    return {route_->kind == call_kind::streaming ? silent_stream : silent_call,
+            from_ms(choice.backlog_ms * late_backlog + choice.unread_tokens / slow_rate)};
+}
+
+void exchange::placed(const endpoint_choice& choice) {
+    const auto now = owner_->now();
+    choice_ = choice;
+    team_rank_ = choice.team;
+    waited_ = now - arrived_;
+    list_age_ = owner_->environment().view->endpoints_age(now).value_or(duration{});
+    const auto release = [&] { owner_->dispatch().not_needed(ticket_, now); };
+    if (crashes_endpoints()) { // That became known while it waited.
+        release();
+        refuse_as_crashing();
+        return;
+    }
+    if (!take_turn(now)) { // A copy was lost while it waited.
+        release();
+        await_turn();
+        return;
+    }
+    if (caller_ != nullptr && caller_->left()) {
+        release();
+        finish("caller_gone", 0);
+        return;
+    }
+    stage_ = stage::running;
+    send_to(ticket_, choice, now);
+}
+
+void exchange::send_to(ticket_id ticket, const endpoint_choice& choice, time_point now) {
+    owner_->turns().sent(fingerprint(), ticket_, now);
+    ++sends_;
+    ++runs_;
+    const auto it = std::make_shared<attempt>(*this, ticket, choice, now);
+    attempts_.push_back(it);
+    open_.sent(ticket, silence_limits_for(choice), now);
+    it->client = owner_->connect(choice, fresh_connection_limit());
+    const auto bytes = request_bytes(choice, now);
+    owner_->count_sent(choice.endpoint, bytes.size());
+    it->client->send(bytes, request_.method == "HEAD", it.get());
+}
+
+void exchange::on_failed(attempt& it, request_failure why) {
+    if (it.client == nullptr) {
+        return;
+    }
+    const auto now = owner_->now();
+    it.body = std::string{}; // Its memory is needed while the call waits for another endpoint.
+    if (why == request_failure::unwanted) {
+        --runs_;
+        end_attempt(it, attempt_end::not_needed);
+        if (!attempts_.empty()) {
+            return; // The time limit is looked at for the call as a whole.
+        }
+        if (caller_ != nullptr && !caller_->left()) {
+            refuse(504, result_code::deadline_exceeded, {});
+        } else {
+            finish("caller_gone", 0);
+        }
+        return;
+    }
+    excluded_.insert(it.choice.endpoint);
+    if (why == request_failure::not_sent) {
+        --runs_;
+        owner_->unreachable(it.choice.endpoint);
+        end_attempt(it, attempt_end::failed);
+        attempt_failed(it, "unreachable", false);
+        return;
+    }
+    if (why == request_failure::broken) {
+        note_lost_run(it, now);
+    }
+    end_attempt(it, attempt_end::failed);
+    attempt_failed(it, why == request_failure::broken ? "connection_broken" : "garbage", true);
+}
+
+bool exchange::wanted() {
+    return caller_ != nullptr && !caller_->left() && time_left(owner_->now()) > duration{};
+}
+
+void exchange::end_attempt(attempt& it, attempt_end end) {
+    const auto now = owner_->now();
+    if (end == attempt_end::not_needed) {
+        owner_->dispatch().not_needed(it.ticket, now);
+    } else {
+        owner_->dispatch().ended(it.ticket, end == attempt_end::failed, now);
+    }
+    open_.ended(it.ticket);
+    if (auto client = std::exchange(it.client, nullptr); client != nullptr && client->busy()) {
+        client->close();
+    } else if (client != nullptr) {
+        owner_->pool().put(std::move(client), it.answer.idle_timeout.value_or(duration{}), now);
+    }
+    std::erase_if(attempts_, [&](const auto& other) { return other.get() == &it; });
+}
+
+void exchange::attempt_failed(const attempt& it, std::string_view reason, bool counted) {
+    log_attempt_failed(*owner_->environment().log, record(it), reason);
+    if (attempts_.empty()) {
+        try_again(reason, counted);
+    } else {
+        next_look_ = owner_->now() + next_ask_after;
+    }
+}
+
+void exchange::try_again(std::string_view reason, bool counted) {
+    const auto now = owner_->now();
+    if (!may_run_again(now) || (runs_ > 0 && owner_->losses().doubtful(fingerprint()))) {
+        give_up(reason);
+        return;
+    }
+    if (counted && !owner_->repeats(service_).take(owner_->dispatch().routers(), now)) {
+        owner_->environment().metrics->add("repeats_refused_total", reason);
+        give_up(reason);
+        return;
+    }
+    owner_->environment().metrics->add("repeats_total", reason);
+    submit(now);
+}
+
+void exchange::note_lost_run(const attempt& it, time_point ended) {
+    const lost_run run{{it.choice.endpoint, it.choice.process_started}, it.sent_at, ended};
+    owner_->run_lost(fingerprint(), run, it.choice.address);
+}
+
+void exchange::note_silent_run(const attempt& it) {
+    if (const auto heard = owner_->dispatch().load(it.choice.endpoint).last_heard(); heard > it.sent_at) {
+        note_lost_run(it, heard);
+    }
+}
+
+bool exchange::silent(const attempt& it, time_point now) const {
+    const silence_evidence evidence{owner_->attentive_since(), false,
+                                    owner_->dispatch().load(it.choice.endpoint).stalled(now)};
+    return open_.silent(it.ticket, evidence, now) && !it.client->has_unread();
+}
+
+void exchange::ask_another(time_point now) {
+    next_look_ = now + look_interval;
+    auto& env = owner_->environment();
+    const auto silent_one = attempts_.front();
+    auto item = work();
+    item.ticket = owner_->new_ticket();
+    for (const auto& it : attempts_) {
+        item.excluded.insert(it->choice.endpoint);
+    }
+    refused_by_.clear();
+    if (owner_->losses().doubtful(fingerprint()) || !take_turn(now) || !owner_->dispatch().takes_now(item, now)) {
+        return;
+    }
+    if (!owner_->repeats(service_).take(owner_->dispatch().routers(), now)) {
+        env.metrics->add("repeats_refused_total", "silent");
+        return;
+    }
+    if (attempts_.size() == call_attempts::most_open) {
+        end_attempt(*std::shared_ptr{attempts_.back()}, attempt_end::not_needed);
+    }
+    const auto choice = owner_->dispatch().place_now(item, now);
+    if (!choice) {
+        return;
+    }
+    const auto since = std::max(silent_one->heard_at, owner_->attentive_since());
+    log_endpoint_silent(*env.log, record(*silent_one),
+                        {now - since, owner_->lateness(),
+                         owner_->dispatch().load(silent_one->choice.endpoint).stalled(now), choice->endpoint});
+    env.metrics->add("repeats_total", "silent");
+    choice_ = *choice;
+    send_to(item.ticket, *choice, now);
+}
+
+void exchange::went_on(attempt& it, time_point now) {
+    it.heard_at = now;
+    const auto change = open_.went_on(it.ticket, now);
+    if (!change.obsolete) {
+        return;
+    }
+    const auto other = *std::ranges::find(attempts_, *change.obsolete, [](const auto& open) { return open->ticket; });
+    log_silence_ended(*owner_->environment().log, record(it), change.taken_over);
+    owner_->environment().metrics->add("silences_ended_total", change.taken_over ? "taken_over" : "went_on");
+    if (change.taken_over) {
+        note_silent_run(*other);
+        excluded_.insert(other->choice.endpoint);
+    }
+    end_attempt(*other, change.taken_over ? attempt_end::failed : attempt_end::not_needed);
+}
+
+void exchange::drop_held_answer() {
+    const auto largest = std::ranges::max_element(attempts_, {}, [](const auto& it) { return it->held_answer(); });
+    if (largest != attempts_.end()) {
+        const auto it = *largest;
+        on_failed(*it, request_failure::garbage);
+    }
+}
+
+std::size_t exchange::held_answer() const noexcept {
+    std::size_t out = 0;
+    for (const auto& it : attempts_) {
+        out += it->held_answer();
+    }
+    return out;
+}
+
+} // namespace dandelionbay
--- a/src/dandelionbay/proxy/fwd.hpp
+++ b/src/dandelionbay/proxy/fwd.hpp
@@ -2,6 +2,7 @@
 
 namespace dandelionbay {
 
+class call_attempts;
 class call_protocol;
 class caller_connection;
 class channel;
@@ -16,6 +17,7 @@
 class proxy;
 class response_handler;
 class status_server;
+struct attempt;
 struct call_record;
 struct http_request;
 struct response_head;
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -188,7 +188,7 @@
 
 std::shared_ptr<exchange> proxy::open_exchange(caller_connection& caller, http_request request, time_point arrived) {
     buffered_ += request.body.size();
-    const auto ticket = ++last_ticket_;
+    const auto ticket = new_ticket();
     auto it = std::make_shared<exchange>(*this, caller, std::move(request), ticket, arrived);
     exchanges_.emplace(ticket, it);
     return it;
@@ -220,7 +220,7 @@
         std::ranges::max_element(exchanges_, {}, [](const auto& it) { return it.second->held_answer(); });
     environment_.metrics->add("held_answers_given_up_total");
     const auto call = largest->second;
-    call->on_failed(request_failure::garbage);
+    call->drop_held_answer();
 }
 
 void proxy::close_caller(const std::shared_ptr<caller_connection>& it) {
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -133,6 +133,9 @@
     [[nodiscard]] std::shared_ptr<exchange> open_exchange(caller_connection& caller, http_request request,
                                                           time_point arrived);
 
+    /*! @brief Names one more attempt of a call. */
+    [[nodiscard]] ticket_id new_ticket() noexcept { return ++last_ticket_; }
+
     /*! @brief An exchange ended. */
     void close_exchange(ticket_id ticket);
 
--- a/test/dandelionbay/dispatch/dispatcher_test.cpp
+++ b/test/dandelionbay/dispatch/dispatcher_test.cpp
@@ -415,8 +415,9 @@
     ASSERT_EQ(fleet.router.waiting(), 1);
     auto running = fleet.call("team", 1, 2'000, 10);
     running.excluded = {endpoint_id{"e0"}};
-    EXPECT_TRUE(fleet.router.place_now(running, fleet.now));
-    EXPECT_EQ(fleet.log.placements[running.ticket], "e1");
+    const auto choice = fleet.router.place_now(running, fleet.now);
+    ASSERT_TRUE(choice);
+    EXPECT_EQ(choice->endpoint, endpoint_id{"e1"});
     EXPECT_EQ(fleet.router.waiting(), 1);
     {
         SCOPED_TRACE("with no endpoint for it, it is not kept");
