Let a call that broke off wait for an endpoint with room before it is cut

Callers saw a cut stream or a 502 when their endpoint broke off and the next one, or the router's own picture, had no room at that moment: a call that can't be refused as not run was given up at the first refusal, with most of its time left.

Such a call now looks for an endpoint each 100 ms for up to 1.5 s, since callers leave a stream after 2 s without an event at the earliest. Endpoints that refused are asked again; a stream that has begun also asks those that failed it before. A call that no endpoint may serve still ends at once, and each sending takes a repeat of the budget as before: at most 4, and 8 for a stream that has begun.

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -222,6 +222,11 @@
     return sites_.consider(item, rank_of(item, now)).best_ready.at != nullptr;
 }
 
+bool dispatcher::has_endpoint(const work_item& item, time_point now) {
+    sites_.look(now);
+    return sites_.consider(item, rank_of(item, now)).best.at != nullptr;
+}
+
 bool dispatcher::withdraw(ticket_id ticket) {
     return waiting_.erase(ticket) > 0;
 }
--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -114,6 +114,9 @@
     /*! @brief Tells whether an endpoint would take a call at once. @param item The call. @param now Time. */
     [[nodiscard]] bool takes_now(const work_item& item, time_point now);
 
+    /*! @brief Tells whether there is an endpoint for a call, now or later. @param item The call. @param now Time. */
+    [[nodiscard]] bool has_endpoint(const work_item& item, time_point now);
+
     /*! @brief A waiting call is not wanted any more. @param ticket Its name. @return False if it was not waiting. */
     bool withdraw(ticket_id ticket);
 
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -36,7 +36,8 @@
 bool exchange::may_run_again(time_point now) const noexcept {
     const bool allowed = runs_ == 0 || (route_->idempotent() && runs_ < route_->max_attempts);
     const bool resumable = !begun_ || last_event_; // Without an event's id nothing tells where it goes on.
-    return allowed && resumable && caller_ != nullptr && sends_ < most_sends && time_left(now) > least_time;
+    return allowed && resumable && caller_ != nullptr && sends_ < (begun_ ? most_sends_begun : most_sends) &&
+           time_left(now) > least_time;
 }
 
 bool exchange::admit(time_point now) {
@@ -132,12 +133,31 @@
     }
     auto item = work();
     cost_ = item.cost();
-    const bool refusable = runs_ == 0 && !begun_; // Otherwise waiting in vain would end in a cut or an unclear answer.
-    if (const auto choice = refusable ? std::nullopt : owner_->dispatch().place_now(item, now)) {
+    if (runs_ == 0 && !begun_) {
+        owner_->dispatch().submit(std::move(item), now);
+        return;
+    }
+    // Waiting behind new calls would end in a cut or an unclear answer.
+    if (const auto choice = owner_->dispatch().place_now(item, now)) {
         placed(*choice);
     } else {
-        owner_->dispatch().submit(std::move(item), now);
+        await_endpoint(now);
+    }
+}
+
+void exchange::await_endpoint(time_point now) {
+    without_endpoint_ = without_endpoint_.value_or(now);
+    refused_by_.clear();
+    if (begun_) {
+        excluded_.clear(); // Rather one that failed it before than a cut answer.
+    }
+    const bool late = now - *without_endpoint_ >= longest_endpoint_wait;
+    if (late || !may_run_again(now) || !(begun_ || owner_->dispatch().has_endpoint(work(), now))) {
+        give_up("no_endpoint");
+        return;
     }
+    awaits_endpoint_ = true;
+    next_look_ = now + look_interval;
 }
 
 bool exchange::take_turn(time_point now) {
@@ -172,14 +192,6 @@
     choice_.backlog_ms = why.backlog_ms;
     team_rank_ = why.team;
     ahead_ms_ = why.ahead_ms;
-    if (begun_) {
-        give_up("no_endpoint");
-        return;
-    }
-    if (runs_ > 0) {
-        refuse(502, result_code::outcome_unknown, {});
-        return;
-    }
     refuse(503, why.code, why.retry_after);
 }
 
@@ -277,6 +289,13 @@
         check_turn(now);
         return;
     }
+    if (awaits_endpoint_) {
+        if (now >= next_look_) {
+            awaits_endpoint_ = false;
+            submit(now);
+        }
+        return;
+    }
     if (stage_ != stage::running || !route_->idempotent() || !may_run_again(now) || now < next_look_) {
         return;
     }
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -68,6 +68,9 @@
     void end_attempt(attempt& it, attempt_end end);
     void try_again(std::string_view reason, bool counted);
 
+    /*! Waits for an endpoint, since there is none for a call that may have run or whose answer has begun. */
+    void await_endpoint(time_point now);
+
     void note_wishes(const attempt& it);
     void note_lost_run(const attempt& it, time_point ended);
 
@@ -102,6 +105,11 @@
     static constexpr std::size_t large_answer = std::size_t{256} << 10U;
     /*! @brief Endpoints that are asked before the call ends as not run. */
     static constexpr std::uint32_t most_sends = 4;
+    /*! @brief Endpoints that are asked before a stream that has begun is cut. */
+    static constexpr std::uint32_t most_sends_begun = 8;
+    /*! @brief Time for which a call that may have run, or whose answer has begun, waits for an endpoint: callers leave
+     * a stream after 2 s without an event at the earliest. */
+    static constexpr duration longest_endpoint_wait = std::chrono::milliseconds{1'500};
     /*! @brief How often a call looks for another endpoint. */
     static constexpr duration look_interval = std::chrono::milliseconds{100};
     /*! @brief A call with less time left is not sent again. */
@@ -173,6 +181,7 @@
     time_point limit_{};
     stage stage_{stage::waiting};
     bool awaits_turn_{};                 //!< It waits for another copy of the call.
+    bool awaits_endpoint_{};             //!< It waits until an endpoint takes it.
     std::set<endpoint_id> excluded_{};   //!< Endpoints that failed it.
     std::set<endpoint_id> refused_by_{}; //!< Endpoints that did not run it; they may take it later.
     std::uint32_t sends_{};
@@ -183,14 +192,15 @@
     bool begun_{};                                     //!< The caller has the head of the answer.
     std::optional<std::uint64_t> last_event_{};
     std::optional<time_point> first_event_at_{};
-    time_point next_look_{};               //!< When it may look for another endpoint again.
-    std::optional<team_rank> team_rank_{}; //!< At the newest placement or the refusal.
-    double cost_{};                        //!< Cost units, once it was submitted.
-    duration read_late_{};                 //!< How late the event loop ran when the call was read.
-    double ahead_ms_{};                    //!< Expected wait behind other calls, if it was refused.
-    duration waited_{};                    //!< From the arrival to the newest placement.
-    duration list_age_{};                  //!< Age of the list of endpoints at that placement.
-    std::string_view caller_end_{};        //!< How the caller left.
+    time_point next_look_{};                       //!< When it may look for another endpoint again.
+    std::optional<time_point> without_endpoint_{}; //!< Since when no endpoint has taken it.
+    std::optional<team_rank> team_rank_{};         //!< At the newest placement or the refusal.
+    double cost_{};                                //!< Cost units, once it was submitted.
+    duration read_late_{};                         //!< How late the event loop ran when the call was read.
+    double ahead_ms_{};                            //!< Expected wait behind other calls, if it was refused.
+    duration waited_{};                            //!< From the arrival to the newest placement.
+    duration list_age_{};                          //!< Age of the list of endpoints at that placement.
+    std::string_view caller_end_{};                //!< How the caller left.
     mutable std::optional<std::uint64_t> fingerprint_{};
 };
 
--- a/src/dandelionbay/proxy/exchange_attempts.cpp
+++ b/src/dandelionbay/proxy/exchange_attempts.cpp
@@ -216,6 +216,7 @@
 }
 
 void exchange::went_on(attempt& it, time_point now) {
+    without_endpoint_.reset();
     it.heard_at = now;
     const auto change = open_.went_on(it.ticket, now);
     if (!change.obsolete) {
