Pass an endpoint's own failure on if the endpoint asked instead has no answer

Callers of safe calls got a 502 that promises nothing, although an endpoint had answered with a signed 500: the answer was thrown away when another endpoint was asked, before that one had anything.

The failure is kept, up to 64 KiB, while another endpoint is asked, and is the call's answer if that one breaks off, or if there is none. Not for streams that have begun.

--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -219,10 +219,20 @@
     if (runs_ == 0) {
         refuse(503, result_code::endpoint_unavailable, usual_return);
     } else {
-        refuse(502, result_code::endpoint_failed, {});
+        fail(result_code::endpoint_failed);
     }
 }
 
+void exchange::fail(result_code code) {
+    if (!failure_ || caller_ == nullptr) {
+        refuse(502, code, {});
+        return;
+    }
+    const int status = failure_->head.status;
+    std::exchange(caller_, nullptr)->respond(std::move(failure_->head), failure_->body);
+    finish("failed_by_endpoint", status);
+}
+
 void exchange::refuse(int status, result_code code, duration retry_after) {
     if (caller_ != nullptr) {
         response_head head;
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -32,6 +32,10 @@
         failed,    //!< By its endpoint.
         not_needed //!< Another attempt has the call.
     };
+    struct kept_failure {
+        response_head head{};
+        std::string body{};
+    };
 
     [[nodiscard]] bool admit(time_point now);
     /*! Refuses it because this host is too late for it, and ends the connection: other hosts may have time. */
@@ -89,6 +93,8 @@
     void leave();
     void give_up(std::string_view reason);
 
+    /*! Ends a call that may have run: with what an endpoint said of its failure, if one did. */
+    void fail(result_code code);
     void refuse(int status, result_code code, duration retry_after);
     [[nodiscard]] call_record record() const;
     [[nodiscard]] call_record record(const attempt& it) const;
@@ -112,6 +118,8 @@
     static constexpr duration longest_endpoint_wait = std::chrono::milliseconds{1'500};
     /*! @brief How often a call looks for another endpoint. */
     static constexpr duration look_interval = std::chrono::milliseconds{100};
+    /*! @brief Answers of endpoints that failed are kept up to this size, in bytes, while another endpoint is asked. */
+    static constexpr std::size_t kept_failure_bytes = std::size_t{64} << 10U;
     /*! @brief A call with less time left is not sent again. */
     static constexpr duration least_time = std::chrono::milliseconds{60};
     /*! @brief Unsent bytes to the caller at which the endpoint's stream is not read on. */
@@ -189,6 +197,7 @@
     endpoint_choice choice_{}; //!< The newest placement, or what a refused call waited for.
     call_attempts open_{};
     std::vector<std::shared_ptr<attempt>> attempts_{}; //!< The open ones.
+    std::optional<kept_failure> failure_{};            //!< What an endpoint answered before another one was asked.
     bool begun_{};                                     //!< The caller has the head of the answer.
     std::optional<std::uint64_t> last_event_{};
     std::optional<time_point> first_event_at_{};
--- a/src/dandelionbay/proxy/exchange_answer.cpp
+++ b/src/dandelionbay/proxy/exchange_answer.cpp
@@ -67,6 +67,7 @@
 
 void exchange::begin_stream(const attempt& it) {
     begun_ = true;
+    failure_.reset();
     first_event_at_ = owner_->now();
     owner_->first_answer().add(*first_event_at_ - arrived_);
     if (caller_ != nullptr) {
@@ -211,6 +212,10 @@
     excluded_.insert(it.choice.endpoint);
     end_attempt(it, attempt_end::failed);
     log_attempt_failed(*owner_->environment().log, record(it), "endpoint_error");
+    if (!begun_ && it.body.size() <= kept_failure_bytes) {
+        failure_ = kept_failure{*it.head, std::move(it.body)};
+        remove_hop_fields(failure_->head.fields);
+    }
     if (attempts_.empty()) {
         submit(owner_->now());
     }
--- a/src/dandelionbay/proxy/exchange_attempts.cpp
+++ b/src/dandelionbay/proxy/exchange_attempts.cpp
@@ -241,7 +241,7 @@
 }
 
 std::size_t exchange::held_answer() const noexcept {
-    std::size_t out = 0;
+    std::size_t out = failure_ ? failure_->body.size() : 0;
     for (const auto& it : attempts_) {
         out += it->held_answer();
     }
