Pass an order on during a stop only if it can run to its own limit before the end

During a planned stop, callers of orders that came late in the grace got a 502 that says the order may have run: can_finish asked a plain service for its route's target only (1 s here), passed the order on, and the stop gave it up at the end. An order can't be repeated, so its caller can't know.

An order is now taken only if its own time limit ends before the process does, and is refused at once else, as not run, with 50 ms to come back: it reaches another host. Streams and safe calls are judged by what is expected, plus a second in which a sound endpoint may be silent. The question is asked again when a call is placed that waited, or that an endpoint refused, as long as it has not run.

--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -20,8 +20,6 @@
 constexpr duration default_time_left = std::chrono::hours{1};
 /*! When a call that no endpoint has run may come again. */
 constexpr duration usual_return = milliseconds{500};
-/*! When a call that this process can't serve in time, or can't finish, may come again; it reaches another one. */
-constexpr duration short_return = milliseconds{50};
 
 } // namespace
 
@@ -85,7 +83,7 @@
     }
     limit_ = arrived_ + std::min(terms_.time_left.value_or(default_time_left), route_->time_limit);
     service_ = owner_->pick_service(*route_);
-    if (!owner_->can_finish(*route_, service_, terms_.output_tokens)) {
+    if (!owner_->can_finish(*route_, service_, terms_.output_tokens, limit_)) {
         refuse(503, result_code::stopping, short_return);
         return false;
     }
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -116,6 +116,9 @@
     /*! @brief Time for which a call that may have run, or whose answer has begun, waits for an endpoint: callers leave
      * a stream after 2 s without an event at the earliest. */
     static constexpr duration longest_endpoint_wait = std::chrono::milliseconds{1'500};
+    /*! @brief When a call that this process can't serve in time, or can't finish, may come again: it reaches another
+     * one. */
+    static constexpr duration short_return = std::chrono::milliseconds{50};
     /*! @brief How often a call looks for another endpoint. */
     static constexpr duration look_interval = std::chrono::milliseconds{100};
     /*! @brief Answers of endpoints that failed are kept up to this size, in bytes, while another endpoint is asked. */
--- a/src/dandelionbay/proxy/exchange_attempts.cpp
+++ b/src/dandelionbay/proxy/exchange_attempts.cpp
@@ -70,6 +70,11 @@
         finish("caller_gone", 0);
         return;
     }
+    if (runs_ == 0 && !begun_ && !owner_->can_finish(*route_, service_, terms_.output_tokens, limit_)) {
+        release(); // A stop began, or went on, while it waited.
+        refuse(503, result_code::stopping, short_return);
+        return;
+    }
     stage_ = stage::running;
     send_to(ticket_, choice, now);
 }
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -22,6 +22,8 @@
 constexpr double gap_margin = 1.5;
 constexpr double late_gap_margin = 6.0;
 constexpr double newest_gap_share = 0.02;
+/*! A sound endpoint may be silent for about a second and go on. */
+constexpr duration endpoint_pause = std::chrono::milliseconds{1'200};
 /*! When there are too many connections, one part in this many of the limit is closed: looking at all takes time. */
 constexpr std::size_t closing_parts = 16;
 /*! All connections are looked at this often at most; with the limit's 3,000 that takes about 0.1 ms. */
@@ -153,17 +155,21 @@
     }
 }
 
-bool proxy::can_finish(const route& it, const service_id& service, std::uint32_t output_tokens) const {
+bool proxy::can_finish(const route& it, const service_id& service, std::uint32_t output_tokens,
+                       time_point limit) const {
     if (!draining_) {
         return true;
     }
+    if (it.kind == call_kind::unsafe) {
+        return limit <= ends_at_;
+    }
     const auto* const known = environment_.view->config()->find_service(service);
     double expected_ms = to_ms(it.target_latency);
     if (known != nullptr && known->engine) {
         const double margin = now() < late_at_ ? gap_margin : late_gap_margin;
         expected_ms = expected_ms * margin + event_gap_ms_ * margin * output_tokens / known->engine->tokens_per_event;
     }
-    return now() + from_ms(expected_ms) < ends_at_;
+    return now() + from_ms(expected_ms) + endpoint_pause < ends_at_;
 }
 
 void proxy::note_event_gap(duration gap) noexcept {
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -94,8 +94,13 @@
         ends_at_ = until;
     }
 
-    /*! @brief Tells whether a call that starts now is likely to be over before the process ends. */
-    [[nodiscard]] bool can_finish(const route& it, const service_id& service, std::uint32_t output_tokens) const;
+    /**
+     * @brief Tells whether a call that starts now is over before the process ends: for sure, if it can't be repeated
+     * and is not a stream, and else as far as can be expected.
+     * @param limit When its caller stops to wait at the latest.
+     */
+    [[nodiscard]] bool can_finish(const route& it, const service_id& service, std::uint32_t output_tokens,
+                                  time_point limit) const;
 
     /*! @brief Two events of a stream came one after the other. */
     void note_event_gap(duration gap) noexcept;
--- a/test/dandelionbay/platform/gateway_fleet.hpp
+++ b/test/dandelionbay/platform/gateway_fleet.hpp
@@ -180,6 +180,28 @@
     [[nodiscard]] socket_address peer_address() const { return peer_.get(); }
 
     /*! Sends bytes on a new connection and returns all that comes until the connection ends. */
+    [[nodiscard]] static std::string exchange(const socket_address& to, const std::string& bytes) {
+        boost::asio::io_context loop;
+        tcp::socket socket{loop};
+        boost::system::error_code ec;
+        socket.connect(to_endpoint(to), ec);
+        boost::asio::write(socket, boost::asio::buffer(bytes), ec);
+        std::string out;
+        std::array<char, 4'096> buf{};
+        while (true) {
+            if (pollfd readable{socket.native_handle(), POLLIN, 0}; poll(&readable, 1, longest_silence_ms) == 0) {
+                ADD_FAILURE() << "nothing came for " << longest_silence_ms << " ms after: " << out;
+                return out;
+            }
+            const auto n = socket.read_some(boost::asio::buffer(buf), ec);
+            if (ec) {
+                return out;
+            }
+            out.append(buf.data(), n);
+        }
+    }
+
+    /*! The same at this gateway. */
     [[nodiscard]] std::string exchange(const std::string& bytes) const { return exchange(caller_.get(), bytes); }
 
     /*! Tells whether it wants new callers. */
@@ -245,7 +267,9 @@
         out.first_peers = peers;
         out.store = store;
         out.bounds = bounds;
-        out.bounds.stop_grace = seconds{1};
+        if (bounds.stop_grace == gateway_bounds{}.stop_grace) {
+            out.bounds.stop_grace = seconds{1}; // Most tests need not wait for a stop.
+        }
         out.max_connections = max_connections;
         return out;
     }
@@ -257,27 +281,6 @@
         }
     }
 
-    [[nodiscard]] static std::string exchange(const socket_address& to, const std::string& bytes) {
-        boost::asio::io_context loop;
-        tcp::socket socket{loop};
-        boost::system::error_code ec;
-        socket.connect(to_endpoint(to), ec);
-        boost::asio::write(socket, boost::asio::buffer(bytes), ec);
-        std::string out;
-        std::array<char, 4'096> buf{};
-        while (true) {
-            if (pollfd readable{socket.native_handle(), POLLIN, 0}; poll(&readable, 1, longest_silence_ms) == 0) {
-                ADD_FAILURE() << "nothing came for " << longest_silence_ms << " ms after: " << out;
-                return out;
-            }
-            const auto n = socket.read_some(boost::asio::buffer(buf), ec);
-            if (ec) {
-                return out;
-            }
-            out.append(buf.data(), n);
-        }
-    }
-
     reserved_address caller_{};
     reserved_address peer_{};
     reserved_address ready_{};
