Wait at a stop for answers that their callers take slowly

Callers got a part of their answer and then the end of the connection: a planned stop looked at open calls only, and a call ends when its answer is written, of which a slow caller, or a slow link, may have taken a part. Kept connections with unsent bytes were closed at once.

The proxy counts connections that have ended but for unsent bytes. A stop goes on until there are none or the grace is over, and the last writes get 0.6 s instead of 0.15 s while some are unsent; answers_cut_by_stop tells how many were left.

--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -21,6 +21,9 @@
 constexpr double trusted_share = 0.9;
 /*! Time before the kill at which a stop ends what still runs, so that the process can end in order. */
 constexpr duration stop_margin = std::chrono::milliseconds{900};
+/*! Time that the last writes get, and the longest time if callers have not taken all. */
+constexpr std::chrono::milliseconds least_last_writes{150};
+constexpr duration most_last_writes = std::chrono::milliseconds{600};
 
 [[nodiscard]] freshness_limits freshness_of(const gateway_bounds& bounds) {
     freshness_limits out;
@@ -238,7 +241,8 @@
 
 void gateway_node::continue_stop(time_point since) {
     const auto passed = clock_.now() - since;
-    const bool quiet = passed >= balancer_delay && proxy_.close_idle() == 0 && proxy_.open_calls() == 0;
+    const bool quiet = passed >= balancer_delay && proxy_.close_idle() == 0 && proxy_.open_calls() == 0 &&
+                       proxy_.unsent_connections() == 0;
     if (quiet || passed >= options_.bounds.stop_grace - stop_margin) {
         end();
         return;
@@ -258,10 +262,22 @@
     registry_->stop();
     settings_timer_.cancel();
     facts_timer_.cancel();
-    // The last writes get a moment; then the process ends whatever is left.
-    constexpr std::chrono::milliseconds last_writes{150};
-    stop_timer_.expires_after(last_writes);
-    stop_timer_.async_wait([this](boost::system::error_code /*ec*/) { loop_.stop(); });
+    await_last_writes(clock_.now());
+}
+
+void gateway_node::await_last_writes(time_point since) {
+    stop_timer_.expires_after(least_last_writes);
+    stop_timer_.async_wait([this, since](boost::system::error_code /*ec*/) {
+        const auto unsent = proxy_.unsent_connections();
+        if (unsent > 0 && clock_.now() - since < most_last_writes) {
+            await_last_writes(since);
+            return;
+        }
+        if (unsent > 0) {
+            log_.write(log_level::warn, "answers_cut_by_stop", {{"connections", std::to_string(unsent)}});
+        }
+        loop_.stop();
+    });
 }
 
 void gateway_node::keep_refusal(std::uint64_t call) {
--- a/src/dandelionbay/node/gateway_node.hpp
+++ b/src/dandelionbay/node/gateway_node.hpp
@@ -45,6 +45,7 @@
     void begin_stop();
     void continue_stop(time_point since);
     void end();
+    void await_last_writes(time_point since);
     void run_loop();
     void wait_for_signal();
     void reload();
--- a/src/dandelionbay/proxy/caller_connection.cpp
+++ b/src/dandelionbay/proxy/caller_connection.cpp
@@ -145,7 +145,7 @@
     exchange_.reset();
     since_ = owner_->now();
     if (!keep_ || owner_->draining()) { // An answer that began before the stop did not announce the end.
-        channel_->finish();
+        finish();
         owner_->close_caller(shared_from_this());
         return;
     }
@@ -156,10 +156,14 @@
 void caller_connection::cut() {
     const auto self = shared_from_this();
     exchange_.reset();
-    channel_->finish(); // What was sent arrives; without its last chunk the answer is not complete.
+    finish(); // What was sent arrives; without its last chunk the answer is not complete.
     owner_->close_caller(self);
 }
 
+void caller_connection::finish() {
+    owner_->finish(channel_);
+}
+
 void caller_connection::on_written() {
     if (exchange_ != nullptr) {
         exchange_->caller_ready();
@@ -194,7 +198,7 @@
     if (!idle_since() || channel_->readable_now()) { // A request may have come that is not read yet.
         return false;
     }
-    channel_->finish();
+    finish();
     return true;
 }
 
--- a/src/dandelionbay/proxy/caller_connection.hpp
+++ b/src/dandelionbay/proxy/caller_connection.hpp
@@ -59,6 +59,9 @@
         return exchange_ == nullptr && !reading_ ? std::optional{since_} : std::nullopt;
     }
 
+    /*! @brief Ends it once all that was written is sent. */
+    void finish();
+
     /*! @brief Closes it if no request is being read or answered. @return True if it is closed. */
     bool close_idle();
 
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -146,6 +146,7 @@
     environment_.view->expire(now);
     dispatcher_.refresh(now);
     pool_.expire(now);
+    static_cast<void>(unsent_connections()); // Forgets those that have ended.
     check_broken_endpoints(now);
     const auto callers = std::vector<std::shared_ptr<caller_connection>>{callers_.begin(), callers_.end()};
     for (const auto& it : callers) {
@@ -189,9 +190,27 @@
         it->abandon();
     }
     stopped_ = true;
+    for (const auto& it : callers_) {
+        it->finish();
+    }
     callers_.clear();
 }
 
+void proxy::finish(const std::shared_ptr<channel>& it) {
+    it->finish();
+    if (!it->ended()) {
+        finishing_.push_back(it);
+    }
+}
+
+std::size_t proxy::unsent_connections() {
+    std::erase_if(finishing_, [](const auto& it) {
+        const auto open = it.lock();
+        return open == nullptr || open->ended();
+    });
+    return finishing_.size();
+}
+
 std::shared_ptr<exchange> proxy::open_exchange(caller_connection& caller, http_request request, time_point arrived) {
     buffered_ += request.body.size();
     const auto ticket = new_ticket();
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -108,9 +109,15 @@
     /*! @brief Closes connections on which nothing happens. @return Connections that are still busy. */
     std::size_t close_idle();
 
-    /*! @brief Ends everything. */
+    /*! @brief Ends everything; what was written is still sent while the event loop runs. */
     void stop();
 
+    /*! @brief Ends a caller's connection once all that was written is sent. */
+    void finish(const std::shared_ptr<channel>& it);
+
+    /*! @brief Connections that have ended but for bytes that their callers have not taken yet. */
+    [[nodiscard]] std::size_t unsent_connections();
+
     /*! @brief Tells whether it is about to end. */
     [[nodiscard]] bool draining() const noexcept { return draining_; }
 
@@ -223,6 +230,7 @@
     listener listener_;
     boost::asio::steady_timer timer_;
     std::set<std::shared_ptr<caller_connection>> callers_{};
+    std::vector<std::weak_ptr<channel>> finishing_{}; //!< They hold themselves until all is sent.
     std::unordered_map<ticket_id, std::shared_ptr<exchange>> exchanges_{};
     std::map<service_id, retry_window> repeats_{};
     latency_histogram first_answer_{};
--- a/test/dandelionbay/platform/gateway_stop_test.cpp
+++ b/test/dandelionbay/platform/gateway_stop_test.cpp
@@ -70,5 +70,38 @@
     EXPECT_GT(refused, 0);
 }
 
+// Guards against answers that are complete here and are cut by a planned stop, because their callers take them slowly:
+// no call is open any more then.
+TEST_F(gateway_stop, an_answer_that_its_caller_takes_slowly_arrives_whole) {
+    // Its last part still waits in the gateway when no call has been open for the time that the balancer needs.
+    const std::string body(std::size_t{7'900} << 10U, 'x');
+    constexpr std::size_t bytes_at_a_time = 16U << 10U;
+    constexpr std::size_t bytes_in_a_ms = 900;
+    constexpr int receive_buffer = 64 << 10;
+    start_with(milliseconds{7'500});
+    desk_1.then(
+        [&](const http_request& request, raw_server::connection& to) { scripted_endpoint::answer(request, to, body); });
+    boost::asio::io_context loop;
+    tcp::socket caller{loop};
+    caller.open(tcp::v4());
+    caller.set_option(boost::asio::socket_base::receive_buffer_size{receive_buffer});
+    caller.connect(to_endpoint(gateway->caller()));
+    boost::asio::write(caller, boost::asio::buffer(running_gateway::request("GET", "/look/slow", "", "keep-alive")));
+    ASSERT_TRUE(eventually([&] { return !calls(desk_1, "/look/slow").empty(); }));
+    std::this_thread::sleep_for(milliseconds{200});
+    auto stopping = stop();
+    std::string answer;
+    boost::system::error_code ec;
+    std::vector<char> buf(bytes_at_a_time);
+    const auto began = test_clock::now();
+    while (const auto n = caller.read_some(boost::asio::buffer(buf), ec)) {
+        answer.append(buf.data(), n);
+        std::this_thread::sleep_until(began + milliseconds{answer.size() / bytes_in_a_ms});
+    }
+    stopping.join();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 "));
+    EXPECT_TRUE(answer.ends_with("\r\n\r\n" + body)) << answer.size() << " bytes came";
+}
+
 } // namespace
 } // namespace dandelionbay::platform
