Add a random run over silences at sound endpoints beside changes of the configuration

Two engines and two plain endpoints are silent for 0.5 to 3 s at random places and refuse three calls of ten as not run, while a new configuration comes each 300 ms.

--- a/test/dandelionbay/platform/gateway_silence_test.cpp
+++ b/test/dandelionbay/platform/gateway_silence_test.cpp
@@ -1,3 +1,4 @@
+#include <random>
 #include <tuple>
 
 #include "dandelionbay/proxy/exchange.hpp"
@@ -261,5 +262,118 @@
     EXPECT_EQ(sends("/look/failed"), 2);
 }
 
+/*! Endpoints that are sound and now and then full, or silent for some time. */
+class pausing_endpoints {
+public:
+    explicit pausing_endpoints(std::uint64_t seed) : random_{seed} {}
+
+    void act(const http_request& request, raw_server::connection& to) {
+        if (draw(10) < 3) {
+            refuse(request, to);
+            return;
+        }
+        const milliseconds silence{draw(2) == 0 ? 0 : 500 + draw(2'500)};
+        if (request.path().starts_with("/look/")) {
+            std::this_thread::sleep_for(silence);
+            scripted_endpoint::answer(request, to, "whole");
+            return;
+        }
+        const auto after = find_field(request.fields, "Last-Event-Id");
+        const int first = after.empty() ? 1 : std::stoi(std::string{after}) + 1;
+        const int silent_before = first + draw(7 - first);
+        if (silent_before == first) {
+            std::this_thread::sleep_for(silence);
+        }
+        scripted_endpoint::stream(request, to, first, silent_before - 1, false);
+        if (silent_before > first) {
+            std::this_thread::sleep_for(silence);
+        }
+        to.write(events(silent_before, 6) + "0\r\n\r\n");
+    }
+
+private:
+    /*! A number from 0 on. */
+    [[nodiscard]] int draw(int below) {
+        const std::scoped_lock lock{mutex_};
+        return below <= 1 ? 0 : std::uniform_int_distribution{0, below - 1}(random_);
+    }
+
+    std::mutex mutex_{};
+    std::mt19937_64 random_;
+};
+
+class gateway_pauses : public gateway_two_endpoints, public testing::WithParamInterface<std::uint64_t> {
+protected:
+    static constexpr milliseconds time_limit{15'000}; // Longer than all silences of a call.
+    static constexpr int callers = 8;
+    static constexpr int calls_each = 6;
+
+    /*! The usual configuration with the time limit of this test, and another idle time in each version. */
+    [[nodiscard]] static std::string patient_config(int version) {
+        auto out = config(version);
+        for (const std::string_view name : {R"("timeout_ms": 4000)", R"("timeout_ms": 3000)"}) {
+            for (auto at = out.find(name); at != std::string::npos; at = out.find(name, at + 1)) {
+                out.replace(at, name.size(), concat(R"("timeout_ms": )", time_limit.count()));
+            }
+        }
+        const std::string_view idle = "15000}";
+        return out.replace(out.find(idle), idle.size(), concat(15'000 + version, "}"));
+    }
+
+    [[nodiscard]] std::map<std::string, std::string> call_all() const {
+        std::mutex mutex;
+        std::map<std::string, std::string> out;
+        std::vector<std::thread> threads;
+        for (int caller = 0; caller < callers; ++caller) {
+            threads.emplace_back([&, caller] {
+                for (int n = 0; n < calls_each; ++n) {
+                    const auto path = concat(n % 3 == 0 ? "/look/" : "/chat/", caller, "-", n);
+                    auto text = gateway->get_within(path, time_limit);
+                    const std::scoped_lock lock{mutex};
+                    out[path] = std::move(text);
+                }
+            });
+        }
+        for (auto& it : threads) {
+            it.join();
+        }
+        return out;
+    }
+};
+
+// Guards against calls that are cut or end with a 502 at sound endpoints that are silent for 0.5 to 3 s and now and
+// then full, while the configuration changes: each is answered whole or refused as not run.
+TEST_P(gateway_pauses, calls_at_sound_endpoints_are_answered_whole_or_not_run) {
+    constexpr milliseconds between_changes{300};
+    pausing_endpoints endpoints{GetParam()};
+    for (auto* const it : {&engine_1, &engine_2, &desk_1, &desk_2}) {
+        it->otherwise([&](const http_request& request, raw_server::connection& to) { endpoints.act(request, to); });
+    }
+    std::atomic<bool> over{false};
+    std::thread operating{[&] {
+        for (int version = 2; !over; ++version) {
+            store.put("op", "config", patient_config(version));
+            std::this_thread::sleep_for(between_changes);
+        }
+    }};
+    std::this_thread::sleep_for(between_changes);
+    const auto answers = call_all();
+    over = true;
+    operating.join();
+    int served = 0;
+    for (const auto& [path, answer] : answers) {
+        SCOPED_TRACE(concat("seed ", GetParam(), ", ", path, ", sent ", sends(path), " times: ", answer));
+        if (answer.starts_with("HTTP/1.1 503 ")) {
+            continue;
+        }
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 "));
+        EXPECT_TRUE(answer.ends_with("\r\n\r\n" + (path.starts_with("/look/") ? "whole" : whole_stream)));
+        ++served;
+    }
+    EXPECT_GT(served, callers * calls_each / 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, gateway_pauses, testing::Range<std::uint64_t>(1, 3));
+
 } // namespace
 } // namespace dandelionbay::platform
