Go on after an endpoint's failure in a begun stream, and wait for endpoints that pause

Callers saw a stream that was cut when the endpoint it went on at answered 5xx, although the route allowed another attempt and time was left; and a safe call that ended with 502 because the only other endpoint had asked for a pause of 0.2 s (or could not be connected to a moment ago), which counted as no endpoint at all.

A begun stream that is answered by something else goes on elsewhere within its attempts and the budget. has_endpoint asks whether an endpoint may serve the call now or later, so pauses and ejections don't hide one. A call's answer clears its losses after the silent attempt's loss is noted, not before: identical calls would have taken turns for no reason.

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -224,7 +224,7 @@
 
 bool dispatcher::has_endpoint(const work_item& item, time_point now) {
     sites_.look(now);
-    return sites_.consider(item, rank_of(item, now)).best.at != nullptr;
+    return sites_.any_for(item);
 }
 
 bool dispatcher::withdraw(ticket_id ticket) {
--- a/src/dandelionbay/dispatch/placement.cpp
+++ b/src/dandelionbay/dispatch/placement.cpp
@@ -217,6 +217,15 @@
     return out;
 }
 
+bool placement::any_for(const work_item& item) const {
+    const auto sites = sites_.find(item.service);
+    return sites != sites_.end() && std::ranges::any_of(sites->second, [&](const auto& it) {
+               const bool allowed =
+                   (item.route_regions.empty() && item.team_regions.empty()) || in_regions(item, it.region);
+               return allowed && !item.excluded.contains(it.known->entry.id);
+           });
+}
+
 std::size_t placement::count(const service_id& service) const {
     const auto it = sites_.find(service);
     return it == sites_.end() ? 0 : it->second.size();
--- a/src/dandelionbay/dispatch/placement.hpp
+++ b/src/dandelionbay/dispatch/placement.hpp
@@ -105,6 +105,9 @@
     /*! @brief Rates the endpoints for a call. @param item The call. @param team Rank of its team. */
     [[nodiscard]] choices consider(const work_item& item, const team_rank& team);
 
+    /*! @brief Tells whether an endpoint may serve a call, now or later. @param item The call. */
+    [[nodiscard]] bool any_for(const work_item& item) const;
+
     /*! @brief A call was sent to an endpoint: works its part out again. */
     void sent(site& it) const { rate(it); }
 
--- a/src/dandelionbay/proxy/exchange_answer.cpp
+++ b/src/dandelionbay/proxy/exchange_answer.cpp
@@ -151,8 +151,8 @@
     }
     const auto now = owner_->now();
     owner_->dispatch().started(it.ticket, now);
-    owner_->run_answered(fingerprint());
     went_on(it, now);
+    owner_->run_answered(fingerprint());
     end_attempt(it, attempt_end::answered);
     if (!begun_) {
         begin_stream(it);
@@ -199,7 +199,7 @@
     const auto now = owner_->now();
     if (another && (begun_ || status >= 500)) {
         complete_failure(it);
-    } else if (status >= 500 && status != status_too_late && !begun_ && may_run_again(now) &&
+    } else if ((begun_ || (status >= 500 && status != status_too_late)) && may_run_again(now) &&
                owner_->repeats(service_).take(owner_->dispatch().routers(), now)) {
         owner_->environment().metrics->add("repeats_total", "endpoint_error");
         complete_failure(it);
@@ -225,10 +225,10 @@
     const int status = it.head->status;
     const auto now = owner_->now();
     owner_->dispatch().started(it.ticket, now);
+    went_on(it, now);
     if (status / 100 == 2) {
         owner_->run_answered(fingerprint());
     }
-    went_on(it, now);
     end_attempt(it, status >= 500 ? attempt_end::failed : attempt_end::answered);
     if (begun_) { // A resumed stream was answered by something else.
         give_up("endpoint_error");
