Ask another endpoint for a silent stream only shortly before its caller leaves

A sound endpoint is silent for a second or so and goes on; asking at 0.9 s (endpoint stalled) or 1.2 s started a second engine for most such streams, of which one works in vain. If both begin at nearly the same time, two engines are at one stream until the router has read the first event, which the platform forbids beyond 400 ms.

Callers leave a stream after 2 s, 4 times its target or 8 times its longest gap without an event, whichever is longest. Another endpoint is asked 0.7 s before that, not before 1.2 s beyond the expected reading. That an endpoint is silent for all its calls is no reason to ask sooner any more: that is what a sound endpoint's silence looks like. After a refusal the next endpoint is asked 0.3 s later.

Review findings in the same lines: a third endpoint is asked without giving the second one up (it may be sound too), up to three at a time within the route's attempts; a call that may be the reason for an endpoint's end is not sent to two at once (it took its turn without being sent, so its copies waited); and nobody is asked for a caller that has left.

--- a/src/dandelionbay/gateway/route_config.hpp
+++ b/src/dandelionbay/gateway/route_config.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -33,6 +34,7 @@
     call_kind kind{call_kind::safe};
     duration time_limit{std::chrono::seconds{30}};    //!< Longest time a caller is kept waiting for the whole answer.
     duration target_latency{std::chrono::seconds{1}}; //!< Time to the answer, or to a stream's first event.
+    duration longest_gap{};                           //!< Between a stream's events, for an answer that is in time.
     std::vector<service_share> services{};
     std::uint32_t max_attempts{1};         //!< Endpoints that may run one call.
     bool is_public{};                      //!< Needs no API key.
@@ -41,6 +43,14 @@
 
     friend bool operator==(const route&, const route&) = default;
 
+    /*! @brief Time without an event after which callers leave a stream. */
+    [[nodiscard]] duration patience() const noexcept {
+        constexpr duration shortest = std::chrono::seconds{2};
+        constexpr int targets = 4;
+        constexpr int gaps = 8;
+        return std::max({shortest, targets * target_latency, gaps * longest_gap});
+    }
+
     /*! @brief Tells whether a call may run more than once. */
     [[nodiscard]] bool idempotent() const noexcept {
         return kind == call_kind::safe || (kind == call_kind::streaming && resumable);
--- a/src/dandelionbay/proxy/call_attempts.hpp
+++ b/src/dandelionbay/proxy/call_attempts.hpp
@@ -18,21 +18,12 @@
     friend bool operator==(const silence_limits&, const silence_limits&) = default;
 };
 
-/*! @brief What this host knows of a silence beside its length. */
-struct silence_evidence {
-    time_point listening_since{}; //!< Silence before this moment says nothing: the host did not listen.
-    bool unread{};                //!< Bytes of the endpoint have come and wait to be read.
-    bool stalled{};               //!< The endpoint sends nothing for its other calls either.
-
-    friend bool operator==(const silence_evidence&, const silence_evidence&) = default;
-};
-
 /**
  * @brief The open attempts of one call, and which of them has the call.
  *
  * Silence is no proof of loss: a sound endpoint may be silent for a second and go on, and the next one may refuse. So
  * an attempt that is silent keeps the call while another endpoint is asked. Whichever goes on first has the call from
- * then on, and the other attempt ends.
+ * then on, and the others end.
  */
 class call_attempts {
     struct open_attempt {
@@ -42,18 +33,16 @@
         bool begun{};
     };
 
-    [[nodiscard]] std::vector<open_attempt>::const_iterator find(ticket_id it) const;
-
 public:
     using size_type = std::size_t;
 
-    /*! @brief Attempts that are open at a time: the one that has the call, and one beside it. */
-    static constexpr size_type most_open = 2;
+    /*! @brief Attempts that may be open at a time: the one that has the call, and others beside it. */
+    static constexpr size_type most_open = 3;
 
     /*! @brief What an attempt that went on changes. */
     struct change {
-        std::optional<ticket_id> obsolete{}; //!< The attempt that is to be ended.
-        bool taken_over{};                   //!< That one had the call.
+        std::vector<ticket_id> obsolete{}; //!< The attempts that are to be ended.
+        bool taken_over{};                 //!< One of them had the call.
 
         friend bool operator==(const change&, const change&) = default;
     };
@@ -64,14 +53,14 @@
     /*! @brief An event, or a whole answer, came from an attempt. @param it Its name. @param now Time. */
     [[nodiscard]] change went_on(ticket_id it, time_point now);
 
-    /*! @brief An attempt ended. If it had the call, the one beside it has it. Unknown ones are left out. */
+    /*! @brief An attempt ended. If it had the call, the oldest one beside it has it. Unknown ones are left out. */
     void ended(ticket_id it);
 
-    /*! @brief Time for which nothing came from an open attempt. @param since Earlier silence does not count. */
-    [[nodiscard]] duration silence(ticket_id it, time_point since, time_point now) const;
-
-    /*! @brief Tells whether another endpoint should be asked, as far as this attempt goes. */
-    [[nodiscard]] bool silent(ticket_id it, const silence_evidence& evidence, time_point now) const;
+    /*! @brief Tells whether another endpoint should be asked, as far as this attempt goes.
+     *  @param it Its name. @param listening_since Silence before says nothing: the host did not listen. @param now
+     * Time.
+     */
+    [[nodiscard]] bool silent(ticket_id it, time_point listening_since, time_point now) const;
 
     /*! @brief The attempt that has the call. */
     [[nodiscard]] std::optional<ticket_id> holder() const;
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -304,7 +304,8 @@
         }
         return;
     }
-    if (stage_ != stage::running || !route_->idempotent() || !may_run_again(now) || now < next_look_) {
+    if (stage_ != stage::running || !route_->idempotent() || !may_run_again(now) || now < next_look_ ||
+        open_.size() == call_attempts::most_open) {
         return;
     }
     if (std::ranges::all_of(attempts_, [&](const auto& it) { return !it->paused && silent(*it, now); })) {
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -205,7 +205,7 @@
     std::optional<std::uint64_t> last_event_{};
     std::optional<time_point> first_event_at_{};
     time_point next_look_{};                       //!< When it may look for another endpoint again.
-    std::optional<time_point> without_endpoint_{}; //!< Since when no endpoint has taken it.
+    std::optional<time_point> without_endpoint_{}; //!< Since when it has waited for one without going on.
     std::optional<team_rank> team_rank_{};         //!< At the newest placement or the refusal.
     double cost_{};                                //!< Cost units, once it was submitted.
     duration read_late_{};                         //!< How late the event loop ran when the call was read.
--- a/src/dandelionbay/proxy/exchange_attempts.cpp
+++ b/src/dandelionbay/proxy/exchange_attempts.cpp
@@ -18,8 +18,11 @@
 /*! Silence beyond the expected one after which another endpoint is asked: about twice the usual target. */
 constexpr duration silent_stream = milliseconds{1'200};
 constexpr duration silent_call = milliseconds{700};
+/*! A stream's caller that still waits has this time for the events of another endpoint: twice a queue's reading and a
+ * prompt's. Before that, a sound endpoint may go on; two engines at one stream are to be avoided. */
+constexpr duration time_to_begin = milliseconds{700};
 /*! Time after a refusal or failure of one endpoint before the next one is asked beside a silent one. */
-constexpr duration next_ask_after = milliseconds{500};
+constexpr duration next_ask_after = milliseconds{300};
 /*! A call's reading may take this much longer than expected, and its own prompt may be read as slowly as this, in
  * tokens per ms, before its endpoint counts as silent: about half the usual rate. */
 constexpr double late_backlog = 1.5;
@@ -44,8 +47,12 @@
 }
 
 silence_limits exchange::silence_limits_for(const endpoint_choice& choice) const {
-    return {route_->kind == call_kind::streaming ? silent_stream : silent_call,
-            from_ms(choice.backlog_ms * late_backlog + choice.unread_tokens / slow_rate)};
+    const auto reading = from_ms(choice.backlog_ms * late_backlog + choice.unread_tokens / slow_rate);
+    if (route_->kind != call_kind::streaming) {
+        return {silent_call, reading};
+    }
+    const auto usual = std::max(silent_stream, route_->patience() - time_to_begin);
+    return {usual, std::max(duration{}, silent_stream + reading - usual)};
 }
 
 void exchange::placed(const endpoint_choice& choice) {
@@ -182,9 +189,7 @@
 }
 
 bool exchange::silent(const attempt& it, time_point now) const {
-    const silence_evidence evidence{owner_->attentive_since(), false,
-                                    owner_->dispatch().load(it.choice.endpoint).stalled(now)};
-    return open_.silent(it.ticket, evidence, now) && !it.client->has_unread();
+    return open_.silent(it.ticket, owner_->attentive_since(), now) && !it.client->has_unread();
 }
 
 void exchange::ask_another(time_point now) {
@@ -197,16 +202,14 @@
         item.excluded.insert(it->choice.endpoint);
     }
     refused_by_.clear();
-    if (owner_->losses().doubtful(fingerprint()) || !take_turn(now) || !owner_->dispatch().takes_now(item, now)) {
+    const bool may_be_at_fault = owner_->losses().suspected(fingerprint()); // Two endpoints might end under it.
+    if (may_be_at_fault || !wanted() || !owner_->dispatch().takes_now(item, now)) {
         return;
     }
     if (!owner_->repeats(service_).take(owner_->dispatch().routers(), now)) {
         env.metrics->add("repeats_refused_total", "silent");
         return;
     }
-    if (attempts_.size() == call_attempts::most_open) {
-        end_attempt(*std::shared_ptr{attempts_.back()}, attempt_end::not_needed);
-    }
     const auto choice = owner_->dispatch().place_now(item, now);
     if (!choice) {
         return;
@@ -224,17 +227,19 @@
     without_endpoint_.reset();
     it.heard_at = now;
     const auto change = open_.went_on(it.ticket, now);
-    if (!change.obsolete) {
+    if (change.obsolete.empty()) {
         return;
     }
-    const auto other = *std::ranges::find(attempts_, *change.obsolete, [](const auto& open) { return open->ticket; });
     log_silence_ended(*owner_->environment().log, record(it), change.taken_over);
     owner_->environment().metrics->add("silences_ended_total", change.taken_over ? "taken_over" : "went_on");
-    if (change.taken_over) {
-        note_silent_run(*other);
-        excluded_.insert(other->choice.endpoint);
+    for (const auto ticket : change.obsolete) {
+        const auto other = *std::ranges::find(attempts_, ticket, [](const auto& open) { return open->ticket; });
+        if (change.taken_over) {
+            note_silent_run(*other);
+            excluded_.insert(other->choice.endpoint);
+        }
+        end_attempt(*other, change.taken_over ? attempt_end::failed : attempt_end::not_needed);
     }
-    end_attempt(*other, change.taken_over ? attempt_end::failed : attempt_end::not_needed);
 }
 
 void exchange::drop_held_answer() {
