Hold a request to the limits in force when it begins, also on a kept connection

Beside a change of the configuration, callers on connections that were opened before it got 413 or 431 for requests that it allows, and larger requests than it allows were taken: the limits of heads and bodies were those of the connection's beginning. Found by review, by reading.

The reader's limits are set when a request begins.

Evidence: limits_of_requests_follow_the_configuration_on_kept_connections failed before (413 for a body of 20 bytes after the limit rose from 4 to 40) and passes.

--- a/src/dandelionbay/proxy/caller_connection.cpp
+++ b/src/dandelionbay/proxy/caller_connection.cpp
@@ -64,6 +64,8 @@
             reading_ = true;
             since_ = owner_->now();
             read_delay_ = owner_->read_delay();
+            const auto limits = limits_of(*owner_);
+            reader_->set_limits(limits.max_header_bytes, limits.max_body_bytes);
         }
         const auto result = reader_->read();
         if (result == read_result::complete) {
--- a/src/dandelionbay/proxy/http_reader.cpp
+++ b/src/dandelionbay/proxy/http_reader.cpp
@@ -81,12 +81,16 @@
 
     void reset() {
         parser.emplace();
-        parser->header_limit(max_header);
-        parser->body_limit(max_body);
         parser->eager(true);
+        set_limits();
         asked = false;
     }
 
+    void set_limits() {
+        parser->header_limit(max_header);
+        parser->body_limit(max_body);
+    }
+
     std::uint32_t max_header;
     std::uint64_t max_body;
     std::optional<parser_type> parser{};
@@ -99,6 +103,12 @@
 
 request_reader::~request_reader() = default;
 
+void request_reader::set_limits(std::uint32_t max_header, std::uint64_t max_body) {
+    state_->max_header = max_header;
+    state_->max_body = max_body;
+    state_->set_limits();
+}
+
 void request_reader::append(std::string_view bytes) {
     state_->in.append(bytes);
 }
--- a/src/dandelionbay/proxy/http_reader.hpp
+++ b/src/dandelionbay/proxy/http_reader.hpp
@@ -26,6 +26,9 @@
     request_reader& operator=(request_reader&&) = delete;
     ~request_reader();
 
+    /*! @brief Sets the limits of the request that begins next. @param max_header Bytes. @param max_body Bytes. */
+    void set_limits(std::uint32_t max_header, std::uint64_t max_body);
+
     /*! @brief Adds bytes that were received. */
     void append(std::string_view bytes);
 
--- a/test/dandelionbay/platform/gateway_test.cpp
+++ b/test/dandelionbay/platform/gateway_test.cpp
@@ -394,6 +394,40 @@
     }
 }
 
+// Guards against requests that are refused for their size although the configuration in force allows it: a connection
+// that was opened before it kept the limits of its beginning.
+TEST_F(gateway_fleet, limits_of_requests_follow_the_configuration_on_kept_connections) {
+    const auto limited = [](int version, int bytes) {
+        auto out = config(version);
+        const std::string_view limits = R"("limits": {)";
+        return out.replace(out.find(limits), limits.size(), concat(limits, R"("max_body_bytes": )", bytes, ", "));
+    };
+    boost::asio::io_context loop;
+    tcp::socket caller{loop};
+    const auto status_of = [&](const std::string& body) {
+        boost::system::error_code ec;
+        boost::asio::write(caller,
+                           boost::asio::buffer(running_gateway::request("POST", "/book/kept",
+                                                                        concat("Content-Length: ", body.size(), "\r\n"),
+                                                                        "keep-alive") +
+                                               body),
+                           ec);
+        std::array<char, 4'096> buf{};
+        const auto n = caller.read_some(boost::asio::buffer(buf), ec);
+        return std::string{buf.data(), std::min<std::size_t>(n, 12)};
+    };
+    store.put("op", "config", limited(2, 4));
+    std::this_thread::sleep_for(milliseconds{300});
+    caller.connect(to_endpoint(gateway->caller()));
+    ASSERT_EQ(status_of("{}"), "HTTP/1.1 200");
+    store.put("op", "config", limited(3, 40));
+    std::this_thread::sleep_for(milliseconds{300});
+    EXPECT_EQ(status_of(std::string(20, 'x')), "HTTP/1.1 200");
+    store.put("op", "config", limited(4, 4));
+    std::this_thread::sleep_for(milliseconds{300});
+    EXPECT_EQ(status_of(std::string(20, 'x')), "HTTP/1.1 413");
+}
+
 // Guards against callers that stay with a router whose processor is too slow for them: one that does not tell the
 // balancer, or that keeps the connections which the balancer does not move.
 TEST_F(gateway_fleet, a_router_that_cannot_keep_up_sends_its_callers_away) {
