--- a/src/dandelionbay/app/admin_client.cpp
+++ b/src/dandelionbay/app/admin_client.cpp
@@ -8,6 +8,7 @@
 #include "absl/strings/numbers.h"
 #include "dandelionbay/base/text.hpp"
 #include "dandelionbay/http/error_body.hpp"
+#include "dandelionbay/http/framed_client.hpp"
 
 namespace dandelionbay::app {
 
@@ -45,7 +46,7 @@
 
 admin_reply admin_client::send(const std::string& method, const std::string& path, const std::string& etag,
                                const std::string& body) const {
-    httplib::Client http{server_.ip, server_.port};
+    framed_client http{server_.ip, server_.port};
     http.set_tcp_nodelay(true);
     http.set_connection_timeout(connect_limit);
     http.set_read_timeout(answer_limit);
--- a/src/dandelionbay/http/fwd.hpp
+++ b/src/dandelionbay/http/fwd.hpp
@@ -9,6 +9,7 @@
 class bounded_server;
 struct caller_front_options;
 class caller_front;
+class framed_client;
 struct admin_front_options;
 class admin_front;
 struct admin_request;
--- a/src/dandelionbay/load/caller.cpp
+++ b/src/dandelionbay/load/caller.cpp
@@ -9,6 +9,7 @@
 #include "dandelionbay/base/text.hpp"
 #include "dandelionbay/bench/answer.hpp"
 #include "dandelionbay/http/event_stream.hpp"
+#include "dandelionbay/http/framed_client.hpp"
 #include "dandelionbay/load/tally.hpp"
 
 namespace dandelionbay::load {
@@ -100,7 +101,7 @@
  * is kept open.
  */
 [[nodiscard]] received send_request(const load_target& to, httplib::Request& request, stream_reader* stream) {
-    httplib::Client client{to.host, to.port};
+    framed_client client{to.host, to.port};
     client.set_tcp_nodelay(true);
     client.set_connection_timeout(connect_limit);
     client.set_read_timeout(answer_limit);
--- a/src/dandelionbay/node/http_endpoint_client.cpp
+++ b/src/dandelionbay/node/http_endpoint_client.cpp
@@ -11,6 +11,7 @@
 #include "absl/status/status.h"
 #include "absl/strings/ascii.h"
 #include "dandelionbay/http/event_stream.hpp"
+#include "dandelionbay/http/framed_client.hpp"
 
 namespace dandelionbay {
 
@@ -80,7 +81,7 @@
     const time_point deadline;
     const std::string process; //!< Identity of the endpoint before the run.
     std::mutex mutex;
-    httplib::Client* client{}; //!< Set while the call is in progress.
+    framed_client* client{}; //!< Set while the call is in progress.
     std::optional<run_end> forced;
     std::thread thread;
 
@@ -94,7 +95,7 @@
 };
 
 void http_endpoint_client::perform(run& it, run_events& events) {
-    httplib::Client client{endpoint_.ip, endpoint_.port};
+    framed_client client{endpoint_.ip, endpoint_.port};
     client.set_tcp_nodelay(true);
     client.set_keep_alive(false);
     client.set_follow_location(false);
@@ -234,7 +235,7 @@
 }
 
 absl::StatusOr<load_report> http_endpoint_client::state() {
-    httplib::Client client{endpoint_.ip, endpoint_.port};
+    framed_client client{endpoint_.ip, endpoint_.port};
     client.set_tcp_nodelay(true);
     client.set_connection_timeout(connect_time);
     client.set_read_timeout(state_time);
--- a/src/dandelionbay/proxy/http_reader.cpp
+++ b/src/dandelionbay/proxy/http_reader.cpp
@@ -18,8 +18,6 @@
 
 /*! Header of an answer; endpoints send a few hundred bytes. */
 constexpr std::uint32_t max_response_header = 65'536;
-/*! Whole body of an answer; a length above it is taken for garbage. */
-constexpr std::uint64_t max_response_body = std::uint64_t{64} << 20U;
 
 [[nodiscard]] std::string text_of(boost::beast::string_view it) {
     return {it.data(), it.size()};
@@ -147,10 +145,12 @@
 public:
     using parser_type = http::response_parser<http::string_body>;
 
+    explicit state(std::uint64_t body) : max_body{body} { reset(); }
+
     void reset() {
         parser.emplace();
         parser->header_limit(max_response_header);
-        parser->body_limit(max_response_body);
+        parser->body_limit(max_body);
         parser->eager(true);
         parser->skip(without_body);
         head_taken = false;
@@ -159,15 +159,14 @@
     /*! An interim answer comes before the real one. */
     [[nodiscard]] bool interim() const { return parser->is_header_done() && parser->get().result_int() < 200; }
 
+    std::uint64_t max_body;
     std::optional<parser_type> parser{};
     std::string in{};
     bool without_body{};
     bool head_taken{};
 };
 
-response_reader::response_reader() : state_{std::make_unique<state>()} {
-    state_->reset();
-}
+response_reader::response_reader(std::uint64_t max_body) : state_{std::make_unique<state>(max_body)} {}
 
 response_reader::~response_reader() = default;
 
--- a/src/dandelionbay/proxy/http_reader.hpp
+++ b/src/dandelionbay/proxy/http_reader.hpp
@@ -55,8 +55,12 @@
 class response_reader {
     class state;
 
+    /*! Whole body of an answer; a length above it is taken for garbage. */
+    static constexpr std::uint64_t largest_body = std::uint64_t{64} << 20U;
+
 public:
-    response_reader();
+    /*! @brief Creates a reader. @param max_body Bytes. */
+    explicit response_reader(std::uint64_t max_body = largest_body);
     response_reader(const response_reader&) = delete;
     response_reader(response_reader&&) = delete;
     response_reader& operator=(const response_reader&) = delete;
--- a/src/dandelionbay/store/http_caller.cpp
+++ b/src/dandelionbay/store/http_caller.cpp
@@ -6,6 +6,7 @@
 
 #include "absl/status/status.h"
 #include "absl/strings/str_cat.h"
+#include "dandelionbay/http/framed_client.hpp"
 
 namespace dandelionbay::internal {
 
@@ -30,7 +31,7 @@
 
 http_caller::~http_caller() = default;
 
-std::unique_ptr<httplib::Client> http_caller::take() {
+std::unique_ptr<framed_client> http_caller::take() {
     {
         const std::lock_guard lock{mutex_};
         while (!kept_.empty()) {
@@ -41,7 +42,7 @@
             }
         }
     }
-    auto client = std::make_unique<httplib::Client>(server_.ip, server_.port);
+    auto client = std::make_unique<framed_client>(server_.ip, server_.port);
     // The limits of the phases add up to the time limit.
     client->set_connection_timeout(time_limit_ / 4);
     client->set_write_timeout(time_limit_ / 4);
@@ -52,7 +53,7 @@
     return client;
 }
 
-void http_caller::keep(std::unique_ptr<httplib::Client> client) {
+void http_caller::keep(std::unique_ptr<framed_client> client) {
     const std::lock_guard lock{mutex_};
     if (kept_.size() < most_kept) {
         kept_.push_back({std::move(client), steady_clock::now()});
--- a/src/dandelionbay/store/http_caller.hpp
+++ b/src/dandelionbay/store/http_caller.hpp
@@ -7,10 +7,10 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "dandelionbay/http/fwd.hpp"
 #include "dandelionbay/store/host_list.hpp"
 
 namespace httplib {
-class Client;
 struct Request;
 } // namespace httplib
 
@@ -34,12 +34,12 @@
  */
 class http_caller {
     struct kept_connection {
-        std::unique_ptr<httplib::Client> client;
+        std::unique_ptr<framed_client> client;
         std::chrono::steady_clock::time_point since;
     };
 
-    [[nodiscard]] std::unique_ptr<httplib::Client> take();
-    void keep(std::unique_ptr<httplib::Client> client);
+    [[nodiscard]] std::unique_ptr<framed_client> take();
+    void keep(std::unique_ptr<framed_client> client);
     void forget_all();
 
 public:
--- /dev/null
+++ b/test/dandelionbay/app/admin_client_test.cpp
@@ -0,0 +1,33 @@
+#include "dandelionbay/app/admin_client.hpp"
+
+#include <gtest/gtest.h>
+
+#include "dandelionbay/net/cut_answers.hpp"
+#include "dandelionbay/platform/raw_server.hpp"
+
+namespace dandelionbay::app {
+namespace {
+
+// Guards against a document that an operator reads short, or a change that is told as done, from an answer that was
+// cut.
+TEST(admin_client, a_cut_answer_is_none) {
+    const std::string fields = "ETag: \"7\"\r\n";
+    std::string answer;
+    platform::raw_server server{[&](const http_request&, platform::raw_server::connection& to) {
+        to.write(answer);
+        to.close();
+    }};
+    const admin_client client{server.address(), "token"};
+    for (const auto& whole : whole_answers(fields, false)) {
+        answer = whole;
+        EXPECT_EQ(client.get("config").revision(), 7) << whole;
+    }
+    for (const auto& cut : cut_answers(fields)) {
+        answer = cut;
+        EXPECT_EQ(client.get("config").status, 0) << cut;
+        EXPECT_EQ(client.send("PUT", "config", "\"6\"", "{}").status, 0) << cut;
+    }
+}
+
+} // namespace
+} // namespace dandelionbay::app
--- a/test/dandelionbay/load/load_test.cpp
+++ b/test/dandelionbay/load/load_test.cpp
@@ -6,7 +6,11 @@
 
 #include "dandelionbay/app/dev_fleet.hpp"
 #include "dandelionbay/base/text.hpp"
+#include "dandelionbay/load/caller.hpp"
 #include "dandelionbay/load/plan.hpp"
+#include "dandelionbay/load/tally.hpp"
+#include "dandelionbay/net/cut_answers.hpp"
+#include "dandelionbay/platform/raw_server.hpp"
 #include "dandelionbay/settings/process_settings.hpp"
 
 namespace dandelionbay::load {
@@ -156,5 +160,33 @@
     EXPECT_EQ((*figures)["lost"], (*figures)["offered"]) << *figures;
 }
 
+// Guards against answers that were cut and that the figures count as complete.
+TEST(load, a_call_whose_answer_is_cut_is_not_complete) {
+    const std::string fields = "Content-Type: text/plain\r\n";
+    const auto whole = whole_answers(fields, false);
+    const auto cut = cut_answers(fields);
+    std::string answer;
+    platform::raw_server server{[&](const http_request&, platform::raw_server::connection& to) {
+        to.write(answer);
+        to.close();
+    }};
+    const auto start = monotonic_clock{}.now();
+    team_profile team{"a", "t", "m", 20};
+    team.orders = order_profile{"desk", "/orders", 1};
+    const load_target target{"127.0.0.1", server.address().port};
+    tally results{{"a"}, start, 60};
+    const caller sender{team, 0, target, results};
+    for (const auto& it : whole) {
+        answer = it;
+        sender.send(planned_call{}, "1", start);
+    }
+    EXPECT_EQ(results.report()["complete"], whole.size());
+    for (const auto& it : cut) {
+        answer = it;
+        sender.send(planned_call{}, "1", start);
+        ASSERT_EQ(results.report()["complete"], whole.size()) << it;
+    }
+}
+
 } // namespace
 } // namespace dandelionbay::load
--- a/test/dandelionbay/node/http_endpoint_client_test.cpp
+++ b/test/dandelionbay/node/http_endpoint_client_test.cpp
@@ -7,6 +7,9 @@
 #include <gtest/gtest.h>
 #include <httplib.h>
 
+#include "dandelionbay/net/cut_answers.hpp"
+#include "dandelionbay/platform/raw_server.hpp"
+
 namespace dandelionbay {
 namespace {
 
@@ -80,5 +83,50 @@
     }
 }
 
+// Guards against runs whose answer was cut, in its head or between the parts of a chunk, and that count as complete.
+TEST(http_endpoint_client, a_run_whose_answer_is_cut_is_never_complete) {
+    const std::string fields = "Content-Type: text/plain\r\n";
+    const auto whole = whole_answers(fields, false);
+    const auto cut = cut_answers(fields);
+    for (const bool reset : {false, true}) {
+        SCOPED_TRACE(reset ? "ended by a reset" : "closed in order");
+        platform::raw_server endpoint{[&](const http_request& request, platform::raw_server::connection& to) {
+            if (request.target == "/state") {
+                to.write("HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n");
+                return;
+            }
+            const auto n = std::stoul(request.target.substr(1));
+            to.write(n < whole.size() ? whole[n] : cut[n - whole.size()]);
+            reset&& n >= whole.size() ? to.reset() : to.close();
+        }};
+        const monotonic_clock time;
+        counters metrics;
+        http_endpoint_client client{endpoint.address(), time, metrics, std::chrono::milliseconds{0}};
+        const auto end_of = [&](std::size_t n, end_recorder& events) {
+            client.start_run(
+                {.id = {host_id{"r"}, 1, n}, .timeout_ms = 10'000, .request = {"GET", concat("/", n), {}, {}}}, events);
+            return events.ended.get_future();
+        };
+        constexpr std::size_t at_once = 100;
+        for (std::size_t from = 0; from < whole.size() + cut.size(); from += at_once) {
+            const auto to = std::min(from + at_once, whole.size() + cut.size());
+            std::vector<end_recorder> events(to - from);
+            std::vector<std::future<run_end>> ends;
+            for (std::size_t n = from; n < to; ++n) {
+                ends.push_back(end_of(n, events[n - from]));
+            }
+            for (std::size_t n = from; n < to; ++n) {
+                const auto end = ends[n - from].get();
+                if (n < whole.size()) {
+                    EXPECT_EQ(end, run_end::complete) << whole[n];
+                } else {
+                    EXPECT_NE(end, run_end::complete) << cut[n - whole.size()];
+                }
+            }
+        }
+        client.stop();
+    }
+}
+
 } // namespace
 } // namespace dandelionbay
--- a/test/dandelionbay/store/http_table_store_test.cpp
+++ b/test/dandelionbay/store/http_table_store_test.cpp
@@ -11,6 +11,8 @@
 #include <chrono>
 #include <thread>
 
+#include "dandelionbay/net/cut_answers.hpp"
+#include "dandelionbay/platform/raw_server.hpp"
 #include "dandelionbay/standin/standin_platform.hpp"
 
 namespace dandelionbay {
@@ -164,6 +166,32 @@
     EXPECT_TRUE(absl::IsUnavailable(store.get("t", "a").status()));
 }
 
+// Guards against rows that are read short, and writes that count as done, from answers that were cut.
+TEST(http_table_store, a_cut_answer_is_none) {
+    const std::string fields = "ETag: \"7\"\r\n";
+    std::string answer;
+    bool reset = false;
+    platform::raw_server server{[&](const http_request&, platform::raw_server::connection& to) {
+        to.write(answer);
+        reset ? to.reset() : to.close();
+    }};
+    for (const auto& whole : whole_answers(fields, false)) {
+        answer = whole;
+        http_table_store store{server.address()};
+        EXPECT_EQ(store.get("t", "a").value().version, 7) << whole;
+    }
+    for (const auto& cut : cut_answers(fields)) {
+        for (const bool with_reset : {false, true}) {
+            answer = cut;
+            reset = with_reset;
+            http_table_store store{server.address()};
+            EXPECT_TRUE(absl::IsUnavailable(store.get("t", "a").status())) << cut;
+            EXPECT_TRUE(absl::IsUnavailable(store.put("t", "a", "b", 6).status())) << cut;
+            EXPECT_FALSE(store.list("t").ok()) << cut;
+        }
+    }
+}
+
 // Guards against calls that wait for a slow or silent store for longer than the time limit.
 TEST_F(http_table_store_test, a_silent_store_ends_the_call_within_the_time_limit) {
     http_table_store store{address(), milliseconds{200}};
