Test that answers cut in their head, a chunk or a trailer are never passed on as whole

A report from similar systems: an endpoint stopped in the middle of its answer's head, and callers got a 200 with an empty or short body. The gateways have no such fault. The tests keep it so, for cuts that were not tried before: after each byte, before the id, in chunk sizes, extensions and trailers, after an interim answer, closed or reset.

--- a/test/dandelionbay/platform/standin_store.hpp
+++ b/test/dandelionbay/platform/standin_store.hpp
@@ -53,6 +53,20 @@
         changed_.notify_all();
     }
 
+    enum class cutting : std::uint8_t { none, close, reset };
+
+    /*! @brief Cuts each answer after some of its bytes, a different number each time, and ends its connection. */
+    void cut_answers(cutting how) {
+        const std::scoped_lock lock{mutex_};
+        cutting_ = how;
+    }
+
+    /*! @brief Number of answers that were cut. */
+    [[nodiscard]] std::size_t cut() {
+        const std::scoped_lock lock{mutex_};
+        return cut_;
+    }
+
     /*! @brief Forgets what changed before now. */
     void compact() {
         const std::scoped_lock lock{mutex_};
@@ -91,9 +105,17 @@
         return request.target.substr(from, request.target.find('&', from) - from);
     }
 
-    static void answer(raw_server::connection& to, int status, const std::string& body) {
-        to.write(concat("HTTP/1.1 ", status, " X\r\nContent-Type: application/json\r\nContent-Length: ", body.size(),
-                        "\r\n\r\n", body));
+    void answer(raw_server::connection& to, int status, const std::string& body) {
+        const auto bytes =
+            concat("HTTP/1.1 ", status, " X\r\nContent-Type: application/json\r\nContent-Length: ", body.size(),
+                   "\r\n\r\n", body);
+        if (cutting_ == cutting::none) {
+            to.write(bytes);
+            return;
+        }
+        constexpr std::size_t step = 13; // Most cuts are in the head, which has about 70 bytes.
+        to.write(bytes.substr(0, cut_++ * step % bytes.size()));
+        cutting_ == cutting::reset ? to.reset() : to.close();
     }
 
     static std::int64_t now_ms() {
@@ -172,6 +194,8 @@
     std::uint64_t version_{};
     std::uint64_t history_from_{};
     bool down_{};
+    cutting cutting_{cutting::none};
+    std::size_t cut_{};
     std::string text_{};
     raw_server server_; // Last: its threads use the members above.
 };
--- a/test/dandelionbay/proxy/http_reader_test.cpp
+++ b/test/dandelionbay/proxy/http_reader_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "dandelionbay/net/cut_answers.hpp"
 #include "dandelionbay/proxy/event_scanner.hpp"
 #include "dandelionbay/proxy/http_reader.hpp"
 
@@ -119,6 +120,31 @@
     }
 }
 
+// Guards against answers that are cut in their head, in a chunk's size or extension, in a trailer or after an interim
+// answer, and count as whole when their connection ends in order.
+TEST(response_reader, an_answer_cut_anywhere_is_never_whole) {
+    const std::string fields = "Content-Type: application/json\r\n";
+    for (const auto& whole : whole_answers(fields)) {
+        response_reader reader;
+        reader.append(whole);
+        EXPECT_EQ(reader.read(), read_result::complete) << whole;
+    }
+    for (const auto& cut : cut_answers(fields)) {
+        for (const bool byte_by_byte : {false, true}) {
+            response_reader reader;
+            auto result = read_result::incomplete;
+            for (std::size_t at = 0; at < cut.size() && result == read_result::incomplete;) {
+                const auto n = byte_by_byte ? 1 : cut.size();
+                reader.append(cut.substr(at, n));
+                result = reader.read();
+                at += n;
+            }
+            EXPECT_NE(result, read_result::complete) << cut;
+            EXPECT_FALSE(result == read_result::incomplete && reader.end()) << cut;
+        }
+    }
+}
+
 // Guards against headers that concern one connection only and travel further.
 TEST(http_message, fields_of_one_connection_are_removed) {
     field_list fields{{"Connection", "close, X-Mine"},  {"x-mine", "1"},
