Let the events of a scripted endpoint be read before it resets the connection

only_a_stream_goes_on_with_a_stream failed once in 15 runs on and in 3 of 15 with the framing check, on a machine under load: event 3 was missing. The script wrote three events and reset the connection at once; a reset drops what the other side's system holds unread, so the router could not have the third one. The other scripts that reset wait 50 ms before it; this one does too. The check is as it was.

--- a/test/dandelionbay/platform/gateway_stream_test.cpp
+++ b/test/dandelionbay/platform/gateway_stream_test.cpp
@@ -115,6 +115,7 @@
                     it->serve(request, to);
                 } else if (find_field(request.fields, "Last-Event-Id").empty()) {
                     scripted_endpoint::stream(request, to, 1, 3, false);
+                    std::this_thread::sleep_for(milliseconds{50}); // A reset drops what was not read yet.
                     to.reset();
                 } else {
                     to.write(answer_of(request));
