--- a/src/dandelionbay/proxy/attempt.cpp
+++ b/src/dandelionbay/proxy/attempt.cpp
@@ -22,7 +22,7 @@
 void attempt::on_body(std::string bytes) {
     const auto self = shared_from_this();
     const auto owner = call->shared_from_this();
-    call->on_body(*this, std::move(bytes));
+    call->on_body(*this, bytes);
 }
 
 void attempt::on_complete() {
--- a/src/dandelionbay/proxy/call_attempts.hpp
+++ b/src/dandelionbay/proxy/call_attempts.hpp
@@ -56,10 +56,8 @@
     /*! @brief An attempt ended. If it had the call, the oldest one beside it has it. Unknown ones are left out. */
     void ended(ticket_id it);
 
-    /*! @brief Tells whether another endpoint should be asked, as far as this attempt goes.
-     *  @param it Its name. @param listening_since Silence before says nothing: the host did not listen. @param now
-     * Time.
-     */
+    /*! @brief Tells whether another endpoint should be asked, as far as this attempt goes. @param it Its name.
+     *  @param listening_since Silence before says nothing: the host did not listen. @param now Time. */
     [[nodiscard]] bool silent(ticket_id it, time_point listening_since, time_point now) const;
 
     /*! @brief The attempt that has the call. */
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -64,10 +64,10 @@
     /*! Asks another endpoint beside the silent ones, if one takes the call at once. */
     void ask_another(time_point now);
 
-    /*! An attempt brought an event or a whole answer: the other one is not needed any more. */
+    /*! An attempt brought an event or a whole answer: the others are not needed any more. */
     void went_on(attempt& it, time_point now);
 
-    /*! An attempt that has ended brought nothing: the other one has the call, or it is tried again. */
+    /*! An attempt that has ended brought nothing: another one has the call, or it is tried again. */
     void attempt_failed(const attempt& it, std::string_view reason, bool counted);
     void end_attempt(attempt& it, attempt_end end);
     void try_again(std::string_view reason, bool counted);
@@ -158,7 +158,7 @@
     // What comes back on an attempt.
 
     [[nodiscard]] bool on_head(attempt& it, const response_head& head);
-    void on_body(attempt& it, std::string bytes);
+    void on_body(attempt& it, std::string_view bytes);
     void on_complete(attempt& it);
     void on_failed(attempt& it, request_failure why);
 
--- a/src/dandelionbay/proxy/exchange_answer.cpp
+++ b/src/dandelionbay/proxy/exchange_answer.cpp
@@ -109,7 +109,7 @@
     }
 }
 
-void exchange::on_body(attempt& it, std::string bytes) {
+void exchange::on_body(attempt& it, std::string_view bytes) {
     const auto& env = owner_->environment();
     const section_timer timed{*env.time, *env.metrics, "answers"};
     owner_->dispatch().heard(it.choice.endpoint, owner_->now());
