Give the development fleet's test ports that no other process takes

Seen: dev_fleet.serves_callers_and_operators failed once, beside a second whole check on the same host: after the stop something still answered at the fleet's port.

Cause: the test listens on two fixed ports. The same test of another process starts its fleet on them while the first one's agents stop, after its routers have closed theirs.

--- a/test/dandelionbay/app/dev_fleet_test.cpp
+++ b/test/dandelionbay/app/dev_fleet_test.cpp
@@ -8,6 +8,7 @@
 
 #include "dandelionbay/app/admin_client.hpp"
 #include "dandelionbay/config/document_edit.hpp"
+#include "dandelionbay/net/reserved_address.hpp"
 
 namespace dandelionbay::app {
 namespace {
@@ -31,14 +32,14 @@
 // Guards against parts that work alone and not together: a chat call, a streamed call, an order that is sent twice, a
 // zone out of service and back, and the graceful stop.
 TEST(dev_fleet, serves_callers_and_operators) {
-    constexpr std::uint16_t port = 18'491;
-    constexpr std::uint16_t admin_port = 18'492;
-    dev_fleet fleet{dev_options{port, admin_port, "operators"}};
+    const reserved_address caller_address;
+    const reserved_address admin_address;
+    dev_fleet fleet{dev_options{caller_address.get().port, admin_address.get().port, "operators"}};
     const auto status = fleet.start();
     ASSERT_TRUE(status.ok()) << status;
-    httplib::Client callers{"127.0.0.1", port};
+    httplib::Client callers{"127.0.0.1", caller_address.get().port};
     callers.set_read_timeout(20);
-    const admin_client operators{{"127.0.0.1", admin_port}, "operators"};
+    const admin_client operators{admin_address.get(), "operators"};
     const auto headers = [](const std::string& key) {
         return httplib::Headers{{"Authorization", "Bearer dev-team-1"}, {"Idempotency-Key", key}};
     };
