Send calls to an endpoint again once its streams go on after a failed connection

Callers saw: calls that wait, or are refused, although their endpoint serves; one connection to it that failed, as in a cut of a second, kept them away until the last of this host's streams there had ended.

Cause: after a failed connection an endpoint is tried by one call at a time until an answer begins there, and only while this host has no call there. Streams that were open all the while, and go on, did not count as a sign of life.

Evidence: dispatcher.an_endpoint_whose_streams_go_on_takes_calls_again_after_a_failed_connection; with the old rule none of its calls is placed. Now the trial ends when anything comes from the endpoint after the failure. The pause after the failure, and its doubling with further ones, stay as they were.

--- a/src/dandelionbay/dispatch/endpoint_load.cpp
+++ b/src/dandelionbay/dispatch/endpoint_load.cpp
@@ -102,6 +102,7 @@
 void endpoint_load::unreachable(time_point now) noexcept {
     const auto pause = first_ejection * (1U << std::min(failures_, 4U));
     ejected_until_ = now + std::min(longest_ejection, duration{pause});
+    failed_at_ = now;
     ++failures_;
 }
 
--- a/src/dandelionbay/dispatch/endpoint_load.hpp
+++ b/src/dandelionbay/dispatch/endpoint_load.hpp
@@ -125,8 +125,8 @@
     /*! @brief End of the longest pause that it asked for. */
     [[nodiscard]] time_point paused_until() const noexcept { return paused_until_; }
 
-    /*! @brief Tells whether it may be tried with one call only, after it was ejected. */
-    [[nodiscard]] bool on_trial() const noexcept { return failures_ > 0; }
+    /*! @brief Tells whether it may be tried with one call only: since a connection failed, nothing came from it. */
+    [[nodiscard]] bool on_trial() const noexcept { return failures_ > 0 && heard_ <= failed_at_; }
 
     /*! @brief Tells whether calls wait at an endpoint that sends nothing. @param now Time. */
     [[nodiscard]] bool stalled(time_point now) const;
@@ -156,6 +156,7 @@
     time_point paused_until_{};
     time_point heard_{};
     time_point silent_since_{}; //!< When it was heard, or its silence was forgiven.
+    time_point failed_at_{};    //!< When a connection last failed.
     time_point ejected_until_{};
     std::uint32_t failures_{};
     std::uint64_t process_started_{};
--- a/test/dandelionbay/dispatch/dispatcher_test.cpp
+++ b/test/dandelionbay/dispatch/dispatcher_test.cpp
@@ -456,5 +456,47 @@
     }
 }
 
+// Guards against calls that wait or are refused until the last stream of a sound endpoint has ended, because one
+// connection to it failed while its streams went on.
+TEST(dispatcher, an_endpoint_whose_streams_go_on_takes_calls_again_after_a_failed_connection) {
+    dispatch_fixture fleet{1};
+    const endpoint_id only{"e0"};
+    const auto stream = fleet.send(fleet.call("team", 1, 100, 10));
+    ASSERT_TRUE(fleet.log.placements.contains(stream));
+    fleet.router.started(stream, fleet.now);
+    const auto placed = [&](const std::vector<ticket_id>& calls) {
+        return std::ranges::count_if(calls, [&](ticket_id it) { return fleet.log.placements.contains(it); });
+    };
+    const auto send_two = [&] {
+        const auto first = fleet.send(fleet.call("team", 1, 100, 10));
+        return std::vector{first, fleet.send(fleet.call("team", 1, 100, 10))};
+    };
+    fleet.router.unreachable(only, fleet.now);
+    const auto calls = send_two();
+    {
+        SCOPED_TRACE("nothing has come from it since");
+        fleet.advance(endpoint_load::first_ejection);
+        EXPECT_EQ(placed(calls), 0);
+    }
+    {
+        SCOPED_TRACE("an event of the stream came");
+        fleet.advance(milliseconds{10});
+        fleet.router.heard(only, fleet.now);
+        fleet.router.pump(fleet.now);
+        EXPECT_EQ(placed(calls), 2);
+    }
+    {
+        SCOPED_TRACE("a second failure keeps calls away for longer");
+        fleet.router.unreachable(only, fleet.now);
+        const auto more = send_two();
+        fleet.advance(endpoint_load::first_ejection);
+        fleet.router.heard(only, fleet.now);
+        fleet.router.pump(fleet.now);
+        EXPECT_EQ(placed(more), 0);
+        fleet.advance(endpoint_load::first_ejection);
+        EXPECT_EQ(placed(more), 2);
+    }
+}
+
 } // namespace
 } // namespace dandelionbay
