Pass an endpoint's failure on at the time limit of its call

Callers saw: a 504 of the host, although an endpoint had answered the call with its own, signed failure; the endpoint that was asked instead was silent until the call's time limit.

Evidence: gateway_two_endpoints.an_endpoints_failure_is_passed_on_at_the_time_limit, 504 before and the endpoint's 500 now. Both ends of a call that may have run take the kept failure, if there is one; else the status is as it was.

--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -217,18 +217,18 @@
     if (runs_ == 0) {
         refuse(503, result_code::endpoint_unavailable, usual_return);
     } else {
-        fail(result_code::endpoint_failed);
+        fail(502, result_code::endpoint_failed);
     }
 }
 
-void exchange::fail(result_code code) {
+void exchange::fail(int status, result_code code) {
     if (!failure_ || caller_ == nullptr) {
-        refuse(502, code, {});
+        refuse(status, code, {});
         return;
     }
-    const int status = failure_->head.status;
+    const int said = failure_->head.status;
     std::exchange(caller_, nullptr)->respond(std::move(failure_->head), failure_->body);
-    finish("failed_by_endpoint", status);
+    finish("failed_by_endpoint", said);
 }
 
 void exchange::refuse(int status, result_code code, duration retry_after) {
@@ -289,7 +289,7 @@
         if (begun_) {
             give_up("time_limit");
         } else {
-            refuse(504, result_code::deadline_exceeded, {});
+            fail(504, result_code::deadline_exceeded);
         }
         return;
     }
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -93,8 +93,8 @@
     void leave();
     void give_up(std::string_view reason);
 
-    /*! Ends a call that may have run: with what an endpoint said of its failure, if one did. */
-    void fail(result_code code);
+    /*! Ends a call that may have run: with what an endpoint said of its failure, if one did, or the status and code. */
+    void fail(int status, result_code code);
     void refuse(int status, result_code code, duration retry_after);
     [[nodiscard]] call_record record() const;
     [[nodiscard]] call_record record(const attempt& it) const;
--- a/src/dandelionbay/proxy/exchange_attempts.cpp
+++ b/src/dandelionbay/proxy/exchange_attempts.cpp
@@ -112,7 +112,7 @@
             return; // The time limit is looked at for the call as a whole.
         }
         if (caller_ != nullptr && !caller_->left()) {
-            refuse(504, result_code::deadline_exceeded, {});
+            fail(504, result_code::deadline_exceeded);
         } else {
             finish("caller_gone", 0);
         }
--- a/test/dandelionbay/platform/gateway_silence_test.cpp
+++ b/test/dandelionbay/platform/gateway_silence_test.cpp
@@ -290,6 +290,16 @@
     EXPECT_EQ(sends("/look/failed"), 2);
 }
 
+// Guards against an endpoint's own word on a failed call that is replaced by a 504, because the endpoint that was asked
+// instead is silent until the call's time limit.
+TEST_F(gateway_two_endpoints, an_endpoints_failure_is_passed_on_at_the_time_limit) {
+    script("/look/limit", {answer_error, [](const http_request&, raw_server::connection& to) { stay_silent(to); }});
+    const auto answer = gateway->get_within("/look/limit", milliseconds{1'200});
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 500 ")) << answer;
+    EXPECT_TRUE(answer.ends_with("error")) << answer;
+    EXPECT_EQ(sends("/look/limit"), 2);
+}
+
 /*! Endpoints that are sound and now and then full, or silent for some time. */
 class pausing_endpoints {
 public:
