Judge an endpoint's silence by the time that its answers usually take

Callers saw: calls that wait, or are refused, although endpoints have free slots: an order that runs for longer than 0.9 s made its endpoint count as stalled, so that it got no other call from this host until the order's answer came.

Cause: one limit for the silence of all endpoints. Plain endpoints say nothing until an answer is whole.

Evidence: endpoint_load.an_endpoint_of_slow_answers_stalls_later_than_a_quick_one: an endpoint whose answers take 1.8 s stalled after 0.91 s before. The limit is now at least twice the learned excess of its answers, so one that usually answers within 0.45 s stalls after 0.9 s as before.

--- a/src/dandelionbay/dispatch/endpoint_load.cpp
+++ b/src/dandelionbay/dispatch/endpoint_load.cpp
@@ -11,6 +11,8 @@
 constexpr double learning_tokens = 4'000.0;
 constexpr double slowest_rate = 4.0;
 constexpr double quickest_rate = 200.0;
+/*! Answers that take this many times the endpoint's usual time are no sign that it stalls. */
+constexpr double usual_times = 2.0;
 
 } // namespace
 
@@ -163,7 +165,8 @@
         oldest = std::min(oldest, it.sent_at);
         expected_ms = std::max(expected_ms, it.started ? 0.0 : it.ahead_ms);
     }
-    return now - std::max(oldest, silent_since_) > silence_limit + from_ms(expected_ms);
+    const auto limit = std::max(silence_limit, from_ms(excess_ms_ * usual_times));
+    return now - std::max(oldest, silent_since_) > limit + from_ms(expected_ms);
 }
 
 } // namespace dandelionbay
--- a/src/dandelionbay/dispatch/endpoint_load.hpp
+++ b/src/dandelionbay/dispatch/endpoint_load.hpp
@@ -61,7 +61,8 @@
     static constexpr duration peer_report_kept = std::chrono::milliseconds{1500};
     /*! @brief Weight of the newest sample in moving averages. */
     static constexpr double newest_share = 0.1;
-    /*! @brief An endpoint with calls in flight that sends nothing for this time beyond its expected reading stalls. */
+    /*! @brief An endpoint with calls in flight that sends nothing for this time beyond its expected reading stalls; one
+     * that usually takes longer than half of it, later. */
     static constexpr duration silence_limit = std::chrono::milliseconds{900};
     /*! @brief First time for which an endpoint gets no work after a failed connection; doubles with each further. */
     static constexpr duration first_ejection = std::chrono::milliseconds{250};
--- a/test/dandelionbay/dispatch/limits_test.cpp
+++ b/test/dandelionbay/dispatch/limits_test.cpp
@@ -177,6 +177,32 @@
     EXPECT_EQ(load.last_heard(), later);
 }
 
+// Guards against calls that wait or are refused while their endpoint is idle, because an order runs there that takes as
+// long as its orders usually do, and against a wait at a quick endpoint that fell dark.
+TEST(endpoint_load, an_endpoint_of_slow_answers_stalls_later_than_a_quick_one) {
+    const auto silence_after = [](milliseconds usual) {
+        endpoint_load load;
+        auto now = start;
+        ticket_id ticket = 0;
+        for (int n = 0; n < 20; ++n) {
+            load.sent(++ticket, call_load{}, now);
+            now += usual;
+            load.heard(now);
+            load.started(ticket, now);
+            load.ended(ticket, false, now);
+        }
+        load.sent(++ticket, call_load{}, now);
+        const auto sent = now;
+        while (!load.stalled(now)) {
+            now += milliseconds{10};
+        }
+        return now - sent;
+    };
+    EXPECT_LE(silence_after(milliseconds{200}), endpoint_load::silence_limit + milliseconds{10});
+    EXPECT_GT(silence_after(milliseconds{1'800}), milliseconds{1'800});
+    EXPECT_LT(silence_after(milliseconds{1'800}), 2 * milliseconds{1'800});
+}
+
 // Guards against prompts that count as kept by a process that has just started under its old name.
 TEST(endpoint_load, a_new_process_keeps_nothing) {
     endpoint_load load;
