Bound two new rules of an endpoint's health after their review

The review of found cases in which they serve callers worse than before: - An event of an old stream does not say that new connections can be made. An endpoint that closed its listener, or whose new connections are lost, got all waiting calls after each pause. It is tried by one call at a time again; the streams that were open before the failure no longer count as that call. - Four connections that fail at the same moment paused an endpoint for 2 s, longer than a broken stream waits. What fails during the pause now counts with the failure that began it. - The usual time of answers had no bound, and the lateness of an engine's first events was taken for the time between the events of its streams. It now counts for answers without tokens only, up to 4 s.

Evidence: the two tests hold these cases; the one of the dispatcher with the listener closed places one call.

--- a/src/dandelionbay/dispatch/endpoint_load.cpp
+++ b/src/dandelionbay/dispatch/endpoint_load.cpp
@@ -102,12 +102,19 @@
 }
 
 void endpoint_load::unreachable(time_point now) noexcept {
+    failed_at_ = now;
+    if (ejected(now)) {
+        return;
+    }
     const auto pause = first_ejection * (1U << std::min(failures_, 4U));
     ejected_until_ = now + std::min(longest_ejection, duration{pause});
-    failed_at_ = now;
     ++failures_;
 }
 
+bool endpoint_load::tried() const {
+    return std::ranges::any_of(running_, [&](const auto& it) { return it.second.sent_at > failed_at_; });
+}
+
 void endpoint_load::pause(time_point until) noexcept {
     paused_until_ = std::max(paused_until_, until);
 }
@@ -163,10 +170,15 @@
     double expected_ms = 0.0;
     for (const auto& [ticket, it] : running_) {
         oldest = std::min(oldest, it.sent_at);
-        expected_ms = std::max(expected_ms, it.started ? 0.0 : it.ahead_ms);
+        const bool tokens = it.load.memory_tokens > 0.0;
+        const auto usual_ms = tokens ? 0.0 : to_ms(std::max(duration{}, usual_answer() - silence_limit));
+        expected_ms = std::max(expected_ms, it.started ? 0.0 : it.ahead_ms + usual_ms);
     }
-    const auto limit = std::max(silence_limit, from_ms(excess_ms_ * usual_times));
-    return now - std::max(oldest, silent_since_) > limit + from_ms(expected_ms);
+    return now - std::max(oldest, silent_since_) > silence_limit + from_ms(expected_ms);
+}
+
+duration endpoint_load::usual_answer() const noexcept {
+    return std::min(longest_usual_answer, from_ms((fixed_first_ms + excess_ms_) * usual_times));
 }
 
 } // namespace dandelionbay
--- a/src/dandelionbay/dispatch/endpoint_load.hpp
+++ b/src/dandelionbay/dispatch/endpoint_load.hpp
@@ -61,9 +61,10 @@
     static constexpr duration peer_report_kept = std::chrono::milliseconds{1500};
     /*! @brief Weight of the newest sample in moving averages. */
     static constexpr double newest_share = 0.1;
-    /*! @brief An endpoint with calls in flight that sends nothing for this time beyond its expected reading stalls; one
-     * that usually takes longer than half of it, later. */
+    /*! @brief An endpoint with calls in flight that sends nothing for this time beyond its expected reading stalls. */
     static constexpr duration silence_limit = std::chrono::milliseconds{900};
+    /*! @brief Longest time for which an answer without tokens is waited for because such answers take long there. */
+    static constexpr duration longest_usual_answer = std::chrono::seconds{4};
     /*! @brief First time for which an endpoint gets no work after a failed connection; doubles with each further. */
     static constexpr duration first_ejection = std::chrono::milliseconds{250};
     /*! @brief Longest such time. */
@@ -87,7 +88,8 @@
     /*! @brief When bytes last came from the endpoint. */
     [[nodiscard]] time_point last_heard() const noexcept { return heard_; }
 
-    /*! @brief A connection could not be made. @param now Time. */
+    /*! @brief A connection could not be made; those that fail during the pause that follows count with it. @param now
+     * Time. */
     void unreachable(time_point now) noexcept;
 
     /*! @brief The endpoint wants no calls from this router for some time. @param until End of that time. */
@@ -114,6 +116,9 @@
     /*! @brief Memory of the calls in flight from all routers, in tokens. @param now Time. */
     [[nodiscard]] double memory_tokens(time_point now) const;
 
+    /*! @brief Time in which a whole answer without tokens is expected, by those before: twice their mean. */
+    [[nodiscard]] duration usual_answer() const noexcept;
+
     /*! @brief Expected loss by slowness and failures, in ms for each call. */
     [[nodiscard]] double penalty_ms() const noexcept { return excess_ms_ + failure_rate_ * failure_cost_ms; }
 
@@ -126,8 +131,11 @@
     /*! @brief End of the longest pause that it asked for. */
     [[nodiscard]] time_point paused_until() const noexcept { return paused_until_; }
 
-    /*! @brief Tells whether it may be tried with one call only: since a connection failed, nothing came from it. */
-    [[nodiscard]] bool on_trial() const noexcept { return failures_ > 0 && heard_ <= failed_at_; }
+    /*! @brief Tells whether it gets one call at a time, because a connection failed and no answer has begun since. */
+    [[nodiscard]] bool on_trial() const noexcept { return failures_ > 0; }
+
+    /*! @brief Tells whether one of this router's calls was sent after the last failed connection. */
+    [[nodiscard]] bool tried() const;
 
     /*! @brief Tells whether calls wait at an endpoint that sends nothing. @param now Time. */
     [[nodiscard]] bool stalled(time_point now) const;
--- a/src/dandelionbay/dispatch/placement.cpp
+++ b/src/dandelionbay/dispatch/placement.cpp
@@ -133,7 +133,7 @@
     it.base_ms += it.load->penalty_ms();
     if (it.load->on_trial()) {
         it.base_ms += trial_cost_ms;
-        it.open = it.open && it.load->own(now_).calls == 0;
+        it.open = it.open && !it.load->tried();
     }
     if (it.cold && it.open && it.service != nullptr && it.service->cold_calls_per_s > 0.0) {
         it.open = it.load->pacer().allows(it.cold_share, now_);
--- a/test/dandelionbay/dispatch/dispatcher_test.cpp
+++ b/test/dandelionbay/dispatch/dispatcher_test.cpp
@@ -474,27 +474,36 @@
     fleet.router.unreachable(only, fleet.now);
     const auto calls = send_two();
     {
-        SCOPED_TRACE("nothing has come from it since");
-        fleet.advance(endpoint_load::first_ejection);
+        SCOPED_TRACE("one call tries a new connection, although the stream still runs");
         EXPECT_EQ(placed(calls), 0);
+        fleet.advance(endpoint_load::first_ejection);
+        EXPECT_EQ(placed(calls), 1);
+        fleet.advance(milliseconds{10});
+        fleet.router.heard(only, fleet.now); // An event of the stream says nothing of new connections.
+        fleet.router.pump(fleet.now);
+        EXPECT_EQ(placed(calls), 1);
     }
     {
-        SCOPED_TRACE("an event of the stream came");
+        SCOPED_TRACE("its answer begins");
+        fleet.router.started(fleet.log.placements.contains(calls[0]) ? calls[0] : calls[1], fleet.now);
         fleet.advance(milliseconds{10});
-        fleet.router.heard(only, fleet.now);
-        fleet.router.pump(fleet.now);
         EXPECT_EQ(placed(calls), 2);
     }
     {
+        SCOPED_TRACE("connections that fail together are one failure");
+        for (int n = 0; n < 4; ++n) {
+            fleet.router.unreachable(only, fleet.now);
+        }
+        const auto more = send_two();
+        fleet.advance(endpoint_load::first_ejection);
+        EXPECT_EQ(placed(more), 1);
         SCOPED_TRACE("a second failure keeps calls away for longer");
         fleet.router.unreachable(only, fleet.now);
-        const auto more = send_two();
+        const auto last = send_two();
         fleet.advance(endpoint_load::first_ejection);
-        fleet.router.heard(only, fleet.now);
-        fleet.router.pump(fleet.now);
-        EXPECT_EQ(placed(more), 0);
+        EXPECT_EQ(placed(last) + placed(more), 1);
         fleet.advance(endpoint_load::first_ejection);
-        EXPECT_EQ(placed(more), 2);
+        EXPECT_EQ(placed(last) + placed(more), 2);
     }
 }
 
--- a/test/dandelionbay/dispatch/limits_test.cpp
+++ b/test/dandelionbay/dispatch/limits_test.cpp
@@ -180,18 +180,18 @@
 // Guards against calls that wait or are refused while their endpoint is idle, because an order runs there that takes as
 // long as its orders usually do, and against a wait at a quick endpoint that fell dark.
 TEST(endpoint_load, an_endpoint_of_slow_answers_stalls_later_than_a_quick_one) {
-    const auto silence_after = [](milliseconds usual) {
+    const auto silence_after = [](milliseconds usual, const call_load& load_of_call = {}) {
         endpoint_load load;
         auto now = start;
         ticket_id ticket = 0;
         for (int n = 0; n < 20; ++n) {
-            load.sent(++ticket, call_load{}, now);
+            load.sent(++ticket, load_of_call, now);
             now += usual;
             load.heard(now);
             load.started(ticket, now);
             load.ended(ticket, false, now);
         }
-        load.sent(++ticket, call_load{}, now);
+        load.sent(++ticket, load_of_call, now);
         const auto sent = now;
         while (!load.stalled(now)) {
             now += milliseconds{10};
@@ -201,6 +201,13 @@
     EXPECT_LE(silence_after(milliseconds{200}), endpoint_load::silence_limit + milliseconds{10});
     EXPECT_GT(silence_after(milliseconds{1'800}), milliseconds{1'800});
     EXPECT_LT(silence_after(milliseconds{1'800}), 2 * milliseconds{1'800});
+    {
+        SCOPED_TRACE(
+            "no answer is waited for without a bound, and an engine's first events tell nothing of its streams");
+        EXPECT_LE(silence_after(seconds{20}), endpoint_load::longest_usual_answer + milliseconds{10});
+        EXPECT_LE(silence_after(milliseconds{1'800}, call_load{0.0, 100.0}),
+                  endpoint_load::silence_limit + milliseconds{10});
+    }
 }
 
 // Guards against prompts that count as kept by a process that has just started under its old name.
