Give an upload the time that was in force when it began

Callers saw: a 408, or nothing, for an upload that was under way when the configuration made the idle time shorter; on a host whose event loop was late also for one whose last bytes had come.

Cause: the time for an upload was that of the newest configuration, and it was judged before the bytes that came during a late turn were read.

Evidence: gateway_fleet.an_upload_keeps_the_time_that_was_in_force_when_it_began: 408 before, 200 now; an upload that begins after the change gets 408 as before. The late turn was not played.

--- a/src/dandelionbay/proxy/caller_connection.cpp
+++ b/src/dandelionbay/proxy/caller_connection.cpp
@@ -66,6 +66,8 @@
             read_delay_ = owner_->read_delay();
             const auto limits = limits_of(*owner_);
             reader_->set_limits(limits.max_header_bytes, limits.max_body_bytes);
+            header_limit_ = limits.header_timeout;
+            body_limit_ = limits.idle_timeout;
         }
         const auto result = reader_->read();
         if (result == read_result::complete) {
@@ -187,16 +189,15 @@
     if (exchange_ != nullptr) {
         return true;
     }
-    const auto limits = limits_of(*owner_);
     if (reading_) {
-        const auto limit = reader_->header_done() ? limits.idle_timeout : limits.header_timeout;
-        if (now - since_ > limit) {
+        const bool listened = owner_->attentive_since() != now; // Else what has come is read first.
+        if (listened && now - since_ > (reader_->header_done() ? body_limit_ : header_limit_)) {
             reject(408);
             return false;
         }
         return true;
     }
-    const auto idle = std::max(idle_limit_, limits.idle_timeout);
+    const auto idle = std::max(idle_limit_, limits_of(*owner_).idle_timeout);
     return now - since_ <= idle + idle / idle_margin_divisor || !close_idle();
 }
 
--- a/src/dandelionbay/proxy/caller_connection.hpp
+++ b/src/dandelionbay/proxy/caller_connection.hpp
@@ -80,8 +80,10 @@
     std::shared_ptr<channel> channel_;
     std::unique_ptr<request_reader> reader_;
     std::shared_ptr<exchange> exchange_{};
-    time_point since_;      //!< Start of the wait for a request, or of its reading.
-    duration idle_limit_{}; //!< In force when the wait began: its caller may reckon with it.
+    time_point since_;        //!< Start of the wait for a request, or of its reading.
+    duration idle_limit_{};   //!< In force when the wait began: its caller may reckon with it.
+    duration header_limit_{}; //!< In force when the request's reading began, like the next.
+    duration body_limit_{};
     duration read_delay_{}; //!< Time for which the request may have waited before its reading began.
     bool reading_{};        //!< A request has begun.
     bool keep_{true};       //!< The connection stays open after the answer.
--- a/test/dandelionbay/platform/gateway_test.cpp
+++ b/test/dandelionbay/platform/gateway_test.cpp
@@ -394,6 +394,30 @@
     }
 }
 
+// Guards against uploads that are refused or cut because the time for them shrank while they were sent.
+TEST_F(gateway_fleet, an_upload_keeps_the_time_that_was_in_force_when_it_began) {
+    auto text = config(2);
+    const std::string_view before = R"("idle_timeout_ms": 15000)";
+    text.replace(text.find(before), before.size(), R"("idle_timeout_ms": 300)");
+    const auto upload = [&](const std::string& path) {
+        boost::asio::io_context loop;
+        tcp::socket caller{loop};
+        caller.connect(to_endpoint(gateway->caller()));
+        boost::system::error_code ec;
+        boost::asio::write(
+            caller, boost::asio::buffer(running_gateway::request("POST", path, "Content-Length: 2\r\n") + "{"), ec);
+        std::this_thread::sleep_for(milliseconds{200});
+        store.put("op", "config", text);
+        std::this_thread::sleep_for(milliseconds{1'000});
+        boost::asio::write(caller, boost::asio::buffer(std::string{"}"}), ec);
+        std::array<char, 4'096> buf{};
+        const auto n = caller.read_some(boost::asio::buffer(buf), ec);
+        return std::string{buf.data(), std::min<std::size_t>(n, 12)};
+    };
+    EXPECT_EQ(upload("/book/before"), "HTTP/1.1 200");
+    EXPECT_EQ(upload("/book/after"), "HTTP/1.1 408");
+}
+
 // Guards against requests that are refused for their size although the configuration in force allows it: a connection
 // that was opened before it kept the limits of its beginning.
 TEST_F(gateway_fleet, limits_of_requests_follow_the_configuration_on_kept_connections) {
