Ask no other endpoint while the bytes of a safe call's answer come

Callers saw nothing wrong; endpoints ran safe calls twice, from the budget that repeats after failures need, and a sound endpoint counted as failed when the second one was quicker.

Cause: only an event or a whole answer counted as a sign of life. So a whole answer that took over 0.7 s to arrive was silence, as was a stream that was not read for its slow caller, and answers that usually take that long.

Evidence: gateway_two_endpoints.a_safe_call_whose_answer_arrives_slowly_is_sent_once: sent twice before, once now.

--- a/src/dandelionbay/proxy/call_attempts.cpp
+++ b/src/dandelionbay/proxy/call_attempts.cpp
@@ -8,6 +8,12 @@
     open_.push_back(open_attempt{it, limits, now, false});
 }
 
+void call_attempts::heard(ticket_id it, time_point now) {
+    if (const auto at = std::ranges::find(open_, it, &open_attempt::ticket); at != open_.end()) {
+        at->heard_at = now;
+    }
+}
+
 call_attempts::change call_attempts::went_on(ticket_id it, time_point now) {
     const auto at = std::ranges::find(open_, it, &open_attempt::ticket);
     if (at == open_.end()) {
--- a/src/dandelionbay/proxy/call_attempts.hpp
+++ b/src/dandelionbay/proxy/call_attempts.hpp
@@ -50,6 +50,9 @@
     /*! @brief An attempt was sent. It has the call if none has. @param it Its name. @param now Time. */
     void sent(ticket_id it, const silence_limits& limits, time_point now);
 
+    /*! @brief Bytes of an answer that is not whole came from an attempt. @param it Its name. @param now Time. */
+    void heard(ticket_id it, time_point now);
+
     /*! @brief An event, or a whole answer, came from an attempt. @param it Its name. @param now Time. */
     [[nodiscard]] change went_on(ticket_id it, time_point now);
 
--- a/src/dandelionbay/proxy/exchange_answer.cpp
+++ b/src/dandelionbay/proxy/exchange_answer.cpp
@@ -117,6 +117,7 @@
         it.scanner.append(bytes);
     } else {
         it.body += bytes;
+        heard(it, owner_->now());
     }
     if (it.held_answer() > held_bytes) {
         on_failed(it, request_failure::garbage);
--- a/src/dandelionbay/proxy/exchange_attempts.cpp
+++ b/src/dandelionbay/proxy/exchange_attempts.cpp
@@ -49,7 +49,8 @@
 silence_limits exchange::silence_limits_for(const endpoint_choice& choice) const {
     const auto reading = from_ms(choice.backlog_ms * late_backlog + choice.unread_tokens / slow_rate);
     if (route_->kind != call_kind::streaming) {
-        return {silent_call, reading};
+        const auto usual = owner_->dispatch().load(choice.endpoint).usual_answer();
+        return {std::max(silent_call, usual), reading};
     }
     const auto usual = std::max(silent_stream, route_->patience() - time_to_begin);
     return {usual, std::max(duration{}, silent_stream + reading - usual)};
@@ -223,6 +224,11 @@
     send_to(item.ticket, *choice, now);
 }
 
+void exchange::heard(attempt& it, time_point now) {
+    it.heard_at = now;
+    open_.heard(it.ticket, now);
+}
+
 void exchange::went_on(attempt& it, time_point now) {
     without_endpoint_.reset();
     it.heard_at = now;
--- a/test/dandelionbay/platform/gateway_silence_test.cpp
+++ b/test/dandelionbay/platform/gateway_silence_test.cpp
@@ -219,6 +219,22 @@
     EXPECT_TRUE(eventually([&] { return open == 0; }, work_stops_within));
 }
 
+// Guards against safe calls that run twice, and sound endpoints that count as failed, because a whole answer takes
+// longer to arrive than an endpoint may be silent.
+TEST_F(gateway_two_endpoints, a_safe_call_whose_answer_arrives_slowly_is_sent_once) {
+    static constexpr int pieces = 8;
+    script("/look/slow", {[](const http_request& request, raw_server::connection& to) {
+               to.write(concat(scripted_endpoint::head(request, 200), "Content-Length: ", pieces, "\r\n\r\n"));
+               for (int n = 0; n < pieces; ++n) {
+                   std::this_thread::sleep_for(milliseconds{200});
+                   to.write("x");
+               }
+           }});
+    const auto answer = gateway->get("/look/slow");
+    EXPECT_TRUE(answer.ends_with("\r\n\r\n" + std::string(pieces, 'x'))) << answer;
+    EXPECT_EQ(sends("/look/slow"), 1);
+}
+
 // Guards against calls that end at the first refusal after their endpoint broke off, with time left and an endpoint
 // that has room a moment later.
 TEST_F(gateway_two_endpoints, a_call_that_broke_off_waits_for_an_endpoint_that_refuses_for_a_moment) {
