Let the endpoints of a random run outlive their last request

Seen: gateway_pauses failed under the thread sanitizer: a data race between the generator of the pausing endpoints and what the test's stack held next. An attempt that has lost against another one may still ask them when the test's body has ended. They are shared with the scripts that use them now.

--- a/test/dandelionbay/platform/gateway_silence_test.cpp
+++ b/test/dandelionbay/platform/gateway_silence_test.cpp
@@ -399,9 +399,9 @@
 // then full, while the configuration changes: each is answered whole or refused as not run.
 TEST_P(gateway_pauses, calls_at_sound_endpoints_are_answered_whole_or_not_run) {
     constexpr milliseconds between_changes{300};
-    pausing_endpoints endpoints{GetParam()};
+    const auto endpoints = std::make_shared<pausing_endpoints>(GetParam()); // Of which a late attempt may still ask.
     for (auto* const it : {&engine_1, &engine_2, &desk_1, &desk_2}) {
-        it->otherwise([&](const http_request& request, raw_server::connection& to) { endpoints.act(request, to); });
+        it->otherwise([=](const http_request& request, raw_server::connection& to) { endpoints->act(request, to); });
     }
     std::atomic<bool> over{false};
     std::thread operating{[&] {
