Share the answers of scripted servers with their threads under a lock

Seen: five tests of cut answers failed under the thread sanitizer on arm64, with races on variables that a test and its server's thread both used, or because the sanitizer has no room for some hundreds of threads there.

answering_server holds the answer under a lock. raw_server joins the threads of ended connections when the next one is accepted. The runs of the endpoint client's test start 16 at a time, and what they report to outlives the client.

--- a/test/dandelionbay/app/admin_client_test.cpp
+++ b/test/dandelionbay/app/admin_client_test.cpp
@@ -3,7 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "dandelionbay/net/cut_answers.hpp"
-#include "dandelionbay/platform/raw_server.hpp"
+#include "dandelionbay/platform/answering_server.hpp"
 
 namespace dandelionbay::app {
 namespace {
@@ -12,18 +12,14 @@
 // cut.
 TEST(admin_client, a_cut_answer_is_none) {
     const std::string fields = "ETag: \"7\"\r\n";
-    std::string answer;
-    platform::raw_server server{[&](const http_request&, platform::raw_server::connection& to) {
-        to.write(answer);
-        to.close();
-    }};
+    platform::answering_server server;
     const admin_client client{server.address(), "token"};
     for (const auto& whole : whole_answers(fields, false)) {
-        answer = whole;
+        server.answer(whole);
         EXPECT_EQ(client.get("config").revision(), 7) << whole;
     }
     for (const auto& cut : cut_answers(fields)) {
-        answer = cut;
+        server.answer(cut);
         EXPECT_EQ(client.get("config").status, 0) << cut;
         EXPECT_EQ(client.send("PUT", "config", "\"6\"", "{}").status, 0) << cut;
     }
--- a/test/dandelionbay/load/load_test.cpp
+++ b/test/dandelionbay/load/load_test.cpp
@@ -10,7 +10,7 @@
 #include "dandelionbay/load/plan.hpp"
 #include "dandelionbay/load/tally.hpp"
 #include "dandelionbay/net/cut_answers.hpp"
-#include "dandelionbay/platform/raw_server.hpp"
+#include "dandelionbay/platform/answering_server.hpp"
 #include "dandelionbay/settings/process_settings.hpp"
 
 namespace dandelionbay::load {
@@ -165,11 +165,7 @@
     const std::string fields = "Content-Type: text/plain\r\n";
     const auto whole = whole_answers(fields, false);
     const auto cut = cut_answers(fields);
-    std::string answer;
-    platform::raw_server server{[&](const http_request&, platform::raw_server::connection& to) {
-        to.write(answer);
-        to.close();
-    }};
+    platform::answering_server server;
     const auto start = monotonic_clock{}.now();
     team_profile team{"a", "t", "m", 20};
     team.orders = order_profile{"desk", "/orders", 1};
@@ -177,12 +173,12 @@
     tally results{{"a"}, start, 60};
     const caller sender{team, 0, target, results};
     for (const auto& it : whole) {
-        answer = it;
+        server.answer(it);
         sender.send(planned_call{}, "1", start);
     }
     EXPECT_EQ(results.report()["complete"], whole.size());
     for (const auto& it : cut) {
-        answer = it;
+        server.answer(it);
         sender.send(planned_call{}, "1", start);
         ASSERT_EQ(results.report()["complete"], whole.size()) << it;
     }
--- a/test/dandelionbay/node/http_endpoint_client_test.cpp
+++ b/test/dandelionbay/node/http_endpoint_client_test.cpp
@@ -101,19 +101,20 @@
         }};
         const monotonic_clock time;
         counters metrics;
+        std::vector<end_recorder> events(whole.size() + cut.size());
         http_endpoint_client client{endpoint.address(), time, metrics, std::chrono::milliseconds{0}};
-        const auto end_of = [&](std::size_t n, end_recorder& events) {
+        const auto end_of = [&](std::size_t n) {
             client.start_run(
-                {.id = {host_id{"r"}, 1, n}, .timeout_ms = 10'000, .request = {"GET", concat("/", n), {}, {}}}, events);
-            return events.ended.get_future();
+                {.id = {host_id{"r"}, 1, n}, .timeout_ms = 10'000, .request = {"GET", concat("/", n), {}, {}}},
+                events[n]);
+            return events[n].ended.get_future();
         };
-        constexpr std::size_t at_once = 100;
-        for (std::size_t from = 0; from < whole.size() + cut.size(); from += at_once) {
-            const auto to = std::min(from + at_once, whole.size() + cut.size());
-            std::vector<end_recorder> events(to - from);
+        constexpr std::size_t at_once = 16;
+        for (std::size_t from = 0; from < events.size(); from += at_once) {
+            const auto to = std::min(from + at_once, events.size());
             std::vector<std::future<run_end>> ends;
             for (std::size_t n = from; n < to; ++n) {
-                ends.push_back(end_of(n, events[n - from]));
+                ends.push_back(end_of(n));
             }
             for (std::size_t n = from; n < to; ++n) {
                 const auto end = ends[n - from].get();
--- a/test/dandelionbay/platform/raw_server.hpp
+++ b/test/dandelionbay/platform/raw_server.hpp
@@ -70,11 +70,27 @@
             return socket_.read_some(boost::asio::buffer(data, size), ec);
         }
 
+        /*! @brief Has a thread serve it. */
+        template<typename Function>
+        void serve(Function function) {
+            thread_ = std::thread{[this, function = std::move(function)] {
+                function(*this);
+                served_ = true;
+            }};
+        }
+
+        /*! @brief Tells whether its thread has ended its work. */
+        [[nodiscard]] bool served() const { return served_; }
+
+        void join() { thread_.join(); }
+
     private:
         tcp::socket socket_;
         const int handle_;
         const std::atomic<bool>* dark_;
         std::atomic<bool> ended_{};
+        std::atomic<bool> served_{};
+        std::thread thread_{};
     };
 
     using handler = std::function<void(const http_request&, connection&)>;
@@ -131,7 +147,7 @@
                 it.interrupt();
             }
         }
-        for (auto& it : threads_) { // None is added any more; their handlers may wait for the lock.
+        for (auto& it : connections_) { // None is added any more; their handlers may wait for the lock.
             it.join();
         }
     }
@@ -146,12 +162,23 @@
                 break;
             }
             const std::scoped_lock lock{mutex_};
-            connections_.emplace_back(std::move(socket), dark_);
-            threads_.emplace_back([this, it = &connections_.back()] { serve(*it); });
+            drop_served();
+            connections_.emplace_back(std::move(socket), dark_).serve([this](connection& it) { serve(it); });
         }
         accept_ended_ = true;
     }
 
+    /*! Joins the threads that have ended, of which the system has room for a limited number. */
+    void drop_served() {
+        connections_.remove_if([](connection& it) {
+            if (!it.served()) {
+                return false;
+            }
+            it.join();
+            return true;
+        });
+    }
+
     void serve(connection& it) {
         request_reader reader{65'536, 1U << 20U};
         std::array<char, 4'096> buf{};
@@ -178,7 +205,6 @@
     tcp::socket never_accepted_{loop_};
     std::mutex mutex_{};
     std::list<connection> connections_{};
-    std::list<std::thread> threads_{};
     std::thread accepting_;
 };
 
--- a/test/dandelionbay/store/http_table_store_test.cpp
+++ b/test/dandelionbay/store/http_table_store_test.cpp
@@ -12,7 +12,7 @@
 #include <thread>
 
 #include "dandelionbay/net/cut_answers.hpp"
-#include "dandelionbay/platform/raw_server.hpp"
+#include "dandelionbay/platform/answering_server.hpp"
 #include "dandelionbay/standin/standin_platform.hpp"
 
 namespace dandelionbay {
@@ -169,21 +169,15 @@
 // Guards against rows that are read short, and writes that count as done, from answers that were cut.
 TEST(http_table_store, a_cut_answer_is_none) {
     const std::string fields = "ETag: \"7\"\r\n";
-    std::string answer;
-    bool reset = false;
-    platform::raw_server server{[&](const http_request&, platform::raw_server::connection& to) {
-        to.write(answer);
-        reset ? to.reset() : to.close();
-    }};
+    platform::answering_server server;
     for (const auto& whole : whole_answers(fields, false)) {
-        answer = whole;
+        server.answer(whole);
         http_table_store store{server.address()};
         EXPECT_EQ(store.get("t", "a").value().version, 7) << whole;
     }
     for (const auto& cut : cut_answers(fields)) {
         for (const bool with_reset : {false, true}) {
-            answer = cut;
-            reset = with_reset;
+            server.answer(cut, with_reset);
             http_table_store store{server.address()};
             EXPECT_TRUE(absl::IsUnavailable(store.get("t", "a").status())) << cut;
             EXPECT_TRUE(absl::IsUnavailable(store.put("t", "a", "b", 6).status())) << cut;
