Keep an endpoint's capacity when one of its load reports is late

Callers saw: calls that wait, or are refused, at a sound endpoint that was silent for a second and went on. The agent recalled its grants, refused submissions with endpoint_unavailable and brought the endpoint's limit back to the cold bound, from 8 to 1 in the test, although its runs went on sending tokens.

Cause: every failed request for the endpoint's state, also one that was only not answered within its 1 s, was endpoint_lost.

Change: a late report is an event of its own (report_late). It changes nothing if a run was heard of within the last second. Otherwise grants are recalled and nothing starts until a report or a byte of a run comes, as before, but the limit stays. The endpoint counts as cold when another report is late at least 1 s later, or nothing was heard in the 2 s of the pause, and, as before, after a refused or ended connection, a malformed report, a crash or a new process. A report without a process identity after a silence also brings the cold bound, because it may be another process's. No submission starts before that: those that wait for a check are rejected as not run.

agent_cold.a_silence_that_lasts_or_ends_with_another_process_costs_the_capacity holds these cases. The existing tests are unchanged, except that the random runs of the agent get late reports as well.

--- a/src/dandelionbay/agent/agent_core.cpp
+++ b/src/dandelionbay/agent/agent_core.cpp
@@ -82,6 +82,10 @@
     return handle(*state_, now, [&](auto& it, auto& out) { it.endpoint_lost(now, out); });
 }
 
+agent_core::actions agent_core::report_late(time_point now) {
+    return handle(*state_, now, [&](auto& it, auto& out) { it.report_late(now, out); });
+}
+
 agent_core::actions agent_core::tick(time_point now) {
     return handle(*state_, now, [&](auto& it, auto& out) { it.tick(now, out); });
 }
--- a/src/dandelionbay/agent/agent_core.hpp
+++ b/src/dandelionbay/agent/agent_core.hpp
@@ -89,9 +89,12 @@
     /*! @brief The endpoint reported its state. @param report The report. @param now Current time. */
     [[nodiscard]] actions report(const load_report& report, time_point now);
 
-    /*! @brief The endpoint does not answer. @param now Current time. */
+    /*! @brief The endpoint refuses connections, or broke off a request for its state. @param now Current time. */
     [[nodiscard]] actions endpoint_lost(time_point now);
 
+    /*! @brief A report did not come within its time, which alone is no sign of a loss. @param now Current time. */
+    [[nodiscard]] actions report_late(time_point now);
+
     /*! @brief Time passed; to be called every 20 ms or at next_deadline(). @param now Current time. */
     [[nodiscard]] actions tick(time_point now);
 
--- a/src/dandelionbay/agent/agent_runs.cpp
+++ b/src/dandelionbay/agent/agent_runs.cpp
@@ -143,7 +143,7 @@
         metrics_.add("late_messages_total", "run_head");
         return;
     }
-    contact_ = now;
+    static_cast<void>(heard(now));
     auto& run = it->second;
     run.head_known = true;
     run.first = head{.id = id, .status = status, .headers = std::move(headers)};
@@ -159,7 +159,7 @@
         metrics_.add("late_messages_total", "run_data");
         return false;
     }
-    contact_ = now;
+    const bool resumed = heard(now);
     auto& run = it->second;
     const auto limit_before = ramp_.limit();
     if (!run.answered && (tokens > 0 || !data.empty())) {
@@ -174,7 +174,7 @@
         out.emplace_back(send_message{
             id.router, chunk{.id = id, .offset = offset, .data = std::move(data), .output_tokens = tokens}});
     }
-    return ramp_.limit() != limit_before;
+    return resumed || ramp_.limit() != limit_before;
 }
 
 void agent_core::state::run_broke(const request_id& id) {
--- a/src/dandelionbay/agent/agent_state.cpp
+++ b/src/dandelionbay/agent/agent_state.cpp
@@ -55,10 +55,26 @@
 void agent_core::state::lose_endpoint(time_point now, actions& out) {
     ramp_.reset(now);
     lost_ = true;
+    silent_since_.reset();
     paused_until_ = now + internal::lost_pause;
     recall_all("endpoint_lost", out);
 }
 
+bool agent_core::state::end_silence() noexcept {
+    if (!silent_since_.has_value()) {
+        return false;
+    }
+    silent_since_.reset();
+    lost_ = false;
+    paused_until_.reset();
+    return true;
+}
+
+bool agent_core::state::heard(time_point now) noexcept {
+    contact_ = now;
+    return end_silence();
+}
+
 void agent_core::state::leave_or_return(bool was_leaving, actions& out) {
     const bool leaves = zone_out_ || label_leaving_ || host_leaving_;
     if (leaves) {
@@ -141,6 +157,10 @@
         ramp_.reset(now);
         recall_excess(out);
     }
+    if (silent_since_.has_value() && report.process.empty()) {
+        // Nothing shows that it is still the process from before the silence.
+        ramp_.reset(now);
+    }
     process_ = report.process;
     ramp_.set_reported_cold(report.cold, now);
     if (first && !report.cold && !lost_) {
@@ -151,7 +171,7 @@
         lost_ = false;
         paused_until_.reset();
     }
-    contact_ = now;
+    static_cast<void>(heard(now));
     doubtful_ = false;
     admit_verified(now, out);
 }
@@ -164,11 +184,34 @@
     admit_verified(now, out);
 }
 
+void agent_core::state::report_late(time_point now, actions& out) {
+    const bool lost_before = lost_ && !silent_since_.has_value();
+    const bool silent_twice = silent_since_.has_value() && now - *silent_since_ >= internal::report_time;
+    if (!contact_.has_value() || lost_before || silent_twice) {
+        endpoint_lost(now, out);
+        return;
+    }
+    if (now - *contact_ < internal::report_time && unverified_.empty()) {
+        return;
+    }
+    if (!silent_since_.has_value()) {
+        metrics_.add("endpoint_silent_total");
+        silent_since_ = now;
+        paused_until_ = now + internal::lost_pause;
+    }
+    lost_ = true;
+    recall_all("endpoint_silent", out);
+    admit_verified(now, out);
+}
+
 void agent_core::state::tick(time_point now, actions& out) {
     if (!reported_ && waiting_since_.has_value() && now - *waiting_since_ >= internal::first_report_limit) {
         reported_ = true;
     }
     if (paused_until_.has_value() && now >= *paused_until_) {
+        if (end_silence()) {
+            ramp_.reset(now);
+        }
         paused_until_.reset();
         lost_ = false;
     }
--- a/src/dandelionbay/agent/agent_state.hpp
+++ b/src/dandelionbay/agent/agent_state.hpp
@@ -45,6 +45,13 @@
 /*! @brief Pause before work is tried at an endpoint that did not answer and sends no reports. */
 inline constexpr duration lost_pause = std::chrono::seconds{2};
 
+/*!
+ * @brief Time that one request for the endpoint's state may take.
+ *
+ * A sound endpoint may be silent for about a second, so an endpoint counts as lost only when this time passes twice.
+ */
+inline constexpr duration report_time = std::chrono::seconds{1};
+
 /*! @brief Pause of grants after the endpoint refused a request, so that requests don't circulate. */
 inline constexpr duration refusal_pause = std::chrono::milliseconds{200};
 
@@ -135,6 +142,8 @@
     // agent_state.cpp: configuration and state of the endpoint.
     void configure(time_point now);
     void lose_endpoint(time_point now, actions& out);
+    [[nodiscard]] bool end_silence() noexcept;
+    [[nodiscard]] bool heard(time_point now) noexcept;
     void leave_or_return(bool was_leaving, actions& out);
     [[nodiscard]] std::optional<result_code> refusal(time_point now) const;
     [[nodiscard]] bool granting(time_point now) const;
@@ -208,13 +217,14 @@
     void receive(const host_id& from, const message& body, time_point now, actions& out);
     void run_head(const request_id& id, std::int32_t status, std::vector<header_field> headers, time_point now,
                   actions& out);
-    /*! @brief As agent_core::run_data. @return True if the limit changed, so that settle() has to follow. */
+    /*! @brief As agent_core::run_data. @return True if settle() has to follow. */
     [[nodiscard]] bool run_data(const request_id& id, std::string data, std::uint32_t tokens, time_point now,
                                 actions& out);
     void run_broke(const request_id& id);
     void run_ended(const request_id& id, run_end end, std::uint32_t input_tokens, time_point now, actions& out);
     void report(const load_report& report, time_point now, actions& out);
     void endpoint_lost(time_point now, actions& out);
+    void report_late(time_point now, actions& out);
     void tick(time_point now, actions& out);
     void begin_stop(time_point now, actions& out);
 
@@ -247,8 +257,9 @@
     std::uint32_t most_running_{};              //!< Most own runs since the last report.
     std::optional<time_point> paused_until_{};  //!< The endpoint did not answer or refused work.
     bool lost_{};
-    std::string crashed_process_{}; //!< Late reports of this process don't end the loss.
-    time_point seen_{};             //!< Time of the last event.
+    std::optional<time_point> silent_since_{}; //!< First late report since the endpoint was heard of; it is then lost_.
+    std::string crashed_process_{};            //!< Late reports of this process don't end the loss.
+    time_point seen_{};                        //!< Time of the last event.
 
     std::map<host_id, link_state> links_{};
     internal::demand_board demands_{};
--- a/src/dandelionbay/node/agent_driver.cpp
+++ b/src/dandelionbay/node/agent_driver.cpp
@@ -56,14 +56,20 @@
     endpoint_->expire(time().now());
     const auto checks = checks_ordered_.load();
     auto state = endpoint_->state();
-    metrics().add("load_reports_total", state.ok() ? "ok" : "failed");
+    metrics().add("load_reports_total", state.ok()                                 ? "ok"
+                                        : absl::IsDeadlineExceeded(state.status()) ? "late"
+                                                                                   : "failed");
     tasks().post([this, checks, state = std::move(state)] {
         if (checks != checks_ordered_) {
             // Read in part before a check was ordered, so it may describe a former process; the check's own follows.
             return;
         }
         const auto now = time().now();
-        perform(state.ok() ? core_.report(*state, now) : core_.endpoint_lost(now));
+        if (state.ok()) {
+            perform(core_.report(*state, now));
+        } else {
+            perform(absl::IsDeadlineExceeded(state.status()) ? core_.report_late(now) : core_.endpoint_lost(now));
+        }
     });
 }
 
--- a/src/dandelionbay/node/endpoint_client.hpp
+++ b/src/dandelionbay/node/endpoint_client.hpp
@@ -50,8 +50,8 @@
     /*! @brief Closes the call to the endpoint; its end is still reported. @param id The run. */
     virtual void cancel_run(const request_id& id) = 0;
 
-    /*! @brief Asks the endpoint for its state; blocks. @return Unavailable or DeadlineExceeded if it does not answer.
-     */
+    /*! @brief Asks the endpoint for its state; blocks. @return DeadlineExceeded if it is silent for the time limit,
+     *  Unavailable if it refuses the connection, another error if the connection ends or the report is malformed. */
     [[nodiscard]] virtual absl::StatusOr<load_report> state() = 0;
 
     /*! @brief Ends runs whose time limit has passed. @param now Current time. */
--- a/src/dandelionbay/node/http_endpoint_client.cpp
+++ b/src/dandelionbay/node/http_endpoint_client.cpp
@@ -239,17 +239,24 @@
     client.set_tcp_nodelay(true);
     client.set_connection_timeout(connect_time);
     client.set_read_timeout(state_time);
+    const auto asked = std::chrono::steady_clock::now();
     const auto answer = client.Get("/state");
     if (!answer) {
-        return answer.error() == httplib::Error::Connection ? absl::UnavailableError("the endpoint can't be reached")
-                                                            : absl::DeadlineExceededError("no load report");
+        if (answer.error() == httplib::Error::Connection) {
+            return absl::UnavailableError("the endpoint can't be reached");
+        }
+        // The library reports a connection that ended like one that was silent for the time limit.
+        const bool ended = answer.error() != httplib::Error::ConnectionTimeout &&
+                           std::chrono::steady_clock::now() - asked < state_time;
+        return ended ? absl::AbortedError("the connection ended without a load report")
+                     : absl::DeadlineExceededError("no load report in time");
     }
     if (answer->status == 404) {
         return load_report{}; // An endpoint without load reports counts as warm.
     }
     const auto document = nlohmann::json::parse(answer->body, nullptr, false);
     if (answer->status != 200 || !document.is_object()) {
-        return absl::DeadlineExceededError("malformed load report");
+        return absl::DataLossError("malformed load report");
     }
     load_report report;
     try {
@@ -257,7 +264,7 @@
         report.cold = document.value("cold", false);
         report.running = document.value("running", 0U);
     } catch (const nlohmann::json::exception&) {
-        return absl::DeadlineExceededError("malformed load report");
+        return absl::DataLossError("malformed load report");
     }
     const std::lock_guard lock{mutex_};
     process_ = report.process;
--- a/test/dandelionbay/agent/agent_cold_test.cpp
+++ b/test/dandelionbay/agent/agent_cold_test.cpp
@@ -184,6 +184,169 @@
     }
 }
 
+// Guards against a sound endpoint that loses its capacity because one load report is late.
+TEST_F(agent_cold, a_late_report_alone_keeps_the_capacity) {
+    start_agent();
+    warm_fully();
+    ASSERT_EQ(core->limit(), 8);
+    link("r1");
+    ask("r1", "team", 8);
+    ASSERT_EQ(grants("r1"), 8);
+    const auto id = submit_one("r1");
+    take(core->run_data(id, "token", 1, now));
+    {
+        SCOPED_TRACE("a run goes on sending tokens: nothing changes");
+        advance(milliseconds{980});
+        take(core->run_data(id, "token", 1, now));
+        advance(milliseconds{520});
+        take(core->report_late(now));
+        EXPECT_EQ(core->limit(), 8);
+        EXPECT_TRUE(recalled[host_id{"r1"}].empty());
+        const auto before = started.size();
+        const auto other = submit_one("r1");
+        EXPECT_EQ(started.size(), before + 1);
+        complete(other);
+        give_back("r1");
+        ask("r1", "team", 7);
+        ASSERT_EQ(grants("r1"), 7);
+    }
+    {
+        SCOPED_TRACE("nothing heard: no new work until the next token, which brings all capacity back");
+        advance(milliseconds{1'500});
+        take(core->report_late(now));
+        EXPECT_EQ(core->limit(), 8);
+        EXPECT_EQ(recalled[host_id{"r1"}].size(), 7);
+        submit_one("r1");
+        EXPECT_EQ(last_rejection("r1"), result_code::endpoint_unavailable);
+        give_back("r1");
+        ask("r1", "team", 7);
+        advance(milliseconds{500});
+        EXPECT_EQ(grants("r1"), 0);
+        take(core->run_data(id, "token", 1, now));
+        EXPECT_EQ(core->limit(), 8);
+        EXPECT_EQ(grants("r1"), 7);
+    }
+    {
+        SCOPED_TRACE("nothing heard until a report of the same process");
+        advance(milliseconds{1'500});
+        take(core->report_late(now));
+        give_back("r1");
+        ask("r1", "team", 7);
+        advance(milliseconds{500});
+        EXPECT_EQ(grants("r1"), 0);
+        warm();
+        EXPECT_EQ(core->limit(), 8);
+        EXPECT_EQ(grants("r1"), 7);
+    }
+    {
+        SCOPED_TRACE("each silence counts from its own beginning");
+        advance(milliseconds{1'500});
+        take(core->report_late(now));
+        EXPECT_EQ(core->limit(), 8);
+        advance(milliseconds{500});
+        warm();
+        EXPECT_EQ(core->limit(), 8);
+    }
+    EXPECT_EQ(metrics.total("endpoint_lost_total"), 0);
+}
+
+// Guards against an idle endpoint that loses its capacity because the answer to its check is late, and against a
+// submission that starts without that answer.
+TEST_F(agent_cold, a_late_check_starts_nothing_and_keeps_the_capacity) {
+    start_agent();
+    warm_fully();
+    link("r1");
+    ask("r1", "team", 8);
+    endpoint_answers = false;
+    advance(milliseconds{60});
+    const auto before = started.size();
+    const auto id = submit_one("r1");
+    advance(milliseconds{1'000});
+    take(core->report_late(now));
+    EXPECT_EQ(started.size(), before);
+    ASSERT_EQ(messages<rejected>("r1").size(), 1);
+    EXPECT_EQ(messages<rejected>("r1").back().id, id);
+    EXPECT_EQ(last_rejection("r1"), result_code::endpoint_unavailable);
+    EXPECT_EQ(core->limit(), 8);
+    give_back("r1");
+    ask("r1", "team", 8);
+    EXPECT_EQ(grants("r1"), 0);
+    warm();
+    EXPECT_EQ(grants("r1"), 8);
+}
+
+// Guards against full load for an endpoint that is lost, or was replaced by a cold process, during a silence.
+TEST_F(agent_cold, a_silence_that_lasts_or_ends_with_another_process_costs_the_capacity) {
+    enum class end {
+        second_late_report,
+        no_second_report,
+        refused_connection,
+        refused_run,
+        crash,
+        new_process,
+        cold,
+        no_name
+    };
+    for (const auto why : {end::second_late_report, end::no_second_report, end::refused_connection, end::refused_run,
+                           end::crash, end::new_process, end::cold, end::no_name}) {
+        SCOPED_TRACE(static_cast<int>(why));
+        start_agent();
+        warm_fully(why == end::no_name ? "" : "p1");
+        ASSERT_EQ(core->limit(), 8);
+        link("r1");
+        ask("r1", "team", 8);
+        const auto id = submit_one("r1");
+        advance(milliseconds{1'500});
+        take(core->report_late(now));
+        EXPECT_EQ(core->limit(), 8);
+        give_back("r1");
+        ask("r1", "team", 8);
+        const auto before = started.size();
+        advance(milliseconds{1'000});
+        EXPECT_EQ(grants("r1"), 0);
+        bool reports = false;
+        switch (why) {
+        case end::second_late_report:
+            take(core->report_late(now));
+            break;
+        case end::no_second_report:
+            advance(milliseconds{1'000});
+            break;
+        case end::refused_connection:
+            take(core->endpoint_lost(now));
+            break;
+        case end::refused_run:
+            take(core->run_ended(id, run_end::not_started, 0, now));
+            break;
+        case end::crash:
+            take(core->run_ended(id, run_end::crashed, 0, now));
+            break;
+        case end::new_process:
+            reports = true;
+            report({.process = "p2"});
+            break;
+        case end::cold:
+            reports = true;
+            report({.process = "p1", .cold = true});
+            break;
+        case end::no_name:
+            reports = true;
+            report({});
+            break;
+        }
+        EXPECT_EQ(core->limit(), 1);
+        EXPECT_EQ(started.size(), before);
+        EXPECT_LE(core->running() + grants("r1"), 1);
+        if (!reports && why != end::no_second_report) {
+            EXPECT_EQ(grants("r1"), 0);
+            advance(milliseconds{1'980});
+            EXPECT_EQ(grants("r1"), 0) << "a pause as after any loss";
+            advance(milliseconds{20});
+            EXPECT_LE(core->running() + grants("r1"), 1);
+        }
+    }
+}
+
 // Guards against a request that a dead endpoint can't take and that circulates between router and agent, and against
 // one that is lost because its id counts as admitted though it did not run.
 TEST_F(agent_cold, a_request_that_did_not_start_is_rejected_as_not_run_and_may_come_again) {
--- a/test/dandelionbay/agent/agent_random_test.cpp
+++ b/test/dandelionbay/agent/agent_random_test.cpp
@@ -149,7 +149,7 @@
 
     void fault() {
         const std::string name = "r" + std::to_string(1 + pick(4));
-        switch (pick(9)) {
+        switch (pick(10)) {
         case 0:
             return peers[name].up ? disconnect(name) : reconnect(name);
         case 1: // The router restarts with empty memory.
@@ -180,6 +180,8 @@
             ++config.revision;
             config.zones_out = refusing ? select("name=z1") : selector::none();
             return apply();
+        case 7:
+            return take(core->report_late(now));
         default:
             peers[name].queued += 1 + static_cast<std::uint32_t>(pick(5));
             return peers[name].up ? tell(name) : void();
--- a/test/dandelionbay/node/http_endpoint_client_test.cpp
+++ b/test/dandelionbay/node/http_endpoint_client_test.cpp
@@ -83,6 +83,43 @@
     }
 }
 
+// Guards against a silent endpoint that is taken for one whose connection ended, and the other way round: only the end
+// is a sign that the process is lost.
+TEST(http_endpoint_client, a_silent_endpoint_is_told_from_one_that_ends_the_connection) {
+    enum class kind { silent, closes, resets, cut, malformed };
+    std::atomic<kind> now{kind::silent};
+    std::promise<void> release;
+    const auto released = release.get_future().share();
+    platform::raw_server endpoint{[&](const http_request& /*request*/, platform::raw_server::connection& to) {
+        switch (now.load()) {
+        case kind::silent:
+            released.wait();
+            return;
+        case kind::closes:
+            return to.close();
+        case kind::resets:
+            return to.reset();
+        case kind::cut:
+            to.write("HTTP/1.1 200 X\r\nContent-Length: 15\r\n\r\n{");
+            return to.close();
+        case kind::malformed:
+            to.write("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
+            return;
+        }
+    }};
+    const monotonic_clock time;
+    counters metrics;
+    http_endpoint_client client{endpoint.address(), time, metrics};
+    EXPECT_TRUE(absl::IsDeadlineExceeded(client.state().status()));
+    release.set_value();
+    for (const auto it : {kind::closes, kind::resets, kind::cut, kind::malformed}) {
+        now = it;
+        const auto status = client.state().status();
+        EXPECT_FALSE(status.ok() || absl::IsDeadlineExceeded(status) || absl::IsUnavailable(status)) << status;
+    }
+    client.stop();
+}
+
 // Guards against runs whose answer was cut, in its head or between the parts of a chunk, and that count as complete.
 TEST(http_endpoint_client, a_run_whose_answer_is_cut_is_never_complete) {
     const std::string fields = "Content-Type: text/plain\r\n";
