Keep a late first token out of the test of long silences

The run of agent_cold.a_silence_that_lasts_or_ends_with_another_process_costs_the_capacity had no first token, so that the rule of late first tokens reset the limit after 2 s whatever the silence did. With the core's reset after the pause, or the one for a report without a process identity, taken out, the test passed. Now the run answers first and the limit is checked just before the event; with either reset, or the loss at a second late report, taken out, it fails.

--- a/test/dandelionbay/agent/agent_cold_test.cpp
+++ b/test/dandelionbay/agent/agent_cold_test.cpp
@@ -296,6 +296,7 @@
         link("r1");
         ask("r1", "team", 8);
         const auto id = submit_one("r1");
+        take(core->run_data(id, "token", 1, now)); // A late first token alone would cost the capacity.
         advance(milliseconds{1'500});
         take(core->report_late(now));
         EXPECT_EQ(core->limit(), 8);
@@ -303,6 +304,7 @@
         ask("r1", "team", 8);
         const auto before = started.size();
         advance(milliseconds{1'000});
+        EXPECT_EQ(core->limit(), 8);
         EXPECT_EQ(grants("r1"), 0);
         bool reports = false;
         switch (why) {
