--- a/src/dandelionbay/dispatch/placement.cpp
+++ b/src/dandelionbay/dispatch/placement.cpp
@@ -36,8 +36,10 @@
     return list.empty() || std::ranges::find(list, region) != list.end();
 }
 
-[[nodiscard]] bool in_regions(const work_item& item, const region_id* region) {
-    return region != nullptr && contains(item.route_regions, *region) && contains(item.team_regions, *region);
+[[nodiscard]] bool may_run_in(const work_item& item, const region_id* region) {
+    const bool anywhere = item.route_regions.empty() && item.team_regions.empty();
+    return anywhere ||
+           (region != nullptr && contains(item.route_regions, *region) && contains(item.team_regions, *region));
 }
 
 } // namespace
@@ -184,9 +186,8 @@
         return out;
     }
     const auto subject = subject_of(item);
-    const bool anywhere = item.route_regions.empty() && item.team_regions.empty();
     for (auto& it : sites->second) {
-        if (!anywhere && !in_regions(item, it.region)) {
+        if (!may_run_in(item, it.region)) {
             continue;
         }
         if (it.paused) {
@@ -220,9 +221,7 @@
 bool placement::any_for(const work_item& item) const {
     const auto sites = sites_.find(item.service);
     return sites != sites_.end() && std::ranges::any_of(sites->second, [&](const auto& it) {
-               const bool allowed =
-                   (item.route_regions.empty() && item.team_regions.empty()) || in_regions(item, it.region);
-               return allowed && !item.excluded.contains(it.known->entry.id);
+               return may_run_in(item, it.region) && !item.excluded.contains(it.known->entry.id);
            });
 }
 
