Work out the usual time of answers once for each look at an endpoint

endpoint_load::stalled, which each rating of an endpoint calls, worked it out for each running call. Behaviour is unchanged; the tests of the endpoint's load pass.

--- a/src/dandelionbay/dispatch/endpoint_load.cpp
+++ b/src/dandelionbay/dispatch/endpoint_load.cpp
@@ -167,12 +167,14 @@
         return false;
     }
     time_point oldest = time_point::max();
+    const auto usual_ms = to_ms(std::max(duration{}, usual_answer() - silence_limit));
     double expected_ms = 0.0;
     for (const auto& [ticket, it] : running_) {
         oldest = std::min(oldest, it.sent_at);
-        const bool tokens = it.load.memory_tokens > 0.0;
-        const auto usual_ms = tokens ? 0.0 : to_ms(std::max(duration{}, usual_answer() - silence_limit));
-        expected_ms = std::max(expected_ms, it.started ? 0.0 : it.ahead_ms + usual_ms);
+        if (!it.started) {
+            const bool tokens = it.load.memory_tokens > 0.0;
+            expected_ms = std::max(expected_ms, it.ahead_ms + (tokens ? 0.0 : usual_ms));
+        }
     }
     return now - std::max(oldest, silent_since_) > silence_limit + from_ms(expected_ms);
 }
