End placed calls through one function with the kind of end

dispatcher::not_needed repeated dispatcher::ended, and the exchange had a second name for the three kinds of end to choose between them. Both now share call_end. Behaviour is unchanged; the assertions of the tests are as they were.

--- a/bench/dispatch_bench.cpp
+++ b/bench/dispatch_bench.cpp
@@ -111,7 +111,7 @@
     void answer_all() {
         for (const auto ticket : std::exchange(log.placed_calls, {})) {
             router.started(ticket, now);
-            router.ended(ticket, false, now);
+            router.ended(ticket, call_end::answered, now);
         }
     }
 
--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -241,12 +241,14 @@
     }
 }
 
-void dispatcher::ended(ticket_id ticket, bool failed, time_point now) {
+void dispatcher::ended(ticket_id ticket, call_end end, time_point now) {
     if (const auto it = placed_.find(ticket); it != placed_.end()) {
         const auto& call = it->second;
         auto& load = loads_[call.endpoint];
-        const bool in_vain = now - call.arrived > call.target; // Its caller waited longer than it should have to.
-        if (!call.begun && (failed || in_vain || load.stalled(now))) { // The team got nothing for it.
+        const bool needed = end != call_end::not_needed;
+        const bool failed = end == call_end::failed;
+        const bool in_vain = needed && now - call.arrived > call.target; // Its caller waited longer than it should.
+        if (!call.begun && (!needed || failed || in_vain || load.stalled(now))) { // The team got nothing for it.
             usage_.take_back(call.team, call.cost, call.at);
             if (in_vain) {
                 usage_.deny(call.team, call.cost, now);
@@ -257,17 +259,6 @@
     }
 }
 
-void dispatcher::not_needed(ticket_id ticket, time_point now) {
-    if (const auto it = placed_.find(ticket); it != placed_.end()) {
-        const auto& call = it->second;
-        if (!call.begun) {
-            usage_.take_back(call.team, call.cost, call.at);
-        }
-        loads_[call.endpoint].ended(ticket, false, now);
-        placed_.erase(it);
-    }
-}
-
 void dispatcher::heard(const endpoint_id& id, time_point now) {
     loads_[id].heard(now);
 }
--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -23,6 +23,13 @@
 
 namespace dandelionbay {
 
+/*! @brief How a placed call ended. */
+enum class call_end : std::uint8_t {
+    answered,
+    failed,    //!< By its endpoint.
+    not_needed //!< The same call runs elsewhere: its team is not charged for it unless its answer had begun.
+};
+
 /*! @brief Receives the decisions. */
 class dispatch_listener {
 public:
@@ -123,12 +130,8 @@
     /*! @brief A placed call's answer began. @param ticket Its name. @param now Time. */
     void started(ticket_id ticket, time_point now);
 
-    /*! @brief A placed call ended. @param ticket Its name. @param failed The endpoint failed it. @param now Time. */
-    void ended(ticket_id ticket, bool failed, time_point now);
-
-    /*! @brief A placed call is not needed any more, because the same call runs elsewhere: its team is not charged for
-     * it unless its answer had begun. @param ticket Its name. @param now Time. */
-    void not_needed(ticket_id ticket, time_point now);
+    /*! @brief A placed call ended. @param ticket Its name. @param end How. @param now Time. */
+    void ended(ticket_id ticket, call_end end, time_point now);
 
     /*! @brief Bytes came from an endpoint. */
     void heard(const endpoint_id& id, time_point now);
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -257,7 +257,7 @@
         if (silent(*it, now)) {
             note_silent_run(*it);
         }
-        end_attempt(*it, attempt_end::answered);
+        end_attempt(*it, call_end::answered);
     }
 }
 
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -27,11 +27,6 @@
  */
 class exchange final : public std::enable_shared_from_this<exchange> {
     enum class stage : std::uint8_t { waiting, running, done };
-    enum class attempt_end : std::uint8_t {
-        answered,
-        failed,    //!< By its endpoint.
-        not_needed //!< Another attempt has the call.
-    };
     struct kept_failure {
         response_head head{};
         std::string body{};
@@ -72,7 +67,7 @@
 
     /*! An attempt that has ended brought nothing: another one has the call, or it is tried again. */
     void attempt_failed(const attempt& it, std::string_view reason, bool counted);
-    void end_attempt(attempt& it, attempt_end end);
+    void end_attempt(attempt& it, call_end end);
     void try_again(std::string_view reason, bool counted);
 
     /*! Waits for an endpoint, since there is none for a call that may have run or whose answer has begun. */
--- a/src/dandelionbay/proxy/exchange_attempts.cpp
+++ b/src/dandelionbay/proxy/exchange_attempts.cpp
@@ -62,7 +62,7 @@
     team_rank_ = choice.team;
     waited_ = now - arrived_;
     list_age_ = owner_->environment().view->endpoints_age(now).value_or(duration{});
-    const auto release = [&] { owner_->dispatch().not_needed(ticket_, now); };
+    const auto release = [&] { owner_->dispatch().ended(ticket_, call_end::not_needed, now); };
     if (crashes_endpoints()) { // That became known while it waited.
         release();
         refuse_as_crashing();
@@ -108,7 +108,7 @@
     it.body = std::string{}; // Its memory is needed while the call waits for another endpoint.
     if (why == request_failure::unwanted) {
         --runs_;
-        end_attempt(it, attempt_end::not_needed);
+        end_attempt(it, call_end::not_needed);
         if (!attempts_.empty()) {
             return; // The time limit is looked at for the call as a whole.
         }
@@ -123,14 +123,14 @@
     if (why == request_failure::not_sent) {
         --runs_;
         owner_->unreachable(it.choice.endpoint);
-        end_attempt(it, attempt_end::failed);
+        end_attempt(it, call_end::failed);
         attempt_failed(it, "unreachable", false);
         return;
     }
     if (why == request_failure::broken) {
         note_lost_run(it, now);
     }
-    end_attempt(it, attempt_end::failed);
+    end_attempt(it, call_end::failed);
     attempt_failed(it, why == request_failure::broken ? "connection_broken" : "garbage", true);
 }
 
@@ -138,13 +138,9 @@
     return caller_ != nullptr && !caller_->left() && time_left(owner_->now()) > duration{};
 }
 
-void exchange::end_attempt(attempt& it, attempt_end end) {
+void exchange::end_attempt(attempt& it, call_end end) {
     const auto now = owner_->now();
-    if (end == attempt_end::not_needed) {
-        owner_->dispatch().not_needed(it.ticket, now);
-    } else {
-        owner_->dispatch().ended(it.ticket, end == attempt_end::failed, now);
-    }
+    owner_->dispatch().ended(it.ticket, end, now);
     open_.ended(it.ticket);
     if (auto client = std::exchange(it.client, nullptr); client != nullptr && client->busy()) {
         client->close();
@@ -244,7 +240,7 @@
             note_silent_run(*other);
             excluded_.insert(other->choice.endpoint);
         }
-        end_attempt(*other, change.taken_over ? attempt_end::failed : attempt_end::not_needed);
+        end_attempt(*other, change.taken_over ? call_end::failed : call_end::not_needed);
     }
 }
 
--- a/test/dandelionbay/dispatch/dispatch_fixture.hpp
+++ b/test/dandelionbay/dispatch/dispatch_fixture.hpp
@@ -95,7 +95,7 @@
                 router.heard(endpoint_id{it->second}, now);
             }
             router.started(ticket, now);
-            router.ended(ticket, false, now);
+            router.ended(ticket, call_end::answered, now);
         }
         router.refresh(now);
     }
--- a/test/dandelionbay/dispatch/dispatcher_test.cpp
+++ b/test/dandelionbay/dispatch/dispatcher_test.cpp
@@ -22,7 +22,7 @@
             homes[subject].insert(fleet.log.placements[ticket]);
             fleet.now += milliseconds{40};
             fleet.router.started(ticket, fleet.now);
-            fleet.router.ended(ticket, false, fleet.now);
+            fleet.router.ended(ticket, call_end::answered, fleet.now);
         }
     }
     std::set<std::string> used;
@@ -142,13 +142,13 @@
     ASSERT_GT(one, 0.0);
     {
         SCOPED_TRACE("one fails before its answer began");
-        fleet.router.ended(first, true, fleet.now);
+        fleet.router.ended(first, call_end::failed, fleet.now);
         EXPECT_DOUBLE_EQ(used(), one);
     }
     {
         SCOPED_TRACE("one is given up by its caller at an endpoint that went silent");
         fleet.now += seconds{2};
-        fleet.router.ended(second, false, fleet.now);
+        fleet.router.ended(second, call_end::answered, fleet.now);
         EXPECT_DOUBLE_EQ(used(), 0.0);
     }
     {
@@ -156,14 +156,14 @@
         const auto third = fleet.send(fleet.call(team.value, 3, 0, 1'000));
         fleet.router.heard(endpoint_id{fleet.log.placements[third]}, fleet.now);
         fleet.router.started(third, fleet.now);
-        fleet.router.ended(third, true, fleet.now);
+        fleet.router.ended(third, call_end::failed, fleet.now);
         EXPECT_DOUBLE_EQ(used(), one);
     }
     {
         SCOPED_TRACE("one that its caller gives up at an endpoint at work stays too");
         const auto fourth = fleet.send(fleet.call(team.value, 4, 0, 1'000));
         fleet.router.heard(endpoint_id{fleet.log.placements[fourth]}, fleet.now);
-        fleet.router.ended(fourth, false, fleet.now);
+        fleet.router.ended(fourth, call_end::answered, fleet.now);
         EXPECT_DOUBLE_EQ(used(), 2.0 * one);
         fleet.now += team_usage::window;
         EXPECT_DOUBLE_EQ(used(), 0.0) << "all of it leaves the window";
@@ -181,7 +181,7 @@
         fleet.router.heard(endpoint_id{fleet.log.placements[ticket]}, fleet.now);
         fleet.router.started(ticket, fleet.now);
         fleet.router.started(ticket, fleet.now); // Each event tells so.
-        fleet.router.ended(ticket, false, fleet.now);
+        fleet.router.ended(ticket, call_end::answered, fleet.now);
     };
     for (int n = 0; n < 4; ++n) {
         serve(milliseconds{300});
@@ -204,7 +204,7 @@
     fleet.now += milliseconds{800};
     for (const auto ticket : calls) {
         fleet.router.heard(endpoint_id{fleet.log.placements[ticket]}, fleet.now); // The engines are at work.
-        fleet.router.ended(ticket, false, fleet.now);
+        fleet.router.ended(ticket, call_end::answered, fleet.now);
     }
     EXPECT_DOUBLE_EQ(fleet.router.usage().used(team, fleet.now), 0.0);
     EXPECT_TRUE(fleet.router.usage().refused(team, fleet.now));
@@ -212,7 +212,7 @@
         SCOPED_TRACE("one that its caller gives up before its target is its team's own cost");
         const auto early = fleet.send(fleet.call(team.value, 9, 0, 1'000));
         fleet.router.heard(endpoint_id{fleet.log.placements[early]}, fleet.now);
-        fleet.router.ended(early, false, fleet.now);
+        fleet.router.ended(early, call_end::answered, fleet.now);
         EXPECT_NEAR(fleet.router.usage().used(team, fleet.now), 1'100.0, 1.0);
     }
 }
--- a/test/dandelionbay/dispatch/shared_engines.hpp
+++ b/test/dandelionbay/dispatch/shared_engines.hpp
@@ -253,7 +253,7 @@
         at_router.router.heard(id, events_.now());
         at_router.router.started(ticket, events_.now());
         events_.after(generation, [this, &at_router, ticket] {
-            at_router.router.ended(ticket, false, events_.now());
+            at_router.router.ended(ticket, call_end::answered, events_.now());
             at_router.calls.erase(ticket);
         });
     }
@@ -266,7 +266,7 @@
         this_second(it->second.team).lacked = true;
         from.calls.erase(it);
         if (!from.router.withdraw(ticket)) {
-            from.router.ended(ticket, false, events_.now());
+            from.router.ended(ticket, call_end::answered, events_.now());
         }
     }
 
