Keep the times of an attempt's newest event and of its last sign of life apart

One time served both. It moved when a paused stream was read on, so that router metrics took the gap between two events as shorter than it was. call_attempts holds the sign of life, by which silence is judged, and tells it to the log; the attempt holds the time of its newest event, for that gap. What callers see is unchanged.

--- a/src/dandelionbay/proxy/attempt.cpp
+++ b/src/dandelionbay/proxy/attempt.cpp
@@ -7,7 +7,7 @@
 namespace dandelionbay {
 
 attempt::attempt(exchange& owner, ticket_id name, endpoint_choice to, time_point now)
-    : call{&owner}, ticket{name}, choice{std::move(to)}, sent_at{now}, heard_at{now} {}
+    : call{&owner}, ticket{name}, choice{std::move(to)}, sent_at{now}, event_at{now} {}
 
 bool attempt::wanted() {
     return call->wanted();
--- a/src/dandelionbay/proxy/attempt.hpp
+++ b/src/dandelionbay/proxy/attempt.hpp
@@ -32,7 +32,7 @@
     const ticket_id ticket;
     const endpoint_choice choice;
     const time_point sent_at;
-    time_point heard_at;                       //!< When it was sent, or its newest event came.
+    time_point event_at;                       //!< When it was sent, or its newest event came.
     std::shared_ptr<http_connection> client{}; //!< Null once it has ended.
     std::optional<response_head> head{};
     answer_terms answer{};
--- a/src/dandelionbay/proxy/call_attempts.cpp
+++ b/src/dandelionbay/proxy/call_attempts.cpp
@@ -36,6 +36,11 @@
     std::erase_if(open_, [&](const auto& open) { return open.ticket == it; });
 }
 
+time_point call_attempts::heard_at(ticket_id it) const {
+    const auto at = std::ranges::find(open_, it, &open_attempt::ticket);
+    return at == open_.end() ? time_point{} : at->heard_at;
+}
+
 bool call_attempts::silent(ticket_id it, time_point listening_since, time_point now) const {
     const auto at = std::ranges::find(open_, it, &open_attempt::ticket);
     if (at == open_.end()) {
--- a/src/dandelionbay/proxy/call_attempts.hpp
+++ b/src/dandelionbay/proxy/call_attempts.hpp
@@ -59,6 +59,9 @@
     /*! @brief An attempt ended. If it had the call, the oldest one beside it has it. Unknown ones are left out. */
     void ended(ticket_id it);
 
+    /*! @brief When an attempt was sent, or it last showed a sign of life. @param it Its name; of an open one. */
+    [[nodiscard]] time_point heard_at(ticket_id it) const;
+
     /*! @brief Tells whether another endpoint should be asked, as far as this attempt goes. @param it Its name.
      *  @param listening_since Silence before says nothing: the host did not listen. @param now Time. */
     [[nodiscard]] bool silent(ticket_id it, time_point listening_since, time_point now) const;
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -276,7 +276,7 @@
     for (const auto& it : attempts_) {
         if (std::exchange(it->paused, false)) {
             it->client->pause_reading(false);
-            heard(*it, owner_->now()); // It was not listened to.
+            open_.heard(it->ticket, owner_->now()); // It was not listened to.
         }
     }
 }
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -59,9 +59,6 @@
     /*! Asks another endpoint beside the silent ones, if one takes the call at once. */
     void ask_another(time_point now);
 
-    /*! An attempt is not silent, but has not brought an event or a whole answer yet. */
-    void heard(attempt& it, time_point now);
-
     /*! An attempt brought an event or a whole answer: the others are not needed any more. */
     void went_on(attempt& it, time_point now);
 
--- a/src/dandelionbay/proxy/exchange_answer.cpp
+++ b/src/dandelionbay/proxy/exchange_answer.cpp
@@ -96,7 +96,7 @@
         if (!begun_) {
             begin_stream(it);
         } else {
-            owner_->note_event_gap(now - it.heard_at);
+            owner_->note_event_gap(now - it.event_at);
         }
         went_on(it, now);
         if (caller_ != nullptr) {
@@ -117,7 +117,7 @@
         it.scanner.append(bytes);
     } else {
         it.body += bytes;
-        heard(it, owner_->now());
+        open_.heard(it.ticket, owner_->now());
     }
     if (it.held_answer() > held_bytes) {
         on_failed(it, request_failure::garbage);
--- a/src/dandelionbay/proxy/exchange_attempts.cpp
+++ b/src/dandelionbay/proxy/exchange_attempts.cpp
@@ -211,7 +211,7 @@
     if (!choice) {
         return;
     }
-    const auto since = std::max(silent_one->heard_at, owner_->attentive_since());
+    const auto since = std::max(open_.heard_at(silent_one->ticket), owner_->attentive_since());
     log_endpoint_silent(*env.log, record(*silent_one),
                         {now - since, owner_->lateness(),
                          owner_->dispatch().load(silent_one->choice.endpoint).stalled(now), choice->endpoint});
@@ -220,14 +220,9 @@
     send_to(item.ticket, *choice, now);
 }
 
-void exchange::heard(attempt& it, time_point now) {
-    it.heard_at = now;
-    open_.heard(it.ticket, now);
-}
-
 void exchange::went_on(attempt& it, time_point now) {
     without_endpoint_.reset();
-    it.heard_at = now;
+    it.event_at = now;
     const auto change = open_.went_on(it.ticket, now);
     if (change.obsolete.empty()) {
         return;
