--- a/test/dandelionbay/agent/agent_cold_test.cpp
+++ b/test/dandelionbay/agent/agent_cold_test.cpp
@@ -3,7 +3,18 @@
 namespace dandelionbay {
 namespace {
 
-class agent_cold : public agent_harness {};
+class agent_cold : public agent_harness {
+protected:
+    /*! Starts an agent of a warm endpoint whose slots are all granted to one router. */
+    void start_with_all_grants() {
+        start_agent();
+        warm_fully();
+        ASSERT_EQ(core->limit(), 8);
+        link("r1");
+        ask("r1", "team", 8);
+        ASSERT_EQ(grants("r1"), 8);
+    }
+};
 
 // Guards against a cold endpoint that gets one request from each router, or one more after each restart (R3).
 TEST_F(agent_cold, a_cold_endpoint_runs_one_request_through_restarts_of_routers_and_agent) {
@@ -59,12 +70,7 @@
 
 // Guards against an endpoint that became cold without saying so and is given its full load again.
 TEST_F(agent_cold, late_first_tokens_and_new_processes_bring_the_ramp_back) {
-    start_agent();
-    warm_fully();
-    ASSERT_EQ(core->limit(), 8);
-    link("r1");
-    ask("r1", "team", 8);
-    ASSERT_EQ(grants("r1"), 8);
+    ASSERT_NO_FATAL_FAILURE(start_with_all_grants());
     const auto id = submit_one("r1");
     advance(milliseconds{2'000});
     EXPECT_EQ(core->limit(), 8);
@@ -116,12 +122,7 @@
 // Guards against full load for an endpoint whose process ended while it was idle, before its next load report. Found by
 // the randomised runs once they stopped telling the agent of such an end.
 TEST_F(agent_cold, an_idle_endpoint_is_checked_before_work_starts_at_it) {
-    start_agent();
-    warm_fully();
-    ASSERT_EQ(core->limit(), 8);
-    link("r1");
-    ask("r1", "team", 8);
-    ASSERT_EQ(grants("r1"), 8);
+    ASSERT_NO_FATAL_FAILURE(start_with_all_grants());
     const auto before = started.size();
     const auto checks_before = checks;
     advance(milliseconds{60});
@@ -186,12 +187,7 @@
 
 // Guards against a sound endpoint that loses its capacity because one load report is late.
 TEST_F(agent_cold, a_late_report_alone_keeps_the_capacity) {
-    start_agent();
-    warm_fully();
-    ASSERT_EQ(core->limit(), 8);
-    link("r1");
-    ask("r1", "team", 8);
-    ASSERT_EQ(grants("r1"), 8);
+    ASSERT_NO_FATAL_FAILURE(start_with_all_grants());
     const auto id = submit_one("r1");
     take(core->run_data(id, "token", 1, now));
     {
