Give lines on facts a bound of their own, and all parts of the loop a section

Cause: lines on calls and on facts shared one bound, and the record of a call was made also for lines that were left out. Accepting, ends of callers' connections, rounds of messages and housekeeping had no section.

Change: two bounds, the record of a call is made only for a line that is written, and `facts` names all sections, calls by outcome, connections accepted and callers that had left before their request was read. No decision changes.

--- a/src/dandelionbay/base/counters.cpp
+++ b/src/dandelionbay/base/counters.cpp
@@ -30,6 +30,15 @@
     return sum;
 }
 
+std::vector<std::pair<std::string, counters::value_type>> counters::values(std::string_view name) const {
+    const std::lock_guard lock{mutex_};
+    std::vector<std::pair<std::string, value_type>> out;
+    for (auto it = values_.lower_bound(key_type{name, ""}); it != values_.end() && it->first.first == name; ++it) {
+        out.emplace_back(it->first.second, it->second);
+    }
+    return out;
+}
+
 std::string counters::render() const {
     const std::lock_guard lock{mutex_};
     std::string text;
--- a/src/dandelionbay/base/counters.hpp
+++ b/src/dandelionbay/base/counters.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "dandelionbay/base/fwd.hpp"
 
@@ -44,6 +45,9 @@
     /*! @brief Sums a metric over all its reasons. @param name Metric name. @return The sum. */
     [[nodiscard]] value_type total(std::string_view name) const;
 
+    /*! @brief Reads a metric with all its reasons. @param name Metric name. @return Reason and value of each. */
+    [[nodiscard]] std::vector<std::pair<std::string, value_type>> values(std::string_view name) const;
+
     /*! @brief Writes all values in the text exposition format. @return Lines of "name{reason=...} value". */
     [[nodiscard]] std::string render() const;
 
--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -108,6 +108,7 @@
 }
 
 void gateway_node::run_loop() {
+    busy_.note_current_thread();
     while (!loop_.stopped()) {
         try {
             loop_.run();
@@ -151,36 +152,41 @@
         }
         const auto now = clock_.now();
         const auto total = [&](std::string_view name) { return std::to_string(metrics_.total(name)); };
-        const auto section = [&](std::string_view name) { return std::to_string(metrics_.get("loop_us_total", name)); };
-        log_.write(log_level::info, "facts",
-                   {{"config", std::to_string(view_.config() == nullptr ? 0 : view_.config()->version)},
-                    {"config_age_ms", age_text(view_.operator_age(now))},
-                    {"list_as_of", std::to_string(view_.list().as_of)},
-                    {"list_age_ms", age_text(view_.endpoints_age(now))},
-                    {"loop_late_us", std::to_string(proxy_.lateness().count())},
-                    {"peers_live", std::to_string(board_.live(now))},
-                    {"peer_redials", total("peer_redials_total")},
-                    {"peer_bytes", total("peer_bytes_sent_total")},
-                    {"peer_messages", total("peer_messages_sent_total")},
-                    {"peer_list_bytes", std::to_string(metrics_.get("peer_bytes_sent_total", "list"))},
-                    {"peer_config_bytes", std::to_string(metrics_.get("peer_bytes_sent_total", "config"))},
-                    {"peer_losses", total("peer_losses_sent_total")},
-                    {"lists_taken", total("lists_from_peers_total")},
-                    {"registry_calls", total("registry_calls_total")},
-                    {"registry_late", total("registry_calls_late_total")},
-                    {"registry_us", total("registry_call_us_total")},
-                    {"registry_bytes", total("registry_answer_bytes_total")},
-                    {"call_bytes_far", std::to_string(metrics_.get("call_bytes_sent_total", "other_region"))},
-                    {"call_bytes_near", std::to_string(metrics_.get("call_bytes_sent_total", "same_region"))},
-                    {"open_calls", std::to_string(proxy_.open_calls())},
-                    {"waiting_calls", std::to_string(proxy_.dispatch().waiting())},
-                    {"us_callers", section("callers")},
-                    {"us_answers", section("answers")},
-                    {"us_limits", section("limits")},
-                    {"us_rounds", section("rounds")},
-                    {"us_peers_in", section("peers_in")},
-                    {"us_peers_out", section("peers_out")},
-                    {"us_registry", section("registry")}});
+        event_log::fields values{
+            {"config", std::to_string(view_.config() == nullptr ? 0 : view_.config()->version)},
+            {"config_age_ms", age_text(view_.operator_age(now))},
+            {"list_as_of", std::to_string(view_.list().as_of)},
+            {"list_age_ms", age_text(view_.endpoints_age(now))},
+            {"loop_late_us", std::to_string(proxy_.lateness().count())},
+            {"peers_live", std::to_string(board_.live(now))},
+            {"peer_redials", total("peer_redials_total")},
+            {"peer_bytes", total("peer_bytes_sent_total")},
+            {"peer_messages", total("peer_messages_sent_total")},
+            {"peer_list_bytes", std::to_string(metrics_.get("peer_bytes_sent_total", "list"))},
+            {"peer_config_bytes", std::to_string(metrics_.get("peer_bytes_sent_total", "config"))},
+            {"peer_losses", total("peer_losses_sent_total")},
+            {"lists_taken", total("lists_from_peers_total")},
+            {"registry_calls", total("registry_calls_total")},
+            {"registry_late", total("registry_calls_late_total")},
+            {"registry_us", total("registry_call_us_total")},
+            {"registry_bytes", total("registry_answer_bytes_total")},
+            {"call_bytes_far", std::to_string(metrics_.get("call_bytes_sent_total", "other_region"))},
+            {"call_bytes_near", std::to_string(metrics_.get("call_bytes_sent_total", "same_region"))},
+            {"open_calls", std::to_string(proxy_.open_calls())},
+            {"waiting_calls", std::to_string(proxy_.dispatch().waiting())},
+            {"connections", std::to_string(proxy_.connections())},
+            {"connections_accepted", total("connections_accepted_total")},
+            {"connections_refused", total("connections_refused_total")},
+            {"callers_gone_unread", total("callers_gone_unread_total")},
+            {"lines_left_out", std::to_string(log_.left_out())},
+            {"busy_us", std::to_string(busy_.used().count())}};
+        for (const auto& [section, us] : metrics_.values("loop_us_total")) {
+            values.emplace_back(concat("us_", section), std::to_string(us));
+        }
+        for (const auto& [outcome, n] : metrics_.values("calls_total")) {
+            values.emplace_back(concat("calls_", outcome), std::to_string(n));
+        }
+        log_.write(log_level::info, "facts", values);
         log_facts();
     });
 }
--- a/src/dandelionbay/node/gateway_node.hpp
+++ b/src/dandelionbay/node/gateway_node.hpp
@@ -19,6 +19,7 @@
 #include "dandelionbay/gateway/registry_view.hpp"
 #include "dandelionbay/node/fwd.hpp"
 #include "dandelionbay/node/gateway_options.hpp"
+#include "dandelionbay/node/thread_time.hpp"
 #include "dandelionbay/peer/peer_board.hpp"
 #include "dandelionbay/peer/peer_links.hpp"
 #include "dandelionbay/proxy/proxy.hpp"
@@ -101,6 +102,7 @@
     gateway_options options_;
     platform_binding platform_;
     boot_clock clock_{};
+    thread_time busy_{};
     boost::asio::io_context loop_{1};
     bounded_log log_;
     counters metrics_{};
--- a/src/dandelionbay/peer/peer_links.cpp
+++ b/src/dandelionbay/peer/peer_links.cpp
@@ -212,6 +212,7 @@
 }
 
 void peer_links::send_round() {
+    const section_timer timed{*environment_.time, *environment_.metrics, "peer_rounds"};
     const auto now = environment_.time->now();
     environment_.board->begin_round(now);
     next_round_ = now + environment_.board->interval();
--- a/src/dandelionbay/proxy/call_record.cpp
+++ b/src/dandelionbay/proxy/call_record.cpp
@@ -23,83 +23,90 @@
 } // namespace
 
 void log_attempt_failed(bounded_log& log, const call_record& it, std::string_view reason) {
-    log.write(log_level::warn, "attempt_failed",
-              {{"request", it.request},
-               {"call", fingerprint_text(it.call)},
-               {"endpoint", it.choice.endpoint.value},
-               {"endpoint_started", std::to_string(it.choice.process_started)},
-               {"reason", std::string{reason}},
-               {"waited_ms", to_text(it.waited)},
-               {"list_age_ms", to_text(it.list_age)},
-               {"may_have_run", std::to_string(it.runs)},
-               {"after_ms", to_text(it.total)}});
+    log.write_call(log_level::warn, "attempt_failed", [&] {
+        return event_log::fields{{"request", it.request},
+                                 {"call", fingerprint_text(it.call)},
+                                 {"endpoint", it.choice.endpoint.value},
+                                 {"endpoint_started", std::to_string(it.choice.process_started)},
+                                 {"reason", std::string{reason}},
+                                 {"waited_ms", to_text(it.waited)},
+                                 {"list_age_ms", to_text(it.list_age)},
+                                 {"may_have_run", std::to_string(it.runs)},
+                                 {"after_ms", to_text(it.total)}};
+    });
 }
 
 void log_endpoint_silent(bounded_log& log, const call_record& it, const silence_record& silence) {
-    log.write(log_level::info, "endpoint_silent",
-              {{"request", it.request},
-               {"call", fingerprint_text(it.call)},
-               {"endpoint", it.choice.endpoint.value},
-               {"silent_ms", to_text(silence.silent)},
-               {"loop_late_ms", to_text(silence.loop_late)},
-               {"stalled", silence.stalled ? "yes" : "no"},
-               {"asked", silence.asked.value},
-               {"after_ms", to_text(it.total)}});
+    log.write_call(log_level::info, "endpoint_silent", [&] {
+        return event_log::fields{{"request", it.request},
+                                 {"call", fingerprint_text(it.call)},
+                                 {"endpoint", it.choice.endpoint.value},
+                                 {"silent_ms", to_text(silence.silent)},
+                                 {"loop_late_ms", to_text(silence.loop_late)},
+                                 {"stalled", silence.stalled ? "yes" : "no"},
+                                 {"asked", silence.asked.value},
+                                 {"after_ms", to_text(it.total)}};
+    });
 }
 
 void log_silence_ended(bounded_log& log, const call_record& it, bool taken_over) {
-    log.write(log_level::info, "silence_ended",
-              {{"request", it.request},
-               {"call", fingerprint_text(it.call)},
-               {"endpoint", it.choice.endpoint.value},
-               {"taken_over", taken_over ? "yes" : "no"},
-               {"after_ms", to_text(it.total)}});
+    log.write_call(log_level::info, "silence_ended", [&] {
+        return event_log::fields{{"request", it.request},
+                                 {"call", fingerprint_text(it.call)},
+                                 {"endpoint", it.choice.endpoint.value},
+                                 {"taken_over", taken_over ? "yes" : "no"},
+                                 {"after_ms", to_text(it.total)}};
+    });
 }
 
-void log_call_ended(bounded_log& log, const call_record& it, std::string_view outcome, int status) {
-    log.write(log_level::info, "call_ended",
-              {{"request", it.request},
-               {"call", fingerprint_text(it.call)},
-               {"outcome", std::string{outcome}},
-               {"status", std::to_string(status)},
-               {"route", it.route},
-               {"team", it.team.value},
-               {"service", it.service.value},
-               {"endpoint", it.choice.endpoint.value},
-               {"sends", std::to_string(it.sends)},
-               {"may_have_run", std::to_string(it.runs)},
-               {"waited_ms", to_text(it.waited)},
-               {"backlog_ms", to_text(it.choice.backlog_ms)},
-               {"unread_tokens", to_text(it.choice.unread_tokens)},
-               {"cold", it.choice.cold ? "yes" : "no"},
-               {"list_age_ms", to_text(it.list_age)},
-               {"first_ms", to_text(it.first)},
-               {"total_ms", to_text(it.total)},
-               {"cost", to_text(it.cost)},
-               {"target_ms", to_text(it.target)},
-               {"read_late_ms", to_text(it.read_late)},
-               {"contended", it.rank ? (it.rank->contended ? "yes" : "no") : ""},
-               {"team_excess", it.rank ? absl::StrFormat("%.2f", it.rank->excess) : std::string{}},
-               {"ahead_ms", to_text(it.ahead_ms)},
-               {"waiting_calls", std::to_string(it.waiting_calls)},
-               {"caller_end", it.caller_end},
-               {"config", it.config_version == 0 ? std::string{} : std::to_string(it.config_version)},
-               {"config_age_ms", to_text(it.config_age)}});
+void log_call_ended(bounded_log& log, record_maker make, std::string_view outcome, int status) {
+    log.write_call(log_level::info, "call_ended", [&] {
+        const auto it = make();
+        return event_log::fields{{"request", it.request},
+                                 {"call", fingerprint_text(it.call)},
+                                 {"outcome", std::string{outcome}},
+                                 {"status", std::to_string(status)},
+                                 {"route", it.route},
+                                 {"team", it.team.value},
+                                 {"service", it.service.value},
+                                 {"endpoint", it.choice.endpoint.value},
+                                 {"sends", std::to_string(it.sends)},
+                                 {"may_have_run", std::to_string(it.runs)},
+                                 {"waited_ms", to_text(it.waited)},
+                                 {"backlog_ms", to_text(it.choice.backlog_ms)},
+                                 {"unread_tokens", to_text(it.choice.unread_tokens)},
+                                 {"cold", it.choice.cold ? "yes" : "no"},
+                                 {"list_age_ms", to_text(it.list_age)},
+                                 {"first_ms", to_text(it.first)},
+                                 {"total_ms", to_text(it.total)},
+                                 {"cost", to_text(it.cost)},
+                                 {"target_ms", to_text(it.target)},
+                                 {"read_late_ms", to_text(it.read_late)},
+                                 {"contended", it.rank ? (it.rank->contended ? "yes" : "no") : ""},
+                                 {"team_excess", it.rank ? absl::StrFormat("%.2f", it.rank->excess) : std::string{}},
+                                 {"ahead_ms", to_text(it.ahead_ms)},
+                                 {"waiting_calls", std::to_string(it.waiting_calls)},
+                                 {"caller_end", it.caller_end},
+                                 {"config", it.config_version == 0 ? std::string{} : std::to_string(it.config_version)},
+                                 {"config_age_ms", to_text(it.config_age)}};
+    });
 }
 
 void log_copy_waits(bounded_log& log, std::string_view request, std::uint64_t call, const lost_runs& losses) {
-    log.write(log_level::info, "copy_waits",
-              {{"request", std::string{request}},
-               {"call", fingerprint_text(call)},
-               {"losses", std::to_string(losses.losses(call))}});
+    log.write_call(log_level::info, "copy_waits", [&] {
+        return event_log::fields{{"request", std::string{request}},
+                                 {"call", fingerprint_text(call)},
+                                 {"losses", std::to_string(losses.losses(call))}};
+    });
 }
 
 void log_call_lost(bounded_log& log, std::uint64_t call, const lost_runs& losses, std::string_view from) {
-    log.write(log_level::warn, "call_lost_again",
-              {{"call", fingerprint_text(call)},
-               {"losses", std::to_string(losses.losses(call))},
-               {"refused", losses.refused(call) ? "yes" : "no"},
-               {"from", std::string{from}}});
+    log.write_call(log_level::warn, "call_lost_again", [&] {
+        return event_log::fields{{"call", fingerprint_text(call)},
+                                 {"losses", std::to_string(losses.losses(call))},
+                                 {"refused", losses.refused(call) ? "yes" : "no"},
+                                 {"from", std::string{from}}};
+    });
 }
 
 } // namespace dandelionbay
--- a/src/dandelionbay/proxy/call_record.hpp
+++ b/src/dandelionbay/proxy/call_record.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "absl/functional/function_ref.h"
 #include "dandelionbay/base/bounded_log.hpp"
 #include "dandelionbay/base/clock.hpp"
 #include "dandelionbay/base/ids.hpp"
@@ -58,8 +59,11 @@
  *  @param taken_over It is not the one that was silent. */
 void log_silence_ended(bounded_log& log, const call_record& it, bool taken_over);
 
+/*! @brief Makes the record of a call; a line that is left out needs none. */
+using record_maker = absl::FunctionRef<call_record()>;
+
 /*! @brief Writes that a call ended. @param outcome How. @param status Sent to the caller; 0 for none. */
-void log_call_ended(bounded_log& log, const call_record& it, std::string_view outcome, int status);
+void log_call_ended(bounded_log& log, record_maker make, std::string_view outcome, int status);
 
 /*! @brief Writes that a copy of a call waits for another one to end. @param call Fingerprint. */
 void log_copy_waits(bounded_log& log, std::string_view request, std::uint64_t call, const lost_runs& losses);
--- a/src/dandelionbay/proxy/caller_connection.cpp
+++ b/src/dandelionbay/proxy/caller_connection.cpp
@@ -179,6 +179,8 @@
 
 void caller_connection::on_end(channel_end end) {
     const auto self = shared_from_this();
+    const auto& env = owner_->environment();
+    const section_timer timed{*env.time, *env.metrics, "callers_ended"};
     if (const auto call = std::exchange(exchange_, nullptr); call != nullptr) {
         call->caller_gone(end);
     }
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -372,7 +372,8 @@
         owner_->whole_answer().add(now - arrived_);
     }
     env.metrics->add("calls_total", outcome);
-    log_call_ended(*env.log, record(), outcome, status);
+    log_call_ended(
+        *env.log, [this] { return record(); }, outcome, status);
     owner_->close_exchange(ticket_);
 }
 
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -76,6 +76,8 @@
 }
 
 void proxy::accept(channel::tcp::socket socket) {
+    const section_timer timed{*environment_.time, *environment_.metrics, "accepts"};
+    environment_.metrics->add("connections_accepted_total");
     if (callers_.size() >= options_.max_connections) {
         close_longest_idle(now());
     }
@@ -143,6 +145,7 @@
         return;
     }
     expired_ = now;
+    const section_timer timed{*environment_.time, *environment_.metrics, "housekeeping"};
     environment_.view->expire(now);
     dispatcher_.refresh(now);
     pool_.expire(now);
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -199,6 +199,7 @@
     [[nodiscard]] lost_runs& losses() noexcept { return losses_; }
     [[nodiscard]] copy_turns& turns() noexcept { return turns_; }
     [[nodiscard]] time_point now() const noexcept { return environment_.time->now(); }
+    [[nodiscard]] std::size_t connections() const noexcept { return callers_.size(); }
     [[nodiscard]] std::size_t open_calls() const noexcept { return exchanges_.size(); }
 
     /*! @brief Bytes of bodies that open requests hold. */
