Count as an outage of the store only what nobody was answered in

Cause: after any failed call to the store, also one that this host was too late to read, entries that were missing from the next list were kept for 1.9 s as if they had lapsed, although the store served others all the while.

--- a/src/dandelionbay/gateway/registry_view.cpp
+++ b/src/dandelionbay/gateway/registry_view.cpp
@@ -45,10 +45,22 @@
     }
 }
 
+void registry_view::note_answer(time_point read_at) {
+    if (answered_ && read_at <= *answered_) {
+        return;
+    }
+    if (store_failed_ && answered_ && read_at - *answered_ >= limits_.shortest_outage) {
+        outage_ended_ = store_returned_.value_or(read_at);
+    }
+    answered_ = read_at;
+    store_failed_ = false;
+}
+
 bool registry_view::confirm(const operator_state& next, time_point read_at) {
     if (next.as_of < operators_.as_of) {
         return false;
     }
+    note_answer(read_at);
     note_returned_zones(next);
     if (next.zones_out != operators_.zones_out) {
         zones_out_.clear();
@@ -100,6 +112,7 @@
     if (next.as_of < list_.as_of) {
         return false;
     }
+    note_answer(read_at);
     merge_entries(next, now);
     list_ = next;
     ++revision_;
@@ -109,11 +122,11 @@
 }
 
 void registry_view::store_failed() {
-    store_failing_ = true;
+    store_failed_ = true;
+    store_returned_.reset();
 }
 
 void registry_view::store_back(time_point now) {
-    store_failing_ = false;
     store_returned_ = now;
 }
 
@@ -121,10 +134,7 @@
     if (it.entry.leaving || it.said_leaving) {
         return false;
     }
-    if (store_failing_) { // The list came from a peer.
-        return now - it.missing_since < limits_.lapse_grace;
-    }
-    return store_returned_ && now - *store_returned_ < limits_.lapse_grace;
+    return outage_ended_ && now - *outage_ended_ < limits_.lapse_grace;
 }
 
 void registry_view::expire(time_point now) {
--- a/src/dandelionbay/gateway/registry_view.hpp
+++ b/src/dandelionbay/gateway/registry_view.hpp
@@ -36,7 +36,8 @@
 struct freshness_limits {
     duration keys{std::chrono::milliseconds{4500}}; //!< API keys; below the time in which a withdrawn key must stop.
     duration lapse_grace{
-        std::chrono::milliseconds{1'900}}; //!< After an outage of the store, lost entries may come back.
+        std::chrono::milliseconds{1'900}};             //!< After an outage of the store, lost entries may come back.
+    duration shortest_outage{std::chrono::seconds{2}}; //!< In a shorter one no entry lapses: two of its writings.
 
     friend bool operator==(const freshness_limits&, const freshness_limits&) = default;
 };
@@ -72,6 +73,8 @@
 
     [[nodiscard]] bool said_leaving(const endpoint_entry& it) const;
     void note_returned_zones(const operator_state& next);
+    /*! The store answered this router or a peer. @param read_at A moment not after that. */
+    void note_answer(time_point read_at);
     [[nodiscard]] bool may_come_back(const known_endpoint& it, time_point now) const;
     void merge_entries(const endpoint_list& next, time_point now);
 
@@ -102,7 +105,7 @@
      */
     bool merge(const endpoint_list& next, time_point read_at, time_point now);
 
-    /*! @brief The store did not answer this router. */
+    /*! @brief The store did not answer this router. An outage is only what nobody is known to have been answered in. */
     void store_failed();
 
     /*! @brief The store answers this router again. @param now Time. */
@@ -174,9 +177,11 @@
     std::map<endpoint_id, remembered_leaving> leaving_{};
     std::optional<time_point> operators_read_{};
     std::optional<time_point> endpoints_read_{};
-    std::optional<time_point> store_returned_{};
+    std::optional<time_point> answered_{};       //!< When the store is known to have answered anybody last.
+    std::optional<time_point> store_returned_{}; //!< To this router, after its newest failure.
+    std::optional<time_point> outage_ended_{};   //!< Of the newest one in which entries may have lapsed.
     std::uint64_t revision_{};
-    bool store_failing_{};
+    bool store_failed_{}; //!< Since it answered anybody.
 };
 
 } // namespace dandelionbay
--- a/test/dandelionbay/platform/gateway_test.cpp
+++ b/test/dandelionbay/platform/gateway_test.cpp
@@ -232,6 +232,28 @@
     EXPECT_TRUE(eventually([&] { return second.get("/look/x").find(" 401 ") != std::string::npos; }, seconds{3}));
 }
 
+// Guards against calls to an endpoint that was removed while one answer of the store was lost: the store took
+// transactions all the while, so nothing lapsed that could come back.
+TEST_F(gateway_fleet, an_endpoint_removed_beside_one_lost_answer_of_the_store_is_left_with_the_next_list) {
+    add_second_endpoints();
+    ASSERT_TRUE(eventually([&] {
+        static_cast<void>(gateway->get("/look/early"));
+        return !calls(desk_2, "/look/early").empty();
+    }));
+    store.cut_answers(standin_store::cutting::close);
+    ASSERT_TRUE(eventually([&] { return store.cut() > 0; }));
+    store.remove("servers", desk_2.id());
+    for (int n = 0; n < 40; ++n) { // Others go on to register.
+        store.put("servers", desk_1.id(), desk_1.entry("desk"));
+    }
+    store.cut_answers(standin_store::cutting::none);
+    std::this_thread::sleep_for(milliseconds{1'000}); // Two intervals of the list.
+    for (int n = 0; n < 8; ++n) {
+        EXPECT_NE(gateway->get("/look/late").find("200 X"), std::string::npos);
+    }
+    EXPECT_TRUE(calls(desk_2, "/look/late").empty());
+}
+
 // Guards against calls to an endpoint that says in its answers that it leaves, from the router that heard it and from
 // its peers, while the store's entry still says that it is ready.
 TEST_F(gateway_fleet, an_endpoint_that_says_that_it_leaves_is_left_at_once) {
