Test a connection whose event waits behind 200 others when its limit is judged

What callers see: 503, because a sound endpoint counts as unreachable: it gets no calls for 0.25 to 2 s and counts as cold for up to 2.5 s.

Cause: the event loop takes at most 128 ready sockets in one turn, and a turn that takes the loop's timer runs all timers that have expired by then. When more than 128 sockets became ready between the expiry of an earlier timer, such as the data path's round, and the event of the connection, the limit of the connection is judged before that event.

--- a/test/dandelionbay/proxy/channel_test.cpp
+++ b/test/dandelionbay/proxy/channel_test.cpp
@@ -1,9 +1,13 @@
 #include "dandelionbay/proxy/channel.hpp"
 
 #include <optional>
+#include <string_view>
 #include <thread>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include "dandelionbay/net/reserved_address.hpp"
@@ -52,5 +56,83 @@
     }
 }
 
+/*! Connections whose bytes all wait to be read; more than the event loop takes in one turn, which is 128. */
+class busy_connections {
+public:
+    static constexpr int count = 200;
+
+    explicit busy_connections(boost::asio::io_context& loop) {
+        tcp::acceptor from{senders_, tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), 0}};
+        for (int n = 0; n < count; ++n) {
+            sockets_.emplace_back(senders_).connect(from.local_endpoint());
+            tcp::socket accepted{loop};
+            from.accept(accepted);
+            channels_.push_back(std::make_shared<channel>(std::move(accepted), owner_));
+            channels_.back()->open();
+        }
+    }
+    busy_connections(const busy_connections&) = delete;
+    busy_connections(busy_connections&&) = delete;
+    busy_connections& operator=(const busy_connections&) = delete;
+    busy_connections& operator=(busy_connections&&) = delete;
+    ~busy_connections() {
+        for (const auto& it : channels_) {
+            it->close();
+        }
+    }
+
+    void send() {
+        for (auto& it : sockets_) {
+            boost::asio::write(it, boost::asio::buffer("a", 1));
+        }
+    }
+
+private:
+    boost::asio::io_context senders_{};
+    recording_owner owner_{};
+    std::vector<tcp::socket> sockets_{};
+    std::vector<std::shared_ptr<channel>> channels_{};
+};
+
+// Guards against a sound endpoint that counts as unreachable because the event of the connection, which was made at
+// once, waits behind those of more sockets than the event loop takes in the turn in which the time limit is judged.
+TEST(channel, a_connection_that_was_made_has_not_failed_while_its_event_waits_behind_many_others) {
+    constexpr milliseconds limit{20};
+    boost::asio::io_context loop;
+    tcp::acceptor endpoint{loop, tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), 0}};
+    busy_connections others{loop};
+    boost::asio::steady_timer round{loop, milliseconds{1}}; // A turn takes all timers that ran out by then.
+    bool round_came = false;
+    round.async_wait([&](boost::system::error_code ec) { round_came = !ec; });
+    std::this_thread::sleep_for(limit);
+    others.send();
+    recording_owner owner;
+    const auto it = std::make_shared<channel>(tcp::socket{loop}, owner);
+    it->connect({"127.0.0.1", endpoint.local_endpoint().port()}, limit);
+    std::this_thread::sleep_for(3 * limit);
+    loop.run_for(5 * limit);
+    EXPECT_TRUE(round_came);
+    EXPECT_TRUE(owner.connected);
+    EXPECT_EQ(owner.ended, std::nullopt);
+    it->close();
+    {
+        SCOPED_TRACE("one that was not made by its limit has failed, also behind many others");
+        tcp::acceptor full{loop, tcp::v4()};
+        full.bind(tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), 0});
+        full.listen(0);
+        tcp::socket accepted{loop};
+        accepted.connect(full.local_endpoint()); // Fills the queue of a listener that accepts nothing.
+        others.send();
+        recording_owner other;
+        const auto waiting = std::make_shared<channel>(tcp::socket{loop}, other);
+        waiting->connect({"127.0.0.1", full.local_endpoint().port()}, limit);
+        std::this_thread::sleep_for(3 * limit);
+        loop.restart();
+        loop.run_for(5 * limit);
+        EXPECT_FALSE(other.connected);
+        EXPECT_EQ(other.ended, channel_end::unreachable);
+    }
+}
+
 } // namespace
 } // namespace dandelionbay
