Test calls and requests whose events wait unread behind 200 callers

What callers see: no answer from a sound endpoint whose connection was made at once, and 408 to a request that came whole within 60 ms of a limit of 150 ms.

Cause: proxy::connect_limit and the limits of caller_connection::check are judged in a turn of the event loop that took only 128 ready sockets, before the event of the connection or the rest of the request was seen.

--- /dev/null
+++ b/test/dandelionbay/proxy/unread_events_test.cpp
@@ -0,0 +1,170 @@
+#include "dandelionbay/proxy/proxy.hpp"
+
+#include <array>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/write.hpp>
+
+#include "dandelionbay/net/reserved_address.hpp"
+#include "platform/call_headers.hpp"
+
+namespace dandelionbay {
+namespace {
+
+using std::chrono::milliseconds;
+using tcp = boost::asio::ip::tcp;
+
+/*! More sockets than the event loop takes in one turn, which is 128. */
+constexpr int other_callers = 200;
+/*! Longer than the data path waits between its rounds. */
+constexpr milliseconds longer_than_a_round{60};
+constexpr duration header_limit = milliseconds{150};
+
+void write(tcp::socket& to, const std::string& bytes) {
+    boost::asio::write(to, boost::asio::buffer(bytes));
+}
+
+/*! What has come by now. */
+[[nodiscard]] std::string received(tcp::socket& from) {
+    from.non_blocking(true);
+    std::array<char, 4'096> buf{};
+    boost::system::error_code ec;
+    const auto n = from.read_some(boost::asio::buffer(buf), ec);
+    return {buf.data(), n};
+}
+
+/*! A router's data path with one endpoint that listens, and many callers, of whom the router reads at most 128 in one
+ * turn. Rounds are due whenever the loop goes on, so time limits are judged in its first turn. */
+class unread_events : public testing::Test {
+protected:
+    void SetUp() override {
+        adopt_config();
+        proxy_options options;
+        options.listen = listen.get();
+        options.max_connections = 1'000;
+        options.place = {host_id{"r1"}, zone_id{"zone-1"}, region_id{"here"}, {{zone_id{"zone-1"}, region_id{"here"}}}};
+        router =
+            std::make_unique<proxy>(proxy_environment{&loop, &time, &log, &metrics, &view, protocol.get()}, options);
+        ASSERT_TRUE(router->start().ok());
+        first.connect(to_endpoint(listen.get()));
+        caller.connect(to_endpoint(listen.get()));
+        run(milliseconds{50});
+        for (int n = 0; n < other_callers; ++n) {
+            others.emplace_back(outside).connect(to_endpoint(listen.get()));
+            run(milliseconds{1});
+        }
+        run(milliseconds{50});
+        ASSERT_EQ(metrics.get("connections_accepted_total"), other_callers + 2);
+    }
+
+    void adopt_config() {
+        route look;
+        look.name = "look";
+        look.host = "a";
+        look.prefix = "/look/";
+        look.max_attempts = 2;
+        look.is_public = true;
+        look.services = {service_share{service_id{"desk"}}};
+        endpoint_service desk;
+        desk.id = service_id{"desk"};
+        route_config config;
+        config.version = 1;
+        config.routes = {look};
+        config.services = {desk};
+        config.limits.header_timeout = header_limit;
+        view.adopt(std::make_shared<const route_config>(make_route_config(std::move(config))));
+        endpoint_entry entry;
+        entry.id = endpoint_id{"desk-1"};
+        entry.service = service_id{"desk"};
+        entry.zone = zone_id{"zone-1"};
+        entry.address = {"127.0.0.1", endpoint.local_endpoint().port()};
+        entry.slots = 6;
+        entry.row_version = 1;
+        view.merge(endpoint_list{1, {entry}}, time.now(), time.now());
+    }
+
+    void run(milliseconds length) {
+        loop.restart();
+        loop.run_for(length);
+    }
+
+    /*! Runs one handler. */
+    void step() {
+        loop.restart();
+        loop.poll_one();
+    }
+
+    /*! Makes the bytes of the others wait, behind the timer of the next round. */
+    void send_from_others() {
+        for (auto& it : others) {
+            write(it, "G");
+        }
+    }
+
+    [[nodiscard]] static std::string request(int n) {
+        return "GET /look/x HTTP/1.1\r\nHost: a\r\nDandelionbay-Request-Id: r" + std::to_string(n) + "\r\n\r\n";
+    }
+
+    boost::asio::io_context outside{};
+    boost::asio::io_context loop{};
+    const reserved_address listen{};
+    tcp::acceptor endpoint{outside, tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), 0}};
+    monotonic_clock time{};
+    bounded_log log{nullptr, time};
+    counters metrics{};
+    registry_view view{{}};
+    std::unique_ptr<call_protocol> protocol{platform::make_call_protocol()};
+    std::unique_ptr<proxy> router{};
+    tcp::socket first{outside};
+    tcp::socket caller{outside};
+    std::vector<tcp::socket> others{};
+};
+
+// Guards against calls that are refused with 503 because a connection to a sound endpoint counts as failed, which was
+// made at once and whose event waits behind those of many callers, and against the endpoint's pause that follows.
+TEST_F(unread_events, a_connection_that_was_made_in_time_carries_its_call) {
+    std::this_thread::sleep_for(longer_than_a_round);
+    write(first, "G"); // Its handler runs before the one that reads the call.
+    write(caller, request(1));
+    step();
+    send_from_others();
+    step();
+    ASSERT_EQ(metrics.get("endpoint_connections_total"), 1);
+    tcp::socket accepted{outside};
+    endpoint.accept(accepted);
+    std::this_thread::sleep_for(proxy::connect_limit + longer_than_a_round);
+    run(milliseconds{30});
+    EXPECT_FALSE(router->dispatch().load(endpoint_id{"desk-1"}).ejected(time.now()));
+    EXPECT_NE(received(accepted).find("/look/x"), std::string::npos) << "the call did not reach its endpoint";
+    write(accepted, "HTTP/1.1 200 OK\r\nDandelionbay-Request-Id: r1\r\nDandelionbay-Response-Seal: s\r\n"
+                    "Content-Length: 2\r\n\r\nok");
+    run(milliseconds{200});
+    const auto answer = received(caller);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+}
+
+// Guards against a 408 to a caller whose request came whole and in time and waits unread behind those of many others.
+TEST_F(unread_events, a_request_that_came_in_time_gets_no_408) {
+    const auto bytes = request(1);
+    constexpr std::size_t part = 20;
+    write(caller, bytes.substr(0, part));
+    run(milliseconds{10});
+    const auto sent = time.now();
+    std::this_thread::sleep_for(longer_than_a_round);
+    send_from_others();
+    write(caller, bytes.substr(part));
+    EXPECT_LT(time.now() - sent, header_limit);
+    std::this_thread::sleep_for(header_limit);
+    run(milliseconds{100});
+    const auto answer = received(caller);
+    EXPECT_EQ(metrics.get("rejected_total", "408"), 0);
+    EXPECT_FALSE(answer.starts_with("HTTP/1.1 408")) << answer;
+    EXPECT_EQ(metrics.get("endpoint_connections_total"), 1) << "the call was read";
+}
+
+} // namespace
+} // namespace dandelionbay
