Test the end of a stop while endpoints' answers wait unread

What callers see: a stream that is cut, and 502 "failed while it ran the request" for a call whose whole answer had come 60 ms earlier.

Cause: proxy::stop() ends all exchanges ("stopping") without a look at what waits on their connections to endpoints. With more than 128 ready sockets the timer of the stop runs before these are read.

--- a/test/dandelionbay/proxy/unread_events_test.cpp
+++ b/test/dandelionbay/proxy/unread_events_test.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include "dandelionbay/net/reserved_address.hpp"
@@ -24,6 +25,15 @@
 constexpr milliseconds longer_than_a_round{60};
 constexpr duration header_limit = milliseconds{150};
 
+const std::string head =
+    "HTTP/1.1 200 OK\r\nDandelionbay-Request-Id: r1\r\nDandelionbay-Response-Seal: s\r\n";
+const std::string last_chunk = "0\r\n\r\n";
+
+[[nodiscard]] std::string event(int id) {
+    const auto text = "id: " + std::to_string(id) + "\ndata: token\n\n"; // 19 bytes, 13 in hexadecimal.
+    return "13\r\n" + text + "\r\n";
+}
+
 void write(tcp::socket& to, const std::string& bytes) {
     boost::asio::write(to, boost::asio::buffer(bytes));
 }
@@ -73,8 +83,17 @@
         desk.id = service_id{"desk"};
         route_config config;
         config.version = 1;
-        config.routes = {look};
-        config.services = {desk};
+        route chat = look;
+        chat.name = "chat";
+        chat.prefix = "/chat/";
+        chat.kind = call_kind::streaming;
+        chat.resumable = true;
+        chat.services = {service_share{service_id{"model"}}};
+        endpoint_service model;
+        model.id = service_id{"model"};
+        model.engine = engine_profile{8, 100'000, 4};
+        config.routes = {look, chat};
+        config.services = {desk, model};
         config.limits.header_timeout = header_limit;
         view.adopt(std::make_shared<const route_config>(make_route_config(std::move(config))));
         endpoint_entry entry;
@@ -84,7 +103,10 @@
         entry.address = {"127.0.0.1", endpoint.local_endpoint().port()};
         entry.slots = 6;
         entry.row_version = 1;
-        view.merge(endpoint_list{1, {entry}}, time.now(), time.now());
+        auto engine = entry;
+        engine.id = endpoint_id{"engine-1"};
+        engine.service = service_id{"model"};
+        view.merge(endpoint_list{1, {entry, engine}}, time.now(), time.now());
     }
 
     void run(milliseconds length) {
@@ -105,8 +127,31 @@
         }
     }
 
-    [[nodiscard]] static std::string request(int n) {
-        return "GET /look/x HTTP/1.1\r\nHost: a\r\nDandelionbay-Request-Id: r" + std::to_string(n) + "\r\n\r\n";
+    [[nodiscard]] static std::string request(const std::string& path) {
+        return "GET " + path + " HTTP/1.1\r\nHost: a\r\nDandelionbay-Request-Id: r1\r\n\r\n";
+    }
+
+    /*! Sends a call to the endpoint. */
+    void begin(const std::string& path) {
+        write(caller, request(path));
+        run(milliseconds{50});
+        endpoint.accept(accepted);
+        ASSERT_NE(received(accepted).find(path), std::string::npos);
+    }
+
+    /*! Bytes of the endpoint wait behind those of the others while the end of a stop is due. */
+    void end_stop_with_unread(const std::string& bytes) {
+        boost::asio::steady_timer end{loop, longer_than_a_round};
+        end.async_wait([&](boost::system::error_code ec) {
+            if (!ec) {
+                router->stop();
+            }
+        });
+        std::this_thread::sleep_for(longer_than_a_round);
+        send_from_others();
+        write(accepted, bytes);
+        std::this_thread::sleep_for(longer_than_a_round);
+        run(milliseconds{100});
     }
 
     boost::asio::io_context outside{};
@@ -121,6 +166,7 @@
     std::unique_ptr<proxy> router{};
     tcp::socket first{outside};
     tcp::socket caller{outside};
+    tcp::socket accepted{outside};
     std::vector<tcp::socket> others{};
 };
 
@@ -129,19 +175,17 @@
 TEST_F(unread_events, a_connection_that_was_made_in_time_carries_its_call) {
     std::this_thread::sleep_for(longer_than_a_round);
     write(first, "G"); // Its handler runs before the one that reads the call.
-    write(caller, request(1));
+    write(caller, request("/look/x"));
     step();
     send_from_others();
     step();
     ASSERT_EQ(metrics.get("endpoint_connections_total"), 1);
-    tcp::socket accepted{outside};
     endpoint.accept(accepted);
     std::this_thread::sleep_for(proxy::connect_limit + longer_than_a_round);
     run(milliseconds{30});
     EXPECT_FALSE(router->dispatch().load(endpoint_id{"desk-1"}).ejected(time.now()));
     EXPECT_NE(received(accepted).find("/look/x"), std::string::npos) << "the call did not reach its endpoint";
-    write(accepted, "HTTP/1.1 200 OK\r\nDandelionbay-Request-Id: r1\r\nDandelionbay-Response-Seal: s\r\n"
-                    "Content-Length: 2\r\n\r\nok");
+    write(accepted, head + "Content-Length: 2\r\n\r\nok");
     run(milliseconds{200});
     const auto answer = received(caller);
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
@@ -149,7 +193,7 @@
 
 // Guards against a 408 to a caller whose request came whole and in time and waits unread behind those of many others.
 TEST_F(unread_events, a_request_that_came_in_time_gets_no_408) {
-    const auto bytes = request(1);
+    const auto bytes = request("/look/x");
     constexpr std::size_t part = 20;
     write(caller, bytes.substr(0, part));
     run(milliseconds{10});
@@ -166,5 +210,26 @@
     EXPECT_EQ(metrics.get("endpoint_connections_total"), 1) << "the call was read";
 }
 
+// Guards against 502 in place of an answer that came whole before the end of a planned stop and waits unread behind the
+// requests of many callers when the stop ends what still runs.
+TEST_F(unread_events, an_answer_that_came_before_the_end_of_a_stop_is_passed_on) {
+    begin("/look/x");
+    end_stop_with_unread(head + "Content-Length: 2\r\n\r\nok");
+    const auto answer = received(caller);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+}
+
+// Guards against streams that are cut at the end of a planned stop although all their bytes had come.
+TEST_F(unread_events, a_stream_whose_end_came_before_the_end_of_a_stop_is_not_cut) {
+    begin("/chat/x");
+    write(accepted, head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + event(1));
+    run(milliseconds{50});
+    ASSERT_NE(received(caller).find("id: 1"), std::string::npos);
+    end_stop_with_unread(event(2) + last_chunk);
+    const auto rest = received(caller);
+    EXPECT_NE(rest.find("id: 2"), std::string::npos) << rest;
+    EXPECT_TRUE(rest.ends_with(last_chunk)) << rest;
+}
+
 } // namespace
 } // namespace dandelionbay
