Look for a made connection before its time limit is judged

What callers saw: 503 from a router whose event loop was late, because a sound endpoint counted as unreachable and got no calls for a time.

Cause: the timer of channel::connect() may run before the event of a connection that was made or refused in time, behind more than 128 ready sockets. The timer now asks the system; the event that waits then decides.

Evidence: the test of the channel and the one of a call behind 200 callers fail before and pass now, 3 of 3 runs each. The other three tests of unread_events still fail. It holds for connections to endpoints, peers and the store alike.

--- a/src/dandelionbay/proxy/channel.cpp
+++ b/src/dandelionbay/proxy/channel.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <boost/asio/post.hpp>
@@ -58,7 +59,8 @@
     timer_ = std::make_unique<asio::steady_timer>(socket_.get_executor());
     timer_->expires_after(limit);
     timer_->async_wait([self = shared_from_this()](error_code cancelled) {
-        if (!cancelled && !self->connected_) {
+        // With many ready sockets a timer may run before the event of a connection that was made or refused in time.
+        if (!cancelled && !self->connected_ && !self->connect_decided()) {
             self->fail(channel_end::unreachable);
         }
     });
@@ -218,6 +220,11 @@
     }
 }
 
+bool channel::connect_decided() {
+    pollfd it{socket_.native_handle(), POLLOUT, 0};
+    return poll(&it, 1, 0) > 0;
+}
+
 int channel::peek() {
     char byte = 0;
     const auto n = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/src/dandelionbay/proxy/channel.hpp
+++ b/src/dandelionbay/proxy/channel.hpp
@@ -60,6 +60,7 @@
     void flush();
     void fail(channel_end end);
     void set_options();
+    [[nodiscard]] bool connect_decided();
     [[nodiscard]] int peek();
 
     static constexpr int nothing_there = -1;
