--- a/test/dandelionbay/proxy/unread_events_test.cpp
+++ b/test/dandelionbay/proxy/unread_events_test.cpp
@@ -25,8 +25,7 @@
 constexpr milliseconds longer_than_a_round{60};
 constexpr duration header_limit = milliseconds{150};
 
-const std::string head =
-    "HTTP/1.1 200 OK\r\nDandelionbay-Request-Id: r1\r\nDandelionbay-Response-Seal: s\r\n";
+const std::string head = "HTTP/1.1 200 OK\r\nDandelionbay-Request-Id: r1\r\nDandelionbay-Response-Seal: s\r\n";
 const std::string last_chunk = "0\r\n\r\n";
 
 [[nodiscard]] std::string event(int id) {
