Read what has come of a request before its caller gets 408

What callers saw: 408 to a request that came whole and in time, from a router whose event loop was late.

Cause: caller_connection::check() looked only whether this turn was the first late one; behind more than 128 ready sockets, and in each further late turn, the rest of the request waits unread while the limit is judged.

The two tests of the end of a stop still fail.

--- a/src/dandelionbay/proxy/caller_connection.cpp
+++ b/src/dandelionbay/proxy/caller_connection.cpp
@@ -192,7 +192,8 @@
         return true;
     }
     if (reading_) {
-        const bool listened = owner_->attentive_since() != now; // Else what has come is read first.
+        // What has come is read first.
+        const bool listened = owner_->attentive_since() != now && !channel_->readable_now();
         if (listened && now - since_ > (reader_->header_done() ? body_limit_ : header_limit_)) {
             reject(408);
             return false;
