Judge a call again when its bytes can be written

What callers saw: calls that were sent on seconds after they were judged (DRAIN, GONE; suspected, not shown apart).

Cause: route, key, endpoint, zone and stop were judged at the admission or the placement, and when a connection was made only whether the caller was there. The request was made of bytes at the placement, with the time left of that moment.

Change: one function, bar_to, judges caller, time left, route and key by the configuration in force, endpoint and zone, and a stop, at the placement and when a connection is made; the request's bytes are made then. A call whose endpoint is unfit by now looks for another one, one whose access changed is admitted anew. A connection whose caller has left is closed at once.

Evidence: http_connection_test.a_request_is_made_when_its_connection_is replaces the test of wanted(), which is gone, and checks what that one did. It is of a new interface and could not fail before.

--- a/src/dandelionbay/proxy/attempt.cpp
+++ b/src/dandelionbay/proxy/attempt.cpp
@@ -9,10 +9,6 @@
 attempt::attempt(exchange& owner, ticket_id name, endpoint_choice to, time_point now)
     : call{&owner}, ticket{name}, choice{std::move(to)}, sent_at{now}, event_at{now} {}
 
-bool attempt::wanted() {
-    return call->wanted();
-}
-
 bool attempt::on_head(const response_head& it) {
     return call->on_head(*this, it);
 }
--- a/src/dandelionbay/proxy/attempt.hpp
+++ b/src/dandelionbay/proxy/attempt.hpp
@@ -19,7 +19,6 @@
      *  @param now Time. */
     attempt(exchange& owner, ticket_id name, endpoint_choice to, time_point now);
 
-    [[nodiscard]] bool wanted() override;
     [[nodiscard]] bool on_head(const response_head& it) override;
     void on_body(std::string bytes) override;
     void on_complete() override;
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -20,7 +20,6 @@
 constexpr duration default_time_left = std::chrono::hours{1};
 /*! When a call that no endpoint has run may come again. */
 constexpr duration usual_return = milliseconds{500};
-
 } // namespace
 
 exchange::exchange(proxy& owner, caller_connection& caller, http_request request, ticket_id ticket, time_point arrived)
@@ -39,10 +38,8 @@
 }
 
 bool exchange::admit(time_point now) {
-    const auto& view = *owner_->environment().view;
     terms_ = owner_->environment().protocol->read_call(request_.fields);
-    config_ = view.config();
-    if (config_ == nullptr) {
+    if (owner_->environment().view->config() == nullptr) {
         refuse(503, result_code::configuration_stale, usual_return);
         return false;
     }
@@ -54,6 +51,30 @@
         refuse(400, result_code::malformed_request, {});
         return false;
     }
+    if (!find_access(now)) {
+        return false;
+    }
+    if (!owner_->can_serve(route_->target_latency)) {
+        turn_away(now);
+        return false;
+    }
+    if (crashes_endpoints()) {
+        refuse_as_crashing();
+        return false;
+    }
+    if (!owner_->can_finish(*route_, service_, terms_.output_tokens, limit_)) {
+        refuse(503, result_code::stopping, short_return);
+        return false;
+    }
+    last_event_ = terms_.resume_after;
+    return true;
+}
+
+bool exchange::find_access(time_point now) {
+    const auto& view = *owner_->environment().view;
+    config_ = view.config();
+    team_ = {};
+    team_regions_.clear();
     route_ = config_->find_route(request_.host, request_.path());
     const bool keys_fresh = view.keys_fresh(now);
     if (!keys_fresh && (route_ == nullptr || !route_->is_public)) {
@@ -73,21 +94,30 @@
         team_ = team->id;
         team_regions_ = team->home_regions;
     }
-    if (!owner_->can_serve(route_->target_latency)) {
-        turn_away(now);
+    limit_ = arrived_ + std::min(terms_.time_left.value_or(default_time_left), route_->time_limit);
+    service_ = owner_->pick_service(*route_);
+    return true;
+}
+
+bool exchange::access_holds(time_point now) {
+    const auto& view = *owner_->environment().view;
+    if (!route_->is_public && !view.keys_fresh(now)) {
         return false;
     }
-    if (crashes_endpoints()) {
-        refuse_as_crashing();
-        return false;
+    const auto next = view.config();
+    if (next == config_) {
+        return true;
     }
-    limit_ = arrived_ + std::min(terms_.time_left.value_or(default_time_left), route_->time_limit);
-    service_ = owner_->pick_service(*route_);
-    if (!owner_->can_finish(*route_, service_, terms_.output_tokens, limit_)) {
-        refuse(503, result_code::stopping, short_return);
+    const auto* const route = next->find_route(request_.host, request_.path());
+    const auto* const team = next->find_team(terms_.key);
+    const bool known = team != nullptr || next->teams.empty();
+    const bool same_team = known && (team == nullptr ? team_id{} : team->id) == team_ &&
+                           (team == nullptr ? std::vector<region_id>{} : team->home_regions) == team_regions_;
+    if (route == nullptr || *route != *route_ || (!route->is_public && !same_team)) {
         return false;
     }
-    last_event_ = terms_.resume_after;
+    config_ = next;
+    route_ = route;
     return true;
 }
 
@@ -221,6 +251,14 @@
     }
 }
 
+void exchange::time_out() {
+    if (begun_) {
+        give_up("time_limit");
+    } else {
+        fail(504, result_code::deadline_exceeded);
+    }
+}
+
 void exchange::fail(int status, result_code code) {
     if (!failure_ || caller_ == nullptr) {
         refuse(status, code, {});
@@ -287,11 +325,7 @@
     }
     if (now >= limit_) {
         leave();
-        if (begun_) {
-            give_up("time_limit");
-        } else {
-            fail(504, result_code::deadline_exceeded);
-        }
+        time_out();
         return;
     }
     if (awaits_turn_) {
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -32,9 +32,28 @@
         std::string body{};
     };
 
+    /*! Why a call is not sent to the endpoint that was chosen for it. */
+    enum class send_bar : std::uint8_t { none, caller_left, too_late, access_changed, endpoint_unfit, stopping };
+
     [[nodiscard]] bool admit(time_point now);
+
     /*! Refuses it because this host is too late for it, and ends the connection: other hosts may have time. */
     void turn_away(time_point now);
+
+    /*! Finds its route and team in the configuration in force; refuses it if they are not there. */
+    [[nodiscard]] bool find_access(time_point now);
+
+    /*! Tells whether the configuration in force serves it as the one did under which it was admitted. */
+    [[nodiscard]] bool access_holds(time_point now);
+
+    /*! Judges all that may have changed since it was admitted and placed. To be asked when its bytes can be written. */
+    [[nodiscard]] send_bar bar_to(const endpoint_choice& choice, time_point now);
+
+    /*! Ends it, or looks for another endpoint, because it is not sent to the one that was chosen. */
+    void not_sent(send_bar why, time_point now);
+
+    /*! The request as it is sent to an attempt's endpoint now; empty if it is not to be sent any more. */
+    [[nodiscard]] std::string compose(const attempt& it);
     [[nodiscard]] work_item work() const;
     void submit(time_point now);
 
@@ -88,6 +107,9 @@
     void leave();
     void give_up(std::string_view reason);
 
+    /*! Ends it at its time limit. */
+    void time_out();
+
     /*! Ends a call that may have run: with what an endpoint said of its failure, if one did, or the status and code. */
     void fail(int status, result_code code);
     void refuse(int status, result_code code, duration retry_after);
@@ -111,8 +133,8 @@
     /*! @brief Time for which a call that may have run, or whose answer has begun, waits for an endpoint: callers leave
      * a stream after 2 s without an event at the earliest. */
     static constexpr duration longest_endpoint_wait = std::chrono::milliseconds{1'500};
-    /*! @brief When a call that this process can't serve in time, or can't finish, may come again: it reaches another
-     * one. */
+    /*! @brief When a call that this process can't finish may come again, or one that it can't begin in time while the
+     * balancer sends new connections elsewhere. */
     static constexpr duration short_return = std::chrono::milliseconds{50};
     /*! @brief How often a call looks for another endpoint. */
     static constexpr duration look_interval = std::chrono::milliseconds{100};
@@ -147,9 +169,6 @@
     /*! @brief Ends it because the process stops. */
     void abandon();
 
-    /*! @brief Tells whether it is to be sent still, now that a connection was made. */
-    [[nodiscard]] bool wanted();
-
     // What comes back on an attempt.
 
     [[nodiscard]] bool on_head(attempt& it, const response_head& head);
@@ -203,7 +222,7 @@
     std::optional<time_point> without_endpoint_{}; //!< Since when it has waited for one without going on.
     std::optional<team_rank> team_rank_{};         //!< At the newest placement or the refusal.
     double cost_{};                                //!< Cost units, once it was submitted.
-    duration read_late_{};                         //!< How late the event loop ran when the call was read.
+    duration read_late_{};                         //!< Time for which its bytes may have waited to be read.
     double ahead_ms_{};                            //!< Expected wait behind other calls, if it was refused.
     duration waited_{};                            //!< From the arrival to the newest placement.
     duration list_age_{};                          //!< Age of the list of endpoints at that placement.
--- a/src/dandelionbay/proxy/exchange_attempts.cpp
+++ b/src/dandelionbay/proxy/exchange_attempts.cpp
@@ -73,18 +73,61 @@
         await_turn();
         return;
     }
-    if (caller_ != nullptr && caller_->left()) {
+    if (const auto why = bar_to(choice, now); why != send_bar::none) {
         release();
-        finish("caller_gone", 0);
+        not_sent(why, now);
         return;
     }
-    if (runs_ == 0 && !begun_ && !owner_->can_finish(*route_, service_, terms_.output_tokens, limit_)) {
-        release(); // A stop began, or went on, while it waited.
+    stage_ = stage::running;
+    send_to(ticket_, choice, now);
+}
+
+exchange::send_bar exchange::bar_to(const endpoint_choice& choice, time_point now) {
+    if (caller_ == nullptr || caller_->left()) {
+        return send_bar::caller_left;
+    }
+    if (time_left(now) <= duration{}) {
+        return send_bar::too_late;
+    }
+    const bool new_call = runs_ == 0 && !begun_; // What an endpoint may have run goes on as it was admitted.
+    if (new_call && !access_holds(now)) {
+        return send_bar::access_changed;
+    }
+    const auto& view = *owner_->environment().view;
+    const auto known = view.endpoints().find(choice.endpoint);
+    if (known == view.endpoints().end() || !view.takes_work(known->second)) {
+        return send_bar::endpoint_unfit;
+    }
+    if (new_call && !owner_->can_finish(*route_, service_, terms_.output_tokens, limit_)) {
+        return send_bar::stopping;
+    }
+    return send_bar::none;
+}
+
+void exchange::not_sent(send_bar why, time_point now) {
+    switch (why) {
+    case send_bar::caller_left:
+        if (caller_ != nullptr) {
+            std::exchange(caller_, nullptr)->cut();
+        }
+        finish("caller_gone", 0);
+        return;
+    case send_bar::too_late:
+        time_out();
+        return;
+    case send_bar::stopping:
         refuse(503, result_code::stopping, short_return);
         return;
+    case send_bar::access_changed:
+        if (find_access(now)) {
+            submit(now);
+        }
+        return;
+    case send_bar::endpoint_unfit:
+    case send_bar::none:
+        submit(now);
+        return;
     }
-    stage_ = stage::running;
-    send_to(ticket_, choice, now);
 }
 
 void exchange::send_to(ticket_id ticket, const endpoint_choice& choice, time_point now) {
@@ -95,9 +138,20 @@
     attempts_.push_back(it);
     open_.sent(ticket, silence_limits_for(choice), now);
     it->client = owner_->connect(choice, fresh_connection_limit());
-    const auto bytes = request_bytes(choice, now);
-    owner_->count_sent(choice.endpoint, bytes.size());
-    it->client->send(bytes, request_.method == "HEAD", it.get());
+    it->client->send([this, to = it.get()] { return compose(*to); }, request_.method == "HEAD", it.get());
+}
+
+std::string exchange::compose(const attempt& it) {
+    const auto now = owner_->now();
+    --runs_; // It may run once it is sent, not before.
+    const auto why = bar_to(it.choice, now);
+    ++runs_;
+    if (why != send_bar::none) {
+        return {};
+    }
+    auto out = request_bytes(it.choice, now);
+    owner_->count_sent(it.choice.endpoint, out.size());
+    return out;
 }
 
 void exchange::on_failed(attempt& it, request_failure why) {
@@ -109,13 +163,9 @@
     if (why == request_failure::unwanted) {
         --runs_;
         end_attempt(it, call_end::not_needed);
-        if (!attempts_.empty()) {
-            return; // The time limit is looked at for the call as a whole.
-        }
-        if (caller_ != nullptr && !caller_->left()) {
-            fail(504, result_code::deadline_exceeded);
-        } else {
-            finish("caller_gone", 0);
+        owner_->environment().metrics->add("calls_unwanted_total");
+        if (attempts_.empty()) { // Else the time limit is looked at for the call as a whole.
+            not_sent(bar_to(it.choice, now), now);
         }
         return;
     }
@@ -134,10 +184,6 @@
     attempt_failed(it, why == request_failure::broken ? "connection_broken" : "garbage", true);
 }
 
-bool exchange::wanted() {
-    return caller_ != nullptr && !caller_->left() && time_left(owner_->now()) > duration{};
-}
-
 void exchange::end_attempt(attempt& it, call_end end) {
     const auto now = owner_->now();
     owner_->dispatch().ended(it.ticket, end, now);
@@ -200,7 +246,8 @@
     }
     refused_by_.clear();
     const bool may_be_at_fault = owner_->losses().suspected(fingerprint()); // Two endpoints might end under it.
-    if (may_be_at_fault || !wanted() || !owner_->dispatch().takes_now(item, now)) {
+    if (may_be_at_fault || caller_ == nullptr || caller_->left() || time_left(now) <= duration{} ||
+        !owner_->dispatch().takes_now(item, now)) {
         return;
     }
     if (!owner_->repeats(service_).take(owner_->dispatch().routers(), now)) {
--- a/src/dandelionbay/proxy/http_connection.cpp
+++ b/src/dandelionbay/proxy/http_connection.cpp
@@ -17,19 +17,41 @@
     channel_->connect(to_, limit_);
 }
 
-void http_connection::send(std::string_view bytes, bool without_body, response_handler* handler) {
+void http_connection::send(std::string bytes, bool without_body, response_handler* handler) {
+    send([bytes = std::move(bytes)] { return bytes; }, without_body, handler);
+}
+
+void http_connection::send(request_maker make, bool without_body, response_handler* handler) {
     handler_ = handler;
+    make_ = std::move(make);
     busy_ = true;
     foreign_ = false;
     answer_begun_ = false;
     before_answer_ = 0;
     keep_ = true;
     reader_.expect(without_body);
-    channel_->write(bytes);
+    if (connected_) {
+        write_request();
+    }
+}
+
+void http_connection::write_request() {
+    const auto make = std::exchange(make_, nullptr);
+    if (!make) {
+        return;
+    }
+    const auto self = shared_from_this();
+    const auto bytes = make();
+    if (bytes.empty()) {
+        fail(request_failure::unwanted);
+    } else {
+        channel_->write(bytes);
+    }
 }
 
 void http_connection::close() noexcept {
     handler_ = nullptr;
+    make_ = nullptr;
     if (std::exchange(busy_, false)) {
         channel_->abort(); // A full link may still hold the request, which nobody wants any more.
     } else {
@@ -43,10 +65,7 @@
 
 void http_connection::on_connected() {
     connected_ = true;
-    if (handler_ != nullptr && !handler_->wanted()) {
-        const auto self = shared_from_this();
-        fail(request_failure::unwanted);
-    }
+    write_request();
 }
 
 void http_connection::on_bytes(std::string_view bytes) {
--- a/src/dandelionbay/proxy/http_connection.hpp
+++ b/src/dandelionbay/proxy/http_connection.hpp
@@ -20,7 +20,7 @@
 /*! @brief How a request failed. */
 enum class request_failure : std::uint8_t {
     not_sent, //!< No connection was made; the request can't have run.
-    unwanted, //!< Its caller had left before a connection was made; it was not sent.
+    unwanted, //!< It was not to be sent any more when the connection was made.
     broken,   //!< The connection ended before the answer was complete.
     garbage   //!< What came is no answer.
 };
@@ -35,9 +35,6 @@
     response_handler& operator=(response_handler&&) = delete;
     virtual ~response_handler() = default;
 
-    /*! @brief Asked when the connection is made: tells whether the request is to be sent still. */
-    [[nodiscard]] virtual bool wanted() { return true; }
-
     /*! @brief Tells whether an answer belongs to the request; others are read and dropped. */
     [[nodiscard]] virtual bool on_head(const response_head& head) = 0;
 
@@ -53,6 +50,7 @@
 
 /*! @brief HTTP client connection that carries one request at a time. */
 class http_connection final : public channel_owner, public std::enable_shared_from_this<http_connection> {
+    void write_request();
     void read_answers();
     void deliver(read_result result);
     void complete();
@@ -73,8 +71,15 @@
     /*! @brief Starts to connect; to be called once, after construction. */
     void start();
 
-    /*! @brief Sends a request. @param bytes It. @param without_body Its answer has no body. @param handler Or null. */
-    void send(std::string_view bytes, bool without_body, response_handler* handler);
+    /*! @brief Makes a request at the moment at which it can be written; empty if it is not to be sent any more. */
+    using request_maker = std::function<std::string()>;
+
+    /*! @brief Sends a request, now or when the connection is made. @param make Makes it. @param without_body Its answer
+     *  has no body. @param handler Or null. */
+    void send(request_maker make, bool without_body, response_handler* handler);
+
+    /*! @brief The same for a request that is sent in any case. */
+    void send(std::string bytes, bool without_body, response_handler* handler);
 
     /*! @brief Ends the connection; with a reset if a request is unanswered. */
     void close() noexcept;
@@ -104,6 +109,7 @@
     std::shared_ptr<channel> channel_;
     response_reader reader_{};
     response_handler* handler_{};
+    request_maker make_{}; //!< Of the request that waits for the connection.
     bool connected_{};
     bool busy_{};
     std::size_t before_answer_{}; //!< Bytes since the request was sent, until its answer begins.
--- a/test/dandelionbay/proxy/http_connection_test.cpp
+++ b/test/dandelionbay/proxy/http_connection_test.cpp
@@ -164,21 +164,34 @@
 }
 
 // Guards against calls that are sent on after their callers have left, while the connection to the endpoint was made
-// (GONE).
-TEST_F(http_connection_test, a_request_whose_caller_has_left_when_the_connection_is_made_is_not_sent) {
-    class left_caller final : public noted_answer {
-    public:
-        [[nodiscard]] bool wanted() override { return false; }
-    };
-    left_caller handler;
+// (GONE), and against requests that say what was so when they were placed.
+TEST_F(http_connection_test, a_request_is_made_when_its_connection_is) {
     const auto late = std::make_shared<http_connection>(
         loop, socket_address{"127.0.0.1", acceptor.local_endpoint().port()}, milliseconds{500});
+    std::string newest = "GET /old HTTP/1.1\r\n\r\n";
     late->start();
-    late->send("GET / HTTP/1.1\r\n\r\n", false, &handler);
-    endpoint = acceptor.accept();
-    run();
-    EXPECT_EQ(handler.failed, 1);
-    EXPECT_EQ(read_all().first, 0);
+    late->send([&] { return newest; }, false, &noted);
+    EXPECT_EQ(noted.failed, 0);
+    {
+        SCOPED_TRACE("its bytes are those of that moment");
+        newest = "GET /new HTTP/1.1\r\n\r\n";
+        endpoint = acceptor.accept();
+        run();
+        std::array<char, 100> buf{};
+        EXPECT_EQ((std::string{buf.data(), endpoint.read_some(boost::asio::buffer(buf))}), newest);
+        late->close();
+    }
+    {
+        SCOPED_TRACE("one that is not wanted any more is not sent");
+        const auto unwanted = std::make_shared<http_connection>(
+            loop, socket_address{"127.0.0.1", acceptor.local_endpoint().port()}, milliseconds{500});
+        unwanted->start();
+        unwanted->send([] { return std::string{}; }, false, &noted);
+        endpoint = acceptor.accept();
+        run();
+        EXPECT_EQ(noted.failed, 1);
+        EXPECT_EQ(read_all().first, 0);
+    }
 }
 
 } // namespace
