Encode the lists that all peers are told once in a row

A router's messages of one round differ in clocks, answers and losses; loads, uses of parts, teams, queues and leaving endpoints are mostly the same, and were encoded again for each of a hundred peers. The encoder keeps the bytes of the last list of each kind and encodes a list only if it differs.

--- a/src/dandelionbay/peer/fwd.hpp
+++ b/src/dandelionbay/peer/fwd.hpp
@@ -3,6 +3,7 @@
 namespace dandelionbay {
 
 class peer_board;
+class peer_encoder;
 class peer_links;
 struct peer_state;
 struct fact_request;
--- a/src/dandelionbay/peer/peer_links.cpp
+++ b/src/dandelionbay/peer/peer_links.cpp
@@ -69,7 +69,7 @@
         }
         const section_timer timed{*owner_->environment_.time, *owner_->environment_.metrics, "peers_out"};
         const auto state = owner_->environment_.board->compose(to_, now);
-        const auto bytes = with_length(encode(state));
+        const auto bytes = with_length(owner_->encoder_.encode(state));
         const std::string_view kind = state.list ? "list" : state.config_text.empty() ? "state" : "config";
         owner_->environment_.metrics->add("peer_messages_sent_total", kind);
         owner_->environment_.metrics->add("peer_losses_sent_total", {},
--- a/src/dandelionbay/peer/peer_links.hpp
+++ b/src/dandelionbay/peer/peer_links.hpp
@@ -74,6 +74,7 @@
     change_handler changed_;
     listener listener_;
     boost::asio::steady_timer timer_;
+    peer_encoder encoder_{};
     std::map<socket_address, std::shared_ptr<sender>> senders_{};
     std::set<std::shared_ptr<receiver>> receivers_{};
     time_point next_round_{};
--- a/src/dandelionbay/peer/peer_state.cpp
+++ b/src/dandelionbay/peer/peer_state.cpp
@@ -62,7 +62,7 @@
             version};
 }
 
-[[nodiscard]] uses_row row_of(const std::vector<part_use>& uses) {
+[[nodiscard]] uses_row rows_of(const std::vector<part_use>& uses) {
     uses_row out;
     auto& [names, rows] = out;
     std::map<endpoint_id, std::uint32_t> positions;
@@ -179,53 +179,86 @@
     return out;
 }
 
-} // namespace
+[[nodiscard]] std::vector<load_row> rows_of(const std::vector<peer_load>& loads) {
+    std::vector<load_row> out;
+    for (const auto& it : loads) {
+        out.emplace_back(it.endpoint.value, it.work.unread_tokens, it.work.calls, it.work.memory_tokens);
+    }
+    return out;
+}
 
-std::string encode(const peer_state& it) {
-    std::vector<load_row> loads;
-    for (const auto& load : it.loads) {
-        loads.emplace_back(load.endpoint.value, load.work.unread_tokens, load.work.calls, load.work.memory_tokens);
+[[nodiscard]] std::vector<team_row> rows_of(const std::vector<team_service>& teams) {
+    std::vector<team_row> out;
+    for (const auto& it : teams) {
+        out.emplace_back(it.team.value, it.cost, it.denied);
     }
-    std::vector<team_row> teams;
-    for (const auto& team : it.teams) {
-        teams.emplace_back(team.team.value, team.cost, team.denied);
+    return out;
+}
+
+[[nodiscard]] std::vector<queue_row> rows_of(const std::vector<service_queue>& queues) {
+    std::vector<queue_row> out;
+    for (const auto& it : queues) {
+        out.emplace_back(it.service.value, it.reading_ms);
     }
-    std::vector<queue_row> queues;
-    for (const auto& queue : it.queues) {
-        queues.emplace_back(queue.service.value, queue.reading_ms);
+    return out;
+}
+
+[[nodiscard]] std::vector<leaving_row> rows_of(const std::vector<endpoint_process>& endpoints) {
+    std::vector<leaving_row> out;
+    for (const auto& it : endpoints) {
+        out.emplace_back(it.id.value, it.started);
     }
+    return out;
+}
+
+/*! Appends a list, which is encoded only if it differs from the last one. */
+template<typename Value>
+void append(msgpack::sbuffer& out, peer_encoder::section<Value>& last, const std::vector<Value>& values) {
+    if (last.bytes.empty() || last.values != values) {
+        msgpack::sbuffer buf;
+        msgpack::pack(buf, rows_of(values));
+        last.values = values;
+        last.bytes.assign(buf.data(), buf.size());
+    }
+    out.write(last.bytes.data(), last.bytes.size());
+}
+
+} // namespace
+
+std::string encode(const peer_state& it) {
+    return peer_encoder{}.encode(it);
+}
+
+std::string peer_encoder::encode(const peer_state& it) {
     std::vector<address_row> peers;
     for (const auto& peer : it.peers) {
         peers.push_back(row_of(peer));
     }
-    std::vector<leaving_row> endpoints_leaving;
-    for (const auto& endpoint : it.endpoints_leaving) {
-        endpoints_leaving.emplace_back(endpoint.id.value, endpoint.started);
-    }
     std::vector<losses_row> losses;
     for (const auto& lost : it.losses) {
         losses.push_back(row_of(lost));
     }
-    const message_row row{format_version,
-                          it.host.value,
-                          it.incarnation,
-                          row_of(it.address),
-                          it.leaving,
-                          clock_row{it.sent_us, it.echo_us, it.echo_held_us},
-                          row_of(it.operators, it.operators_age_us),
-                          list_of(it),
-                          loads,
-                          row_of(it.part_uses),
-                          teams,
-                          queues,
-                          peers,
-                          it.config_text,
-                          endpoints_leaving,
-                          losses,
-                          it.region.value,
-                          request_row{it.asks.evidence, it.asks.config, it.asks.list}};
     msgpack::sbuffer buf;
-    msgpack::pack(buf, row);
+    msgpack::packer<msgpack::sbuffer> out{buf};
+    out.pack_array(std::tuple_size_v<message_row>); // The fields of a message_row, in its order.
+    out.pack(format_version);
+    out.pack(it.host.value);
+    out.pack(it.incarnation);
+    out.pack(row_of(it.address));
+    out.pack(it.leaving);
+    out.pack(clock_row{it.sent_us, it.echo_us, it.echo_held_us});
+    out.pack(row_of(it.operators, it.operators_age_us));
+    out.pack(list_of(it));
+    append(buf, loads_, it.loads);
+    append(buf, part_uses_, it.part_uses);
+    append(buf, teams_, it.teams);
+    append(buf, queues_, it.queues);
+    out.pack(peers);
+    out.pack(it.config_text);
+    append(buf, endpoints_leaving_, it.endpoints_leaving);
+    out.pack(losses);
+    out.pack(it.region.value);
+    out.pack(request_row{it.asks.evidence, it.asks.config, it.asks.list});
     return {buf.data(), buf.size()};
 }
 
--- a/src/dandelionbay/peer/peer_state.hpp
+++ b/src/dandelionbay/peer/peer_state.hpp
@@ -69,6 +69,32 @@
 /*! @brief Encodes a message. @return msgpack bytes without length. */
 [[nodiscard]] std::string encode(const peer_state& it);
 
+/**
+ * @brief Encodes the messages of one router.
+ *
+ * Nearly all of a message is the same for all peers of a round, and a host with a tenth of a core has over a hundred
+ * peers. Lists that are the same as in the message before are not encoded again.
+ */
+class peer_encoder {
+public:
+    /*! @brief A list of the last message. */
+    template<typename Value>
+    struct section {
+        std::vector<Value> values{};
+        std::string bytes{}; //!< Empty if nothing was encoded yet.
+    };
+
+    /*! @brief Encodes the next message. @return The same bytes as those of a new encoder. */
+    [[nodiscard]] std::string encode(const peer_state& it);
+
+private:
+    section<peer_load> loads_{};
+    section<part_use> part_uses_{};
+    section<team_service> teams_{};
+    section<service_queue> queues_{};
+    section<endpoint_process> endpoints_leaving_{};
+};
+
 /*! @brief Decodes a message. @param bytes As from encode(). @return It, or InvalidArgument. */
 [[nodiscard]] absl::StatusOr<peer_state> decode_peer_state(std::string_view bytes);
 
--- a/test/dandelionbay/peer/message_cost_test.cpp
+++ b/test/dandelionbay/peer/message_cost_test.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cstdint>
 #include <string>
 
 #include <gtest/gtest.h>
@@ -63,5 +64,43 @@
         << small_fleet.count() << " us, and with 40 times the endpoints " << large_fleet.count();
 }
 
+/*! Processor time to encode a round of messages on a busy host; the least of several trials. */
+[[nodiscard]] duration cost_of_round(bool encoder_for_each) {
+    constexpr int trials = 5;
+    constexpr int peers = 102;
+    constexpr int endpoints = 100;
+    constexpr int uses = 250;
+    peer_state message;
+    message.host = host_id{"r1"};
+    for (int n = 0; n < endpoints; ++n) {
+        message.loads.push_back({endpoint_id{"endpoint-" + std::to_string(n)}, {100.0, 1, 100.0}});
+    }
+    for (int n = 0; n < uses; ++n) {
+        message.part_uses.push_back({message.loads[n % endpoints].endpoint, {static_cast<std::uint64_t>(n), 300}});
+    }
+    thread_time time;
+    time.note_current_thread();
+    auto least = duration::max();
+    for (int trial = 0; trial < trials; ++trial) {
+        peer_encoder encoder;
+        const auto before = time.used();
+        for (int n = 0; n < peers; ++n) {
+            message.echo_us = n;
+            const auto bytes = encoder_for_each ? encode(message) : encoder.encode(message);
+            EXPECT_FALSE(bytes.empty());
+        }
+        least = std::min(least, time.used() - before);
+    }
+    return least;
+}
+
+// Guards against a small host that spends on a hundred encodings of the same lists what its callers need (CONFIG).
+TEST(message_cost, lists_that_all_peers_are_told_are_encoded_once) {
+    const auto each = cost_of_round(true);
+    const auto shared = cost_of_round(false);
+    EXPECT_LT(shared * 4, each) << shared.count() << " us a round, and " << each.count()
+                                << " with an encoder for each message";
+}
+
 } // namespace
 } // namespace dandelionbay
--- a/test/dandelionbay/peer/peer_board_test.cpp
+++ b/test/dandelionbay/peer/peer_board_test.cpp
@@ -365,5 +365,65 @@
     }
 }
 
+// Guards against peers that are told a list of an earlier message, or another peer's answer.
+TEST(peer_state, an_encoder_of_many_messages_writes_what_a_new_one_writes) {
+    peer_encoder encoder;
+    peer_state it;
+    it.host = host_id{"a"};
+    const auto expect_same = [&](const char* what) {
+        SCOPED_TRACE(what);
+        const auto bytes = encoder.encode(it);
+        EXPECT_EQ(bytes, encode(it));
+        EXPECT_EQ(*decode_peer_state(bytes), it);
+    };
+    expect_same("nothing to tell");
+    it.loads = {peer_load{endpoint_id{"e"}, endpoint_work{1.5, 2, 3.5}}};
+    it.part_uses = {part_use{endpoint_id{"e"}, prompt_part{77, 5}}};
+    it.teams = {team_service{team_id{"t"}, 1.0, 2.0}};
+    it.queues = {service_queue{service_id{"s"}, 12.0}};
+    it.endpoints_leaving = {endpoint_process{endpoint_id{"e"}, 99}};
+    expect_same("all lists");
+    {
+        SCOPED_TRACE("the next peer is told the same lists and what it alone asked for");
+        it.sent_us = 2;
+        it.echo_us = 1;
+        it.peers = {second_address};
+        it.config_text = "version 3";
+        it.list = endpoint_list{0, {endpoint_entry{endpoint_id{"e"}, {}, {}, second_address, 4, true, {}, 99, 8}}};
+        it.losses = {call_losses{43, {}, start}};
+        it.asks = {true, false, true};
+        expect_same("with its answer");
+        it.peers.clear();
+        it.config_text.clear();
+        it.list.reset();
+        it.losses.clear();
+        it.asks = {};
+        expect_same("without it");
+    }
+    {
+        SCOPED_TRACE("one list differs");
+        it.loads.front().work.calls = 3;
+        expect_same("loads");
+        it.part_uses.push_back(part_use{endpoint_id{"f"}, prompt_part{78, 6}});
+        expect_same("uses of parts");
+        it.teams.front().denied = 3.0;
+        expect_same("teams");
+        it.queues.front().reading_ms = 13.0;
+        expect_same("queues");
+        it.endpoints_leaving.front().started = 100;
+        expect_same("endpoints that leave");
+    }
+    {
+        SCOPED_TRACE("a list is empty again, and back");
+        const auto before = it;
+        it.loads.clear();
+        it.part_uses.clear();
+        it.endpoints_leaving.clear();
+        expect_same("empty");
+        it = before;
+        expect_same("back");
+    }
+}
+
 } // namespace
 } // namespace dandelionbay
