--- a/test/dandelionbay/dispatch/fleet_fairness_test.cpp
+++ b/test/dandelionbay/dispatch/fleet_fairness_test.cpp
@@ -31,5 +31,26 @@
     }
 }
 
+/*! What all teams ask for as a part of what the engines read. */
+class late_host_fairness : public testing::TestWithParam<double> {};
+
+INSTANTIATE_TEST_SUITE_P(loads, late_host_fairness, testing::Values(0.3, 0.5, 0.7));
+
+// Guards against the pattern "a team's callers all come to one host, which is late": what that host turns away counts as
+// lack of service at all routers, and they refuse calls of other teams while the engines have room (FAIR).
+TEST_P(late_host_fairness, a_team_that_loses_at_its_host_takes_no_room_from_others) {
+    constexpr std::size_t routers = 8;
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        shared_engines usual{routers, routers, {{"one_host", 0.3, 1}, {"wide", 0.7, routers}}, GetParam(), seed};
+        usual.run_for(seconds{12});
+        shared_engines late{routers, routers, {{"one_host", 0.3, 1}, {"wide", 0.7, routers}}, GetParam(), seed};
+        late.limit_host(0, 2.0);
+        late.run_for(seconds{12});
+        SCOPED_TRACE(testing::Message() << "seed " << seed << ", turned away " << late.turned_away());
+        EXPECT_GT(late.turned_away(), 0);
+        EXPECT_LE(late.refused(), usual.refused()) << "the engines are asked for less than before";
+    }
+}
+
 } // namespace
 } // namespace dandelionbay
--- a/test/dandelionbay/dispatch/shared_engines.hpp
+++ b/test/dandelionbay/dispatch/shared_engines.hpp
@@ -47,6 +47,13 @@
         bool lacked{}; //!< A call was refused, left, or began past its target.
     };
 
+    /*! Pace of a host that begins a limited number of calls. */
+    struct slow_host {
+        double per_s{};
+        double allowed{};
+        time_point filled{};
+    };
+
     /*! One router and its calls. */
     class member final : public dispatch_listener {
     public:
@@ -84,6 +91,8 @@
     static constexpr duration way{std::chrono::milliseconds{2}};
     static constexpr duration first_step{std::chrono::milliseconds{47}};
     static constexpr duration generation{std::chrono::milliseconds{250}};
+    /*! @brief Callers that a host turned away come to it again after this time. */
+    static constexpr duration turned_away_return{std::chrono::milliseconds{50}};
     static constexpr double least_prompt = 1'000.0;
     static constexpr double largest_prompt = 6'000.0;
     static constexpr double output = 50.0;
@@ -135,6 +144,10 @@
         }
     }
 
+    /*! @brief A router's host is too small for its callers. @param per_s Calls that it begins in a second; it turns the
+     *  others away, and their callers come to it again. */
+    void limit_host(std::size_t router, double per_s) { slow_hosts_[router] = slow_host{per_s, 1.0, start}; }
+
     void run_for(duration time) { events_.run_until(events_.now() + time); }
 
     /**
@@ -166,6 +179,12 @@
         return out;
     }
 
+    /*! @brief Calls that the dispatchers refused; those that a host turned away do not count. */
+    [[nodiscard]] std::size_t refused() const noexcept { return refused_; }
+
+    /*! @brief Calls that a host turned away, each time that they came. */
+    [[nodiscard]] std::size_t turned_away() const noexcept { return turned_away_; }
+
     /*! @brief Tokens that all teams got, as a part of what the engines read. */
     [[nodiscard]] double use() const {
         double got = 0.0;
@@ -209,9 +228,41 @@
         });
     }
 
+    /*! Tells whether a host begins one more call now. */
+    [[nodiscard]] bool begins(std::size_t router) {
+        const auto found = slow_hosts_.find(router);
+        if (found == slow_hosts_.end()) {
+            return true;
+        }
+        auto& it = found->second;
+        const auto passed = std::chrono::duration<double>{events_.now() - std::exchange(it.filled, events_.now())};
+        it.allowed = std::min(1.0, it.allowed + it.per_s * passed.count());
+        if (it.allowed < 1.0) {
+            return false;
+        }
+        it.allowed -= 1.0;
+        return true;
+    }
+
+    void turn_away(member& from, const open_call& call) {
+        ++turned_away_;
+        this_second(call.team).lacked = true;
+        from.router.usage().deny(team_id{teams_[call.team].name}, call.cost, events_.now());
+        if (events_.now() + turned_away_return < call.first_asked + patience) {
+            events_.after(turned_away_return, [this, &from, call] { submit_to(from, call); });
+        }
+    }
+
     void submit(const open_call& call) {
         std::uniform_int_distribution<std::size_t> pick{0, teams_[call.team].routers - 1};
-        auto& to = *members_[pick(random_)];
+        submit_to(*members_[pick(random_)], call);
+    }
+
+    void submit_to(member& to, const open_call& call) {
+        if (!begins(to.number())) {
+            turn_away(to, call);
+            return;
+        }
         work_item it;
         it.ticket = ++last_;
         it.team = team_id{teams_[call.team].name};
@@ -275,6 +326,7 @@
         if (node.empty()) {
             return;
         }
+        ++refused_;
         auto call = node.mapped();
         this_second(call.team).lacked = true;
         if (!std::exchange(call.again, true) && events_.now() + why.retry_after < call.first_asked + patience) {
@@ -314,6 +366,9 @@
     std::mt19937_64 random_;
     std::vector<std::unique_ptr<member>> members_{};
     std::vector<std::map<std::size_t, second>> service_{}; //!< By team and second.
+    std::map<std::size_t, slow_host> slow_hosts_{};
+    std::size_t refused_{};
+    std::size_t turned_away_{};
     ticket_id last_{};
     soak::event_queue events_{};
 };
