--- a/bench/log_bench.cpp
+++ b/bench/log_bench.cpp
@@ -34,7 +34,8 @@
     it.total = milliseconds{420};
     for (auto _ : state) {
         time.advance(seconds{1}); // The log's rate never binds.
-        log_call_ended(bounded, it, "served", 200);
+        log_call_ended(
+            bounded, [&] { return it; }, "served", 200);
     }
     state.counters["left_out"] = static_cast<double>(bounded.left_out());
 }
