--- a/test/dandelionbay/dispatch/fleet_fairness_test.cpp
+++ b/test/dandelionbay/dispatch/fleet_fairness_test.cpp
@@ -36,8 +36,8 @@
 
 INSTANTIATE_TEST_SUITE_P(loads, late_host_fairness, testing::Values(0.3, 0.5, 0.7));
 
-// Guards against the pattern "a team's callers all come to one host, which is late": what that host turns away counts as
-// lack of service at all routers, and they refuse calls of other teams while the engines have room (FAIR).
+// Guards against the pattern "a team's callers all come to one host, which is late": what that host turns away counts
+// as lack of service at all routers, and they refuse calls of other teams while the engines have room (FAIR).
 TEST_P(late_host_fairness, a_team_that_loses_at_its_host_takes_no_room_from_others) {
     constexpr std::size_t routers = 8;
     for (const std::uint64_t seed : {1, 2, 3}) {
