--- a/src/dandelionbay/peer/peer_state.cpp
+++ b/src/dandelionbay/peer/peer_state.cpp
@@ -181,6 +181,7 @@
 
 [[nodiscard]] std::vector<load_row> rows_of(const std::vector<peer_load>& loads) {
     std::vector<load_row> out;
+    out.reserve(loads.size());
     for (const auto& it : loads) {
         out.emplace_back(it.endpoint.value, it.work.unread_tokens, it.work.calls, it.work.memory_tokens);
     }
@@ -189,6 +190,7 @@
 
 [[nodiscard]] std::vector<team_row> rows_of(const std::vector<team_service>& teams) {
     std::vector<team_row> out;
+    out.reserve(teams.size());
     for (const auto& it : teams) {
         out.emplace_back(it.team.value, it.cost, it.denied);
     }
@@ -197,6 +199,7 @@
 
 [[nodiscard]] std::vector<queue_row> rows_of(const std::vector<service_queue>& queues) {
     std::vector<queue_row> out;
+    out.reserve(queues.size());
     for (const auto& it : queues) {
         out.emplace_back(it.service.value, it.reading_ms);
     }
@@ -205,6 +208,7 @@
 
 [[nodiscard]] std::vector<leaving_row> rows_of(const std::vector<endpoint_process>& endpoints) {
     std::vector<leaving_row> out;
+    out.reserve(endpoints.size());
     for (const auto& it : endpoints) {
         out.emplace_back(it.id.value, it.started);
     }
