--- a/src/dandelionbay/proxy/intake_pacer.hpp
+++ b/src/dandelionbay/proxy/intake_pacer.hpp
@@ -80,6 +80,9 @@
     /*! @brief Calls in a second that may begin. */
     [[nodiscard]] double rate() const noexcept { return rate_; }
 
+    /*! @brief Tells whether that is bounded. */
+    [[nodiscard]] bool limited() const noexcept { return rate_ < unlimited; }
+
 private:
     static constexpr double unlimited = 1e9;
 
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -133,6 +133,7 @@
 }
 
 void proxy::shed(channel::tcp::socket socket) {
+    const section_timer timed{*environment_.time, *environment_.metrics, "refusals"};
     static const auto body = error_body(result_code::router_overloaded, executed::no);
     const auto answer = concat(
         "HTTP/1.1 503 ", reason_of(503), "\r\nContent-Type: application/json\r\nContent-Length: ", body.size(),
@@ -282,6 +283,8 @@
         }
         const auto at = now();
         if (in_time(at - next.arrived, next.target)) {
+            const section_timer timed{*environment_.time, *environment_.metrics, "begins"};
+            environment_.metrics->add("calls_begun_total");
             intake_pacer_.begun();
             ++begun_in_turn_;
             const auto call = it->second;
@@ -299,6 +302,7 @@
 
 void proxy::turn_away(ticket_id ticket) {
     if (const auto it = exchanges_.find(ticket); it != exchanges_.end()) {
+        const section_timer timed{*environment_.time, *environment_.metrics, "refusals"};
         ++turned_away_in_turn_;
         const auto call = it->second;
         ++turned_away_[call->team()];
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -172,6 +172,11 @@
         return std::max(gauge_.read_delay(now()), horizon_.delay(now()));
     }
 
+    /*! @brief Calls that this host begins in a second at most. @return -1 while that is not limited. */
+    [[nodiscard]] std::int64_t most_begun_per_s() const noexcept {
+        return intake_pacer_.limited() ? static_cast<std::int64_t>(intake_pacer_.rate()) : -1;
+    }
+
     /*! @brief A call was read that this router may serve; decided about once all that came before now is read. */
     void take_in(const read_call& it) { intake_.add(it); }
 
