--- /dev/null
+++ b/test/dandelionbay/proxy/overloaded_zone_test.cpp
@@ -0,0 +1,216 @@
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <map>
+#include <memory>
+#include <random>
+
+#include <gtest/gtest.h>
+
+#include "dandelionbay/base/name_hash.hpp"
+#include "simulated_host.hpp"
+
+namespace dandelionbay {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_point start{seconds{100}};
+
+/*! Calls of a team in one second. */
+struct team_second {
+    std::size_t asked{};
+    std::size_t begun{};
+    std::size_t refused{};
+};
+
+/**
+ * A zone of large and small hosts whose balancer hashes callers onto hosts. All calls of the first team come from one
+ * address, those of the others from many. A caller that is refused comes again and reaches the same host while that is
+ * in the rotation; one without a connection goes to another one.
+ */
+class simulated_zone {
+public:
+    static constexpr std::size_t teams = 4;
+    static constexpr std::size_t length_s = 20;
+
+    explicit simulated_zone(std::uint64_t seed) : random_{seed} {
+        constexpr std::size_t large = 3;
+        constexpr std::size_t small = 14;
+        double capacity = 0.0;
+        for (std::size_t n = 0; n < large + small; ++n) {
+            const double share = n < large ? 0.5 : 0.09;
+            capacity += work_costs{}.capacity(share);
+            hosts_.push_back(std::make_unique<simulated_host>(host_options{.share = share}, start));
+            hosts_.back()->on_end([this](const seen_call& it) { ended(it); });
+            watches_.emplace_back(start);
+        }
+        while (host_of(single_address_, 0) < large) {
+            ++single_address_;
+        }
+        run(capacity / 2.0);
+    }
+
+    /*! What a team asked for, and what began, in each second. */
+    [[nodiscard]] const std::array<team_second, length_s>& of(std::size_t team) const { return told_[team]; }
+
+private:
+    struct caller {
+        std::uint64_t address{};
+        time_point first_sent{};
+        std::size_t failed_connections{};
+    };
+
+    static constexpr seconds patience{6};
+    static constexpr milliseconds usual_return{500};
+    static constexpr milliseconds other_host_after{100};
+    static constexpr std::size_t addresses = 1'000;
+
+    [[nodiscard]] static team_id name_of(std::size_t team) { return team_id{concat("team-", team)}; }
+
+    void run(double rate) {
+        std::exponential_distribution<double> gap{rate};
+        const auto end = start + seconds{length_s};
+        for (auto at = start; at < end; at += from_ms(gap(random_) * 1e3)) {
+            const auto team = static_cast<std::size_t>(random_() % teams);
+            const auto address = team == 0 ? single_address_ : addresses + random_() % addresses;
+            callers_.push_back({address, at, 0});
+            coming_.push({.team = name_of(team), .sent = at, .caller = callers_.size() - 1});
+        }
+        auto next_report = start;
+        while (true) {
+            const auto it = std::ranges::min_element(hosts_, {}, [](const auto& host) { return host->now(); });
+            const auto now = (*it)->now();
+            if (now >= end) {
+                return;
+            }
+            for (; !coming_.empty() && coming_.top().sent <= now + look_ahead; coming_.pop()) {
+                send(coming_.top());
+            }
+            if (now >= next_report) {
+                next_report += seconds{1};
+                report(now);
+            }
+            (*it)->turn();
+        }
+    }
+
+    /*! The host whose hash with an address is the largest, of those that the balancer uses. */
+    [[nodiscard]] std::size_t host_of(std::uint64_t address, std::size_t failed_connections) const {
+        const auto out = static_cast<std::size_t>(std::ranges::count_if(watches_, &rotation_watch::out));
+        const bool all = out * 2 > hosts_.size();
+        std::size_t best = 0;
+        std::uint64_t most = 0;
+        for (std::size_t n = 0; n < hosts_.size(); ++n) {
+            const auto key = mixed_hash(mixed_hash(address, failed_connections), n);
+            if ((all || !watches_[n].out()) && key >= most) {
+                most = key;
+                best = n;
+            }
+        }
+        return best;
+    }
+
+    void send(const seen_call& it) {
+        for (std::size_t n = 0; n < hosts_.size(); ++n) {
+            watches_[n].follow(*hosts_[n], it.sent);
+        }
+        const auto& from = callers_[it.caller];
+        if (auto* const told = second_of(it.team, it.sent)) {
+            ++told->asked;
+        }
+        hosts_[host_of(from.address, from.failed_connections)]->come(it);
+    }
+
+    void ended(const seen_call& it) {
+        if (it.served) {
+            if (auto* const told = second_of(it.team, *it.placed)) {
+                ++told->begun;
+            }
+            return;
+        }
+        if (auto* const told = second_of(it.team, *it.answered)) {
+            ++told->refused;
+        }
+        auto& from = callers_[it.caller];
+        from.failed_connections += it.connected ? 0 : 1;
+        const std::uniform_real_distribution<double>::param_type spread{0.8, 1.3};
+        const auto pause = it.connected ? usual_return : other_host_after;
+        const auto at = *it.answered + std::chrono::duration_cast<duration>(pause * factor_(random_, spread));
+        if (at - from.first_sent < patience) {
+            coming_.push({.team = it.team, .sent = at, .caller = it.caller});
+        }
+    }
+
+    [[nodiscard]] team_second* second_of(const team_id& team, time_point at) {
+        const auto n = static_cast<std::size_t>(std::chrono::duration_cast<seconds>(at - start).count());
+        for (std::size_t it = 0; it < teams; ++it) {
+            if (n < length_s && name_of(it) == team) {
+                return &told_[it][n];
+            }
+        }
+        return nullptr;
+    }
+
+    /*! Each host tells the others what it served. */
+    void report(time_point now) {
+        for (std::size_t from = 0; from < hosts_.size(); ++from) {
+            const auto own = hosts_[from]->usage().own(now);
+            for (std::size_t to = 0; to < hosts_.size(); ++to) {
+                if (to != from) {
+                    hosts_[to]->usage().report(host_id{concat("host-", from)}, own, now);
+                }
+            }
+        }
+    }
+
+    /*! Callers are sent to hosts this long before their time comes. */
+    static constexpr milliseconds look_ahead{10};
+
+    std::mt19937_64 random_;
+    std::uniform_real_distribution<double> factor_{};
+    std::vector<std::unique_ptr<simulated_host>> hosts_{};
+    std::vector<rotation_watch> watches_{};
+    std::vector<caller> callers_{};
+    std::priority_queue<seen_call, std::vector<seen_call>, later_sent> coming_{};
+    std::uint64_t single_address_{};
+    std::array<std::array<team_second, length_s>, teams> told_{};
+};
+
+class overloaded_zone : public testing::TestWithParam<std::uint64_t> {};
+
+// Guards against the pattern "a team whose callers all come to one small host": that host serves few of them, refuses
+// the others so that they come again, and the team gets less than half of its share while other hosts have time (FAIR).
+TEST_P(overloaded_zone, a_team_at_one_address_gets_half_of_its_share_in_any_six_seconds) {
+    constexpr std::size_t window = 6;
+    constexpr std::size_t disregarded = 3; // Requests.
+    const simulated_zone zone{GetParam()};
+    for (std::size_t from = 0; from + window <= simulated_zone::length_s; ++from) {
+        const auto sum = [&](std::size_t team) {
+            std::size_t out = 0;
+            for (std::size_t n = from; n < from + window; ++n) {
+                out += zone.of(team)[n].begun;
+            }
+            return out;
+        };
+        std::size_t best = 0;
+        for (std::size_t team = 0; team < simulated_zone::teams; ++team) {
+            best = sum(team) > sum(best) ? team : best;
+        }
+        std::size_t owed = 0;
+        bool waited = true; // In each second.
+        for (std::size_t n = from; n < from + window; ++n) {
+            owed += std::min(zone.of(0)[n].asked, zone.of(best)[n].begun);
+            waited = waited && zone.of(0)[n].refused > 0;
+        }
+        EXPECT_TRUE(!waited || sum(0) + disregarded >= owed / 2)
+            << "from second " << from << ": the team at one address got " << sum(0) << ", the best served one "
+            << sum(best);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, overloaded_zone, testing::Values(1, 2, 3, 4));
+
+} // namespace
+} // namespace dandelionbay
