--- a/test/dandelionbay/platform/gateway_endless_test.cpp
+++ b/test/dandelionbay/platform/gateway_endless_test.cpp
@@ -45,13 +45,14 @@
         gateway_fleet::TearDown();
     }
 
+    /*! What one call may hold, and what the sockets' buffers take. */
+    static constexpr std::size_t most_taken = exchange::held_bytes + (std::size_t{8} << 20U);
+
     std::atomic<bool> ended{};
 };
 
 class gateway_endless : public unending_endpoints, public testing::WithParamInterface<endless_bytes> {
 protected:
-    /*! What one call may hold, and what the sockets' buffers take. */
-    static constexpr std::size_t most_taken = exchange::held_bytes + (std::size_t{8} << 20U);
     /*! The routes' longest time limit, and some time to tell both sides. */
     static constexpr seconds longest{5};
 
@@ -105,12 +106,14 @@
 
 class gateway_held : public unending_endpoints {
 protected:
-    [[nodiscard]] std::uint64_t held_bytes() const {
-        const std::string name = "\ndandelionbay_held_answer_bytes ";
+    [[nodiscard]] std::uint64_t bytes_of(const std::string& gauge) const {
+        const auto name = concat("\ndandelionbay_", gauge, " ");
         const auto page = gateway->metrics();
         const auto at = page.find(name);
         return at == std::string::npos ? 0 : std::stoull(page.substr(at + name.size()));
     }
+
+    [[nodiscard]] std::uint64_t held_bytes() const { return bytes_of("held_answer_bytes"); }
 };
 
 // Guards against a gateway that runs out of memory because many large answers stay without an end at the same time.
@@ -140,6 +143,15 @@
     }
 }
 
+// Guards against a gateway that runs out of memory because the registry sends an answer that does not end.
+TEST_F(gateway_held, an_answer_of_the_registry_without_end_takes_a_bounded_amount) {
+    store.answer_without_end(true);
+    EXPECT_TRUE(eventually([&] { return store.endless_answers() >= 2; })) << "it is given up and asked for again";
+    EXPECT_LE(store.most_sent(), most_taken);
+    store.answer_without_end(false);
+    EXPECT_NE(gateway->get("/look/x").find("200 X"), std::string::npos);
+}
+
 INSTANTIATE_TEST_SUITE_P(kinds, gateway_endless, testing::ValuesIn(kinds()),
                          [](const auto& it) { return it.param.name; });
 
--- a/test/dandelionbay/platform/standin_store.hpp
+++ b/test/dandelionbay/platform/standin_store.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <map>
@@ -61,6 +63,19 @@
         cutting_ = how;
     }
 
+    /*! @brief Begins all answers well and sends their bodies without end, or answers as usual again. */
+    void answer_without_end(bool endless) {
+        const std::scoped_lock lock{mutex_};
+        endless_ = endless;
+        changed_.notify_all();
+    }
+
+    /*! @brief Answers without end that were given up by the other side. */
+    [[nodiscard]] int endless_answers() const { return endless_answers_; }
+
+    /*! @brief Bytes of the longest of them. */
+    [[nodiscard]] std::size_t most_sent() const { return most_sent_; }
+
     /*! @brief Number of answers that were cut. */
     [[nodiscard]] std::size_t cut() {
         const std::scoped_lock lock{mutex_};
@@ -118,6 +133,17 @@
         cutting_ == cutting::reset ? to.reset() : to.close();
     }
 
+    void send_without_end(raw_server::connection& to) {
+        const std::string filler(10'000, 'a');
+        to.write("HTTP/1.1 200 X\r\nContent-Type: application/json\r\n\r\n");
+        std::size_t sent = 0;
+        while (endless_ && to.write(filler)) {
+            sent += filler.size();
+        }
+        most_sent_ = std::max(most_sent_.load(), sent);
+        ++endless_answers_;
+    }
+
     static std::int64_t now_ms() {
         const auto now = std::chrono::steady_clock::now().time_since_epoch() + std::chrono::hours{1'000};
         return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
@@ -177,7 +203,10 @@
 
     void serve(const http_request& request, raw_server::connection& to) {
         std::unique_lock lock{mutex_};
-        if (down_) {
+        if (endless_) {
+            lock.unlock();
+            send_without_end(to);
+        } else if (down_) {
             answer(to, 503, "{}");
         } else if (request.path() == "/rows-get") {
             answer(to, 200, !text_.empty() ? text_ : rows_since(parameter(request, "table"), 0, false));
@@ -197,6 +226,9 @@
     cutting cutting_{cutting::none};
     std::size_t cut_{};
     std::string text_{};
+    std::atomic<bool> endless_{};
+    std::atomic<int> endless_answers_{};
+    std::atomic<std::size_t> most_sent_{};
     raw_server server_; // Last: its threads use the members above.
 };
 
