Count answers that callers do not take with those that are held

Nothing bounded whole answers of up to 8 MiB each that were written to callers who do not read: an exchange counts what it holds only until the answer is complete. They count with the others now, 24 MiB together; beyond that the answer that has had the most time to be taken is given up first.

--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -229,6 +229,7 @@
     const auto now = clock_.now();
     metrics_.set("open_calls", static_cast<counters::value_type>(proxy_.open_calls()));
     metrics_.set("held_answer_bytes", static_cast<counters::value_type>(proxy_.held_answers()));
+    metrics_.set("unsent_answer_bytes", static_cast<counters::value_type>(proxy_.unsent_bytes()));
     metrics_.set("overloaded", proxy_.overloaded() ? 1 : 0);
     metrics_.set("loop_late_us", proxy_.lateness().count());
     metrics_.set("waiting_calls", static_cast<counters::value_type>(proxy_.dispatch().waiting()));
--- a/src/dandelionbay/proxy/caller_connection.cpp
+++ b/src/dandelionbay/proxy/caller_connection.cpp
@@ -137,6 +137,9 @@
     }
     channel_->write(write_head(head) + std::string{body});
     end_answer();
+    if (channel_->unsent() > exchange::large_answer) {
+        owner_->limit_held_answers();
+    }
 }
 
 void caller_connection::begin(response_head head) {
@@ -180,6 +183,11 @@
     owner_->close_caller(self);
 }
 
+void caller_connection::drop() {
+    channel_->abort();
+    on_end(channel_end::broken);
+}
+
 void caller_connection::finish() {
     owner_->finish(channel_);
 }
--- a/src/dandelionbay/proxy/caller_connection.hpp
+++ b/src/dandelionbay/proxy/caller_connection.hpp
@@ -54,6 +54,9 @@
     /*! @brief Ends the connection in the middle of an answer, so that it can't look complete. */
     void cut();
 
+    /*! @brief Ends the connection at once; what its caller has not taken is dropped. */
+    void drop();
+
     /*! @brief Looks at time limits. @param now Time. @return False if it is closed. */
     [[nodiscard]] bool check(time_point now);
 
@@ -74,6 +77,9 @@
     /*! @brief Bytes that the caller has not taken yet. */
     [[nodiscard]] std::size_t unsent() const noexcept { return channel_->unsent(); }
 
+    /*! @brief End of the newest answer, or a later time. */
+    [[nodiscard]] time_point since() const noexcept { return since_; }
+
     void on_bytes(std::string_view bytes) override;
     void on_end(channel_end end) override;
     void on_written() override;
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -436,13 +436,13 @@
 void proxy::finish(const std::shared_ptr<channel>& it) {
     it->finish();
     if (!it->ended()) {
-        finishing_.push_back(it);
+        finishing_.push_back({it, now()});
     }
 }
 
 std::size_t proxy::unsent_connections() {
     std::erase_if(finishing_, [](const auto& it) {
-        const auto open = it.lock();
+        const auto open = it.connection.lock();
         return open == nullptr || open->ended();
     });
     return finishing_.size();
@@ -477,15 +477,62 @@
     return out;
 }
 
+std::uint64_t proxy::unsent_bytes() const {
+    std::uint64_t out = 0;
+    for (const auto& it : callers_) {
+        out += it->unsent();
+    }
+    for (const auto& it : finishing_) {
+        if (const auto open = it.connection.lock(); open != nullptr) {
+            out += open->unsent();
+        }
+    }
+    return out;
+}
+
+bool proxy::drop_oldest_unsent() {
+    auto oldest = time_point::max();
+    std::shared_ptr<caller_connection> caller;
+    std::shared_ptr<channel> finishing;
+    for (const auto& it : callers_) {
+        if (it->unsent() > exchange::large_answer && it->since() < oldest) {
+            oldest = it->since();
+            caller = it;
+        }
+    }
+    for (const auto& it : finishing_) {
+        const auto open = it.connection.lock();
+        if (open != nullptr && !open->ended() && open->unsent() > exchange::large_answer && it.since < oldest) {
+            oldest = it.since;
+            finishing = open;
+        }
+    }
+    if (finishing != nullptr) {
+        finishing->abort();
+    } else if (caller != nullptr) {
+        caller->drop();
+    }
+    return finishing != nullptr || caller != nullptr;
+}
+
 void proxy::limit_held_answers() {
-    if (held_answers() <= options_.max_held_answers) {
-        return;
+    while (held_answers() + unsent_bytes() > options_.max_held_answers) {
+        if (drop_oldest_unsent()) {
+            environment_.metrics->add("unsent_answers_given_up_total");
+            environment_.log->write(
+                log_level::warn, "answer_not_taken",
+                {{"unsent_bytes", std::to_string(unsent_bytes())}, {"held_bytes", std::to_string(held_answers())}});
+            continue;
+        }
+        const auto largest =
+            std::ranges::max_element(exchanges_, {}, [](const auto& it) { return it.second->held_answer(); });
+        if (largest == exchanges_.end() || largest->second->held_answer() == 0) {
+            return; // What is left are many small answers.
+        }
+        environment_.metrics->add("held_answers_given_up_total");
+        const auto call = largest->second;
+        call->drop_held_answer();
     }
-    const auto largest =
-        std::ranges::max_element(exchanges_, {}, [](const auto& it) { return it.second->held_answer(); });
-    environment_.metrics->add("held_answers_given_up_total");
-    const auto call = largest->second;
-    call->drop_held_answer();
 }
 
 void proxy::close_caller(const std::shared_ptr<caller_connection>& it) {
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -72,6 +72,12 @@
         time_point came; //!< What it brings did not come before.
     };
 
+    /*! A connection that ends when all is sent; it holds itself until then. */
+    struct finishing_channel {
+        std::weak_ptr<channel> connection{};
+        time_point since{};
+    };
+
     void accept(channel::tcp::socket socket);
     /*! Reads new connections, as far as a turn's time allows. */
     void read_accepted();
@@ -102,6 +108,9 @@
     void endpoint_ended(const endpoint_process& it, std::string_view from);
     void note_loss(std::uint64_t call);
 
+    /*! Ends the connection that has had the most time to take a large answer. @return False if there is none. */
+    bool drop_oldest_unsent();
+
 public:
     /*! @brief Longest time to make a connection to an endpoint: several round trips between regions. */
     static constexpr std::chrono::milliseconds connect_limit{400};
@@ -264,7 +273,11 @@
     /*! @brief Bytes of answers that are held until they are complete. */
     [[nodiscard]] std::uint64_t held_answers() const;
 
-    /*! @brief Gives up the largest answer if all that are held take too much memory. */
+    /*! @brief Bytes of answers that callers have not taken yet. */
+    [[nodiscard]] std::uint64_t unsent_bytes() const;
+
+    /*! @brief Gives up answers while all that are held or not taken yet need too much memory: first large ones that
+     * their callers have not taken for the longest time, then the largest that is not complete. */
     void limit_held_answers();
 
     /*! @brief Time to the first event or to the whole answer, and time to the end, of answered calls. */
@@ -290,7 +303,7 @@
     std::deque<accepted_connection> accepted_{};
     std::shared_ptr<const route_config> targets_of_{}; //!< Configuration whose longest target is known.
     duration longest_target_{};
-    std::vector<std::weak_ptr<channel>> finishing_{}; //!< They hold themselves until all is sent.
+    std::vector<finishing_channel> finishing_{};
     std::unordered_map<ticket_id, std::shared_ptr<exchange>> exchanges_{};
     std::map<service_id, retry_window> repeats_{};
     latency_histogram first_answer_{};
--- a/test/dandelionbay/platform/gateway_endless_test.cpp
+++ b/test/dandelionbay/platform/gateway_endless_test.cpp
@@ -143,6 +143,45 @@
     }
 }
 
+// Guards against a gateway that runs out of memory because callers do not take whole answers that are sent to them.
+TEST_F(gateway_held, answers_that_callers_do_not_take_are_bounded_together) {
+    constexpr std::size_t calls = 24;
+    constexpr std::size_t size = std::size_t{7} << 20U;
+    constexpr int least_buffer = 4'096; // Of the system, so that the gateway holds most of an answer.
+    const std::string body(size, 'a');
+    desk_1.otherwise([&](const http_request& request, raw_server::connection& to) {
+        scripted_endpoint::answer(request, to, request.path() == "/look/small" ? "small" : body);
+    });
+    boost::asio::io_context loop;
+    std::vector<std::unique_ptr<tcp::socket>> callers;
+    std::uint64_t most = 0;
+    for (std::size_t n = 0; n < calls; ++n) {
+        auto& socket = callers.emplace_back(std::make_unique<tcp::socket>(loop));
+        socket->open(tcp::v4());
+        socket->set_option(boost::asio::socket_base::receive_buffer_size{least_buffer});
+        socket->connect(to_endpoint(gateway->caller()));
+        boost::asio::write(*socket,
+                           boost::asio::buffer(running_gateway::request("GET", concat("/look/", n), {}, "close")));
+        std::this_thread::sleep_for(milliseconds{50}); // The answer comes to the gateway.
+        most = std::max(most, bytes_of("unsent_answer_bytes") + held_bytes());
+    }
+    RecordProperty("most", std::to_string(most));
+    EXPECT_GE(most, size / 2) << "answers within the limit stay";
+    EXPECT_LE(most, proxy_options{}.max_held_answers + size);
+    EXPECT_LE(bytes_of("unsent_answer_bytes") + held_bytes(), proxy_options{}.max_held_answers);
+    EXPECT_NE(gateway->get("/look/small").find("small"), std::string::npos) << "other callers are served";
+    {
+        SCOPED_TRACE("the newest caller takes its answer late, and gets all of it");
+        std::string answer;
+        std::array<char, 65'536> buf{};
+        boost::system::error_code ec;
+        while (!ec) {
+            answer.append(buf.data(), callers.back()->read_some(boost::asio::buffer(buf), ec));
+        }
+        EXPECT_GE(answer.size(), size);
+    }
+}
+
 // Guards against a gateway that runs out of memory because the registry sends an answer that does not end.
 TEST_F(gateway_held, an_answer_of_the_registry_without_end_takes_a_bounded_amount) {
     store.answer_without_end(true);
