--- a/test/dandelionbay/proxy/intake_gate_test.cpp
+++ b/test/dandelionbay/proxy/intake_gate_test.cpp
@@ -27,6 +27,7 @@
     intake_gate gate{};
 };
 
+// Guards against a host that turns callers away at its port though refusing takes no more than its share.
 TEST_F(intake_gate_test, refusing_within_its_share_changes_nothing) {
     for (int n = 0; n < 100; ++n) {
         EXPECT_FALSE(pass(milliseconds{100}, milliseconds{16}, 1'000, milliseconds{500}));
@@ -35,6 +36,7 @@
     EXPECT_FALSE(gate.pressed(now));
 }
 
+// Guards against the pattern "refusing takes the whole host": no bound on the time for refused calls (FAIR).
 TEST_F(intake_gate_test, no_connection_is_taken_while_refusing_has_used_up_its_share) {
     EXPECT_TRUE(pass(milliseconds{100}, milliseconds{100}));
     EXPECT_FALSE(gate.open());
@@ -47,6 +49,7 @@
     }
 }
 
+// Guards against a pressed host that takes more calls before it has decided about those that it has.
 TEST_F(intake_gate_test, a_pressed_host_takes_connections_when_it_has_decided_and_read) {
     press();
     EXPECT_FALSE(pass(milliseconds{200}, {}, 1)) << "a call waits";
@@ -60,6 +63,7 @@
     }
 }
 
+// Guards against a host that goes on closing its port after the rush.
 TEST_F(intake_gate_test, a_host_with_time_is_pressed_no_more) {
     press();
     pass(milliseconds{200}, {});
@@ -69,6 +73,7 @@
     EXPECT_TRUE(gate.open());
 }
 
+// Guards against a host that opens its port for good while it is behind, and is flooded every other second.
 TEST_F(intake_gate_test, a_host_that_stays_behind_stays_pressed) {
     press();
     for (int n = 0; n < 50; ++n) {
@@ -78,6 +83,7 @@
     EXPECT_FALSE(gate.open());
 }
 
+// Guards against refused calls whose accepting and reading count as service.
 TEST(work_meter_test, time_of_taking_in_is_divided_between_begun_and_refused_calls) {
     work_meter meter;
     meter.intake() += milliseconds{40};
