--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -218,6 +218,7 @@
         watch_gate();
         const auto refusing =
             overload_gauge::lateness_of(std::exchange(turned_away_in_turn_, 0), std::exchange(begun_in_turn_, 0));
+        // The balancer is to send callers elsewhere while the port is closed.
         note_turn(at - due, gate_.open() ? refusing : overload_gauge::latest, at);
         note_reading();
         decide_read_calls(); // Those that had to wait.
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -82,8 +82,9 @@
     /*! Reads new connections, as far as a turn's time allows. */
     void read_accepted();
 
-    /*! Takes connections, or takes none, by what there is to do and what refusing has taken. */
+    /*! Decides whether connections are taken, by what there is to do and what refusing has taken. */
     void watch_gate();
+    /*! Closes or opens the port as was decided. */
     void follow_gate(time_point now);
 
     /*! Refuses a new connection's call, which no route would begin in time, without reading it as a request. */
