Let a pressed host choose whom it refuses

Cause: a pressed host closed its port while any call that it had read waited to begin, so it read no more calls than it began and had nothing to choose from. A turn began calls for up to 50 ms, which made bytes wait for 200 ms and more; then new connections were refused unread, whoever came.

Change: calls that wait to begin no longer close the port; a turn begins calls for 10 ms at most and goes on after what came meanwhile is read; time spent on refusing counts up to 100 ms beyond the budget, and a host without calls opens its port whatever it owes.

--- a/src/dandelionbay/proxy/intake_gate.hpp
+++ b/src/dandelionbay/proxy/intake_gate.hpp
@@ -13,8 +13,9 @@
  *
  * A refused call costs its host a fraction of a served one, but there is no bound on how many come. So refusing has a
  * budget of time. A host that has used it up is pressed: it takes the connections that wait, and no others until it has
- * decided about these and read all that came meanwhile. While it takes none, the system refuses connections at no cost,
- * and their callers know at once that nothing was run.
+ * read these and all that came meanwhile. While it takes none, the system refuses connections at no cost, and their
+ * callers know at once that nothing was run. Calls that were read and wait to begin don't close the port: with more of
+ * them than it can begin, a host can choose those of the teams with the least service.
  */
 class intake_gate {
     using precise = std::chrono::duration<double, duration::period>;
@@ -24,11 +25,11 @@
     static constexpr double refusing_share = 1.0 / 6.0;
     /*! @brief Unused time that is kept for a burst. */
     static constexpr duration most_kept = std::chrono::milliseconds{50};
-    /*! @brief Time used beyond the budget that counts: more would leave a host idle that has nothing to refuse. */
-    static constexpr duration most_owed = std::chrono::milliseconds{10};
+    /*! @brief Time used beyond the budget that counts: a pause of the whole process may be taken for refusing. */
+    static constexpr duration most_owed = std::chrono::milliseconds{100};
     /*! @brief Unused time with which connections are taken again. */
     static constexpr duration least_kept = std::chrono::milliseconds{5};
-    /*! @brief Time for which bytes may wait to be read when a pressed host takes connections. */
+    /*! @brief Time for which bytes may wait to be read when a pressed or idle host takes connections. */
     static constexpr duration most_delay = std::chrono::milliseconds{50};
     /*! @brief Time for which a host is pressed after it last had more to do than time. */
     static constexpr duration pressed_for = std::chrono::seconds{2};
@@ -36,12 +37,13 @@
     /**
      * @brief Decides again.
      * @param refusing Time that went into refused calls since the last decision.
-     * @param undecided Calls and connections that were taken and are neither begun nor refused.
+     * @param pending Connections that were taken and are not read, and calls that are yet to be refused.
+     * @param waiting Calls that were read and wait to begin.
      * @param delay Time for which bytes wait to be read.
      * @param now Time.
      * @return True if this changed whether connections are taken.
      */
-    bool decide(duration refusing, std::size_t undecided, duration delay, time_point now) noexcept {
+    bool decide(duration refusing, std::size_t pending, std::size_t waiting, duration delay, time_point now) noexcept {
         const auto earned = precise{std::max(duration{}, now - decided_)} * refusing_share;
         decided_ = now;
         kept_ = std::max<precise>(-most_owed, std::min<precise>(most_kept, kept_ + earned) - refusing);
@@ -49,8 +51,10 @@
         if (kept_ <= precise{} || (behind && pressed(now))) {
             pressed_until_ = now + pressed_for;
         }
-        const bool busy = pressed(now) && (undecided > 0 || behind);
-        const bool open = !busy && kept_ > (open_ ? precise{} : precise{least_kept});
+        const bool busy = pressed(now) && (pending > 0 || behind);
+        const bool affordable = kept_ > (open_ ? precise{} : precise{least_kept});
+        const bool idle = pending == 0 && waiting == 0 && delay <= most_delay;
+        const bool open = !busy && (affordable || idle);
         const bool changed = open != open_;
         open_ = open;
         return changed;
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -116,8 +116,9 @@
     /*! @brief Longest time to make a connection to an endpoint: several round trips between regions. */
     static constexpr std::chrono::milliseconds connect_limit{400};
 
-    /*! @brief Time for which a turn decides about new calls; those that run are not delayed for longer. */
-    static constexpr duration longest_decision = round_pacer::longest_round;
+    /*! @brief Time for which a turn begins calls, and for which it refuses some: the next call to be read may be of a
+     * team that goes first. */
+    static constexpr duration longest_decision = std::chrono::milliseconds{10};
 
     /*! @brief Time for which a turn reads new connections. */
     static constexpr duration longest_reading = round_pacer::longest_round / 2;
--- a/src/dandelionbay/proxy/proxy_intake.cpp
+++ b/src/dandelionbay/proxy/proxy_intake.cpp
@@ -101,15 +101,14 @@
 
 void proxy::watch_gate() {
     const auto at = now();
-    const auto undecided = accepted_.size() + late_.size() + intake_.size();
-    gate_.decide(work_.take_refusing(), undecided, horizon_.delay(at), at);
+    gate_.decide(work_.take_refusing(), accepted_.size() + late_.size(), intake_.size(), horizon_.delay(at), at);
     if (gate_.open() != listens_ && !stopped_) {
         follow_gate(at);
     }
     if (const bool pressed = gate_.pressed(at); pressed != pressed_) {
         pressed_ = pressed;
         environment_.log->write(log_level::warn, pressed ? "intake_pressed" : "intake_relaxed",
-                                {{"undecided", std::to_string(undecided)},
+                                {{"undecided", std::to_string(accepted_.size() + late_.size() + intake_.size())},
                                  {"read_delay_ms", std::to_string(static_cast<std::int64_t>(to_ms(read_delay())))},
                                  {"most_begun_per_s", std::to_string(most_begun_per_s())},
                                  {"closed", std::to_string(environment_.metrics->get("intake_closed_total"))},
@@ -195,15 +194,16 @@
         return;
     }
     const auto in_time = [this](duration age, duration target) { return gauge_.can_begin(age, target, now()); };
-    const auto began = now();
-    turn_away(intake_.take_late(in_time, began));
-    while (!late_.empty() && now() - began < longest_decision) {
+    turn_away(intake_.take_late(in_time, now()));
+    const auto refusing_since = now();
+    while (!late_.empty() && now() - refusing_since < longest_decision) {
         const auto ticket = late_.front();
         late_.pop_front();
         turn_away(ticket);
     }
-    intake_.order([&](const team_id& team) { return dispatcher_.usage().used(team, began); });
-    while (!intake_.empty() && now() - began < longest_decision && intake_pacer_.allowed(now()) >= 1.0) {
+    const auto beginning_since = now();
+    intake_.order([&](const team_id& team) { return dispatcher_.usage().used(team, beginning_since); });
+    while (!intake_.empty() && now() - beginning_since < longest_decision && intake_pacer_.allowed(now()) >= 1.0) {
         const auto next = intake_.take_next();
         const auto it = exchanges_.find(next.ticket);
         if (it == exchanges_.end()) {
@@ -223,6 +223,9 @@
         }
     }
     turn_away(intake_.take_beyond(intake_pacer_.rate(), in_time, now()));
+    if (!late_.empty() || (!intake_.empty() && intake_pacer_.allowed(now()) >= 1.0)) {
+        note_reading(); // Goes on once what came meanwhile is read.
+    }
 }
 
 void proxy::turn_away(const std::vector<ticket_id>& calls) {
