Give up no more unsent answers than have to be

What callers saw: where callers don't take large answers, the gateway gave up all of them at once, though one would have been enough.

Cause: a connection that is aborted keeps its unsent bytes until the loop runs the handler that holds it. The bound on held and unsent answers looks again after each one and still counted those, so it went on to the last.

Change: abort() drops the unsent bytes, as its description says; they are of no use once the socket is closed.

Evidence: the test now also looks at what is kept after the limit was passed.

--- a/src/dandelionbay/proxy/channel.cpp
+++ b/src/dandelionbay/proxy/channel.cpp
@@ -222,6 +222,7 @@
     error_code ec; // Without the option the connection still ends, in order.
     socket_.set_option(asio::socket_base::linger{true, 0}, ec);
     ended_ = true;
+    pending_.clear();
     if (timer_ != nullptr) {
         timer_->cancel();
     }
--- a/test/dandelionbay/platform/gateway_endless_test.cpp
+++ b/test/dandelionbay/platform/gateway_endless_test.cpp
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include "dandelionbay/proxy/exchange.hpp"
 #include "gateway_fleet.hpp"
 
@@ -155,6 +157,7 @@
     boost::asio::io_context loop;
     std::vector<std::unique_ptr<tcp::socket>> callers;
     std::uint64_t most = 0;
+    auto least = std::numeric_limits<std::uint64_t>::max(); // Since more came than the limit.
     for (std::size_t n = 0; n < calls; ++n) {
         auto& socket = callers.emplace_back(std::make_unique<tcp::socket>(loop));
         socket->open(tcp::v4());
@@ -163,10 +166,15 @@
         boost::asio::write(*socket,
                            boost::asio::buffer(running_gateway::request("GET", concat("/look/", n), {}, "close")));
         std::this_thread::sleep_for(milliseconds{50}); // The answer comes to the gateway.
-        most = std::max(most, bytes_of("unsent_answer_bytes") + held_bytes());
+        const auto kept = bytes_of("unsent_answer_bytes") + held_bytes();
+        most = std::max(most, kept);
+        least = n * size > 2 * proxy_options{}.max_held_answers ? std::min(least, kept) : least;
     }
     RecordProperty("most", std::to_string(most));
+    RecordProperty("least", std::to_string(least));
     EXPECT_GE(most, size / 2) << "answers within the limit stay";
+    EXPECT_GE(least, proxy_options{}.max_held_answers - 2 * size)
+        << "no more are given up than have to: less than one of them, and what the system takes of the newest";
     EXPECT_LE(most, proxy_options{}.max_held_answers + size);
     EXPECT_LE(bytes_of("unsent_answer_bytes") + held_bytes(), proxy_options{}.max_held_answers);
     EXPECT_NE(gateway->get("/look/small").find("small"), std::string::npos) << "other callers are served";
