Measure a limited thread with thread_time, and remove what nobody uses

processor_limit read a thread's clock with code of its own; thread_time, which does the same, now takes a given thread too. Four members of running_gateway were left from an earlier way to limit its processor. Behaviour stays.

--- a/src/dandelionbay/node/thread_time.hpp
+++ b/src/dandelionbay/node/thread_time.hpp
@@ -15,9 +15,12 @@
 
 public:
     /*! @brief Takes the calling thread as the one to measure. */
-    void note_current_thread() noexcept {
+    void note_current_thread() noexcept { note(::pthread_self()); }
+
+    /*! @brief Takes a thread that runs as the one to measure. */
+    void note(pthread_t thread) noexcept {
         clockid_t id = unknown;
-        if (::pthread_getcpuclockid(::pthread_self(), &id) == 0) {
+        if (::pthread_getcpuclockid(thread, &id) == 0) {
             id_ = id;
         }
     }
--- a/test/dandelionbay/platform/gateway_fleet.hpp
+++ b/test/dandelionbay/platform/gateway_fleet.hpp
@@ -290,11 +290,7 @@
     reserved_address peer_{};
     reserved_address ready_{};
     reserved_address metrics_{};
-    thread_time processor_{};
-    duration used_before_{};
-    std::chrono::steady_clock::time_point limited_since_{};
     gateway_node node_;
-    std::unique_ptr<boost::asio::steady_timer> limit_timer_{std::make_unique<boost::asio::steady_timer>(node_.loop())};
     absl::Status result_{};
     std::thread thread_;
     std::unique_ptr<processor_limit> limit_{};
--- a/test/dandelionbay/platform/processor_limit.hpp
+++ b/test/dandelionbay/platform/processor_limit.hpp
@@ -9,6 +9,8 @@
 
 #include <pthread.h>
 
+#include "dandelionbay/node/thread_time.hpp"
+
 namespace dandelionbay::platform {
 
 /**
@@ -27,6 +29,7 @@
 
 public:
     processor_limit(pthread_t thread, double share) : thread_{thread}, share_{share} {
+        time_.note(thread);
         struct sigaction action {};
         action.sa_handler = [](int) { stand_still(); };
         action.sa_flags = SA_RESTART;
@@ -51,21 +54,12 @@
         clock_nanosleep(CLOCK_MONOTONIC, TIMER_ABSTIME, &until, nullptr);
     }
 
-    [[nodiscard]] std::chrono::nanoseconds used() const {
-        clockid_t id{};
-        timespec it{};
-        if (pthread_getcpuclockid(thread_, &id) != 0 || clock_gettime(id, &it) != 0) {
-            return {};
-        }
-        return std::chrono::seconds{it.tv_sec} + std::chrono::nanoseconds{it.tv_nsec};
-    }
-
     void watch() {
         auto since = clock_type::now();
-        const auto before = used();
+        const auto before = time_.used();
         while (!ended_) {
             const auto now = clock_type::now();
-            const auto due = std::chrono::duration_cast<clock_type::duration>((used() - before) / share_);
+            const auto due = std::chrono::duration_cast<clock_type::duration>((time_.used() - before) / share_);
             const auto earliest = std::max(since + due, now - unused_kept);
             since = earliest - due;
             if (earliest > now + look_interval) {
@@ -82,6 +76,7 @@
     static inline std::atomic<std::int64_t> still_until_ns_{};
 
     pthread_t thread_;
+    thread_time time_{};
     double share_;
     std::atomic<bool> ended_{};
     std::thread watcher_{};
