Take the model's times from the proxy, and derive whether the gate changed

The model of a host repeated the proxy's longest decision and reading and the idle interval of rounds, so a change had to be made twice; it now uses the constants. intake_gate::decide returned whether it changed, which only a test used and the proxy can't (it also retries after a failure): the test derives it from open().

--- a/src/dandelionbay/proxy/intake_gate.hpp
+++ b/src/dandelionbay/proxy/intake_gate.hpp
@@ -41,9 +41,8 @@
      * @param waiting Calls that were read and wait to begin.
      * @param delay Time for which bytes wait to be read.
      * @param now Time.
-     * @return True if this changed whether connections are taken.
      */
-    bool decide(duration refusing, std::size_t pending, std::size_t waiting, duration delay, time_point now) noexcept {
+    void decide(duration refusing, std::size_t pending, std::size_t waiting, duration delay, time_point now) noexcept {
         const auto earned = precise{std::max(duration{}, now - decided_)} * refusing_share;
         decided_ = now;
         kept_ = std::max<precise>(-most_owed, std::min<precise>(most_kept, kept_ + earned) - refusing);
@@ -54,10 +53,7 @@
         const bool busy = pressed(now) && (pending > 0 || behind);
         const bool affordable = kept_ > (open_ ? precise{} : precise{least_kept});
         const bool idle = pending == 0 && waiting == 0 && delay <= most_delay;
-        const bool open = !busy && (affordable || idle);
-        const bool changed = open != open_;
-        open_ = open;
-        return changed;
+        open_ = !busy && (affordable || idle);
     }
 
     /*! @brief Tells whether connections are taken. */
--- a/test/dandelionbay/proxy/intake_gate_test.cpp
+++ b/test/dandelionbay/proxy/intake_gate_test.cpp
@@ -12,10 +12,13 @@
 
 class intake_gate_test : public testing::Test {
 protected:
-    /*! Time passes, of which a part goes into refusing; some connections and calls are yet to be read or refused. */
+    /*! Time passes, of which a part goes into refusing; some connections and calls are yet to be read or refused.
+     * @return True if this changed whether connections are taken. */
     bool pass(duration time, duration refusing, std::size_t pending = 0, duration delay = {}) {
         now += time;
-        return gate.decide(refusing, pending, waiting, delay, now);
+        const bool before = gate.open();
+        gate.decide(refusing, pending, waiting, delay, now);
+        return gate.open() != before;
     }
 
     void press() {
--- a/test/dandelionbay/proxy/simulated_host.hpp
+++ b/test/dandelionbay/proxy/simulated_host.hpp
@@ -8,11 +8,13 @@
 #include <vector>
 
 #include "dandelionbay/base/text.hpp"
+#include "dandelionbay/dispatch/round_pacer.hpp"
 #include "dandelionbay/dispatch/team_usage.hpp"
 #include "dandelionbay/proxy/intake.hpp"
 #include "dandelionbay/proxy/intake_gate.hpp"
 #include "dandelionbay/proxy/intake_pacer.hpp"
 #include "dandelionbay/proxy/overload_gauge.hpp"
+#include "dandelionbay/proxy/proxy.hpp"
 #include "dandelionbay/proxy/read_horizon.hpp"
 #include "dandelionbay/proxy/work_meter.hpp"
 
@@ -153,8 +155,8 @@
     static constexpr std::size_t system_queue = 4'096;
     /*! Connections accepted in a turn by a host that does not work out the age of what it reads. */
     static constexpr std::size_t accepted_in_turn = 64;
-    static constexpr duration longest_reading = std::chrono::milliseconds{25};
-    static constexpr duration longest_decision = std::chrono::milliseconds{10};
+    static constexpr duration longest_reading = proxy::longest_reading;
+    static constexpr duration longest_decision = proxy::longest_decision;
     static constexpr std::chrono::milliseconds call_target{600};
     static constexpr std::chrono::seconds call_limit{3};
 
@@ -340,7 +342,7 @@
         if (!intake_.empty()) {
             decide();
         }
-        next_tick_ = now_ + std::chrono::milliseconds{25};
+        next_tick_ = now_ + round_pacer::idle_interval;
         gauge_.expect(next_tick_);
     }
 
