Log the parts of a prompt and whether its answer had begun

Which part of a prompt crashes endpoints could not be told from the logs: attempt_failed named the call, which is another one each time. It now names the parts that other calls may share, and whether the attempt's answer had begun; call_ended names the parts too, so that it can be seen which parts were served.

--- a/src/dandelionbay/proxy/call_record.cpp
+++ b/src/dandelionbay/proxy/call_record.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_format.h"
 #include "dandelionbay/base/fingerprint.hpp"
+#include "dandelionbay/base/text.hpp"
 #include "dandelionbay/limit/lost_run_registry.hpp"
 
 namespace dandelionbay {
@@ -20,6 +21,15 @@
     return std::to_string(static_cast<std::int64_t>(ms));
 }
 
+/*! Returns the ids of the parts that other calls may share. */
+[[nodiscard]] std::string shared_parts_text(const std::vector<prompt_part>& parts) {
+    std::string out;
+    for (std::size_t n = 0; n + 1 < parts.size(); ++n) {
+        out += concat(n == 0 ? "" : ",", absl::Hex(parts[n].id));
+    }
+    return out;
+}
+
 } // namespace
 
 void log_attempt_failed(bounded_log& log, const call_record& it, std::string_view reason) {
@@ -29,6 +39,8 @@
                                  {"endpoint", it.choice.endpoint.value},
                                  {"endpoint_started", std::to_string(it.choice.process_started)},
                                  {"reason", std::string{reason}},
+                                 {"parts", shared_parts_text(it.parts)},
+                                 {"begun", it.has_begun ? "yes" : "no"},
                                  {"waited_ms", to_text(it.waited)},
                                  {"list_age_ms", to_text(it.list_age)},
                                  {"may_have_run", std::to_string(it.runs)},
@@ -65,6 +77,7 @@
         return event_log::fields{{"request", it.request},
                                  {"call", fingerprint_text(it.call)},
                                  {"outcome", std::string{outcome}},
+                                 {"parts", shared_parts_text(it.parts)},
                                  {"status", std::to_string(status)},
                                  {"route", it.route},
                                  {"team", it.team.value},
--- a/src/dandelionbay/proxy/call_record.hpp
+++ b/src/dandelionbay/proxy/call_record.hpp
@@ -4,20 +4,24 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "absl/functional/function_ref.h"
 #include "dandelionbay/base/bounded_log.hpp"
 #include "dandelionbay/base/clock.hpp"
 #include "dandelionbay/base/ids.hpp"
 #include "dandelionbay/dispatch/work.hpp"
+#include "dandelionbay/gateway/call_options.hpp"
 #include "dandelionbay/limit/fwd.hpp"
 
 namespace dandelionbay {
 
 /*! @brief What is logged about one call: the decisions, their inputs and the age of these inputs. */
 struct call_record {
-    std::string request{}; //!< The caller's id of this attempt.
-    std::uint64_t call{};  //!< Fingerprint of the call; equal for all attempts of the call.
+    std::string request{};            //!< The caller's id of this attempt.
+    std::uint64_t call{};             //!< Fingerprint of the call; equal for all attempts of the call.
+    std::vector<prompt_part> parts{}; //!< The prompt in order; the last part belongs to this call or its session.
+    bool has_begun{};                 //!< The attempt's answer had begun.
     std::string route{};
     team_id team{};
     service_id service{};
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -397,6 +397,7 @@
 call_record exchange::record(const attempt& it) const {
     auto out = record();
     out.choice = it.choice;
+    out.has_begun = it.has_begun;
     return out;
 }
 
@@ -405,6 +406,7 @@
     call_record out;
     out.request = terms_.id;
     out.call = fingerprint();
+    out.parts = terms_.parts;
     out.route = route_ == nullptr ? std::string{} : route_->name;
     out.team = team_;
     out.service = service_;
--- a/src/dandelionbay/proxy/exchange_attempts.cpp
+++ b/src/dandelionbay/proxy/exchange_attempts.cpp
@@ -272,6 +272,7 @@
 void exchange::on_progress(attempt& it, time_point now) {
     without_endpoint_since_.reset();
     it.last_event_at = now;
+    it.has_begun = true;
     const auto progress = open_attempts_.record_progress(it.ticket, now);
     if (progress.obsolete.empty()) {
         return;
