Add a failing test of prompt parts that crash endpoints

Two gateways before four engines that end when they begin an answer to a prompt with a certain part, with sound prompts beside.

--- a/test/dandelionbay/platform/crashing_service.hpp
+++ b/test/dandelionbay/platform/crashing_service.hpp
@@ -10,8 +10,8 @@
 
 namespace dandelionbay::platform {
 
-/*! @brief Endpoints of one service whose processes end when they begin a certain call, and start again under new names.
- */
+/*! @brief Endpoints of one service whose processes end when they begin a certain call or prompt, and start again under
+ *  new names. */
 class crashing_service {
     struct life {
         std::unique_ptr<scripted_endpoint> endpoint{};
@@ -27,6 +27,10 @@
     /*! @brief Part of the path of calls that take some time. */
     static constexpr std::string_view slow_path = "/slow";
     static constexpr milliseconds slow_time{300};
+    /*! @brief Beginning of the ids of prompt parts that end their endpoint when the answer to such a prompt begins. */
+    static constexpr std::string_view crashing_part = "dead";
+    /*! @brief Time until the answer to a prompt begins. */
+    static constexpr milliseconds prefill_time{100};
 
     /*! @brief Starts the endpoints. @param store Registers them; outlives this. @param name Of the service. @param
      * prefix Of the endpoints' names. */
@@ -86,7 +90,12 @@
         auto* const endpoint = out.endpoint.get();
         endpoint->otherwise(
             [this, endpoint, crashed = out.crashed](const http_request& request, raw_server::connection& to) {
-                if (request.path().find(crashing_path) != std::string_view::npos) {
+                const auto prompt = find_field(request.fields, "Dandelionbay-Prompt-Prefix");
+                if (!prompt.empty()) {
+                    std::this_thread::sleep_for(prefill_time);
+                }
+                if (request.path().find(crashing_path) != std::string_view::npos ||
+                    prompt.find(crashing_part) != std::string_view::npos) {
                     if (!crashed->exchange(true)) {
                         ++crashes_;
                         endpoint->crash();
--- /dev/null
+++ b/test/dandelionbay/platform/gateway_part_crash_test.cpp
@@ -0,0 +1,178 @@
+// Gateways before engines that end when they begin an answer to a prompt with a certain part.
+#include "crashing_service.hpp"
+
+namespace dandelionbay::platform {
+namespace {
+
+/*! Two gateways before four engines, with callers of sound prompts beside those of the test. */
+class gateway_part_crash : public gateway_fleet {
+protected:
+    /*! How long gateways may take to learn that a part has ended its endpoints. */
+    static constexpr seconds contact{4};
+    /*! Number of endpoints after whose end they have to know. */
+    static constexpr int crashes_to_know = 5;
+    /*! Sends that are allowed after that. */
+    static constexpr int allowed_later = 3;
+
+    void SetUp() override {
+        gateway_fleet::SetUp();
+        store.remove("servers", engine_1.id());
+        start_other();
+        ASSERT_TRUE(engines_serve());
+        std::this_thread::sleep_for(milliseconds{700}); // The list, read every 500 ms, may still hold the first engine.
+    }
+
+    void TearDown() override {
+        stop_sound_callers();
+        other.reset();
+        engines.stop();
+        gateway_fleet::TearDown();
+    }
+
+    void start_other() {
+        other = std::make_unique<running_gateway>("g2", store.address(), gateway_bounds{},
+                                                  std::vector<socket_address>{gateway->peer_address()});
+    }
+
+    /*! Sends a prompt of these shared parts; its last part and its path are like no other's. */
+    std::string chat(const running_gateway& at, const std::string& parts) {
+        const int n = ++sent_;
+        return at.get(concat("/chat/c", n),
+                      concat("Dandelionbay-Prompt-Prefix: ", parts, ",", absl::Hex(0x1'000'000 + n),
+                             ":10\r\nDandelionbay-Token-Count: 200,24\r\n"));
+    }
+
+    [[nodiscard]] bool engines_serve() {
+        return eventually([&] {
+            return chat(*gateway, "a1:100,c1:50").find("200 X") != std::string::npos &&
+                   chat(*other, "a1:100,c1:50").find("200 X") != std::string::npos;
+        });
+    }
+
+    /*! Keeps prompts with the same opening and other parts in flight at both gateways. */
+    void start_sound_callers() {
+        for (const auto* const at : {gateway.get(), other.get()}) {
+            for (int n = 0; n < 3; ++n) {
+                sound_callers_.emplace_back([this, at, n] {
+                    while (!done_) {
+                        if (chat(*at, concat("a1:100,b", n, ":50")).find(" 422 ") != std::string::npos) {
+                            ++refused_sound;
+                        }
+                    }
+                });
+            }
+        }
+    }
+
+    void stop_sound_callers() {
+        done_ = true;
+        for (auto& it : sound_callers_) {
+            it.join();
+        }
+        sound_callers_.clear();
+    }
+
+    /*! Prompts with these parts come at the gateways in turn until so many endpoints have ended. */
+    void crash_endpoints(const std::vector<std::string>& parts, int n) {
+        for (std::size_t sent = 0; engines.crashes() < n && sent < static_cast<std::size_t>(4 * n); ++sent) {
+            std::ignore = chat(sent % 2 == 0 ? *gateway : *other, parts[sent % parts.size()]);
+            engines.restart_ended();
+            ASSERT_TRUE(engines_serve());
+        }
+    }
+
+    /*! Sends prompts with these parts after the gateways had time to learn. @return Endpoints that they ended. */
+    int later_crashes(const std::vector<std::string>& parts) {
+        std::this_thread::sleep_for(contact);
+        const int before = engines.crashes();
+        for (std::size_t n = 0; n < 8; ++n) {
+            const auto answer = chat(n % 2 == 0 ? *gateway : *other, parts[n % parts.size()]);
+            EXPECT_NE(answer.find(" 422 "), std::string::npos) << answer;
+            engines.restart_ended();
+            std::this_thread::sleep_for(milliseconds{100});
+        }
+        return engines.crashes() - before;
+    }
+
+    /*! The sound prompts are served as before. */
+    void expect_sound_calls_served() {
+        SCOPED_TRACE("sound prompts are served");
+        stop_sound_callers();
+        engines.restart_ended();
+        ASSERT_TRUE(engines_serve());
+        for (const auto* const at : {gateway.get(), other.get()}) {
+            for (int n = 0; n < 3; ++n) {
+                const auto answer = chat(*at, concat("a1:100,b", n, ":50"));
+                EXPECT_NE(answer.find("200 X"), std::string::npos) << answer;
+            }
+        }
+        EXPECT_EQ(refused_sound, 0);
+    }
+
+    crashing_service engines{store, "m", 4, "engine-life-"};
+    std::unique_ptr<running_gateway> other{};
+    std::atomic<int> refused_sound{};
+
+private:
+    std::atomic<int> sent_{};
+    std::atomic<bool> done_{};
+    std::vector<std::thread> sound_callers_{};
+};
+
+// Guards against calls that end one endpoint after the other because only a part of their prompts is the same.
+TEST_F(gateway_part_crash, calls_with_a_part_that_ends_endpoints_are_not_sent_again_and_again) {
+    const std::vector<std::string> parts{"a1:100,dead1:50"};
+    start_sound_callers();
+    crash_endpoints(parts, crashes_to_know);
+    EXPECT_LE(later_crashes(parts), allowed_later);
+    expect_sound_calls_served();
+}
+
+// Guards against the same where the part begins the prompt and sound calls share those after it.
+TEST_F(gateway_part_crash, calls_that_begin_with_such_a_part_are_not_sent_again_and_again) {
+    const std::vector<std::string> parts{"dead1:100,b0:50", "dead1:100,b1:50"};
+    start_sound_callers();
+    crash_endpoints(parts, crashes_to_know);
+    EXPECT_LE(later_crashes(parts), allowed_later);
+    expect_sound_calls_served();
+}
+
+// Guards against two such parts at once that hide each other.
+TEST_F(gateway_part_crash, two_such_parts_at_once_are_both_found) {
+    const std::vector<std::string> parts{"a1:100,dead1:50", "a1:100,dead2:50", "a1:100,dead2:50", "a1:100,dead1:50"};
+    start_sound_callers();
+    crash_endpoints(parts, 2 * crashes_to_know);
+    EXPECT_LE(later_crashes(parts), 2 * allowed_later);
+    expect_sound_calls_served();
+}
+
+// Guards against calls that end endpoints anew after all gateways started again, when none is there to tell of the
+// part.
+TEST_F(gateway_part_crash, calls_with_such_a_part_stay_refused_when_all_gateways_start_again) {
+    const std::vector<std::string> parts{"a1:100,dead1:50"};
+    crash_endpoints(parts, crashes_to_know);
+    std::this_thread::sleep_for(contact);
+    const int before = engines.crashes();
+    other.reset();
+    start_gateway();
+    start_other();
+    engines.restart_ended();
+    ASSERT_TRUE(engines_serve());
+    EXPECT_EQ(later_crashes(parts), 0);
+    EXPECT_EQ(engines.crashes(), before);
+}
+
+// Guards against a refusal of sound calls that only happened to run at endpoints that ended.
+TEST_F(gateway_part_crash, sound_calls_are_served_after_many_endpoints_ended) {
+    start_sound_callers();
+    for (int round = 0; round < 6; ++round) {
+        std::this_thread::sleep_for(milliseconds{150 + 30 * round});
+        engines.crash_all();
+        engines.restart_ended();
+        ASSERT_TRUE(engines_serve());
+    }
+    expect_sound_calls_served();
+}
+
+} // namespace
+} // namespace dandelionbay::platform
