Refuse calls by a prompt part that crashes endpoints

Callers saw 503, 502 and cut streams: calls with one part in their prompts, no two alike, ended one endpoint after the other, 30 to 39 in 22 s, each with up to 46 running calls.

Cause: losses were kept by the fingerprint of the whole call.

Change: part_crash_registry joins the interrupted runs of all gateways by process. Runs whose answers had begun are no suspects, and an answer that begins clears its parts. The part that explains the most losses is blocked, unless another one, no better proven, explains the same, and the losses that it explains say nothing of others. Calls with suspect parts run one at a time, those with fewer suspects first; a lost one waits in the same way. Gateways exchange losses in early rounds, and keep blocked parts in the registry.

--- a/src/dandelionbay/gateway/registry.hpp
+++ b/src/dandelionbay/gateway/registry.hpp
@@ -11,6 +11,7 @@
 #include "dandelionbay/gateway/registry_view.hpp"
 #include "dandelionbay/gateway/route_config.hpp"
 #include "dandelionbay/limit/lost_run_registry.hpp"
+#include "dandelionbay/limit/part_crash_registry.hpp"
 
 namespace dandelionbay {
 
@@ -51,6 +52,11 @@
     /*! @brief Called once with the retained losses of refused calls, some of which may be old. */
     virtual void on_losses(const std::vector<call_losses>& losses) = 0;
 
+    /*! @brief Called once with the retained blocked prompt parts, some of which may be old; all have a time of
+     * blocking.
+     */
+    virtual void on_blocked_parts(const std::vector<part_status>& parts) = 0;
+
     /**
      * @brief Called when the registry sent no answer or an invalid one.
      * @param call The operation that failed.
@@ -82,6 +88,12 @@
     /*! @brief Removes the retained losses of a call. @param call Fingerprint of the call. */
     virtual void remove_losses(std::uint64_t call) = 0;
 
+    /*! @brief Writes a blocked prompt part for routers that start later. @param status Its time of blocking is set. */
+    virtual void retain_blocked_part(const part_status& status) = 0;
+
+    /*! @brief Removes a retained prompt part. */
+    virtual void remove_blocked_part(const service_part& part) = 0;
+
     /*! @brief Withdraws the announcement and stops; waits a short time for the last write. */
     virtual void stop() = 0;
 };
--- /dev/null
+++ b/src/dandelionbay/limit/part_crash_registry.hpp
@@ -0,0 +1,211 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "dandelionbay/base/clock.hpp"
+#include "dandelionbay/gateway/endpoint_entry.hpp"
+#include "dandelionbay/limit/fwd.hpp"
+
+namespace dandelionbay {
+
+/*! @brief A prompt part at the endpoints of one service. */
+struct service_part {
+    std::uint64_t service{}; //!< Fingerprint of the service's name.
+    std::uint64_t id{};      //!< Id of the part; equal ids mean equal text.
+
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads a defaulted <=>.
+    friend auto operator<=>(const service_part&, const service_part&) = default;
+    friend bool operator==(const service_part&, const service_part&) = default;
+};
+
+/*! @brief A run whose answer had not begun when its endpoint's process exited. */
+struct unbegun_run {
+    std::uint64_t call{};              //!< Fingerprint of the call.
+    std::vector<service_part> parts{}; //!< Parts of its prompt that other calls may share.
+
+    friend bool operator==(const unbegun_run&, const unbegun_run&) = default;
+};
+
+/*! @brief The exit of a process and the runs of one router that it interrupted before their answers began. */
+struct process_loss {
+    endpoint_process process{};
+    time_point ended{};
+    std::vector<unbegun_run> runs{};
+
+    friend bool operator==(const process_loss&, const process_loss&) = default;
+};
+
+/*! @brief What is known of one part. */
+struct part_status {
+    service_part part{};
+    std::optional<time_point> cleared{}; //!< Losses up to this time don't count: an answer to the part began then.
+    std::optional<time_point> blocked{}; //!< Since when calls with the part are refused.
+
+    friend bool operator==(const part_status&, const part_status&) = default;
+};
+
+/*! @brief Evidence that routers exchange as messages; merged by union, so it may be lost, repeated and reordered. */
+struct part_evidence {
+    std::vector<process_loss> losses{};
+    std::vector<part_status> parts{};
+
+    [[nodiscard]] bool empty() const noexcept { return losses.empty() && parts.empty(); }
+    friend bool operator==(const part_evidence&, const part_evidence&) = default;
+};
+
+/*! @brief Parts that a peer's message blocked and unblocked. */
+struct part_changes {
+    std::vector<service_part> blocked{};
+    std::vector<service_part> unblocked{};
+
+    [[nodiscard]] bool empty() const noexcept { return blocked.empty() && unblocked.empty(); }
+    friend bool operator==(const part_changes&, const part_changes&) = default;
+};
+
+/**
+ * @brief Registry of prompt parts that crash the endpoints that begin an answer to them.
+ *
+ * An exited process has one cause among the runs that had not begun there, at whichever router: all their parts are
+ * suspects. An answer that begins proves its parts sound. Of the remaining suspects, the smallest set of parts that
+ * explains all losses is blocked: the part that explains the most losses first, unless another part or a single call
+ * explains the same ones. A loss that a blocked part explains says nothing about the others.
+ */
+class part_crash_registry {
+    struct run_entry {
+        unbegun_run run{};
+        bool is_local{}; //!< Observed by this router rather than reported by a peer.
+    };
+    struct loss {
+        time_point ended{};
+        bool is_confirmed{}; //!< The exit of the process is known.
+        bool is_explained{}; //!< A blocked part may have caused it.
+        std::vector<run_entry> runs{};
+        time_point changed_at{};
+    };
+    struct record {
+        std::optional<time_point> cleared{};
+        std::optional<time_point> blocked{};
+        std::optional<time_point> last_loss{};
+        bool is_clearance_local{};
+        time_point changed_at{};
+    };
+    struct candidate;
+    struct unexplained_losses;
+    struct part_hash {
+        [[nodiscard]] std::size_t operator()(const service_part& it) const noexcept { return it.service ^ it.id; }
+    };
+
+    void note_suspects(const unbegun_run& run, time_point ended, time_point now);
+    [[nodiscard]] bool clear(record& in, time_point at, bool is_local, time_point now);
+    /*! Tells whether a run's part is suspected of a loss at this time, or was cleared since. */
+    [[nodiscard]] bool is_suspect(const service_part& part, time_point ended) const;
+    [[nodiscard]] bool is_learning(time_point now) const;
+    [[nodiscard]] bool has_blocked_suspect(const loss& it) const;
+    void mark_explained();
+    void block(const service_part& part, time_point at, time_point now);
+    void on_unblocked();
+
+    /*! Returns the confirmed losses that no blocked part explains, and their suspects. */
+    [[nodiscard]] unexplained_losses find_unexplained() const;
+    /*! Returns the part that explains the most faults, if the evidence against it suffices. */
+    [[nodiscard]] std::optional<service_part> find_cause(duration report_delay, time_point now);
+    void limit_losses();
+
+public:
+    using size_type = std::size_t;
+
+    /*! @brief Number of faults that block a part to which no answer is known to have begun. */
+    static constexpr size_type min_faults = 2;
+    /*! @brief The same for a part to which answers began before. */
+    static constexpr size_type min_faults_if_served = 3;
+    /*! @brief Faults of other causes within other_faults_window that raise these numbers by one; twice as many raise
+     * them by two, and so on: among many losses some parts meet by chance. */
+    static constexpr size_type other_faults_per_step = 4;
+    static constexpr duration other_faults_window = std::chrono::seconds{30};
+    /*! @brief Mean number of suspects without a known answer in a loss that raises these numbers by one, too. */
+    static constexpr size_type many_unserved_suspects = 5;
+    /*! @brief Time after the first answer until which it says little that no answer to a part is known: two more faults
+     * are needed. */
+    static constexpr duration learning_time = std::chrono::seconds{3};
+    static constexpr size_type extra_faults_while_learning = 2;
+    /*! @brief Additional faults from which a part is blocked at once, even if others explain them as well. */
+    static constexpr size_type extra_faults_at_once = 2;
+    /*! @brief Processes that exit within this time count as one fault: twice the round-trip time between regions. */
+    static constexpr duration same_fault_window = std::chrono::milliseconds{100};
+    /*! @brief A suspect part runs in one call at a time, unless an answer to it began within this time before the
+     *  loss. */
+    static constexpr duration clearance_validity = std::chrono::seconds{10};
+    /*! @brief Time for which losses, clearances and blocks are kept. */
+    static constexpr duration retention_window = std::chrono::minutes{10};
+    /*! @brief A process counts as alive if its exit isn't confirmed within this time after an interrupted run. */
+    static constexpr duration confirmation_timeout = std::chrono::seconds{10};
+    /*! @brief Limits of the number of losses, of the runs of each, and of the parts with a known begin of an answer. */
+    static constexpr size_type max_losses = 64;
+    static constexpr size_type max_runs_per_loss = 128;
+    static constexpr size_type max_begun_parts = 16'384;
+
+    /*! @brief Records that an answer began. @return Parts that were blocked until now. */
+    std::vector<service_part> record_begun(const std::vector<service_part>& parts, time_point now);
+
+    /*! @brief Records a run that was interrupted before its answer began. */
+    void record_interrupted_run(const endpoint_process& process, const unbegun_run& run, time_point now);
+
+    /*! @brief Records that a process exited; its interrupted runs count from now on. */
+    void record_process_exit(const endpoint_process& process, time_point now);
+
+    /*! @brief Records that a process with interrupted runs is still alive. */
+    void record_process_alive(const endpoint_process& process);
+
+    /*! @brief Merges a peer's message, its times converted to this router's clock. */
+    part_changes merge(const part_evidence& in, time_point now);
+
+    /**
+     * @brief Blocks parts by the evidence so far.
+     * @param report_delay Time within which all routers have reported their runs of a loss.
+     * @param now Current time.
+     * @return Parts that are blocked from now on.
+     */
+    std::vector<service_part> review(duration report_delay, time_point now);
+
+    /*! @brief Tells whether any part of a prompt is blocked. */
+    [[nodiscard]] bool is_blocked(const std::vector<service_part>& parts) const;
+
+    /*! @brief Returns the time of the last loss of a part that should run in one call at a time; else nothing. */
+    [[nodiscard]] std::optional<time_point> suspected_since(const service_part& part) const;
+
+    /*! @brief Returns the status of a part. */
+    [[nodiscard]] part_status status_of(const service_part& part) const;
+
+    /*! @brief Returns the number of faults that a part may have caused. */
+    [[nodiscard]] size_type fault_count(const service_part& part) const;
+
+    /*! @brief Returns what this router reports to peers and that changed at a time or later. */
+    [[nodiscard]] part_evidence changed_since(time_point since) const;
+
+    /*! @brief Returns the time of the last loss or block of this router. */
+    [[nodiscard]] time_point last_urgent_change() const noexcept { return last_urgent_change_; }
+
+    /*! @brief Drops old evidence; to be called periodically. */
+    void expire(time_point now);
+
+    /*! @brief Tells whether no process exited and no part is blocked. */
+    [[nodiscard]] bool empty() const noexcept { return losses_.empty() && records_.empty(); }
+
+private:
+    std::map<endpoint_process, loss> losses_{};
+    std::map<service_part, record> records_{}; //!< Parts of interrupted runs and blocked parts.
+    size_type blocked_parts_{};
+    std::optional<time_point> first_begun_{};
+    time_point last_urgent_change_{};
+    bool needs_review_{};
+    std::optional<time_point> next_review_{}; //!< When a loss will have been reported by all routers.
+    std::unordered_map<service_part, time_point, part_hash> begun_{}; //!< Last begin of an answer at this router.
+};
+
+} // namespace dandelionbay
--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -65,6 +65,7 @@
                     view_,
                     proxy_.dispatch(),
                     proxy_.losses(),
+                    proxy_.part_crashes(),
                     platform_.read_config},
       transport_{peer_environment{&loop_, &clock_, &log_, &metrics_, &synchronizer_}, options_.peer_listen,
                  [this](const peer_change& change) { peers_changed(change); }},
@@ -80,6 +81,7 @@
     store.watch_timeout = options_.bounds.config * 2 / parts_of_bound;
     registry_ = platform_.make_registry(loop_, clock_, log_, metrics_, store, *this);
     proxy_.on_refusal_changed([this](std::uint64_t call) { keep_refusal(call); });
+    proxy_.on_part_changed([this](const service_part& part) { keep_blocked_part(part); });
     for (const auto& peer : options_.first_peers) {
         synchronizer_.add_address(peer, clock_.now());
     }
@@ -302,6 +304,15 @@
     }
 }
 
+void gateway_node::keep_blocked_part(const service_part& part) {
+    const auto status = proxy_.part_crashes().status_of(part);
+    if (status.blocked) {
+        registry_->retain_blocked_part(status);
+    } else {
+        registry_->remove_blocked_part(part);
+    }
+}
+
 void gateway_node::peers_changed(const peer_change& change) {
     if (change.peer_found) {
         log_.write(log_level::info, "peer_found", {{"routers", std::to_string(proxy_.dispatch().router_count())}});
@@ -320,6 +331,8 @@
             keep_refusal(call);
         }
     }
+    proxy_.set_report_delay(synchronizer_.urgent_delay(peer_transport::max_poll_interval));
+    proxy_.note_part_changes(change.parts, "peer");
     if (change.list_refreshed) {
         metrics_.add("lists_from_peers_total");
         log_leaving("list_of_peer");
@@ -393,6 +406,19 @@
     }
 }
 
+void gateway_node::on_blocked_parts(const std::vector<part_status>& parts) {
+    const auto now = clock_.now();
+    part_evidence retained;
+    for (const auto& it : parts) {
+        if (now - *it.blocked < part_crash_registry::retention_window) {
+            retained.parts.push_back(it);
+        } else {
+            registry_->remove_blocked_part(it.part);
+        }
+    }
+    proxy_.note_part_changes(proxy_.part_crashes().merge(retained, now), "registry");
+}
+
 void gateway_node::on_registry_failed(std::string_view call, std::string_view reason) {
     const auto now = clock_.now();
     view_.on_store_failed();
--- a/src/dandelionbay/node/gateway_node.hpp
+++ b/src/dandelionbay/node/gateway_node.hpp
@@ -55,6 +55,7 @@
     void log_leaving(std::string_view from);
     void peers_changed(const peer_change& change);
     void keep_refusal(std::uint64_t call);
+    void keep_blocked_part(const service_part& part);
 
 public:
     /*! @brief Time after the start of a stop for which idle connections stay open: the balancer needs it to notice. */
@@ -97,6 +98,7 @@
     void on_endpoints(const endpoint_list& list, time_point read_at) override;
     void on_routers(const std::vector<router_entry>& routers) override;
     void on_losses(const std::vector<call_losses>& losses) override;
+    void on_blocked_parts(const std::vector<part_status>& parts) override;
     void on_registry_failed(std::string_view call, std::string_view reason) override;
     void on_registry_restored() override;
 
--- a/src/dandelionbay/peer/peer_message.cpp
+++ b/src/dandelionbay/peer/peer_message.cpp
@@ -27,11 +27,17 @@
 using list_row = std::tuple<std::uint64_t, std::int64_t, bool, std::vector<endpoint_row>>;
 using uses_row = std::tuple<std::vector<std::string>, std::vector<use_row>>;
 using request_row = std::tuple<bool, bool, bool>;
+using part_row = std::tuple<std::uint64_t, std::uint64_t>;
+using unbegun_run_row = std::tuple<std::uint64_t, std::vector<part_row>>;
+using process_loss_row = std::tuple<std::string, std::uint64_t, std::int64_t, std::vector<unbegun_run_row>>;
+using optional_time_row = std::vector<std::int64_t>; // Empty or one time.
+using part_status_row = std::tuple<part_row, optional_time_row, optional_time_row>;
+using part_evidence_row = std::tuple<std::vector<process_loss_row>, std::vector<part_status_row>>;
 /*! New fields are added at the end: routers of an earlier version neither write nor read them. */
-using message_row =
-    std::tuple<std::uint32_t, std::string, std::uint64_t, address_row, bool, clock_row, operators_row, list_row,
-               std::vector<load_row>, uses_row, std::vector<team_row>, std::vector<queue_row>, std::vector<address_row>,
-               std::string, std::vector<leaving_row>, std::vector<losses_row>, std::string, request_row>;
+using message_row = std::tuple<std::uint32_t, std::string, std::uint64_t, address_row, bool, clock_row, operators_row,
+                               list_row, std::vector<load_row>, uses_row, std::vector<team_row>, std::vector<queue_row>,
+                               std::vector<address_row>, std::string, std::vector<leaving_row>, std::vector<losses_row>,
+                               std::string, request_row, part_evidence_row>;
 
 /*! Must match between sender and receiver; appended fields keep it, so that routers of a fleet can be upgraded one by
  *  one. */
@@ -131,9 +137,62 @@
     return out;
 }
 
+[[nodiscard]] optional_time_row row_of(const std::optional<time_point>& it) {
+    return it ? optional_time_row{it->time_since_epoch().count()} : optional_time_row{};
+}
+
+[[nodiscard]] std::optional<time_point> time_of(const optional_time_row& row) {
+    return row.empty() ? std::nullopt : std::optional{time_point{duration{row.front()}}};
+}
+
+[[nodiscard]] part_row row_of(const service_part& it) {
+    return {it.service, it.id};
+}
+
+[[nodiscard]] service_part part_of(const part_row& row) {
+    return {std::get<0>(row), std::get<1>(row)};
+}
+
+[[nodiscard]] part_evidence_row row_of(const part_evidence& it) {
+    part_evidence_row out;
+    for (const auto& lost : it.losses) {
+        std::vector<unbegun_run_row> runs;
+        for (const auto& run : lost.runs) {
+            auto& row = runs.emplace_back(run.call, std::vector<part_row>{});
+            for (const auto& part : run.parts) {
+                std::get<1>(row).push_back(row_of(part));
+            }
+        }
+        std::get<0>(out).emplace_back(lost.process.id.value, lost.process.started,
+                                      lost.ended.time_since_epoch().count(), std::move(runs));
+    }
+    for (const auto& status : it.parts) {
+        std::get<1>(out).emplace_back(row_of(status.part), row_of(status.cleared), row_of(status.blocked));
+    }
+    return out;
+}
+
+[[nodiscard]] part_evidence evidence_of(const part_evidence_row& row) {
+    part_evidence out;
+    for (const auto& [endpoint, started, ended, runs] : std::get<0>(row)) {
+        process_loss lost{endpoint_process{endpoint_id{endpoint}, started}, time_point{duration{ended}}, {}};
+        for (const auto& [call, parts] : runs) {
+            auto& run = lost.runs.emplace_back(unbegun_run{call, {}});
+            for (const auto& part : parts) {
+                run.parts.push_back(part_of(part));
+            }
+        }
+        out.losses.push_back(std::move(lost));
+    }
+    for (const auto& [part, cleared, blocked] : std::get<1>(row)) {
+        out.parts.push_back(part_status{part_of(part), time_of(cleared), time_of(blocked)});
+    }
+    return out;
+}
+
 [[nodiscard]] peer_message state_of(const message_row& row) {
     const auto& [version, host, incarnation, address, leaving, clocks, operators, list, loads, uses, teams, queues,
-                 peers, text, endpoints_leaving, losses, region, request] = row;
+                 peers, text, endpoints_leaving, losses, region, request, part_crashes] = row;
     peer_message out;
     out.host = host_id{host};
     out.incarnation = incarnation;
@@ -177,6 +236,7 @@
     }
     out.region = region_id{region};
     std::tie(out.request.operators, out.request.config, out.request.list) = request;
+    out.part_crashes = evidence_of(part_crashes);
     return out;
 }
 
@@ -264,6 +324,7 @@
     out.pack(losses);
     out.pack(it.region.value);
     out.pack(request_row{it.request.operators, it.request.config, it.request.list});
+    out.pack(row_of(it.part_crashes));
     return {buf.data(), buf.size()};
 }
 
--- a/src/dandelionbay/peer/peer_message.hpp
+++ b/src/dandelionbay/peer/peer_message.hpp
@@ -11,6 +11,7 @@
 #include "dandelionbay/gateway/endpoint_entry.hpp"
 #include "dandelionbay/gateway/registry_view.hpp"
 #include "dandelionbay/limit/lost_run_registry.hpp"
+#include "dandelionbay/limit/part_crash_registry.hpp"
 #include "dandelionbay/peer/fwd.hpp"
 
 namespace dandelionbay {
@@ -60,6 +61,7 @@
     std::vector<call_losses> losses{}; //!< Losses that the receiver may not have; times by the sender's clock.
     region_id region{};                //!< The sender's region.
     refresh_request request{};
+    part_evidence part_crashes{}; //!< Evidence that the receiver may not have; times by the sender's clock.
 
     friend bool operator==(const peer_message&, const peer_message&) = default;
 };
--- a/src/dandelionbay/peer/peer_synchronizer.cpp
+++ b/src/dandelionbay/peer/peer_synchronizer.cpp
@@ -9,9 +9,10 @@
 namespace dandelionbay {
 
 peer_synchronizer::peer_synchronizer(router_identity self, const refresh_limits& limits, registry_view& view,
-                                     dispatcher& dispatch, lost_run_registry& losses, config_parser parser)
-    : self_{std::move(self)}, limits_{limits}, view_{&view}, dispatch_{&dispatch}, losses_{&losses}, parser_{std::move(
-                                                                                                         parser)} {
+                                     dispatcher& dispatch, lost_run_registry& losses, part_crash_registry& part_crashes,
+                                     config_parser parser)
+    : self_{std::move(self)}, limits_{limits}, view_{&view}, dispatch_{&dispatch}, losses_{&losses},
+      part_crashes_{&part_crashes}, parser_{std::move(parser)} {
     dispatch_->set_routers({self_.host}, false);
 }
 
@@ -66,6 +67,7 @@
     out.echo_delay_us = (now - known.timestamp_received).count();
     out.part_uses = std::exchange(known.pending_part_uses, {});
     out.losses = losses_->changed_since(known.newest_confirmed);
+    out.part_crashes = part_crashes_->changed_since(known.newest_confirmed);
     add_requested_state(known, out);
     known.request = {};
     requesting_peers_.erase(it->first);
@@ -219,20 +221,22 @@
     dispatch_->update_peer_queues(in.host, in.queues, now);
 }
 
-void peer_synchronizer::merge_losses(const peer_message& in, peer_change& out, time_point now) {
+peer_synchronizer::clock_offset peer_synchronizer::offset_of(const peer_message& in, time_point now) {
     const time_point sent{duration{in.sent_us}}; // By the sender's clock.
-    const auto max_clock_offset = now - sent;
-    const auto min_clock_offset =
-        in.echo_us == 0 ? max_clock_offset
-                        : std::min(max_clock_offset, time_point{duration{in.echo_us + in.echo_delay_us}} - sent);
+    const auto max = now - sent;
+    return {in.echo_us == 0 ? max : std::min(max, time_point{duration{in.echo_us + in.echo_delay_us}} - sent), max};
+}
+
+void peer_synchronizer::merge_losses(const peer_message& in, peer_change& out, time_point now) {
+    const auto offset = offset_of(in, now);
     for (auto it : in.losses) {
         // Dates the start late and the end early, so that runs that may not have overlapped count separately.
         for (auto& run : it.runs) {
-            run.started += max_clock_offset;
-            run.ended += min_clock_offset;
+            run.started += offset.max;
+            run.ended += offset.min;
         }
         if (it.answered) {
-            *it.answered += max_clock_offset;
+            *it.answered += offset.max;
         }
         const bool refused = losses_->is_refused(it.call);
         losses_->merge(it, now);
@@ -242,6 +246,26 @@
     }
 }
 
+void peer_synchronizer::merge_part_crashes(const peer_message& in, peer_change& out, time_point now) {
+    if (in.part_crashes.empty()) {
+        return;
+    }
+    const auto offset = offset_of(in, now);
+    auto evidence = in.part_crashes;
+    for (auto& it : evidence.losses) {
+        it.ended += offset.min;
+    }
+    for (auto& it : evidence.parts) { // In doubt, an answer began after a loss and cleared it.
+        if (it.cleared) {
+            *it.cleared += offset.max;
+        }
+        if (it.blocked) {
+            *it.blocked += offset.min;
+        }
+    }
+    out.parts = part_crashes_->merge(evidence, now);
+}
+
 void peer_synchronizer::record_peer(const peer_message& in, peer& from, bool is_new, time_point now) {
     from.region = in.region;
     from.config_version = in.operators.config_version;
@@ -293,6 +317,7 @@
     merge_registry_state(in, out, now);
     merge_loads(in, known, now);
     merge_losses(in, out, now);
+    merge_part_crashes(in, out, now);
     for (const auto& endpoint : in.endpoints_leaving) {
         if (view_->note_leaving(endpoint, now)) {
             out.endpoints_leaving.push_back(endpoint);
@@ -321,6 +346,7 @@
 
 void peer_synchronizer::begin_round(time_point now) {
     first_round_ = first_round_.value_or(now);
+    last_round_ = now;
     const auto expiry = expiry_timeout.for_interval(interval());
     std::erase_if(peers_, [&](const auto& it) { return now - it.second.last_heard > expiry; });
     std::erase_if(requesting_peers_, [&](const auto& it) { return !peers_.contains(it); });
@@ -338,6 +364,11 @@
     }
 }
 
+bool peer_synchronizer::has_urgent_changes(time_point now) const noexcept {
+    return part_crashes_->last_urgent_change() >= last_round_ &&
+           now - last_round_ >= interval() / early_rounds_per_interval;
+}
+
 std::vector<socket_address> peer_synchronizer::addresses() const {
     std::vector<socket_address> out;
     for (const auto& [address, last_heard] : addresses_) {
--- a/src/dandelionbay/peer/peer_synchronizer.hpp
+++ b/src/dandelionbay/peer/peer_synchronizer.hpp
@@ -28,6 +28,7 @@
     bool peer_found{};
     std::vector<endpoint_process> endpoints_leaving{}; //!< Endpoints that were not known to be leaving.
     std::vector<std::uint64_t> newly_refused_calls{};  //!< Fingerprints of calls that are refused from now on.
+    part_changes parts{};                              //!< Prompt parts that were blocked or unblocked.
 
     friend bool operator==(const peer_change&, const peer_change&) = default;
 };
@@ -97,6 +98,14 @@
     void merge_registry_state(const peer_message& in, peer_change& out, time_point now);
     void merge_loads(const peer_message& in, peer& from, time_point now);
     void merge_losses(const peer_message& in, peer_change& out, time_point now);
+    void merge_part_crashes(const peer_message& in, peer_change& out, time_point now);
+
+    /*! Bounds of what to add to the sender's times to convert them to the local clock. */
+    struct clock_offset {
+        duration min{};
+        duration max{};
+    };
+    [[nodiscard]] static clock_offset offset_of(const peer_message& in, time_point now);
     void update_routers(time_point now);
     void record_peer(const peer_message& in, peer& from, bool is_new, time_point now);
     [[nodiscard]] refresh_request missing_state(time_point now) const;
@@ -114,6 +123,10 @@
     static constexpr duration min_interval = std::chrono::milliseconds{40};
     /*! @brief Added to the interval for each peer, so that a router's message rate does not grow with the fleet. */
     static constexpr duration interval_per_peer = std::chrono::milliseconds{12};
+    /*! @brief Rounds in an interval while there are urgent changes; bounds what a storm of them costs. */
+    static constexpr int early_rounds_per_interval = 3;
+    /*! @brief Time of a message between regions. */
+    static constexpr duration max_latency = std::chrono::milliseconds{40};
     /*! @brief A peer that sent no message for this time may be gone, but still counts as a sender to endpoints. */
     static constexpr scaled_timeout silence_timeout{std::chrono::seconds{1}, 3};
     /*! @brief Messages not confirmed within this time count as lost. A confirmation is sent up to one interval after
@@ -139,11 +152,11 @@
      *
      * @param self The local router.
      * @param limits Ages beyond which newer state is requested.
-     * @param view,dispatch,losses State of the local router, which must outlive the synchronizer.
+     * @param view,dispatch,losses,part_crashes State of the local router, which must outlive the synchronizer.
      * @param parser Parses configuration texts of peers.
      */
     peer_synchronizer(router_identity self, const refresh_limits& limits, registry_view& view, dispatcher& dispatch,
-                      lost_run_registry& losses, config_parser parser);
+                      lost_run_registry& losses, part_crash_registry& part_crashes, config_parser parser);
 
     /*! @brief Replaces the set of routers that are announced in the registry. */
     void set_announced_routers(const std::vector<router_entry>& routers, time_point now);
@@ -174,6 +187,14 @@
     /*! @brief Prepares the next round of messages and removes expired peers. Must be called before each round. */
     void begin_round(time_point now);
 
+    /*! @brief Checks whether the next round should begin early, because this router lost runs or blocked a prompt part. */
+    [[nodiscard]] bool has_urgent_changes(time_point now) const noexcept;
+
+    /*! @brief Returns the time within which peers are told of urgent changes. @param poll Interval of checks for them. */
+    [[nodiscard]] duration urgent_delay(duration poll) const noexcept {
+        return interval() / early_rounds_per_interval + poll + max_latency;
+    }
+
     /*! @brief Returns the addresses of the other routers. */
     [[nodiscard]] std::vector<socket_address> addresses() const;
 
@@ -193,6 +214,7 @@
     registry_view* view_;
     dispatcher* dispatch_;
     lost_run_registry* losses_;
+    part_crash_registry* part_crashes_;
     config_parser parser_;
     std::string config_text_{};
     bool is_leaving_{};
@@ -200,6 +222,7 @@
     std::map<socket_address, time_point> addresses_{};   //!< Addresses and when each was last renewed.
     std::optional<std::set<host_id>> announced_hosts_{}; //!< Routers in the registry, as last read.
     std::optional<time_point> first_round_{};
+    time_point last_round_{};
     std::set<host_id> requesting_peers_{};            //!< Peers with unanswered requests.
     std::vector<socket_address> round_addresses_{};   //!< Addresses in the messages of this round.
     std::size_t next_address_{};                      //!< Index of the next round's first address.
--- a/src/dandelionbay/peer/peer_transport.cpp
+++ b/src/dandelionbay/peer/peer_transport.cpp
@@ -197,7 +197,8 @@
             return;
         }
         const absl::Cleanup next = [this] { poll(); }; // Also after an exception.
-        if (environment_.time->now() >= next_round_) {
+        const auto now = environment_.time->now();
+        if (now >= next_round_ || environment_.synchronizer->has_urgent_changes(now)) {
             send_round();
         } else {
             send_pending();
--- a/src/dandelionbay/proxy/call_record.cpp
+++ b/src/dandelionbay/proxy/call_record.cpp
@@ -4,6 +4,7 @@
 #include "dandelionbay/base/fingerprint.hpp"
 #include "dandelionbay/base/text.hpp"
 #include "dandelionbay/limit/lost_run_registry.hpp"
+#include "dandelionbay/limit/part_crash_registry.hpp"
 
 namespace dandelionbay {
 
@@ -122,4 +123,21 @@
     });
 }
 
+void log_part_blocked(bounded_log& log, const service_part& part, const part_crash_registry& evidence,
+                      std::string_view from) {
+    log.write(log_level::warn, "part_blocked",
+              {{"part", concat(absl::Hex(part.id))},
+               {"service", fingerprint_text(part.service)},
+               {"faults", std::to_string(evidence.fault_count(part))},
+               {"served_before", evidence.status_of(part).cleared ? "yes" : "no"},
+               {"from", std::string{from}}});
+}
+
+void log_part_unblocked(bounded_log& log, const service_part& part, std::string_view from) {
+    log.write(log_level::info, "part_unblocked",
+              {{"part", concat(absl::Hex(part.id))},
+               {"service", fingerprint_text(part.service)},
+               {"from", std::string{from}}});
+}
+
 } // namespace dandelionbay
--- a/src/dandelionbay/proxy/call_record.hpp
+++ b/src/dandelionbay/proxy/call_record.hpp
@@ -76,4 +76,11 @@
  */
 void log_call_lost_again(bounded_log& log, std::uint64_t call, const lost_run_registry& losses, std::string_view from);
 
+/*! @brief Logs that calls with a prompt part are refused from now on. @param from Source of the decision. */
+void log_part_blocked(bounded_log& log, const service_part& part, const part_crash_registry& evidence,
+                      std::string_view from);
+
+/*! @brief Logs that calls with a prompt part are no longer refused. @param from Source of the news. */
+void log_part_unblocked(bounded_log& log, const service_part& part, std::string_view from);
+
 } // namespace dandelionbay
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -104,6 +104,10 @@
     }
     deadline_ = arrived_at_ + std::min(terms_.time_left.value_or(default_time_left), route_->time_limit);
     service_ = owner_->pick_service(*route_);
+    shared_parts_.clear();
+    for (std::size_t n = 0; n + 1 < terms_.parts.size(); ++n) {
+        shared_parts_.push_back(service_part{fingerprint_of({service_.value}), terms_.parts[n].id});
+    }
     return true;
 }
 
@@ -216,11 +220,47 @@
 bool exchange::acquire_turn(time_point now) {
     const auto& losses = owner_->losses();
     if (!losses.is_suspected(fingerprint())) {
-        return true;
+        return acquire_part_locks(now);
     }
     const bool must_wait =
         losses.is_recently_lost(fingerprint(), now) || now < arrived_at_ + owner_->copy_delay(fingerprint());
-    return !(must_wait && sends_ == 0) && owner_->suspect_locks().try_acquire(fingerprint(), ticket_, now);
+    return !(must_wait && sends_ == 0) && owner_->suspect_locks().try_acquire(fingerprint(), ticket_, now) &&
+           acquire_part_locks(now);
+}
+
+bool exchange::has_suspect_part() const {
+    return std::ranges::any_of(
+        shared_parts_, [&](const service_part& it) { return owner_->part_crashes().suspected_since(it).has_value(); });
+}
+
+bool exchange::acquire_part_locks(time_point now) {
+    release_part_locks();
+    std::vector<std::uint64_t> keys;
+    time_point lost_at;
+    for (const auto& part : shared_parts_) {
+        if (const auto at = owner_->part_crashes().suspected_since(part)) {
+            keys.push_back(part.service ^ part.id);
+            lost_at = std::max(lost_at, *at);
+        }
+    }
+    // A call with fewer suspects runs first: its outcome tells more about them.
+    if (now < lost_at + owner_->suspect_part_delay() * static_cast<duration::rep>(keys.size())) {
+        return false;
+    }
+    for (const auto key : keys) {
+        if (!owner_->suspect_locks().try_acquire(key, ticket_, now)) {
+            release_part_locks(); // Two calls that each hold a lock and wait for the other's would wait for ever.
+            return false;
+        }
+        part_locks_.push_back(key);
+    }
+    return true;
+}
+
+void exchange::release_part_locks() {
+    for (const auto key : std::exchange(part_locks_, {})) {
+        owner_->suspect_locks().release(key, ticket_);
+    }
 }
 
 void exchange::wait_for_turn() {
@@ -250,9 +290,21 @@
 }
 
 bool exchange::is_known_to_crash_endpoints() const {
+    if (!response_started_ && owner_->part_crashes().is_blocked(shared_parts_)) {
+        return true;
+    }
     return !owner_->losses().empty() && owner_->losses().is_refused(fingerprint());
 }
 
+void exchange::on_part_blocked() {
+    const bool has_begun =
+        response_started_ || std::ranges::any_of(attempts_, [](const auto& it) { return it->has_begun; });
+    if (stage_ != stage::done && !has_begun && owner_->part_crashes().is_blocked(shared_parts_)) {
+        withdraw();
+        refuse_as_crashing();
+    }
+}
+
 void exchange::refuse_as_crashing() {
     if (runs_ > 0 || response_started_) {
         give_up(describe(result_code::crashes_endpoints).name);
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "dandelionbay/dispatch/dispatcher.hpp"
+#include "dandelionbay/limit/part_crash_registry.hpp"
 #include "dandelionbay/proxy/attempt.hpp"
 #include "dandelionbay/proxy/call_attempts.hpp"
 #include "dandelionbay/proxy/call_protocol.hpp"
@@ -69,10 +70,15 @@
     [[nodiscard]] work_item make_work_item() const;
     void submit(time_point now);
 
-    /*! Tells whether the call may run now: no run of the call was lost, or this copy acquires the lock of the call. */
+    /*! Tells whether the call may run now: neither it nor a part of its prompt is suspected of crashing endpoints, or
+     *  it acquires their locks. */
     [[nodiscard]] bool acquire_turn(time_point now);
+    [[nodiscard]] bool acquire_part_locks(time_point now);
 
-    /*! Waits for the lock of the call. */
+    /*! Tells whether a part of the prompt is suspected. */
+    [[nodiscard]] bool has_suspect_part() const;
+
+    /*! Waits for the locks of the call and its suspect parts. */
     void wait_for_turn();
 
     /*! Continues if the call may run now, and ends it if it must not run any more. */
@@ -196,6 +202,12 @@
     /*! @brief Applies the timeouts. @param now Current time. */
     void check_timeouts(time_point now);
 
+    /*! @brief Ends the call if a part of its prompt is blocked and its answer has not begun. */
+    void on_part_blocked();
+
+    /*! @brief Releases the locks of suspect prompt parts. */
+    void release_part_locks();
+
     /*! @brief Ends the call because the process stops. */
     void abandon();
 
@@ -239,10 +251,12 @@
     const route* route_{};
     team_id team_{};
     service_id service_{};
+    std::vector<service_part> shared_parts_{}; //!< Parts of the prompt that other calls may share.
+    std::vector<std::uint64_t> part_locks_{};  //!< Keys of the locks held for suspect parts.
     std::vector<region_id> team_regions_{};
     time_point deadline_{};
     stage stage_{stage::waiting};
-    bool is_waiting_for_turn_{};               //!< Waits for another copy of the call to end.
+    bool is_waiting_for_turn_{};               //!< Waits for another copy of the call, or call with a suspect part.
     bool is_waiting_for_endpoint_{};           //!< Waits until an endpoint can take the call.
     std::set<endpoint_id> failed_endpoints_{}; //!< Endpoints that failed the call.
     std::set<endpoint_id> refused_by_{};       //!< Endpoints that did not run the call; they may take it later.
--- a/src/dandelionbay/proxy/exchange_attempts.cpp
+++ b/src/dandelionbay/proxy/exchange_attempts.cpp
@@ -134,6 +134,9 @@
 
 void exchange::send_to(ticket_id ticket, const endpoint_choice& choice, time_point now) {
     owner_->suspect_locks().mark_sent(fingerprint(), ticket_, now);
+    for (const auto key : part_locks_) {
+        owner_->suspect_locks().mark_sent(key, ticket_, now);
+    }
     ++sends_;
     ++runs_;
     const auto it = std::make_shared<attempt>(*this, ticket, choice, now);
@@ -209,6 +212,10 @@
 
 void exchange::retry(std::string_view reason, bool uses_retry_budget) {
     const auto now = owner_->now();
+    if (is_known_to_crash_endpoints()) {
+        refuse_as_crashing();
+        return;
+    }
     if (!can_run_again(now) || (runs_ > 0 && owner_->losses().should_not_retry(fingerprint()))) {
         give_up(reason);
         return;
@@ -224,7 +231,8 @@
 
 void exchange::report_lost_run(const attempt& it, time_point ended) {
     const lost_run run{{it.choice.endpoint, it.choice.process_started}, it.sent_at, ended};
-    owner_->note_run_lost(fingerprint(), run, it.choice.address);
+    owner_->note_run_lost(fingerprint(), run, it.choice.address,
+                          it.has_begun ? std::vector<service_part>{} : shared_parts_);
 }
 
 void exchange::report_silent_run(const attempt& it) {
@@ -247,7 +255,8 @@
         item.excluded.insert(it->choice.endpoint);
     }
     refused_by_.clear();
-    const bool is_crash_suspect = owner_->losses().is_suspected(fingerprint()); // It could crash two endpoints.
+    // It could crash two endpoints.
+    const bool is_crash_suspect = owner_->losses().is_suspected(fingerprint()) || has_suspect_part();
     if (is_crash_suspect || caller_ == nullptr || caller_->has_disconnected() || time_left(now) <= duration{} ||
         !owner_->dispatch().can_place(item, now)) {
         return;
@@ -272,7 +281,10 @@
 void exchange::on_progress(attempt& it, time_point now) {
     without_endpoint_since_.reset();
     it.last_event_at = now;
-    it.has_begun = true;
+    if (!std::exchange(it.has_begun, true) && it.head->status / 100 == 2) {
+        owner_->note_run_begun(shared_parts_);
+        release_part_locks();
+    }
     const auto progress = open_attempts_.record_progress(it.ticket, now);
     if (progress.obsolete.empty()) {
         return;
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -99,6 +99,7 @@
 }
 
 void proxy::check_exchanges(time_point now) {
+    review_parts();
     std::vector<std::shared_ptr<exchange>> open;
     open.reserve(exchanges_.size());
     for (const auto& [ticket, it] : exchanges_) {
@@ -212,6 +213,7 @@
     if (it->second->has_fingerprint()) { // Otherwise the exchange never held a lock.
         suspect_locks_.release(it->second->fingerprint(), ticket);
     }
+    it->second->release_part_locks();
     exchanges_.erase(it);
 }
 
@@ -313,13 +315,19 @@
     environment_.view->note_refused(id, now());
 }
 
-void proxy::note_run_lost(std::uint64_t call, const lost_run& run, const socket_address& address) {
+void proxy::note_run_lost(std::uint64_t call, const lost_run& run, const socket_address& address,
+                          const std::vector<service_part>& unbegun_parts) {
+    if (!unbegun_parts.empty()) {
+        part_crashes_.record_interrupted_run(run.process, unbegun_run{call, unbegun_parts}, now());
+    }
     if (losses_.record_interrupted_run(call, run)) {
+        part_crashes_.record_process_exit(run.process, now());
         note_loss(call);
     } else if (!probes_.contains(run.process)) {
         const auto answered = [this, at = run.process](bool listening) {
             if (listening) {
                 losses_.record_process_alive(at);
+                part_crashes_.record_process_alive(at);
                 return;
             }
             note_unreachable(at.id);
@@ -337,10 +345,12 @@
         }
     }
     losses_.expire(now);
+    part_crashes_.expire(now);
 }
 
 void proxy::endpoint_ended(const endpoint_process& it, std::string_view source) {
     const auto calls = losses_.record_process_exit(it, now());
+    part_crashes_.record_process_exit(it, now());
     environment_.metrics->add("endpoints_ended_total", source);
     environment_.log->write(log_level::info, "endpoint_ended",
                             {{"endpoint", it.id.value},
@@ -371,6 +381,51 @@
     }
 }
 
+void proxy::note_run_begun(const std::vector<service_part>& parts) {
+    for (const auto& it : part_crashes_.record_begun(parts, now())) {
+        log_part_unblocked(*environment_.log, it, "own");
+        environment_.metrics->add("parts_unblocked_total", "own");
+        if (part_changed_) {
+            part_changed_(it);
+        }
+    }
+}
+
+void proxy::note_part_changes(const part_changes& changes, std::string_view from) {
+    for (const auto& it : changes.unblocked) {
+        log_part_unblocked(*environment_.log, it, from);
+        environment_.metrics->add("parts_unblocked_total", from);
+    }
+    for (const auto& it : changes.blocked) {
+        log_part_blocked(*environment_.log, it, part_crashes_, from);
+        environment_.metrics->add("parts_blocked_total", from);
+    }
+    if (!changes.blocked.empty()) {
+        end_blocked_calls();
+    }
+}
+
+void proxy::review_parts() {
+    const auto blocked = part_crashes_.review(report_delay_, now());
+    for (const auto& it : blocked) {
+        log_part_blocked(*environment_.log, it, part_crashes_, "own");
+        environment_.metrics->add("parts_blocked_total", "own");
+        if (part_changed_) {
+            part_changed_(it);
+        }
+    }
+    if (!blocked.empty()) {
+        end_blocked_calls();
+    }
+}
+
+void proxy::end_blocked_calls() {
+    const auto open = exchanges_;
+    for (const auto& [ticket, it] : open) {
+        it->on_part_blocked();
+    }
+}
+
 duration proxy::copy_delay(std::uint64_t call) const {
     if (losses_.lost_endpoint_count(call) < lost_run_registry::min_losses_to_refuse) {
         return {};
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -25,6 +25,7 @@
 #include "dandelionbay/dispatch/round_pacer.hpp"
 #include "dandelionbay/gateway/registry_view.hpp"
 #include "dandelionbay/limit/lost_run_registry.hpp"
+#include "dandelionbay/limit/part_crash_registry.hpp"
 #include "dandelionbay/limit/suspect_call_locks.hpp"
 #include "dandelionbay/proxy/accept_controller.hpp"
 #include "dandelionbay/proxy/admission_queue.hpp"
@@ -109,6 +110,10 @@
     void check_broken_endpoints(time_point now);
     void endpoint_ended(const endpoint_process& it, std::string_view source);
     void note_loss(std::uint64_t call);
+    /*! Blocks the prompt parts that the known losses prove to crash endpoints. */
+    void review_parts();
+    /*! Ends the open calls with a blocked part whose answers have not begun. */
+    void end_blocked_calls();
 
     /*! Closes the connection that has had the most time to deliver a large answer. @return False if there is none. */
     bool drop_oldest_unsent();
@@ -132,6 +137,8 @@
     static constexpr duration copy_delay_per_rank = std::chrono::milliseconds{200};
     /*! @brief Maximum delay of a copy. */
     static constexpr duration max_copy_delay = std::chrono::seconds{2};
+    /*! @brief Maximum time after a loss for which calls with the same prompt parts wait. */
+    static constexpr duration max_suspect_part_delay = std::chrono::milliseconds{300};
 
     /*! @brief Creates a data path. @param environment Its members must outlive the proxy. @param options Settings. */
     proxy(proxy_environment environment, proxy_options options);
@@ -139,6 +146,9 @@
     /*! @brief Sets the handler for calls that become refused, or no longer refused, because of their runs here. */
     void on_refusal_changed(std::function<void(std::uint64_t call)> handler) { refusal_changed_ = std::move(handler); }
 
+    /*! @brief Sets the handler for prompt parts that become blocked by this router's decision, or unblocked. */
+    void on_part_changed(std::function<void(const service_part& part)> handler) { part_changed_ = std::move(handler); }
+
     /*! @brief Starts to listen. @return Unavailable if the address cannot be bound or no sockets are available. */
     [[nodiscard]] absl::Status start();
 
@@ -240,8 +250,25 @@
      * @param call Fingerprint of the call.
      * @param run The run.
      * @param address Address of the run's endpoint.
+     * @param unbegun_parts Shared parts of the prompt; empty if the answer had begun.
      */
-    void note_run_lost(std::uint64_t call, const lost_run& run, const socket_address& address);
+    void note_run_lost(std::uint64_t call, const lost_run& run, const socket_address& address,
+                       const std::vector<service_part>& unbegun_parts);
+
+    /*! @brief Records that an answer to a prompt began. @param parts Shared parts of the prompt. */
+    void note_run_begun(const std::vector<service_part>& parts);
+
+    /*! @brief Logs prompt parts that a message blocked or unblocked, and ends calls that are refused from now on.
+     *  @param changes The parts. @param from Source of the message. */
+    void note_part_changes(const part_changes& changes, std::string_view from);
+
+    /*! @brief Sets the time within which all routers have reported their runs of a loss. */
+    void set_report_delay(duration delay) noexcept { report_delay_ = delay; }
+
+    /*! @brief Returns the time after a loss for which calls with the same prompt parts wait for reports of it. */
+    [[nodiscard]] duration suspect_part_delay() const noexcept {
+        return std::min(report_delay_, max_suspect_part_delay);
+    }
 
     /*! @brief Records that an endpoint answered a call successfully. @param call Fingerprint of the call. */
     void note_run_answered(std::uint64_t call);
@@ -274,6 +301,9 @@
 
     /*! @brief Returns the calls whose runs ended with their endpoints, here and at peers. */
     [[nodiscard]] lost_run_registry& losses() noexcept { return losses_; }
+
+    /*! @brief Returns the prompt parts that crash endpoints, and the evidence. */
+    [[nodiscard]] part_crash_registry& part_crashes() noexcept { return part_crashes_; }
     [[nodiscard]] suspect_call_locks& suspect_locks() noexcept { return suspect_locks_; }
     [[nodiscard]] time_point now() const noexcept { return environment_.time->now(); }
     [[nodiscard]] std::size_t connections() const noexcept { return callers_.size() + accepted_.size(); }
@@ -305,9 +335,12 @@
     dispatcher dispatcher_;
     connection_pool pool_{};
     lost_run_registry losses_{};
+    part_crash_registry part_crashes_{};
+    duration report_delay_{std::chrono::milliseconds{100}};
     suspect_call_locks suspect_locks_{};
     std::map<endpoint_process, std::unique_ptr<listen_probe>> probes_{};
     std::function<void(std::uint64_t call)> refusal_changed_{};
+    std::function<void(const service_part& part)> part_changed_{};
     std::mt19937_64 random_;
     listener listener_;
     boost::asio::steady_timer timer_;
--- a/test/dandelionbay/peer/peer_synchronizer_test.cpp
+++ b/test/dandelionbay/peer/peer_synchronizer_test.cpp
@@ -346,6 +346,8 @@
                  call_losses{43, {}, start}};
     it.region = region_id{"west"};
     it.request = {true, false, true};
+    it.part_crashes.losses = {{{endpoint_id{"e"}, 99}, start, {{42, {{1, 2}, {1, 3}}}, {43, {}}}}};
+    it.part_crashes.parts = {{{1, 2}, start, std::nullopt}, {{1, 3}, std::nullopt, start}};
     const auto bytes = encode(it);
     EXPECT_EQ(*decode_peer_message(bytes), it);
     for (std::size_t n = 0; n < bytes.size(); ++n) {
@@ -358,11 +360,12 @@
         it.losses.clear();
         it.region = {};
         it.request = {};
+        it.part_crashes = {};
         auto before = encode(it);
         using namespace std::string_literals;
         // The array header, and the size of the last field in bytes.
         const std::vector<std::pair<std::string, std::size_t>> earlier{
-            {"\xdc\x00\x11"s, 4}, {"\xdc\x00\x10"s, 1}, {"\x9f"s, 1}, {"\x9e"s, 1}};
+            {"\xdc\x00\x12"s, 3}, {"\xdc\x00\x11"s, 4}, {"\xdc\x00\x10"s, 1}, {"\x9f"s, 1}, {"\x9e"s, 1}};
         std::size_t head_bytes = 3;
         for (const auto& [head, last_bytes] : earlier) {
             before = head + before.substr(head_bytes, before.size() - head_bytes - last_bytes);
--- a/test/dandelionbay/peer/simulated_router.hpp
+++ b/test/dandelionbay/peer/simulated_router.hpp
@@ -26,6 +26,7 @@
                        view,
                        dispatch,
                        losses,
+                       part_crashes,
                        read_config} {}
 
     /*! @brief Parses "version N"; ignores what follows. */
@@ -58,6 +59,7 @@
     registry_view view{{}};
     dispatcher dispatch;
     lost_run_registry losses{};
+    part_crash_registry part_crashes{};
     peer_synchronizer synchronizer;
 };
 
--- a/test/dandelionbay/platform/documents_test.cpp
+++ b/test/dandelionbay/platform/documents_test.cpp
@@ -223,5 +223,23 @@
     }
 }
 
+// Guards against blocked prompt parts that are taken for others, or for recent ones, when they are read back by a
+// router with another clock, and against rows that others wrote.
+TEST(blocked_parts, are_read_back_in_the_readers_time) {
+    using std::chrono::hours;
+    const time_point blocked{std::chrono::seconds{5'000}};
+    const part_status it{{42, 43}, std::nullopt, blocked};
+    const auto text = write_blocked_part(it, hours{3});
+    EXPECT_EQ(key_of(it.part), "000000000000002a-000000000000002b");
+    EXPECT_EQ(read_blocked_part(key_of(it.part), text, hours{2}),
+              (part_status{it.part, std::nullopt, blocked + hours{1}}));
+    for (const auto* const key : {"", "-", "000000000000002a", "000000000000002a-", "000000000000002a-2b"}) {
+        EXPECT_FALSE(read_blocked_part(key, text, {})) << key;
+    }
+    for (const auto* const bad : {"", "{", "[]", "{}", R"({"blocked_ms": "1"})", R"({"blocked_ms": 9e99})"}) {
+        EXPECT_FALSE(read_blocked_part(key_of(it.part), bad, {})) << bad;
+    }
+}
+
 } // namespace
 } // namespace dandelionbay::platform
