Block the later of prompt parts that always come together

Callers saw up to four more endpoints end than needed: the part that crashed them and the part of its caller were lost together each time, neither known to be served, so that each waited for the other until four faults.

Cause: every part that explains the same losses counted as a rival. If it comes earlier in all these prompts, the later one is shared by fewer calls, so that blocking it is the smaller harm and enough. A part that was blocked although another one explains all its losses and more is unblocked, so that a wrong choice ends with the next losses.

--- a/src/dandelionbay/limit/part_crash_registry.cpp
+++ b/src/dandelionbay/limit/part_crash_registry.cpp
@@ -53,11 +53,23 @@
         return std::min(count_faults(exits), calls.size());
     }
 
+    /*! Tells whether another part comes before this one in all prompts: if it is the cause, blocking this one refuses
+     *  none of its calls in vain. */
+    [[nodiscard]] bool follows(const candidate& other) const {
+        return other.position < position && std::ranges::all_of(suspicions, [&](const suspicion& it) {
+                   const auto same = std::ranges::find(other.suspicions, it.loss, &suspicion::loss);
+                   return same != other.suspicions.end() && std::ranges::all_of(it.calls, [&](std::uint64_t call) {
+                              return std::ranges::find(same->calls, call) != same->calls.end();
+                          });
+               });
+    }
+
     /*! Tells whether another part, no more proven than this one, may have caused all these losses, too. */
     [[nodiscard]] bool has_rival(const std::vector<candidate>& all) const {
         return std::ranges::any_of(all, [&](const candidate& other) {
             return other.part != part && (was_served || !other.was_served) &&
-                   std::ranges::all_of(suspicions, [&](const suspicion& it) { return other.explains(it.loss); });
+                   std::ranges::all_of(suspicions, [&](const suspicion& it) { return other.explains(it.loss); }) &&
+                   !follows(other);
         });
     }
 };
@@ -344,10 +356,39 @@
     return best != nullptr ? std::optional{best->part} : std::nullopt;
 }
 
-std::vector<service_part> part_crash_registry::review(duration report_delay, time_point now) {
-    std::vector<service_part> blocked;
+std::set<endpoint_process> part_crash_registry::losses_with(const service_part& part) const {
+    std::set<endpoint_process> out;
+    for (const auto& [process, it] : losses_) {
+        const auto has_part = [&](const run_entry& entry) {
+            return std::ranges::find(entry.run.parts, part) != entry.run.parts.end();
+        };
+        if (it.is_confirmed && is_suspect(part, it.ended) && std::ranges::any_of(it.runs, has_part)) {
+            out.insert(process);
+        }
+    }
+    return out;
+}
+
+std::vector<service_part> part_crash_registry::unblock_explained_by(const service_part& cause, time_point now) {
+    std::vector<service_part> out;
+    const auto explained = losses_with(cause);
+    for (auto& [part, it] : records_) {
+        if (part == cause || !it.blocked) {
+            continue;
+        }
+        const auto losses = losses_with(part);
+        if (!losses.empty() && losses.size() < explained.size() && std::ranges::includes(explained, losses)) {
+            static_cast<void>(clear(it, now, true, now));
+            out.push_back(part);
+        }
+    }
+    return out;
+}
+
+part_changes part_crash_registry::review(duration report_delay, time_point now) {
+    part_changes out;
     if (!std::exchange(needs_review_, false) && !(next_review_ && now >= *next_review_)) {
-        return blocked;
+        return out;
     }
     next_review_.reset();
     if (first_begun_ && is_learning(now)) {
@@ -357,10 +398,13 @@
     while (const auto cause = find_cause(report_delay, now)) {
         block(*cause, now, now);
         last_urgent_change_ = now;
+        out.blocked.push_back(*cause);
+        for (const auto& it : unblock_explained_by(*cause, now)) {
+            out.unblocked.push_back(it);
+        }
         mark_explained();
-        blocked.push_back(*cause);
     }
-    return blocked;
+    return out;
 }
 
 bool part_crash_registry::is_blocked(const std::vector<service_part>& parts) const {
@@ -384,13 +428,8 @@
 
 part_crash_registry::size_type part_crash_registry::fault_count(const service_part& part) const {
     std::vector<time_point> exits;
-    for (const auto& [process, it] : losses_) {
-        const auto has_part = [&](const run_entry& entry) {
-            return std::ranges::find(entry.run.parts, part) != entry.run.parts.end();
-        };
-        if (it.is_confirmed && is_suspect(part, it.ended) && std::ranges::any_of(it.runs, has_part)) {
-            exits.push_back(it.ended);
-        }
+    for (const auto& it : losses_with(part)) {
+        exits.push_back(losses_.at(it).ended);
     }
     std::ranges::sort(exits);
     return count_faults(exits);
--- a/src/dandelionbay/limit/part_crash_registry.hpp
+++ b/src/dandelionbay/limit/part_crash_registry.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -109,6 +110,12 @@
     [[nodiscard]] bool has_blocked_suspect(const loss& it) const;
     void mark_explained();
     void block(const service_part& part, time_point at, time_point now);
+
+    /*! Returns the processes whose exits a part may have caused. */
+    [[nodiscard]] std::set<endpoint_process> losses_with(const service_part& part) const;
+
+    /*! Unblocks the parts that are not needed as a cause because this one explains all their losses and more. */
+    std::vector<service_part> unblock_explained_by(const service_part& cause, time_point now);
     void on_unblocked();
 
     /*! Returns the confirmed losses that no blocked part explains, and their suspects. */
@@ -169,9 +176,9 @@
      * @brief Blocks parts by the evidence so far.
      * @param report_delay Time within which all routers have reported their runs of a loss.
      * @param now Current time.
-     * @return Parts that are blocked from now on.
+     * @return Parts that are blocked from now on, and those that turned out to be sound.
      */
-    std::vector<service_part> review(duration report_delay, time_point now);
+    part_changes review(duration report_delay, time_point now);
 
     /*! @brief Tells whether any part of a prompt is blocked. */
     [[nodiscard]] bool is_blocked(const std::vector<service_part>& parts) const;
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -382,13 +382,7 @@
 }
 
 void proxy::note_run_begun(const std::vector<service_part>& parts) {
-    for (const auto& it : part_crashes_.record_begun(parts, now())) {
-        log_part_unblocked(*environment_.log, it, "own");
-        environment_.metrics->add("parts_unblocked_total", "own");
-        if (part_changed_) {
-            part_changed_(it);
-        }
-    }
+    note_own_part_changes({{}, part_crashes_.record_begun(parts, now())});
 }
 
 void proxy::note_part_changes(const part_changes& changes, std::string_view from) {
@@ -405,18 +399,19 @@
     }
 }
 
-void proxy::review_parts() {
-    const auto blocked = part_crashes_.review(report_delay_, now());
-    for (const auto& it : blocked) {
-        log_part_blocked(*environment_.log, it, part_crashes_, "own");
-        environment_.metrics->add("parts_blocked_total", "own");
-        if (part_changed_) {
-            part_changed_(it);
+void proxy::note_own_part_changes(const part_changes& changes) {
+    note_part_changes(changes, "own");
+    for (const auto* const parts : {&changes.unblocked, &changes.blocked}) {
+        for (const auto& it : *parts) {
+            if (part_changed_) {
+                part_changed_(it);
+            }
         }
     }
-    if (!blocked.empty()) {
-        end_blocked_calls();
-    }
+}
+
+void proxy::review_parts() {
+    note_own_part_changes(part_crashes_.review(report_delay_, now()));
 }
 
 void proxy::end_blocked_calls() {
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -112,6 +112,7 @@
     void note_loss(std::uint64_t call);
     /*! Blocks the prompt parts that the known losses prove to crash endpoints. */
     void review_parts();
+    void note_own_part_changes(const part_changes& changes);
     /*! Ends the open calls with a blocked part whose answers have not begun. */
     void end_blocked_calls();
 
