--- a/bench/dispatch_bench.cpp
+++ b/bench/dispatch_bench.cpp
@@ -61,6 +61,7 @@
                        view,
                        router,
                        losses,
+                       part_crashes,
                        read_config} {
         view.adopt(config());
         endpoint_list list;
@@ -120,6 +121,7 @@
     placement_log log{};
     dispatcher router;
     lost_run_registry losses{};
+    part_crash_registry part_crashes{};
     peer_synchronizer synchronizer;
     ticket_id last{};
 };
--- a/test/dandelionbay/platform/gateway_stream_test.cpp
+++ b/test/dandelionbay/platform/gateway_stream_test.cpp
@@ -178,6 +178,51 @@
     }
 }
 
+// Guards against answers without a length that are not resumed or are taken for whole when they break off, and against
+// whole ones that are not forwarded because they come in pieces.
+TEST_F(gateway_fleet, answers_that_end_with_their_connection_are_whole_or_broken_off) {
+    const auto begin = [](const http_request& request, raw_server::connection& to, const std::string& type) {
+        to.write(concat(scripted_endpoint::head(request, 200), "Content-Type: ", type, "\r\n\r\n"));
+    };
+    {
+        SCOPED_TRACE("a stream goes on after its last whole event");
+        engine_1.then([&](const http_request& request, raw_server::connection& to) {
+            begin(request, to, "text/event-stream");
+            to.write(event(1) + event(2) + "id: 3\ndat");
+            std::this_thread::sleep_for(milliseconds{50});
+            to.close();
+        });
+        const auto resumed = gateway->post("/chat/resumed");
+        EXPECT_TRUE(resumed.ends_with("\r\n\r\n" + events(1, 6) + "0\r\n\r\n")) << resumed;
+    }
+    {
+        SCOPED_TRACE("a plain answer that is reset is not whole");
+        desk_1.then([&](const http_request& request, raw_server::connection& to) {
+            begin(request, to, "text/plain");
+            to.write("half");
+            std::this_thread::sleep_for(milliseconds{50});
+            to.reset();
+        });
+        const auto cut = gateway->get("/look/cut");
+        EXPECT_NE(cut.find(" 502 "), std::string::npos) << cut;
+        EXPECT_EQ(cut.find("half"), std::string::npos) << cut;
+    }
+    {
+        SCOPED_TRACE("a plain answer in pieces is whole at the end of its connection");
+        desk_1.then([&](const http_request& request, raw_server::connection& to) {
+            begin(request, to, "text/plain");
+            for (const auto* const piece : {"first ", "second ", "third"}) {
+                to.write(piece);
+                std::this_thread::sleep_for(milliseconds{50});
+            }
+            to.close();
+        });
+        const auto whole = gateway->get("/look/pieces");
+        EXPECT_NE(whole.find(" 200 "), std::string::npos) << whole;
+        EXPECT_TRUE(whole.ends_with("first second third")) << whole;
+    }
+}
+
 // Guards against a stream with a missing event that looks whole, and against the use of a call that ended meanwhile.
 TEST_F(gateway_fleet, a_stream_that_skips_an_event_is_cut_before_the_gap) {
     engine_1.then([](const http_request& request, raw_server::connection& to) {
