Adopt no block of a prompt part that was answered since

Callers whose part had been answered here after a peer had blocked it would have been refused until the next such answer, which no blocked call gets. Found by reading; the unit test fails without the check.

--- a/src/dandelionbay/limit/part_crash_registry.cpp
+++ b/src/dandelionbay/limit/part_crash_registry.cpp
@@ -317,6 +317,10 @@
         if (reported.cleared && clear(it, *reported.cleared, false, now)) {
             out.unblocked.push_back(reported.part);
         }
+        const auto begun = begun_.find(reported.part);
+        if (reported.blocked && begun != begun_.end() && begun->second > *reported.blocked) {
+            static_cast<void>(clear(it, begun->second, true, now)); // The peer learns of this answer.
+        }
         if (reported.blocked && !it.blocked && (!it.cleared || *reported.blocked > *it.cleared)) {
             block(reported.part, *reported.blocked, now);
             out.blocked.push_back(reported.part);
--- a/src/dandelionbay/limit/part_crash_registry.hpp
+++ b/src/dandelionbay/limit/part_crash_registry.hpp
@@ -74,7 +74,7 @@
  *
  * An exited process has one cause among the runs that had not begun there, at whichever router: all their parts are
  * suspects. An answer that begins proves its parts sound. Of the remaining suspects, the smallest set of parts that
- * explains all losses is blocked: the part that explains the most losses first, unless another part or a single call
+ * explains all losses is blocked: first the part that explains the most losses, of several calls, unless another part
  * explains the same ones. A loss that a blocked part explains says nothing about the others.
  */
 class part_crash_registry {
--- a/src/dandelionbay/peer/peer_synchronizer.hpp
+++ b/src/dandelionbay/peer/peer_synchronizer.hpp
@@ -187,10 +187,12 @@
     /*! @brief Prepares the next round of messages and removes expired peers. Must be called before each round. */
     void begin_round(time_point now);
 
-    /*! @brief Checks whether the next round should begin early, because this router lost runs or blocked a prompt part. */
+    /*! @brief Checks whether the next round should begin early, because this router lost runs or blocked a prompt part.
+     */
     [[nodiscard]] bool has_urgent_changes(time_point now) const noexcept;
 
-    /*! @brief Returns the time within which peers are told of urgent changes. @param poll Interval of checks for them. */
+    /*! @brief Returns the time within which peers are told of urgent changes. @param poll Interval of checks for them.
+     */
     [[nodiscard]] duration urgent_delay(duration poll) const noexcept {
         return interval() / early_rounds_per_interval + poll + max_latency;
     }
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -228,41 +228,6 @@
            acquire_part_locks(now);
 }
 
-bool exchange::has_suspect_part() const {
-    return std::ranges::any_of(
-        shared_parts_, [&](const service_part& it) { return owner_->part_crashes().suspected_since(it).has_value(); });
-}
-
-bool exchange::acquire_part_locks(time_point now) {
-    release_part_locks();
-    std::vector<std::uint64_t> keys;
-    time_point lost_at;
-    for (const auto& part : shared_parts_) {
-        if (const auto at = owner_->part_crashes().suspected_since(part)) {
-            keys.push_back(part.service ^ part.id);
-            lost_at = std::max(lost_at, *at);
-        }
-    }
-    // A call with fewer suspects runs first: its outcome tells more about them.
-    if (now < lost_at + owner_->suspect_part_delay() * static_cast<duration::rep>(keys.size())) {
-        return false;
-    }
-    for (const auto key : keys) {
-        if (!owner_->suspect_locks().try_acquire(key, ticket_, now)) {
-            release_part_locks(); // Two calls that each hold a lock and wait for the other's would wait for ever.
-            return false;
-        }
-        part_locks_.push_back(key);
-    }
-    return true;
-}
-
-void exchange::release_part_locks() {
-    for (const auto key : std::exchange(part_locks_, {})) {
-        owner_->suspect_locks().release(key, ticket_);
-    }
-}
-
 void exchange::wait_for_turn() {
     is_waiting_for_turn_ = true;
     owner_->environment().metrics->add("copies_waited_total");
--- a/test/dandelionbay/limit/part_crash_registry_test.cpp
+++ b/test/dandelionbay/limit/part_crash_registry_test.cpp
@@ -210,6 +210,14 @@
         EXPECT_EQ(peer.merge(registry.changed_since(now), now + seconds{1}).unblocked, parts{crashing});
         EXPECT_TRUE(registry.merge(peer.changed_since(start), now + seconds{1}).empty());
     }
+    {
+        SCOPED_TRACE("a router at which an answer began does not adopt an earlier block, and tells so");
+        auto fourth = make_experienced();
+        fourth.record_begun({sound}, now + seconds{1});
+        EXPECT_TRUE(fourth.merge({{}, {{sound, std::nullopt, now}}}, now + seconds{2}).empty());
+        EXPECT_EQ(fourth.changed_since(now + seconds{2}).parts,
+                  (std::vector<part_status>{{sound, now + seconds{1}, std::nullopt}}));
+    }
 }
 
 // Guards against sound parts that are blocked after the start of all routers because none is known to be served yet.
--- a/test/dandelionbay/peer/part_crash_fleet_test.cpp
+++ b/test/dandelionbay/peer/part_crash_fleet_test.cpp
@@ -54,7 +54,6 @@
     };
 
 public:
-    static constexpr time_point start{seconds{500}};
     static constexpr duration network_latency = milliseconds{20};
     static constexpr duration tick = milliseconds{25};
     static constexpr duration absence = seconds{3};
