--- a/src/dandelionbay/limit/suspect_call_locks.hpp
+++ b/src/dandelionbay/limit/suspect_call_locks.hpp
@@ -10,7 +10,8 @@
 namespace dandelionbay {
 
 /**
- * @brief Locks that serialize identical copies of a call suspected of crashing endpoints, by fingerprint.
+ * @brief Locks that serialize identical copies of a call suspected of crashing endpoints, by fingerprint, and calls
+ * that share a suspect prompt part, by a key of the part.
  *
  * Copies that run concurrently can each crash an endpoint before any of these losses is known. Run one at a time, each
  * copy starts only when the outcome of the previous one is known.
