--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -80,8 +80,11 @@
     at.load->cache().record_use(item.parts);
     at.load->cold_limiter().record_sent(now);
     selector_.call_sent(at);
-    for (std::size_t n = 0; n + 1 < item.parts.size() && part_uses_.size() < max_part_uses; ++n) {
-        part_uses_.push_back(part_use{entry.id, item.parts[n]});
+    for (const auto& part : shared_parts(item.parts)) {
+        if (part_uses_.size() == max_part_uses) {
+            break;
+        }
+        part_uses_.push_back(part_use{entry.id, part});
     }
     placed_[item.ticket] = placed_call{entry.id, item.team, item.cost(), now, item.arrived, item.target, false};
     usage_.add(item.team, item.cost(), now);
--- a/src/dandelionbay/gateway/call_options.hpp
+++ b/src/dandelionbay/gateway/call_options.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,11 @@
     friend bool operator==(const prompt_part&, const prompt_part&) = default;
 };
 
+/*! @brief Returns the parts of a prompt that other calls may share: all but the last. @param parts The prompt. */
+[[nodiscard]] inline std::span<const prompt_part> shared_parts(const std::vector<prompt_part>& parts) noexcept {
+    return std::span{parts}.first(parts.empty() ? 0 : parts.size() - 1);
+}
+
 /*! @brief Properties of a call that its caller sets besides method, path and body. */
 struct call_options {
     std::string id{};                            //!< Identifier that the caller gave this attempt; empty if none.
--- a/src/dandelionbay/limit/part_crash_registry.cpp
+++ b/src/dandelionbay/limit/part_crash_registry.cpp
@@ -169,12 +169,6 @@
         }
         return unserved >= many_unserved_suspects * exits.size();
     }
-
-    /*! Number of faults that are sufficient evidence against a part. */
-    [[nodiscard]] size_type count_needed(const candidate& it, time_point now) const {
-        return (it.was_served ? min_faults_if_served : min_faults) + (has_many_unserved() ? 1 : 0) +
-               static_cast<size_type>(std::bit_width(count_others(it, now) / other_faults_per_step));
-    }
 };
 
 part_crash_registry::unexplained_losses part_crash_registry::find_unexplained() const {
@@ -331,10 +325,14 @@
 
 std::optional<service_part> part_crash_registry::find_cause(duration report_delay, time_point now) {
     const auto losses = find_unexplained();
+    const auto extra_faults =
+        (losses.has_many_unserved() ? 1 : 0) + (is_learning(now) ? extra_faults_while_learning : 0);
     const candidate* best = nullptr;
     size_type most_faults = 0;
     for (const auto& it : losses.suspects) {
-        const auto needed = losses.count_needed(it, now) + (is_learning(now) ? extra_faults_while_learning : 0);
+        const auto needed =
+            (it.was_served ? min_faults_if_served : min_faults) + extra_faults +
+            static_cast<size_type>(std::bit_width(losses.count_others(it, now) / other_faults_per_step));
         const auto faults = it.fault_count();
         const bool is_better = best == nullptr || std::tuple{best->was_served, faults, it.position} >
                                                       std::tuple{it.was_served, most_faults, best->position};
--- a/src/dandelionbay/limit/part_crash_registry.hpp
+++ b/src/dandelionbay/limit/part_crash_registry.hpp
@@ -12,6 +12,7 @@
 #include "dandelionbay/base/clock.hpp"
 #include "dandelionbay/gateway/endpoint_entry.hpp"
 #include "dandelionbay/limit/fwd.hpp"
+#include "dandelionbay/limit/lost_run_registry.hpp"
 
 namespace dandelionbay {
 
@@ -20,6 +21,9 @@
     std::uint64_t service{}; //!< Fingerprint of the service's name.
     std::uint64_t id{};      //!< Id of the part; equal ids mean equal text.
 
+    /*! @brief Returns a hash of both. */
+    [[nodiscard]] std::uint64_t hash() const noexcept { return service ^ id; }
+
     // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads a defaulted <=>.
     friend auto operator<=>(const service_part&, const service_part&) = default;
     friend bool operator==(const service_part&, const service_part&) = default;
@@ -99,7 +103,7 @@
     struct candidate;
     struct unexplained_losses;
     struct part_hash {
-        [[nodiscard]] std::size_t operator()(const service_part& it) const noexcept { return it.service ^ it.id; }
+        [[nodiscard]] std::size_t operator()(const service_part& it) const noexcept { return it.hash(); }
     };
 
     void note_suspects(const unbegun_run& run, time_point ended, time_point now);
@@ -143,15 +147,15 @@
     static constexpr size_type extra_faults_while_learning = 2;
     /*! @brief Additional faults from which a part is blocked at once, even if others explain them as well. */
     static constexpr size_type extra_faults_at_once = 2;
-    /*! @brief Processes that exit within this time count as one fault: twice the round-trip time between regions. */
-    static constexpr duration same_fault_window = std::chrono::milliseconds{100};
+    /*! @brief Processes that exit within this time count as one fault. */
+    static constexpr duration same_fault_window = lost_run_registry::same_fault_window;
     /*! @brief A suspect part runs in one call at a time, unless an answer to it began within this time before the
      *  loss. */
     static constexpr duration clearance_validity = std::chrono::seconds{10};
     /*! @brief Time for which losses, clearances and blocks are kept. */
-    static constexpr duration retention_window = std::chrono::minutes{10};
+    static constexpr duration retention_window = lost_run_registry::retention_window;
     /*! @brief A process counts as alive if its exit isn't confirmed within this time after an interrupted run. */
-    static constexpr duration confirmation_timeout = std::chrono::seconds{10};
+    static constexpr duration confirmation_timeout = lost_run_registry::confirmation_timeout;
     /*! @brief Limits of the number of losses, of the runs of each, and of the parts with a known begin of an answer. */
     static constexpr size_type max_losses = 64;
     static constexpr size_type max_runs_per_loss = 128;
--- a/src/dandelionbay/proxy/call_record.cpp
+++ b/src/dandelionbay/proxy/call_record.cpp
@@ -25,8 +25,8 @@
 /*! Returns the ids of the parts that other calls may share. */
 [[nodiscard]] std::string shared_parts_text(const std::vector<prompt_part>& parts) {
     std::string out;
-    for (std::size_t n = 0; n + 1 < parts.size(); ++n) {
-        out += concat(n == 0 ? "" : ",", absl::Hex(parts[n].id));
+    for (const auto& it : shared_parts(parts)) {
+        out += concat(out.empty() ? "" : ",", absl::Hex(it.id));
     }
     return out;
 }
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -105,8 +105,9 @@
     deadline_ = arrived_at_ + std::min(terms_.time_left.value_or(default_time_left), route_->time_limit);
     service_ = owner_->pick_service(*route_);
     shared_parts_.clear();
-    for (std::size_t n = 0; n + 1 < terms_.parts.size(); ++n) {
-        shared_parts_.push_back(service_part{fingerprint_of({service_.value}), terms_.parts[n].id});
+    const auto service = fingerprint_of({service_.value});
+    for (const auto& it : shared_parts(terms_.parts)) {
+        shared_parts_.push_back(service_part{service, it.id});
     }
     return true;
 }
--- a/src/dandelionbay/proxy/exchange_attempts.cpp
+++ b/src/dandelionbay/proxy/exchange_attempts.cpp
@@ -72,7 +72,7 @@
     time_point lost_at;
     for (const auto& part : shared_parts_) {
         if (const auto at = owner_->part_crashes().suspected_since(part)) {
-            keys.push_back(part.service ^ part.id);
+            keys.push_back(part.hash());
             lost_at = std::max(lost_at, *at);
         }
     }
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -401,12 +401,11 @@
 
 void proxy::note_own_part_changes(const part_changes& changes) {
     note_part_changes(changes, "own");
+    if (!part_changed_) {
+        return;
+    }
     for (const auto* const parts : {&changes.unblocked, &changes.blocked}) {
-        for (const auto& it : *parts) {
-            if (part_changed_) {
-                part_changed_(it);
-            }
-        }
+        std::ranges::for_each(*parts, part_changed_);
     }
 }
 
--- a/test/dandelionbay/peer/part_crash_fleet_test.cpp
+++ b/test/dandelionbay/peer/part_crash_fleet_test.cpp
@@ -1,7 +1,6 @@
 // A prompt part that crashes endpoints, in fleets of different sizes on a simulated clock.
 #include <algorithm>
 #include <cstdint>
-#include <iostream>
 #include <map>
 #include <memory>
 #include <optional>
@@ -101,10 +100,6 @@
     }
 
     [[nodiscard]] std::size_t exits() const { return exits_; }
-    [[nodiscard]] std::size_t crashes(std::size_t part) const {
-        const auto it = crashes_.find(first_crashing_part + part);
-        return it == crashes_.end() ? 0 : it->second.size();
-    }
 
     /*! Calls with a part that were sent later than the routers may take to know of its fifth crash. */
     [[nodiscard]] std::size_t sent_too_late(std::size_t part) const {
@@ -298,9 +293,6 @@
         EXPECT_EQ(fleet.refused_sound_calls(), 0) << "of " << fleet.sound_calls();
     }
     testing::Test::RecordProperty(name, concat(static_cast<double>(exits) / static_cast<double>(seeds)));
-    std::cout << name
-              << ": endpoints that exited, on average: " << static_cast<double>(exits) / static_cast<double>(seeds)
-              << "\n";
 }
 
 // Guards against calls with a part that crashes endpoints being sent for as long as they come, at any size of fleet.
--- a/test/dandelionbay/platform/gateway_crash_test.cpp
+++ b/test/dandelionbay/platform/gateway_crash_test.cpp
@@ -1,21 +1,16 @@
 #include "crashing_service.hpp"
+#include "two_gateways.hpp"
 
 namespace dandelionbay::platform {
 namespace {
 
 /*! Two gateways before endpoints that end when they begin a certain call. */
-class gateway_crash : public gateway_fleet {
+class gateway_crash : public two_gateways {
 protected:
-    /*! How long gateways may take to learn that a call has ended its endpoints. */
-    static constexpr seconds contact{4};
-    /*! Sends that are allowed after that. */
-    static constexpr int allowed_later = 3;
-
     void SetUp() override {
         gateway_fleet::SetUp();
         store.remove("servers", desk_1.id());
-        other = std::make_unique<running_gateway>("g2", store.address(), gateway_bounds{},
-                                                  std::vector<socket_address>{gateway->peer_address()});
+        start_other();
         ASSERT_TRUE(desks_serve());
         std::this_thread::sleep_for(milliseconds{700}); // The list, read every 500 ms, may still hold the first desk.
     }
@@ -81,7 +76,6 @@
     }
 
     crashing_service desks{store, "desk", 3, "desk-life-"};
-    std::unique_ptr<running_gateway> other{};
 };
 
 // Guards against a call that ends each endpoint that runs it and is sent to more and more of them, because its caller
@@ -220,8 +214,7 @@
     const int before = desks.crashes();
     other.reset();
     start_gateway();
-    other = std::make_unique<running_gateway>("g2", store.address(), gateway_bounds{},
-                                              std::vector<socket_address>{gateway->peer_address()});
+    start_other();
     ASSERT_TRUE(desks_serve());
     std::this_thread::sleep_for(contact);
     EXPECT_NE(gateway->get(path).find(" 422 "), std::string::npos);
--- a/test/dandelionbay/platform/gateway_part_crash_test.cpp
+++ b/test/dandelionbay/platform/gateway_part_crash_test.cpp
@@ -1,18 +1,15 @@
 // Gateways before engines that end when they begin an answer to a prompt with a certain part.
 #include "crashing_service.hpp"
+#include "two_gateways.hpp"
 
 namespace dandelionbay::platform {
 namespace {
 
 /*! Two gateways before four engines, with callers of sound prompts beside those of the test. */
-class gateway_part_crash : public gateway_fleet {
+class gateway_part_crash : public two_gateways {
 protected:
-    /*! How long gateways may take to learn that a part has ended its endpoints. */
-    static constexpr seconds contact{4};
     /*! Number of endpoints after whose end they have to know. */
     static constexpr int crashes_to_know = 5;
-    /*! Sends that are allowed after that. */
-    static constexpr int allowed_later = 3;
 
     void SetUp() override {
         gateway_fleet::SetUp();
@@ -29,11 +26,6 @@
         gateway_fleet::TearDown();
     }
 
-    void start_other() {
-        other = std::make_unique<running_gateway>("g2", store.address(), gateway_bounds{},
-                                                  std::vector<socket_address>{gateway->peer_address()});
-    }
-
     /*! Sends a prompt of these shared parts; its last part and its path are like no other's. */
     std::string chat(const running_gateway& at, const std::string& parts) {
         const int n = ++sent_;
@@ -110,7 +102,6 @@
     }
 
     crashing_service engines{store, "m", 4, "engine-life-"};
-    std::unique_ptr<running_gateway> other{};
     std::atomic<int> refused_sound{};
 
 private:
