Tell a new peer of the losses and blocks known before the first message to it

What callers saw: a gateway that starts reads a block of a prompt part in the registry and refuses all calls with the part with 422, although its peers have answered such calls since: for as long as the test waits, up to the ten minutes that a block lasts. Found by a test of the row of a lifted block.

Cause: the first message to a peer that has not been heard yet holds no losses and no parts, since the peer's own message tells what it lacks. The peer confirms it all the same, and the confirmed time was taken for all that had changed until then: what a gateway knew before it sent its first messages was told to no one. The same holds for losses of whole calls.

Evidence: at the gateway of the test changed_since() was asked from 3,203,879,577 us on, 120 ms after the block was read (3,203,759,914 us), from its first message with parts on, and its peer merged nothing in the ten seconds after.

Change: a peer has the losses and parts up to the newest confirmed message only if that is not older than the first message that held them; a new process of a peer starts anew. The time for which a peer's silence counts stays as it was.

Test: a_block_that_answers_have_ended_is_lifted_at_a_gateway_that_starts, which failed before (422 to each call in 10 s).

--- a/src/dandelionbay/peer/peer_synchronizer.cpp
+++ b/src/dandelionbay/peer/peer_synchronizer.cpp
@@ -66,8 +66,9 @@
     out.echo_us = known.timestamp_us;
     out.echo_delay_us = (now - known.timestamp_received).count();
     out.part_uses = std::exchange(known.pending_part_uses, {});
-    out.losses = losses_->changed_since(known.newest_confirmed);
-    out.part_crashes = part_crashes_->changed_since(known.newest_confirmed);
+    known.first_losses_sent = known.first_losses_sent.value_or(now);
+    out.losses = losses_->changed_since(known.losses_confirmed);
+    out.part_crashes = part_crashes_->changed_since(known.losses_confirmed);
     add_requested_state(known, out);
     known.request = {};
     requesting_peers_.erase(it->first);
@@ -305,8 +306,15 @@
     known.timestamp_us = in.sent_us;
     known.timestamp_received = now;
     const time_point echoed{duration{in.echo_us}};
-    // A new process has not received what the earlier one confirmed.
-    known.newest_confirmed = out.peer_found ? echoed : std::max(known.newest_confirmed, echoed);
+    if (out.peer_found) { // A new process has not received what the earlier one confirmed.
+        known.newest_confirmed = echoed;
+        known.first_losses_sent.reset();
+        known.losses_confirmed = {};
+    }
+    known.newest_confirmed = std::max(known.newest_confirmed, echoed);
+    if (known.first_losses_sent && echoed >= *known.first_losses_sent) { // Earlier messages had no losses.
+        known.losses_confirmed = known.newest_confirmed;
+    }
     record_peer(in, known, out.peer_found, now);
     add_address(in.address, now);
     for (const auto& address : in.peers) {
--- a/src/dandelionbay/peer/peer_synchronizer.hpp
+++ b/src/dandelionbay/peer/peer_synchronizer.hpp
@@ -82,9 +82,11 @@
         region_id region{};
         time_point last_heard{};
         bool is_leaving{};
-        std::int64_t timestamp_us{};     //!< Send time of the peer's newest message, by the peer's clock.
-        time_point timestamp_received{}; //!< When that message arrived.
-        time_point newest_confirmed{};   //!< Send time of the newest message that the peer confirmed.
+        std::int64_t timestamp_us{};                   //!< Send time of the peer's newest message, by the peer's clock.
+        time_point timestamp_received{};               //!< When that message arrived.
+        time_point newest_confirmed{};                 //!< Send time of the newest message that the peer confirmed.
+        std::optional<time_point> first_losses_sent{}; //!< Send time of the first message with losses and parts.
+        time_point losses_confirmed{};                 //!< Time up to which the peer has them.
         std::uint64_t config_version{};
         std::int64_t operators_age_us{-1};
         std::int64_t list_age_us{-1};
--- a/test/dandelionbay/platform/gateway_part_crash_test.cpp
+++ b/test/dandelionbay/platform/gateway_part_crash_test.cpp
@@ -1,5 +1,9 @@
 // Gateways before engines that end when they begin an answer to a prompt with a certain part.
+#include <nlohmann/json.hpp>
+
 #include "crashing_service.hpp"
+#include "dandelionbay/base/fingerprint.hpp"
+#include "platform/documents.hpp"
 #include "two_gateways.hpp"
 
 namespace dandelionbay::platform {
@@ -86,6 +90,15 @@
         return engines.crashes() - before;
     }
 
+    /*! Starts the other gateway anew with an old block of a part in the registry. @return Key of the block's row. */
+    std::string start_other_with_block_of(std::string_view service, std::uint64_t part) {
+        const auto key = key_of(service_part{fingerprint_of({service}), part});
+        store.put("lost-calls", key, nlohmann::json{{"blocked_ms", standin_store::ms_before(seconds{60})}}.dump());
+        other.reset();
+        start_other();
+        return key;
+    }
+
     /*! The sound prompts are served as before. */
     void expect_sound_calls_served() {
         SCOPED_TRACE("sound prompts are served");
@@ -153,6 +166,13 @@
     EXPECT_EQ(engines.crashes(), before);
 }
 
+// Guards against sound calls that are refused for minutes at a gateway that starts: its peers, at which the part was
+// answered, are not told of the block that it has read in the registry.
+TEST_F(gateway_part_crash, a_block_that_answers_have_ended_is_lifted_at_a_gateway_that_starts) {
+    start_other_with_block_of("m", 0xc1);
+    EXPECT_TRUE(engines_serve()) << chat(*other, "a1:100,c1:50");
+}
+
 // Guards against a refusal of sound calls that only happened to run at endpoints that ended.
 TEST_F(gateway_part_crash, sound_calls_are_served_after_many_endpoints_ended) {
     start_sound_callers();
