Remove the row of a block that a peer's answer has ended

Cause: the gateway that decides a block writes its row. It removed the row only if the block ended by an answer of its own, and not if it ended because an answer began at a peer; the peer, at which the block never was in force, has nothing to remove. So the row stayed for the ten minutes of a block.

Change: a gateway knows the rows that it wrote or read, and removes them when the block ends, whoever ended it; a row that was read and is older than an answer is removed, too, and rows of expired blocks are removed with the next block. Only these gateways write, so hundreds don't remove one row.

--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -306,11 +306,24 @@
 
 void gateway_node::keep_blocked_part(const service_part& part) {
     const auto status = proxy_.part_crashes().status_of(part);
-    if (status.blocked) {
-        registry_->retain_blocked_part(status);
-    } else {
-        registry_->remove_blocked_part(part);
+    if (!status.blocked) {
+        remove_blocked_part(part);
+        return;
     }
+    std::erase_if(retained_parts_, [this](const service_part& it) {
+        const bool is_expired = !proxy_.part_crashes().status_of(it).blocked;
+        if (is_expired) {
+            registry_->remove_blocked_part(it);
+        }
+        return is_expired;
+    });
+    retained_parts_.insert(part);
+    registry_->retain_blocked_part(status);
+}
+
+void gateway_node::remove_blocked_part(const service_part& part) {
+    retained_parts_.erase(part);
+    registry_->remove_blocked_part(part);
 }
 
 void gateway_node::peers_changed(const peer_change& change) {
@@ -333,6 +346,11 @@
     }
     proxy_.set_report_delay(synchronizer_.urgent_delay(peer_transport::max_poll_interval));
     proxy_.note_part_changes(change.parts, "peer");
+    for (const auto& it : change.parts.unblocked) {
+        if (retained_parts_.contains(it)) { // The others need not remove it too.
+            remove_blocked_part(it);
+        }
+    }
     if (change.list_refreshed) {
         metrics_.add("lists_from_peers_total");
         log_leaving("list_of_peer");
@@ -413,10 +431,17 @@
         if (now - *it.blocked < part_crash_registry::retention_window) {
             retained.parts.push_back(it);
         } else {
-            registry_->remove_blocked_part(it.part);
+            remove_blocked_part(it.part);
         }
     }
     proxy_.note_part_changes(proxy_.part_crashes().merge(retained, now), "registry");
+    for (const auto& it : retained.parts) {
+        if (proxy_.part_crashes().status_of(it.part).blocked) {
+            retained_parts_.insert(it.part);
+        } else {
+            remove_blocked_part(it.part); // An answer began since.
+        }
+    }
 }
 
 void gateway_node::on_registry_failed(std::string_view call, std::string_view reason) {
--- a/src/dandelionbay/node/gateway_node.hpp
+++ b/src/dandelionbay/node/gateway_node.hpp
@@ -56,6 +56,7 @@
     void peers_changed(const peer_change& change);
     void keep_refusal(std::uint64_t call);
     void keep_blocked_part(const service_part& part);
+    void remove_blocked_part(const service_part& part);
 
 public:
     /*! @brief Time after the start of a stop for which idle connections stay open: the balancer needs it to notice. */
@@ -122,7 +123,8 @@
     boost::asio::steady_timer settings_timer_;
     boost::asio::steady_timer facts_timer_;
     settings_reader reader_;
-    std::set<endpoint_id> leaving_{}; //!< By the newest list.
+    std::set<endpoint_id> leaving_{};         //!< By the newest list.
+    std::set<service_part> retained_parts_{}; //!< Blocked parts whose rows this router wrote or read.
     bool registry_failed_{};
 };
 
--- a/test/dandelionbay/platform/gateway_part_crash_test.cpp
+++ b/test/dandelionbay/platform/gateway_part_crash_test.cpp
@@ -173,6 +173,13 @@
     EXPECT_TRUE(engines_serve()) << chat(*other, "a1:100,c1:50");
 }
 
+// Guards against sound calls that are refused at each start of a gateway: a block that answers at a peer have ended
+// stays in the registry.
+TEST_F(gateway_part_crash, a_block_that_answers_have_ended_leaves_the_registry) {
+    const auto key = start_other_with_block_of("m", 0xc1);
+    EXPECT_TRUE(eventually([&] { return !store.holds("lost-calls", key); }));
+}
+
 // Guards against a refusal of sound calls that only happened to run at endpoints that ended.
 TEST_F(gateway_part_crash, sound_calls_are_served_after_many_endpoints_ended) {
     start_sound_callers();
