Block no prompt part by reports alone before the served parts are known

Cause: two gateways of the lost zone started at 9.99 and 10.17 s. Half a second later they had read what their peers had lost with the zone, eight processes whose ends were seen from 8.2 to 10.1 s, most of them with one popular part, but not yet that answers to the part had begun since. To them it was a part never served, with seven faults, and they blocked it for all.

Change: in the first three seconds after its first answer, the time in which a gateway learns which parts are served, the evidence of peers blocks a part only beside a lost run of its own. The peers that lost the runs know the answers and decide without it; it adopts their blocks as before.

Test: a_new_registry_blocks_nothing_by_reports_alone, which failed before.

--- a/src/dandelionbay/limit/part_crash_registry.cpp
+++ b/src/dandelionbay/limit/part_crash_registry.cpp
@@ -36,6 +36,7 @@
     service_part part{};
     std::size_t position{}; //!< In the prompt; fewer calls share a later part.
     bool was_served{};      //!< Answers to the part began before.
+    bool is_local{};        //!< This router lost a run with the part itself.
     std::vector<suspicion> suspicions{};
 
     [[nodiscard]] bool explains(std::size_t loss) const {
@@ -194,6 +195,7 @@
                 it.part = part;
                 it.position = position;
                 it.was_served = status_of(part).cleared.has_value();
+                it.is_local = it.is_local || entry.is_local;
                 if (it.suspicions.empty() || it.suspicions.back().loss != n) {
                     it.suspicions.push_back({n, ended, {}});
                 }
@@ -325,8 +327,8 @@
 
 std::optional<service_part> part_crash_registry::find_cause(duration report_delay, time_point now) {
     const auto losses = find_unexplained();
-    const auto extra_faults =
-        (losses.has_many_unserved() ? 1 : 0) + (is_learning(now) ? extra_faults_while_learning : 0);
+    const bool learning = is_learning(now);
+    const auto extra_faults = (losses.has_many_unserved() ? 1 : 0) + (learning ? extra_faults_while_learning : 0);
     const candidate* best = nullptr;
     size_type most_faults = 0;
     for (const auto& it : losses.suspects) {
@@ -336,7 +338,9 @@
         const auto faults = it.fault_count();
         const bool is_better = best == nullptr || std::tuple{best->was_served, faults, it.position} >
                                                       std::tuple{it.was_served, most_faults, best->position};
-        if (faults < needed || !is_better) {
+        // The peers that lost the runs know which parts were answered since; this router may not know it yet.
+        const bool is_left_to_peers = learning && !it.is_local;
+        if (faults < needed || !is_better || is_left_to_peers) {
             continue;
         }
         if (faults < needed + extra_faults_at_once) {
--- a/src/dandelionbay/limit/part_crash_registry.hpp
+++ b/src/dandelionbay/limit/part_crash_registry.hpp
@@ -142,7 +142,7 @@
     /*! @brief Mean number of suspects without a known answer in a loss that raises these numbers by one, too. */
     static constexpr size_type many_unserved_suspects = 5;
     /*! @brief Time after the first answer until which it says little that no answer to a part is known: two more faults
-     * are needed. */
+     * are needed, and a run of this router's own. */
     static constexpr duration learning_time = std::chrono::seconds{3};
     static constexpr size_type extra_faults_while_learning = 2;
     /*! @brief Additional faults from which a part is blocked at once, even if others explain them as well. */
--- a/test/dandelionbay/limit/part_crash_registry_test.cpp
+++ b/test/dandelionbay/limit/part_crash_registry_test.cpp
@@ -230,6 +230,32 @@
     EXPECT_EQ(registry.review(report_delay, now + part_crash_registry::learning_time).blocked, parts{crashing});
 }
 
+// Guards against sound calls that are refused at a router that has just started after the loss of a zone: it reads what
+// its peers lost before it reads which parts they have seen answered since.
+TEST_F(part_crash_test, a_new_registry_blocks_nothing_by_reports_alone) {
+    registry = {};
+    registry.record_begun({served}, now);
+    part_evidence reported;
+    for (std::uint64_t call = 1; call <= 8; ++call) {
+        now += milliseconds{200};
+        reported.losses.push_back({process(static_cast<int>(call)), now, {{call, {sound}}}});
+    }
+    EXPECT_TRUE(registry.merge(reported, now).empty());
+    EXPECT_EQ(review(), parts{});
+    {
+        SCOPED_TRACE("after it has lost a run itself, the reports count");
+        auto other = registry;
+        other.record_interrupted_run(process(9), {9, {sound}}, now + seconds{1});
+        other.record_process_exit(process(9), now + seconds{1});
+        EXPECT_EQ(other.review(report_delay, now + seconds{1} + report_delay).blocked, parts{sound});
+    }
+    {
+        SCOPED_TRACE("after it has learned which parts are answered, they clear the part");
+        EXPECT_TRUE(registry.merge({{}, {{sound, now + milliseconds{1}, std::nullopt}}}, now + seconds{1}).empty());
+        EXPECT_EQ(registry.review(report_delay, now + part_crash_registry::learning_time).blocked, parts{});
+    }
+}
+
 // Guards against a sound part that is blocked because it is met by chance in some of many losses.
 TEST_F(part_crash_test, many_losses_of_other_causes_need_more_evidence) {
     std::uint64_t call = 0;
