Give the test of cut answers of the store a time limit that a busy host keeps

Change: the limit is 10 s in this test. A client that doesn't notice a cut and waits for the limit still fails it, ten times as slowly. The checks compare codes and show them.

--- a/test/dandelionbay/store/http_table_store_test.cpp
+++ b/test/dandelionbay/store/http_table_store_test.cpp
@@ -168,19 +168,20 @@
 
 // Guards against rows that are read short, and writes that count as done, from answers that were cut.
 TEST(http_table_store, a_cut_answer_is_none) {
+    constexpr milliseconds limit{10'000}; // A cut is noticed long before, however busy the host is.
     const std::string fields = "ETag: \"7\"\r\n";
     platform::answering_server server;
     for (const auto& whole : whole_answers(fields, false)) {
         server.answer(whole);
-        http_table_store store{server.address()};
+        http_table_store store{server.address(), limit};
         EXPECT_EQ(store.get("t", "a").value().version, 7) << whole;
     }
     for (const auto& cut : cut_answers(fields)) {
         for (const bool with_reset : {false, true}) {
             server.answer(cut, with_reset);
-            http_table_store store{server.address()};
-            EXPECT_TRUE(absl::IsUnavailable(store.get("t", "a").status())) << cut;
-            EXPECT_TRUE(absl::IsUnavailable(store.put("t", "a", "b", 6).status())) << cut;
+            http_table_store store{server.address(), limit};
+            EXPECT_EQ(store.get("t", "a").status().code(), absl::StatusCode::kUnavailable) << cut;
+            EXPECT_EQ(store.put("t", "a", "b", 6).status().code(), absl::StatusCode::kUnavailable) << cut;
             EXPECT_FALSE(store.list("t").ok()) << cut;
         }
     }
