Review: lists are thrown away after the store came back from a copy

Seen: after the store came back from a copy 5 s old, gateways discard the lists of runners until the store's versions have caught up; a runner that turned cold meanwhile got 43 requests in a second.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# FAILBACK: a runner turns cold after the store came back from a copy 5 s old.
+# TROUBLE=0: the same without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+exec review/bin/store_copy review/4 cold 5000
