Review: two exits of runners block a sound prompt part

Rule DENIED: over 5 + one in 500 of all requests are ended with a 4xx of the system's own though they are proper.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# DENIED: two runners crash while the first requests with a new prompt part are read there.
+# TROUBLE=0: the same without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+exec review/bin/false_block review/1 300
