--- a/review/standins/store_copy.cpp
+++ b/review/standins/store_copy.cpp
@@ -20,8 +20,8 @@
 };
 
 std::mutex mutex;
-std::map<string, double> sent_at;                 // By request.
-std::map<string, std::vector<arrival>> arrivals;  // By runner, requests that ran.
+std::map<string, double> sent_at;                // By request.
+std::map<string, std::vector<arrival>> arrivals; // By runner, requests that ran.
 std::map<int, int> statuses;
 
 void on_call(runner& at, runner::call& it) {
@@ -181,7 +181,8 @@
             }
         }
         code = late > 0 ? 1 : 0;
-        seen = "EVAC: " + std::to_string(late) + " requests reached runners of parkland-east later than evacuate_ms after " +
+        seen = "EVAC: " + std::to_string(late) +
+               " requests reached runners of parkland-east later than evacuate_ms after " +
                "the ack of its evacuation; the last one " + std::to_string(static_cast<int>(last - acked)) +
                " ms after it";
     }
