--- a/review/standins/false_block.cpp
+++ b/review/standins/false_block.cpp
@@ -56,8 +56,9 @@
     } else {
         sleep_ms(60);
     }
-    string out = "HTTP/1.1 200 OK\r\nDandelionbay-Request-Id: " + it.id + "\r\nDandelionbay-Response-Seal: " +
-                 seal_of(it.id) + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    string out = "HTTP/1.1 200 OK\r\nDandelionbay-Request-Id: " + it.id +
+                 "\r\nDandelionbay-Response-Seal: " + seal_of(it.id) +
+                 "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     constexpr int events = 8;
     for (int n = (last.empty() ? 0 : std::atoi(last.c_str())) + 1; n <= events; ++n) {
         if (on.crash_now) {
@@ -113,39 +114,38 @@
     const double gap_ms = argc > 2 ? std::atof(argv[2]) : 400;
     store platform;
     platform.open();
-    platform.put(
-        "op", "config",
-        {{"version", 7},
-         {"routes", json::array({{{"name", "r-stream"},
-                                  {"host", "ficu95.example"},
-                                  {"prefix", "/lohu930/"},
-                                  {"kind", "streaming"},
-                                  {"timeout_ms", 5000},
-                                  {"target_latency_ms", 600},
-                                  {"target_gap_ms", 300},
-                                  {"priority", 1},
-                                  {"service", "huvo11a"},
-                                  {"max_attempts", 2},
-                                  {"public", false},
-                                  {"sticky", true},
-                                  {"resumable", true},
-                                  {"allowed_regions", json::array()}}})},
-         {"services", json::array({{{"name", "huvo11a"},
-                                    {"health_path", "/health"},
-                                    {"max_conns", 360},
-                                    {"cold_start_s", 3.0},
-                                    {"cold_per_s", 13.0},
-                                    {"engine", {{"slots", 64}, {"kv_capacity", 273387}, {"stride", 4}}}}})},
-         {"limits",
-          {{"max_header_bytes", 16384},
-           {"max_body_bytes", 4194304},
-           {"header_timeout_ms", 3000},
-           {"idle_timeout_ms", 15000},
-           {"tokens_per_s", 240000}}},
-         {"tenants", json::array({{{"name", "hule930"},
-                                   {"api_keys", json::array({"asnmgkcuyj8pjbvk9m68"})},
-                                   {"priority", 1},
-                                   {"allowed_regions", json::array()}}})}});
+    platform.put("op", "config",
+                 {{"version", 7},
+                  {"routes", json::array({{{"name", "r-stream"},
+                                           {"host", "ficu95.example"},
+                                           {"prefix", "/lohu930/"},
+                                           {"kind", "streaming"},
+                                           {"timeout_ms", 5000},
+                                           {"target_latency_ms", 600},
+                                           {"target_gap_ms", 300},
+                                           {"priority", 1},
+                                           {"service", "huvo11a"},
+                                           {"max_attempts", 2},
+                                           {"public", false},
+                                           {"sticky", true},
+                                           {"resumable", true},
+                                           {"allowed_regions", json::array()}}})},
+                  {"services", json::array({{{"name", "huvo11a"},
+                                             {"health_path", "/health"},
+                                             {"max_conns", 360},
+                                             {"cold_start_s", 3.0},
+                                             {"cold_per_s", 13.0},
+                                             {"engine", {{"slots", 64}, {"kv_capacity", 273387}, {"stride", 4}}}}})},
+                  {"limits",
+                   {{"max_header_bytes", 16384},
+                    {"max_body_bytes", 4194304},
+                    {"header_timeout_ms", 3000},
+                    {"idle_timeout_ms", 15000},
+                    {"tokens_per_s", 240000}}},
+                  {"tenants", json::array({{{"name", "hule930"},
+                                            {"api_keys", json::array({"asnmgkcuyj8pjbvk9m68"})},
+                                            {"priority", 1},
+                                            {"allowed_regions", json::array()}}})}});
     std::atomic<bool> stop{};
     std::vector<std::unique_ptr<machine>> machines;
     std::vector<std::thread> threads;
@@ -202,7 +202,8 @@
             const std::lock_guard lock{mutex};
             ++requests;
             const auto status = got.status();
-            denied += status / 100 == 3 || (status / 100 == 4 && status != 408 && status != 421 && status != 429) ? 1 : 0;
+            denied +=
+                status / 100 == 3 || (status / 100 == 4 && status != 408 && status != 421 && status != 429) ? 1 : 0;
             ++outcomes[(is_new ? "new part " : "others ") + std::to_string(status) + (got.complete ? "" : " cut")];
         }
     };
--- a/review/standins/paused_runner.cpp
+++ b/review/standins/paused_runner.cpp
@@ -22,11 +22,11 @@
         if (turned_away_at == 0 && now > 4000) {
             turned_away_at = now;
             record().line("runner %s turns %s away with Retry-After: 10", at.id().c_str(), it.id.c_str());
-            it.keep = send_all(it.fd, answer(503, "Service Unavailable",
-                                             {{"Dandelionbay-Request-Id", it.id},
-                                              {"Dandelionbay-Not-Executed", "1"},
-                                              {"Retry-After", "10"}},
-                                             ""));
+            it.keep = send_all(
+                it.fd,
+                answer(503, "Service Unavailable",
+                       {{"Dandelionbay-Request-Id", it.id}, {"Dandelionbay-Not-Executed", "1"}, {"Retry-After", "10"}},
+                       ""));
             return;
         }
         if (turned_away_at > 0 && now > turned_away_at + left_ms && now < turned_away_at + pause_ms) {
@@ -92,8 +92,9 @@
                 sleep_until_ms(next);
                 next += 8 * 1000.0 / 23;
                 const auto id = new_id();
-                const auto got = send_request(
-                    node.front(), {.path = "/cufi504/2f", .deadline_ms = 6000, .key = "asnmgkcuyj8pjbvk9m68"}, id, 6500);
+                const auto got =
+                    send_request(node.front(),
+                                 {.path = "/cufi504/2f", .deadline_ms = 6000, .key = "asnmgkcuyj8pjbvk9m68"}, id, 6500);
                 record().line("%s: answer %d", id.c_str(), got.status());
                 const std::lock_guard lock{mutex};
                 ++statuses[got.complete ? got.status() : 0];
@@ -123,9 +124,10 @@
         all += " " + std::to_string(status) + ": " + std::to_string(n);
     }
     record().line("answers by status:%s", all.c_str());
-    finish(in_pause.size() > 2 ? 1 : 0,
-           "BUDGET: " + std::to_string(in_pause.size()) +
-               " requests reached the runner between half a second after its 503 with Retry-After and the end of that "
-               "time (at most 2 are allowed)" +
-               (in_pause.empty() ? "" : "; the first " + std::to_string(static_cast<int>(in_pause[0])) + " ms after it"));
+    finish(
+        in_pause.size() > 2 ? 1 : 0,
+        "BUDGET: " + std::to_string(in_pause.size()) +
+            " requests reached the runner between half a second after its 503 with Retry-After and the end of that "
+            "time (at most 2 are allowed)" +
+            (in_pause.empty() ? "" : "; the first " + std::to_string(static_cast<int>(in_pause[0])) + " ms after it"));
 }
--- a/review/standins/tainted_part.cpp
+++ b/review/standins/tainted_part.cpp
@@ -54,8 +54,9 @@
         tainted.push_back({it.id, sent_at[it.id], now});
     }
     sleep_ms(60);
-    string out = "HTTP/1.1 200 OK\r\nDandelionbay-Request-Id: " + it.id + "\r\nDandelionbay-Response-Seal: " +
-                 seal_of(it.id) + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    string out = "HTTP/1.1 200 OK\r\nDandelionbay-Request-Id: " + it.id +
+                 "\r\nDandelionbay-Response-Seal: " + seal_of(it.id) +
+                 "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     const bool crashes_here = is_tainted && crashing;
     constexpr int events = 8;
     for (int n = from + 1; n <= events; ++n) {
@@ -118,39 +119,38 @@
     crashing = run.trouble;
     store platform;
     platform.open();
-    platform.put(
-        "op", "config",
-        {{"version", 7},
-         {"routes", json::array({{{"name", "r-stream"},
-                                  {"host", "ficu95.example"},
-                                  {"prefix", "/lohu930/"},
-                                  {"kind", "streaming"},
-                                  {"timeout_ms", 5000},
-                                  {"target_latency_ms", 600},
-                                  {"target_gap_ms", 300},
-                                  {"priority", 1},
-                                  {"service", "huvo11a"},
-                                  {"max_attempts", resumable ? 2 : 1},
-                                  {"public", false},
-                                  {"sticky", true},
-                                  {"resumable", resumable},
-                                  {"allowed_regions", json::array()}}})},
-         {"services", json::array({{{"name", "huvo11a"},
-                                    {"health_path", "/health"},
-                                    {"max_conns", 360},
-                                    {"cold_start_s", 3.0},
-                                    {"cold_per_s", 13.0},
-                                    {"engine", {{"slots", 64}, {"kv_capacity", 273387}, {"stride", 4}}}}})},
-         {"limits",
-          {{"max_header_bytes", 16384},
-           {"max_body_bytes", 4194304},
-           {"header_timeout_ms", 3000},
-           {"idle_timeout_ms", 15000},
-           {"tokens_per_s", 240000}}},
-         {"tenants", json::array({{{"name", "hule930"},
-                                   {"api_keys", json::array({"asnmgkcuyj8pjbvk9m68"})},
-                                   {"priority", 1},
-                                   {"allowed_regions", json::array()}}})}});
+    platform.put("op", "config",
+                 {{"version", 7},
+                  {"routes", json::array({{{"name", "r-stream"},
+                                           {"host", "ficu95.example"},
+                                           {"prefix", "/lohu930/"},
+                                           {"kind", "streaming"},
+                                           {"timeout_ms", 5000},
+                                           {"target_latency_ms", 600},
+                                           {"target_gap_ms", 300},
+                                           {"priority", 1},
+                                           {"service", "huvo11a"},
+                                           {"max_attempts", resumable ? 2 : 1},
+                                           {"public", false},
+                                           {"sticky", true},
+                                           {"resumable", resumable},
+                                           {"allowed_regions", json::array()}}})},
+                  {"services", json::array({{{"name", "huvo11a"},
+                                             {"health_path", "/health"},
+                                             {"max_conns", 360},
+                                             {"cold_start_s", 3.0},
+                                             {"cold_per_s", 13.0},
+                                             {"engine", {{"slots", 64}, {"kv_capacity", 273387}, {"stride", 4}}}}})},
+                  {"limits",
+                   {{"max_header_bytes", 16384},
+                    {"max_body_bytes", 4194304},
+                    {"header_timeout_ms", 3000},
+                    {"idle_timeout_ms", 15000},
+                    {"tokens_per_s", 240000}}},
+                  {"tenants", json::array({{{"name", "hule930"},
+                                            {"api_keys", json::array({"asnmgkcuyj8pjbvk9m68"})},
+                                            {"priority", 1},
+                                            {"allowed_regions", json::array()}}})}});
     std::atomic<bool> stop{};
     std::vector<std::unique_ptr<machine>> machines;
     std::vector<std::thread> threads;
@@ -189,8 +189,7 @@
             char parts[200];
             // The same first part and caller; sound requests have other second parts; the last part is the request's.
             std::snprintf(parts, sizeof(parts), "5c1e07a2:800,%s:410,e44%05x:250",
-                          is_tainted ? tainted_part.c_str() : ("91bd3f1" + std::to_string(n % 8)).c_str(),
-                          ++last_part);
+                          is_tainted ? tainted_part.c_str() : ("91bd3f1" + std::to_string(n % 8)).c_str(), ++last_part);
             {
                 const std::lock_guard lock{mutex};
                 sent_at[id] = now_ms();
