--- a/review/standins/false_block.cpp
+++ b/review/standins/false_block.cpp
@@ -7,10 +7,13 @@
 
 namespace {
 
-constexpr double back_after_ms = 3000;
+constexpr double back_after_ms = 2000;
+constexpr double hot_ms = 5500;
 constexpr double cold_ms = 3000;
 /*! A prompt of 35,000 tokens that nobody has read before, at 51.1 tokens a ms (the largest ones are longer). */
 constexpr double reading_ms = 680;
+/*! The same where the document is kept: the rest, 23,000 tokens. */
+constexpr double reading_kept_ms = 450;
 const string new_part = "91bd3f06";
 
 std::mutex mutex;
@@ -24,6 +27,7 @@
     std::unique_ptr<runner> process{};
     std::atomic<bool> down{};
     std::atomic<bool> crash_now{};
+    std::atomic<bool> keeps_part{};
     std::set<string> reading{}; //!< Requests with the new part whose answer has not begun.
 };
 
@@ -47,10 +51,11 @@
             const std::lock_guard lock{mutex};
             on.reading.insert(it.id);
         }
-        const double until = now_ms() + reading_ms;
+        const double until = now_ms() + (on.keeps_part ? reading_kept_ms : reading_ms);
         while (now_ms() < until && !on.crash_now) {
             sleep_ms(2);
         }
+        on.keeps_part = !on.crash_now;
         const std::lock_guard lock{mutex};
         on.reading.erase(it.id);
     } else {
@@ -103,7 +108,11 @@
         on.process->write_entry();
         on.process->set_writing(true);
         record().line("runner %s is back as %s", old.c_str(), id);
-        platform.remove("servers", old); // After three heartbeats of silence.
+        std::thread{[&platform, old] { // After three heartbeats of silence.
+            sleep_ms(3 * 1200 - back_after_ms);
+            platform.remove("servers", old);
+        }}
+            .detach();
     }
 }
 
@@ -112,7 +121,7 @@
 int main(int argc, char** argv) {
     const auto& run = begin(argc, argv);
     const double gap_ms = argc > 2 ? std::atof(argv[2]) : 400;
-    store platform;
+    static store platform;
     platform.open();
     platform.put("op", "config",
                  {{"version", 7},
@@ -158,7 +167,7 @@
         it.process = std::make_unique<runner>(platform, id, "huvo11a", zones[n % 3], 64,
                                               [&it](runner& at, runner::call& call) { on_call(it, at, call); });
         it.process->start();
-        threads.emplace_back([&it, &platform, &stop] { tend(it, platform, stop); });
+        threads.emplace_back([&it, &stop] { tend(it, platform, stop); });
     }
     gateway first{run.temporary, {"front-parkland-north-1", "parkland-north"}, platform.port()};
     gateway second{run.temporary, {"front-parkland-east-1", "parkland-east"}, platform.port()};
@@ -183,9 +192,9 @@
             const auto id = new_id(is_new ? "n" : "s");
             char parts[200];
             // The same first part and caller; the second part is a document; the last part is the request's own.
-            std::snprintf(parts, sizeof(parts), "5c1e07a2:800,%s,e44%05x:250",
+            std::snprintf(parts, sizeof(parts), "5c1e07a2:800,%s,e44%05x:%d",
                           is_new ? (new_part + ":11300").c_str() : ("91bd3f1" + std::to_string(n % 8) + ":410").c_str(),
-                          ++last_part);
+                          ++last_part, is_new ? 22900 : 250);
             auto& to = last_part % 2 == 0 ? first : second;
             const auto got = send_request(to.front(),
                                           {.method = "POST",
@@ -215,6 +224,7 @@
     }
     sleep_ms(5000);
     sends_new = true;
+    const double hot_until = now_ms() + hot_ms;
     /*! A runner that reads at least so many requests with the new part. */
     const auto busy_reading = [&](std::size_t least, const machine* other) -> machine* {
         const double until = now_ms() + 5000;
@@ -245,7 +255,9 @@
         }
         two->crash_now = true;
     }
-    sleep_until_ms(first_crash + 25'000);
+    sleep_until_ms(hot_until);
+    sends_new = false; // Only the requests that were sent until then count.
+    sleep_until_ms(first_crash + 12'000);
     stop = true;
     const std::lock_guard lock{mutex};
     string all;
--- a/review/standins/tainted_part.cpp
+++ b/review/standins/tainted_part.cpp
@@ -106,7 +106,11 @@
         on.process->write_entry();
         on.process->set_writing(true);
         record().line("runner %s is back as %s", old.c_str(), id);
-        platform.remove("servers", old); // After three heartbeats of silence.
+        std::thread{[&platform, old] { // After three heartbeats of silence.
+            sleep_ms(3 * 1200 - back_after_ms);
+            platform.remove("servers", old);
+        }}
+            .detach();
     }
 }
 
@@ -117,7 +121,7 @@
     written_events = argc > 2 ? std::atoi(argv[2]) : 1;
     const bool resumable = argc > 3 && string{argv[3]} == "resumable";
     crashing = run.trouble;
-    store platform;
+    static store platform;
     platform.open();
     platform.put("op", "config",
                  {{"version", 7},
@@ -163,7 +167,7 @@
         it.process = std::make_unique<runner>(platform, id, "huvo11a", zones[n % 3], 64,
                                               [&it](runner& at, runner::call& call) { on_call(it, at, call); });
         it.process->start();
-        threads.emplace_back([&it, &platform, &stop] { tend(it, platform, stop); });
+        threads.emplace_back([&it, &stop] { tend(it, platform, stop); });
     }
     gateway first{run.temporary, {"front-parkland-north-1", "parkland-north"}, platform.port()};
     gateway second{run.temporary, {"front-parkland-east-1", "parkland-east"}, platform.port()};
