Count a part's losses only if their runs were sent one after the other

Cause: exits 100 ms apart were independent evidence against a part, though the runs that they interrupted had been under way together. Two were enough for a part that no answer had proved, as is any new one.

Change: a loss is independent only if its run was sent after the exit before; since that exit requests with the part run one at a time at each gateway. Three independent losses block a new part (two before), five a proven one (three before: two causes that share it would otherwise block it first). A call counts twice at most. Gateways tell when their runs were sent.

--- a/src/dandelionbay/limit/part_crash_registry.cpp
+++ b/src/dandelionbay/limit/part_crash_registry.cpp
@@ -31,6 +31,7 @@
         std::size_t loss{};
         time_point ended{};
         std::vector<std::uint64_t> calls{}; //!< Calls with the part that were interrupted.
+        time_point last_sent{};             //!< When the latest of their runs was sent; the exit if that is unknown.
     };
 
     service_part part{};
@@ -43,15 +44,40 @@
         return std::ranges::binary_search(suspicions, loss, {}, &suspicion::loss);
     }
 
-    /*! Number of faults in which different calls with the part were interrupted: one call may itself be the cause. */
+    /*! Number of faults for which the interrupted calls can count. */
+    [[nodiscard]] std::size_t max_fault_count() const {
+        std::set<std::uint64_t> calls;
+        for (const auto& it : suspicions) {
+            calls.insert(it.calls.begin(), it.calls.end());
+        }
+        return max_faults_per_call * calls.size();
+    }
+
+    /*! Number of faults in which calls with the part were interrupted. */
     [[nodiscard]] std::size_t fault_count() const {
         std::vector<time_point> exits;
-        std::set<std::uint64_t> calls;
         for (const auto& it : suspicions) {
             exits.push_back(it.ended);
-            calls.insert(it.calls.begin(), it.calls.end());
         }
-        return std::min(count_faults(exits), calls.size());
+        return std::min(count_faults(exits), max_fault_count());
+    }
+
+    /*! Number of these faults whose runs were sent one after the exit of the other. */
+    [[nodiscard]] std::size_t independent_fault_count() const {
+        std::size_t n = 0;
+        std::optional<time_point> last;
+        for (const auto& it : suspicions) { // Selecting by earliest end yields the largest set.
+            if (!last || (it.last_sent >= *last && it.ended >= *last + same_fault_window)) {
+                last = it.ended;
+                ++n;
+            }
+        }
+        return std::min(n, max_fault_count());
+    }
+
+    [[nodiscard]] bool has_faults(std::size_t needed) const {
+        return suspicions.size() >= needed &&
+               (independent_fault_count() >= needed || fault_count() >= needed + extra_faults_at_once);
     }
 
     /*! Tells whether another part comes before this one in all prompts: if it is the cause, blocking this one refuses
@@ -197,9 +223,11 @@
                 it.was_served = status_of(part).cleared.has_value();
                 it.is_local = it.is_local || entry.is_local;
                 if (it.suspicions.empty() || it.suspicions.back().loss != n) {
-                    it.suspicions.push_back({n, ended, {}});
+                    it.suspicions.push_back({n, ended, {}, {}});
                 }
-                it.suspicions.back().calls.push_back(entry.run.call);
+                auto& suspicion = it.suspicions.back();
+                suspicion.calls.push_back(entry.run.call);
+                suspicion.last_sent = std::max(suspicion.last_sent, entry.run.sent.value_or(ended));
             }
         }
     }
@@ -335,12 +363,12 @@
         const auto needed =
             (it.was_served ? min_faults_if_served : min_faults) + extra_faults +
             static_cast<size_type>(std::bit_width(losses.count_others(it, now) / other_faults_per_step));
-        const auto faults = it.fault_count();
+        const auto faults = it.independent_fault_count();
         const bool is_better = best == nullptr || std::tuple{best->was_served, faults, it.position} >
                                                       std::tuple{it.was_served, most_faults, best->position};
         // The peers that lost the runs know which parts were answered since; this router may not know it yet.
         const bool is_left_to_peers = learning && !it.is_local;
-        if (faults < needed || !is_better || is_left_to_peers) {
+        if (!it.has_faults(needed) || !is_better || is_left_to_peers) {
             continue;
         }
         if (faults < needed + extra_faults_at_once) {
@@ -352,7 +380,7 @@
                 }
                 return now < reported_at;
             });
-            if (reported.fault_count() < needed || reported.has_rival(losses.suspects)) {
+            if (!reported.has_faults(needed) || reported.has_rival(losses.suspects)) {
                 continue;
             }
         }
--- a/src/dandelionbay/limit/part_crash_registry.hpp
+++ b/src/dandelionbay/limit/part_crash_registry.hpp
@@ -33,6 +33,7 @@
 struct unbegun_run {
     std::uint64_t call{};              //!< Fingerprint of the call.
     std::vector<service_part> parts{}; //!< Parts of its prompt that other calls may share.
+    std::optional<time_point> sent{};  //!< When the call was sent to the endpoint; empty if the reporter doesn't tell.
 
     friend bool operator==(const unbegun_run&, const unbegun_run&) = default;
 };
@@ -79,7 +80,9 @@
  * An exited process has one cause among the runs that had not begun there, at whichever router: all their parts are
  * suspects. An answer that begins proves its parts sound. Of the remaining suspects, the smallest set of parts that
  * explains all losses is blocked: first the part that explains the most losses, of several calls, unless another part
- * explains the same ones. A loss that a blocked part explains says nothing about the others.
+ * explains the same ones. A loss that a blocked part explains says nothing about the others. Losses are independent if
+ * the later run was sent after the earlier process exited: unrelated exits that follow each other closely hit runs that
+ * were under way together, of a sound part too.
  */
 class part_crash_registry {
     struct run_entry {
@@ -131,10 +134,11 @@
 public:
     using size_type = std::size_t;
 
-    /*! @brief Number of faults that block a part to which no answer is known to have begun. */
-    static constexpr size_type min_faults = 2;
-    /*! @brief The same for a part to which answers began before. */
-    static constexpr size_type min_faults_if_served = 3;
+    /*! @brief Number of independent faults that block a part to which no answer is known to have begun. */
+    static constexpr size_type min_faults = 3;
+    /*! @brief The same for a part to which answers began before: two causes that come with it explain as few as four.
+     */
+    static constexpr size_type min_faults_if_served = 5;
     /*! @brief Faults of other causes within other_faults_window that raise these numbers by one; twice as many raise
      * them by two, and so on: among many losses some parts meet by chance. */
     static constexpr size_type other_faults_per_step = 4;
@@ -145,7 +149,10 @@
      * are needed, and a run of this router's own. */
     static constexpr duration learning_time = std::chrono::seconds{3};
     static constexpr size_type extra_faults_while_learning = 2;
-    /*! @brief Additional faults from which a part is blocked at once, even if others explain them as well. */
+    /*! @brief Faults for which one call counts at most, since it may itself be the cause. */
+    static constexpr size_type max_faults_per_call = 2;
+    /*! @brief Additional faults from which a part is blocked at once, even if others explain them as well, or if the
+     * runs were under way together. */
     static constexpr size_type extra_faults_at_once = 2;
     /*! @brief Processes that exit within this time count as one fault. */
     static constexpr duration same_fault_window = lost_run_registry::same_fault_window;
--- a/src/dandelionbay/peer/peer_synchronizer.cpp
+++ b/src/dandelionbay/peer/peer_synchronizer.cpp
@@ -253,8 +253,13 @@
     }
     const auto offset = offset_of(in, now);
     auto evidence = in.part_crashes;
-    for (auto& it : evidence.losses) {
+    for (auto& it : evidence.losses) { // Dated as in merge_losses(), so that runs that may not have overlapped count.
         it.ended += offset.min;
+        for (auto& run : it.runs) {
+            if (run.sent) {
+                *run.sent += offset.max;
+            }
+        }
     }
     for (auto& it : evidence.parts) { // In doubt, an answer began after a loss and cleared it.
         if (it.cleared) {
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -318,7 +318,7 @@
 void proxy::note_run_lost(std::uint64_t call, const lost_run& run, const socket_address& address,
                           const std::vector<service_part>& unbegun_parts) {
     if (!unbegun_parts.empty()) {
-        part_crashes_.record_interrupted_run(run.process, unbegun_run{call, unbegun_parts}, now());
+        part_crashes_.record_interrupted_run(run.process, unbegun_run{call, unbegun_parts, run.started}, now());
     }
     if (losses_.record_interrupted_run(call, run)) {
         part_crashes_.record_process_exit(run.process, now());
--- a/test/dandelionbay/peer/part_crash_fleet_test.cpp
+++ b/test/dandelionbay/peer/part_crash_fleet_test.cpp
@@ -171,6 +171,7 @@
         auto& to = *up[random_() % up.size()];
         const auto ticket = ++last_ticket_;
         to.runs[ticket] = running_call{run, at, runs_left - 1};
+        to.runs[ticket].run.sent = events_.now();
         if (is_crashing(run)) {
             sent_[run.parts.back().id].push_back(events_.now());
         }
