Let only answers that go on prove the parts of their prompts

Cause: the first event of an answer cleared its parts of all losses, and a run that had begun was reported without its parts when it was lost.

Change: an answer proves its parts when it is complete or has gone on for 0.5 s since its first event. Until then a lost run makes them suspects, and a resumed stream waits for its turn. `attempt_failed` says whether the parts were proven. The end of a stream that ends with its connection is no proof.

--- a/src/dandelionbay/limit/fwd.hpp
+++ b/src/dandelionbay/limit/fwd.hpp
@@ -15,6 +15,6 @@
 struct part_status;
 struct process_loss;
 struct service_part;
-struct unbegun_run;
+struct unproven_run;
 
 } // namespace dandelionbay
--- a/src/dandelionbay/limit/part_crash_registry.cpp
+++ b/src/dandelionbay/limit/part_crash_registry.cpp
@@ -36,7 +36,7 @@
 
     service_part part{};
     std::size_t position{}; //!< In the prompt; fewer calls share a later part.
-    bool was_served{};      //!< Answers to the part began before.
+    bool was_served{};      //!< Answers proved the part before.
     bool is_local{};        //!< This router lost a run with the part itself.
     std::vector<suspicion> suspicions{};
 
@@ -101,17 +101,17 @@
     }
 };
 
-void part_crash_registry::note_suspects(const unbegun_run& run, time_point ended, time_point now) {
+void part_crash_registry::note_suspects(const unproven_run& run, time_point ended, time_point now) {
     for (const auto& part : run.parts) {
         auto& it = records_[part];
         it.last_loss = std::max(it.last_loss.value_or(ended), ended);
-        const auto begun = begun_.find(part);
-        if (begun == begun_.end() || now - begun->second >= retention_window) {
+        const auto proven = proven_.find(part);
+        if (proven == proven_.end() || now - proven->second >= retention_window) {
             continue;
         }
-        // Peers that have seen answers begin too need not all tell.
-        if (!it.cleared || begun->second >= ended || begun->second > *it.cleared + clearance_validity / 2) {
-            static_cast<void>(clear(it, begun->second, true, now));
+        // Peers with a proof of their own need not all tell.
+        if (!it.cleared || proven->second >= ended || proven->second > *it.cleared + clearance_validity / 2) {
+            static_cast<void>(clear(it, proven->second, true, now));
         }
     }
 }
@@ -152,7 +152,7 @@
 }
 
 bool part_crash_registry::is_learning(time_point now) const {
-    return !first_begun_ || now - *first_begun_ < learning_time;
+    return !first_proof_ || now - *first_proof_ < learning_time;
 }
 
 bool part_crash_registry::has_blocked_suspect(const loss& it) const {
@@ -238,15 +238,15 @@
     return out;
 }
 
-std::vector<service_part> part_crash_registry::record_begun(const std::vector<service_part>& parts, time_point now) {
-    first_begun_ = first_begun_.value_or(now);
+std::vector<service_part> part_crash_registry::record_proof(const std::vector<service_part>& parts, time_point now) {
+    first_proof_ = first_proof_.value_or(now);
     std::vector<service_part> unblocked;
     for (const auto& part : parts) {
-        if (begun_.size() >= max_begun_parts && !begun_.contains(part)) {
-            std::erase_if(begun_, [&](const auto& it) { return now - it.second >= clearance_validity; });
+        if (proven_.size() >= max_proven_parts && !proven_.contains(part)) {
+            std::erase_if(proven_, [&](const auto& it) { return now - it.second >= clearance_validity; });
         }
-        if (begun_.size() < max_begun_parts || begun_.contains(part)) {
-            begun_[part] = now;
+        if (proven_.size() < max_proven_parts || proven_.contains(part)) {
+            proven_[part] = now;
         }
         const auto known = records_.find(part);
         if (known == records_.end()) {
@@ -267,7 +267,7 @@
     }
 }
 
-void part_crash_registry::record_interrupted_run(const endpoint_process& process, const unbegun_run& run,
+void part_crash_registry::record_interrupted_run(const endpoint_process& process, const unproven_run& run,
                                                  time_point now) {
     auto& it = losses_.try_emplace(process, loss{now, false, false, {}, now}).first->second;
     if (it.runs.size() >= max_runs_per_loss) {
@@ -341,9 +341,9 @@
         if (reported.cleared && clear(it, *reported.cleared, false, now)) {
             out.unblocked.push_back(reported.part);
         }
-        const auto begun = begun_.find(reported.part);
-        if (reported.blocked && begun != begun_.end() && begun->second > *reported.blocked) {
-            static_cast<void>(clear(it, begun->second, true, now)); // The peer learns of this answer.
+        const auto proven = proven_.find(reported.part);
+        if (reported.blocked && proven != proven_.end() && proven->second > *reported.blocked) {
+            static_cast<void>(clear(it, proven->second, true, now)); // The peer learns of this answer.
         }
         if (reported.blocked && !it.blocked && (!it.cleared || *reported.blocked > *it.cleared)) {
             block(reported.part, *reported.blocked, now);
@@ -425,8 +425,8 @@
         return out;
     }
     next_review_.reset();
-    if (first_begun_ && is_learning(now)) {
-        next_review_ = *first_begun_ + learning_time;
+    if (first_proof_ && is_learning(now)) {
+        next_review_ = *first_proof_ + learning_time;
     }
     mark_explained();
     while (const auto cause = find_cause(report_delay, now)) {
--- a/src/dandelionbay/limit/part_crash_registry.hpp
+++ b/src/dandelionbay/limit/part_crash_registry.hpp
@@ -29,20 +29,21 @@
     friend bool operator==(const service_part&, const service_part&) = default;
 };
 
-/*! @brief A run whose answer had not begun when its endpoint's process exited. */
-struct unbegun_run {
+/*! @brief A run whose answer had not proved its parts when its endpoint's process exited. */
+struct unproven_run {
     std::uint64_t call{};              //!< Fingerprint of the call.
     std::vector<service_part> parts{}; //!< Parts of its prompt that other calls may share.
     std::optional<time_point> sent{};  //!< When the call was sent to the endpoint; empty if the reporter doesn't tell.
 
-    friend bool operator==(const unbegun_run&, const unbegun_run&) = default;
+    friend bool operator==(const unproven_run&, const unproven_run&) = default;
 };
 
-/*! @brief The exit of a process and the runs of one router that it interrupted before their answers began. */
+/*! @brief The exit of a process and the runs of one router that it interrupted before their answers proved their parts.
+ */
 struct process_loss {
     endpoint_process process{};
     time_point ended{};
-    std::vector<unbegun_run> runs{};
+    std::vector<unproven_run> runs{};
 
     friend bool operator==(const process_loss&, const process_loss&) = default;
 };
@@ -50,7 +51,7 @@
 /*! @brief What is known of one part. */
 struct part_status {
     service_part part{};
-    std::optional<time_point> cleared{}; //!< Losses up to this time don't count: an answer to the part began then.
+    std::optional<time_point> cleared{}; //!< Losses up to this time don't count: an answer proved the part then.
     std::optional<time_point> blocked{}; //!< Since when calls with the part are refused.
 
     friend bool operator==(const part_status&, const part_status&) = default;
@@ -77,16 +78,17 @@
 /**
  * @brief Registry of prompt parts that crash the endpoints that begin an answer to them.
  *
- * An exited process has one cause among the runs that had not begun there, at whichever router: all their parts are
- * suspects. An answer that begins proves its parts sound. Of the remaining suspects, the smallest set of parts that
- * explains all losses is blocked: first the part that explains the most losses, of several calls, unless another part
- * explains the same ones. A loss that a blocked part explains says nothing about the others. Losses are independent if
- * the later run was sent after the earlier process exited: unrelated exits that follow each other closely hit runs that
- * were under way together, of a sound part too.
+ * An exited process has one cause among the runs there, at whichever router, whose answers had not proved their parts:
+ * all these parts are suspects. An answer proves its parts sound when it is complete or has gone on for
+ * proof_time: its first event doesn't, because the endpoint may exit on the next one. Of the remaining suspects, the
+ * smallest set of parts that explains all losses is blocked: first the part that explains the most losses, of several
+ * calls, unless another part explains the same ones. A loss that a blocked part explains says nothing about the others.
+ * Losses are independent if the later run was sent after the earlier process exited: unrelated exits that follow each
+ * other closely hit runs that were under way together, of a sound part too.
  */
 class part_crash_registry {
     struct run_entry {
-        unbegun_run run{};
+        unproven_run run{};
         bool is_local{}; //!< Observed by this router rather than reported by a peer.
     };
     struct loss {
@@ -109,7 +111,7 @@
         [[nodiscard]] std::size_t operator()(const service_part& it) const noexcept { return it.hash(); }
     };
 
-    void note_suspects(const unbegun_run& run, time_point ended, time_point now);
+    void note_suspects(const unproven_run& run, time_point ended, time_point now);
     [[nodiscard]] bool clear(record& in, time_point at, bool is_local, time_point now);
     /*! Tells whether a run's part is suspected of a loss at this time, or was cleared since. */
     [[nodiscard]] bool is_suspect(const service_part& part, time_point ended) const;
@@ -134,10 +136,11 @@
 public:
     using size_type = std::size_t;
 
-    /*! @brief Number of independent faults that block a part to which no answer is known to have begun. */
+    /*! @brief Time from the first event after which an answer that goes on proves its parts. */
+    static constexpr duration proof_time = std::chrono::milliseconds{500};
+    /*! @brief Number of independent faults that block a part that no answer is known to have proved. */
     static constexpr size_type min_faults = 3;
-    /*! @brief The same for a part to which answers began before: two causes that come with it explain as few as four.
-     */
+    /*! @brief The same for a part that answers proved before: two causes that come with it explain as few as four. */
     static constexpr size_type min_faults_if_served = 5;
     /*! @brief Faults of other causes within other_faults_window that raise these numbers by one; twice as many raise
      * them by two, and so on: among many losses some parts meet by chance. */
@@ -156,23 +159,23 @@
     static constexpr size_type extra_faults_at_once = 2;
     /*! @brief Processes that exit within this time count as one fault. */
     static constexpr duration same_fault_window = lost_run_registry::same_fault_window;
-    /*! @brief A suspect part runs in one call at a time, unless an answer to it began within this time before the
+    /*! @brief A suspect part runs in one call at a time, unless an answer proved it within this time before the
      *  loss. */
     static constexpr duration clearance_validity = std::chrono::seconds{10};
     /*! @brief Time for which losses, clearances and blocks are kept. */
     static constexpr duration retention_window = lost_run_registry::retention_window;
     /*! @brief A process counts as alive if its exit isn't confirmed within this time after an interrupted run. */
     static constexpr duration confirmation_timeout = lost_run_registry::confirmation_timeout;
-    /*! @brief Limits of the number of losses, of the runs of each, and of the parts with a known begin of an answer. */
+    /*! @brief Limits of the number of losses, of the runs of each, and of the parts with a known proof. */
     static constexpr size_type max_losses = 64;
     static constexpr size_type max_runs_per_loss = 128;
-    static constexpr size_type max_begun_parts = 16'384;
+    static constexpr size_type max_proven_parts = 16'384;
 
-    /*! @brief Records that an answer began. @return Parts that were blocked until now. */
-    std::vector<service_part> record_begun(const std::vector<service_part>& parts, time_point now);
+    /*! @brief Records that an answer proved its parts. @return Parts that were blocked until now. */
+    std::vector<service_part> record_proof(const std::vector<service_part>& parts, time_point now);
 
-    /*! @brief Records a run that was interrupted before its answer began. */
-    void record_interrupted_run(const endpoint_process& process, const unbegun_run& run, time_point now);
+    /*! @brief Records a run that was interrupted before its answer proved its parts. */
+    void record_interrupted_run(const endpoint_process& process, const unproven_run& run, time_point now);
 
     /*! @brief Records that a process exited; its interrupted runs count from now on. */
     void record_process_exit(const endpoint_process& process, time_point now);
@@ -219,11 +222,11 @@
     std::map<endpoint_process, loss> losses_{};
     std::map<service_part, record> records_{}; //!< Parts of interrupted runs and blocked parts.
     size_type blocked_parts_{};
-    std::optional<time_point> first_begun_{};
+    std::optional<time_point> first_proof_{};
     time_point last_urgent_change_{};
     bool needs_review_{};
     std::optional<time_point> next_review_{}; //!< When a loss will have been reported by all routers.
-    std::unordered_map<service_part, time_point, part_hash> begun_{}; //!< Last begin of an answer at this router.
+    std::unordered_map<service_part, time_point, part_hash> proven_{}; //!< Last proof at this router.
 };
 
 } // namespace dandelionbay
--- a/src/dandelionbay/peer/peer_message.cpp
+++ b/src/dandelionbay/peer/peer_message.cpp
@@ -29,8 +29,8 @@
 using request_row = std::tuple<bool, bool, bool>;
 using part_row = std::tuple<std::uint64_t, std::uint64_t>;
 using optional_time_row = std::vector<std::int64_t>; // Empty or one time.
-using unbegun_run_row = std::tuple<std::uint64_t, std::vector<part_row>, optional_time_row>;
-using process_loss_row = std::tuple<std::string, std::uint64_t, std::int64_t, std::vector<unbegun_run_row>>;
+using unproven_run_row = std::tuple<std::uint64_t, std::vector<part_row>, optional_time_row>;
+using process_loss_row = std::tuple<std::string, std::uint64_t, std::int64_t, std::vector<unproven_run_row>>;
 using part_status_row = std::tuple<part_row, optional_time_row, optional_time_row>;
 using part_evidence_row = std::tuple<std::vector<process_loss_row>, std::vector<part_status_row>>;
 /*! New fields are added at the end: routers of an earlier version neither write nor read them. */
@@ -156,7 +156,7 @@
 [[nodiscard]] part_evidence_row row_of(const part_evidence& it) {
     part_evidence_row out;
     for (const auto& lost : it.losses) {
-        std::vector<unbegun_run_row> runs;
+        std::vector<unproven_run_row> runs;
         for (const auto& run : lost.runs) {
             auto& row = runs.emplace_back(run.call, std::vector<part_row>{}, row_of(run.sent));
             for (const auto& part : run.parts) {
@@ -177,7 +177,7 @@
     for (const auto& [endpoint, started, ended, runs] : std::get<0>(row)) {
         process_loss lost{endpoint_process{endpoint_id{endpoint}, started}, time_point{duration{ended}}, {}};
         for (const auto& [call, parts, sent] : runs) {
-            auto& run = lost.runs.emplace_back(unbegun_run{call, {}, time_of(sent)});
+            auto& run = lost.runs.emplace_back(unproven_run{call, {}, time_of(sent)});
             for (const auto& part : parts) {
                 run.parts.push_back(part_of(part));
             }
--- a/src/dandelionbay/proxy/attempt.hpp
+++ b/src/dandelionbay/proxy/attempt.hpp
@@ -39,10 +39,12 @@
     response_metadata metadata{};
     std::string body{};
     event_scanner scanner{};
-    bool has_begun{};       //!< An event or a whole response was received.
-    bool is_streaming{};    //!< The response is forwarded event by event.
-    bool is_continuation{}; //!< The response continues a stream that an earlier attempt started.
-    bool is_paused{};       //!< Reading is paused because the caller's connection is backed up.
+    bool has_begun{};        //!< An event or a whole response was received.
+    time_point begun_at{};   //!< When that was.
+    bool has_proven_parts{}; //!< The response proved the shared parts of the prompt sound.
+    bool is_streaming{};     //!< The response is forwarded event by event.
+    bool is_continuation{};  //!< The response continues a stream that an earlier attempt started.
+    bool is_paused{};        //!< Reading is paused because the caller's connection is backed up.
 };
 
 } // namespace dandelionbay
--- a/src/dandelionbay/proxy/call_record.cpp
+++ b/src/dandelionbay/proxy/call_record.cpp
@@ -42,6 +42,7 @@
                                  {"reason", std::string{reason}},
                                  {"parts", shared_parts_text(it.parts)},
                                  {"begun", it.has_begun ? "yes" : "no"},
+                                 {"proven", it.has_proven_parts ? "yes" : "no"},
                                  {"waited_ms", to_text(it.waited)},
                                  {"list_age_ms", to_text(it.list_age)},
                                  {"may_have_run", std::to_string(it.runs)},
--- a/src/dandelionbay/proxy/call_record.hpp
+++ b/src/dandelionbay/proxy/call_record.hpp
@@ -22,6 +22,7 @@
     std::uint64_t call{};             //!< Fingerprint of the call; equal for all attempts of the call.
     std::vector<prompt_part> parts{}; //!< The prompt in order; the last part belongs to this call or its session.
     bool has_begun{};                 //!< The attempt's answer had begun.
+    bool has_proven_parts{};          //!< It had proved the shared parts of the prompt sound.
     std::string route{};
     team_id team{};
     service_id service{};
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -256,7 +256,7 @@
 }
 
 bool exchange::is_known_to_crash_endpoints() const {
-    if (!response_started_ && owner_->part_crashes().is_blocked(shared_parts_)) {
+    if (!has_proven_parts_ && owner_->part_crashes().is_blocked(shared_parts_)) {
         return true;
     }
     return !owner_->losses().empty() && owner_->losses().is_refused(fingerprint());
@@ -416,6 +416,7 @@
     auto out = record();
     out.choice = it.choice;
     out.has_begun = it.has_begun;
+    out.has_proven_parts = it.has_proven_parts;
     return out;
 }
 
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -119,6 +119,9 @@
     void refuse_as_crashing();
     void send_events(attempt& it);
     void begin_stream(const attempt& it);
+
+    /*! Records that an answer proved the shared parts of the prompt sound. */
+    void note_parts_proven(attempt& by);
     void complete_stream(attempt& it);
     void complete_buffered(attempt& it);
     void handle_endpoint_error(attempt& it);
@@ -266,6 +269,7 @@
     call_attempts open_attempts_{};
     std::vector<std::shared_ptr<attempt>> attempts_{}; //!< Open attempts.
     std::optional<saved_failure> failure_{}; //!< An endpoint's error response, saved while another one is tried.
+    bool has_proven_parts_{};                //!< An attempt proved the shared parts sound.
     bool response_started_{};                //!< The caller was sent the head of the response.
     std::optional<std::uint64_t> last_event_id_{};
     std::optional<time_point> first_event_at_{};
--- a/src/dandelionbay/proxy/exchange_attempts.cpp
+++ b/src/dandelionbay/proxy/exchange_attempts.cpp
@@ -65,8 +65,8 @@
 
 bool exchange::acquire_part_locks(time_point now) {
     release_part_locks();
-    if (response_started_) {
-        return true; // Its parts are proven.
+    if (has_proven_parts_) {
+        return true;
     }
     std::vector<std::uint64_t> keys;
     time_point lost_at;
@@ -270,7 +270,7 @@
 void exchange::report_lost_run(const attempt& it, time_point ended) {
     const lost_run run{{it.choice.endpoint, it.choice.process_started}, it.sent_at, ended};
     owner_->note_run_lost(fingerprint(), run, it.choice.address,
-                          it.has_begun ? std::vector<service_part>{} : shared_parts_);
+                          it.has_proven_parts ? std::vector<service_part>{} : shared_parts_);
 }
 
 void exchange::report_silent_run(const attempt& it) {
@@ -319,9 +319,10 @@
 void exchange::on_progress(attempt& it, time_point now) {
     without_endpoint_since_.reset();
     it.last_event_at = now;
-    if (!std::exchange(it.has_begun, true) && it.head->status / 100 == 2) {
-        owner_->note_run_begun(shared_parts_);
-        release_part_locks();
+    if (!std::exchange(it.has_begun, true)) {
+        it.begun_at = now;
+    } else if (now - it.begun_at >= part_crash_registry::proof_time) {
+        note_parts_proven(it);
     }
     const auto progress = open_attempts_.record_progress(it.ticket, now);
     if (progress.obsolete.empty()) {
@@ -339,6 +340,14 @@
     }
 }
 
+void exchange::note_parts_proven(attempt& by) {
+    if (by.head->status / 100 == 2 && !std::exchange(by.has_proven_parts, true)) {
+        has_proven_parts_ = true;
+        owner_->note_parts_proven(shared_parts_);
+        release_part_locks();
+    }
+}
+
 void exchange::drop_buffered_response() {
     const auto largest =
         std::ranges::max_element(attempts_, {}, [](const auto& it) { return it->buffered_response_bytes(); });
--- a/src/dandelionbay/proxy/exchange_response.cpp
+++ b/src/dandelionbay/proxy/exchange_response.cpp
@@ -155,6 +155,9 @@
     const auto now = owner_->now();
     owner_->dispatch().started(it.ticket, now);
     on_progress(it, now);
+    if (!ended_by_close) { // Otherwise the end of the process may look like the end of the stream.
+        note_parts_proven(it);
+    }
     owner_->note_run_answered(fingerprint());
     end_attempt(it, call_outcome::answered);
     if (!response_started_) {
@@ -230,6 +233,7 @@
     owner_->dispatch().started(it.ticket, now);
     on_progress(it, now);
     if (status / 100 == 2) {
+        note_parts_proven(it);
         owner_->note_run_answered(fingerprint());
     }
     end_attempt(it, status >= 500 ? call_outcome::failed : call_outcome::answered);
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -316,9 +316,9 @@
 }
 
 void proxy::note_run_lost(std::uint64_t call, const lost_run& run, const socket_address& address,
-                          const std::vector<service_part>& unbegun_parts) {
-    if (!unbegun_parts.empty()) {
-        part_crashes_.record_interrupted_run(run.process, unbegun_run{call, unbegun_parts, run.started}, now());
+                          const std::vector<service_part>& unproven_parts) {
+    if (!unproven_parts.empty()) {
+        part_crashes_.record_interrupted_run(run.process, unproven_run{call, unproven_parts, run.started}, now());
     }
     if (losses_.record_interrupted_run(call, run)) {
         part_crashes_.record_process_exit(run.process, now());
@@ -381,8 +381,8 @@
     }
 }
 
-void proxy::note_run_begun(const std::vector<service_part>& parts) {
-    note_own_part_changes({{}, part_crashes_.record_begun(parts, now())});
+void proxy::note_parts_proven(const std::vector<service_part>& parts) {
+    note_own_part_changes({{}, part_crashes_.record_proof(parts, now())});
 }
 
 void proxy::note_part_changes(const part_changes& changes, std::string_view from) {
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -251,13 +251,13 @@
      * @param call Fingerprint of the call.
      * @param run The run.
      * @param address Address of the run's endpoint.
-     * @param unbegun_parts Shared parts of the prompt; empty if the answer had begun.
+     * @param unproven_parts Shared parts of the prompt; empty if the answer had proved them.
      */
     void note_run_lost(std::uint64_t call, const lost_run& run, const socket_address& address,
-                       const std::vector<service_part>& unbegun_parts);
+                       const std::vector<service_part>& unproven_parts);
 
-    /*! @brief Records that an answer to a prompt began. @param parts Shared parts of the prompt. */
-    void note_run_begun(const std::vector<service_part>& parts);
+    /*! @brief Records that an answer proved the parts of its prompt sound. @param parts Shared parts of the prompt. */
+    void note_parts_proven(const std::vector<service_part>& parts);
 
     /*! @brief Logs prompt parts that a message blocked or unblocked, and ends calls that are refused from now on.
      *  @param changes The parts. @param from Source of the message. */
--- a/test/dandelionbay/limit/part_crash_registry_test.cpp
+++ b/test/dandelionbay/limit/part_crash_registry_test.cpp
@@ -30,7 +30,7 @@
 /*! A registry in which processes exit, one a second, with the runs that had not begun there. */
 class part_crash_test : public testing::Test {
 protected:
-    void lose(const std::vector<unbegun_run>& runs) {
+    void lose(const std::vector<unproven_run>& runs) {
         now += seconds{1};
         ++processes;
         for (const auto& it : runs) {
@@ -46,7 +46,7 @@
     /*! A registry that has known answers for longer than it needs to learn which parts are served. */
     [[nodiscard]] static part_crash_registry make_experienced() {
         part_crash_registry out;
-        out.record_begun({served}, start - part_crash_registry::learning_time);
+        out.record_proof({served}, start - part_crash_registry::learning_time);
         return out;
     }
 
@@ -61,11 +61,11 @@
 TEST_F(part_crash_test, a_part_lost_with_three_calls_is_blocked) {
     for (std::uint64_t call = 1; call <= 2; ++call) {
         lose({{call, {opening, crashing}}});
-        registry.record_begun({opening}, now + milliseconds{10});
+        registry.record_proof({opening}, now + milliseconds{10});
         EXPECT_EQ(review(), parts{});
     }
     lose({{3, {opening, crashing}}});
-    registry.record_begun({opening}, now + milliseconds{10});
+    registry.record_proof({opening}, now + milliseconds{10});
     EXPECT_EQ(review(), parts{crashing});
     EXPECT_TRUE(registry.is_blocked({opening, crashing}));
     EXPECT_FALSE(registry.is_blocked({opening, sound}));
@@ -124,7 +124,7 @@
 
 // Guards against a block of a sound part that comes with each of two causes, before either of them is known.
 TEST_F(part_crash_test, a_served_part_that_two_causes_share_is_not_blocked) {
-    registry.record_begun({opening}, now);
+    registry.record_proof({opening}, now);
     std::vector<service_part> blocked;
     for (std::uint64_t call = 1; call <= 6; ++call) {
         lose({{call, {opening, call % 2 == 0 ? crashing : other_crashing}}});
@@ -185,7 +185,7 @@
     lose({{1, {sound}}});
     lose({{2, {sound}}});
     lose({{3, {sound}}});
-    registry.record_begun({sound}, now + milliseconds{1});
+    registry.record_proof({sound}, now + milliseconds{1});
     EXPECT_EQ(review(), parts{});
     {
         SCOPED_TRACE("a part that was served before needs two losses more");
@@ -198,7 +198,7 @@
     }
     {
         SCOPED_TRACE("an answer that began all the same ends the block");
-        EXPECT_EQ(registry.record_begun({sound}, now + seconds{1}), parts{sound});
+        EXPECT_EQ(registry.record_proof({sound}, now + seconds{1}), parts{sound});
         EXPECT_FALSE(registry.is_blocked({sound}));
     }
 }
@@ -247,11 +247,11 @@
 
 // Guards against calls with popular parts that run one at a time after each exit of an endpoint.
 TEST_F(part_crash_test, a_suspect_that_was_not_served_lately_runs_alone) {
-    registry.record_begun({opening}, now);
+    registry.record_proof({opening}, now);
     lose({{1, {opening, crashing}}});
     EXPECT_FALSE(registry.suspected_since(opening));
     EXPECT_EQ(registry.suspected_since(crashing), now);
-    registry.record_begun({crashing}, now + milliseconds{1});
+    registry.record_proof({crashing}, now + milliseconds{1});
     EXPECT_FALSE(registry.suspected_since(crashing));
 }
 
@@ -271,14 +271,14 @@
     }
     {
         SCOPED_TRACE("an answer that began at one router ends the block at all");
-        registry.record_begun({crashing}, now + seconds{1});
+        registry.record_proof({crashing}, now + seconds{1});
         EXPECT_EQ(peer.merge(registry.changed_since(now), now + seconds{1}).unblocked, parts{crashing});
         EXPECT_TRUE(registry.merge(peer.changed_since(start), now + seconds{1}).empty());
     }
     {
         SCOPED_TRACE("a router at which an answer began does not adopt an earlier block, and tells so");
         auto fourth = make_experienced();
-        fourth.record_begun({sound}, now + seconds{1});
+        fourth.record_proof({sound}, now + seconds{1});
         EXPECT_TRUE(fourth.merge({{}, {{sound, std::nullopt, now}}}, now + seconds{2}).empty());
         EXPECT_EQ(fourth.changed_since(now + seconds{2}).parts,
                   (std::vector<part_status>{{sound, now + seconds{1}, std::nullopt}}));
@@ -288,7 +288,7 @@
 // Guards against sound parts that are blocked after the start of all routers because none is known to be served yet.
 TEST_F(part_crash_test, a_new_registry_needs_more_losses) {
     registry = {};
-    registry.record_begun({served}, now + seconds{2});
+    registry.record_proof({served}, now + seconds{2});
     lose({{1, {crashing}}});
     lose({{2, {crashing}}});
     lose({{3, {crashing}}});
@@ -300,7 +300,7 @@
 // its peers lost before it reads which parts they have seen answered since.
 TEST_F(part_crash_test, a_new_registry_blocks_nothing_by_reports_alone) {
     registry = {};
-    registry.record_begun({served}, now);
+    registry.record_proof({served}, now);
     part_evidence reported;
     for (std::uint64_t call = 1; call <= 8; ++call) {
         now += milliseconds{200};
--- a/test/dandelionbay/peer/part_crash_fleet_test.cpp
+++ b/test/dandelionbay/peer/part_crash_fleet_test.cpp
@@ -37,7 +37,7 @@
 /*! Routers before endpoints that exit when they begin an answer to certain parts, and come back 3 s later. */
 class crashing_fleet {
     struct running_call {
-        unbegun_run run{};
+        unproven_run run{};
         std::size_t router{};
         int runs_left{};
     };
@@ -120,12 +120,12 @@
     [[nodiscard]] double uniform(double from, double to) {
         return std::uniform_real_distribution<double>{from, to}(random_);
     }
-    [[nodiscard]] static bool is_crashing(const unbegun_run& it) {
+    [[nodiscard]] static bool is_crashing(const unproven_run& it) {
         return std::ranges::any_of(it.parts, [](const service_part& part) { return part.id >= first_crashing_part; });
     }
 
     void send_next(double per_s, std::optional<std::uint64_t> part) {
-        unbegun_run run{++last_call_, {{1, random_() % 4}}};
+        unproven_run run{++last_call_, {{1, random_() % 4}}};
         run.parts.push_back(
             {1, 100 + static_cast<std::uint64_t>(static_cast<double>(size_.own_parts) * uniform(0.0, 1.0))});
         if (part) { // One caller's calls with one opening.
@@ -137,7 +137,7 @@
                       [this, per_s, part] { send_next(per_s, part); });
     }
 
-    void arrive(const unbegun_run& run, std::size_t at, int runs_left) {
+    void arrive(const unproven_run& run, std::size_t at, int runs_left) {
         auto& parts = routers_[at].state->part_crashes;
         if (parts.is_blocked(run.parts)) {
             refused_sound_ += is_crashing(run) ? 0 : 1;
@@ -190,7 +190,7 @@
             return;
         }
         auto& to = routers_[it->second.router];
-        to.state->part_crashes.record_begun(it->second.run.parts, events_.now());
+        to.state->part_crashes.record_proof(it->second.run.parts, events_.now());
         for (const auto& part : it->second.run.parts) {
             to.running_suspects.erase(part);
         }
--- a/test/dandelionbay/platform/crashing_service.hpp
+++ b/test/dandelionbay/platform/crashing_service.hpp
@@ -31,7 +31,10 @@
     static constexpr milliseconds slow_time{300};
     /*! @brief Beginning of the ids of prompt parts that end their endpoint when the answer to such a prompt begins. */
     static constexpr std::string_view crashing_part = "dead";
-    /*! @brief Beginning of the ids of sound parts that take long to process. */
+    /*! @brief The same for parts that end their endpoint after the first event of the answer. */
+    static constexpr std::string_view breaking_part = "fade";
+    static constexpr milliseconds time_after_event{20};
+    /*! @brief The same for sound parts that take long to process. */
     static constexpr std::string_view long_part = "bead";
     static constexpr milliseconds long_prefill_time{900};
     /*! @brief Time until the answer to a prompt begins. */
@@ -118,6 +121,17 @@
             } else if (!prompt.empty()) {
                 std::this_thread::sleep_for(prefill_time);
             }
+            if (prompt.find(breaking_part) != std::string_view::npos) {
+                const auto last = find_field(request.fields, "Last-Event-Id");
+                const int next = last.empty() ? 1 : std::stoi(std::string{last}) + 1;
+                scripted_endpoint::stream(request, to, next, next, false);
+                std::this_thread::sleep_for(time_after_event);
+                if (!crashed->exchange(true)) {
+                    ++crashes_;
+                    endpoint->crash();
+                }
+                return;
+            }
             if (request.path().find(crashing_path) != std::string_view::npos ||
                 prompt.find(crashing_part) != std::string_view::npos) {
                 if (!crashed->exchange(true)) {
--- a/test/dandelionbay/platform/gateway_part_crash_test.cpp
+++ b/test/dandelionbay/platform/gateway_part_crash_test.cpp
@@ -33,9 +33,8 @@
     /*! Sends a prompt of these shared parts; its last part and its path are like no other's. */
     std::string chat(const running_gateway& at, const std::string& parts, int tokens = 200) {
         const int n = ++sent_;
-        return at.get(concat("/chat/c", n),
-                      concat("Dandelionbay-Prompt-Prefix: ", parts, ",", absl::Hex(0x1'000'000 + n),
-                             ":10\r\nDandelionbay-Token-Count: ", tokens, ",24\r\n"));
+        return at.get(concat(path, n), concat("Dandelionbay-Prompt-Prefix: ", parts, ",", absl::Hex(0x1'000'000 + n),
+                                              ":10\r\nDandelionbay-Token-Count: ", tokens, ",24\r\n"));
     }
 
     [[nodiscard]] bool engines_serve() {
@@ -116,6 +115,7 @@
 
     crashing_service engines{store, "m", 4, "engine-life-"};
     std::atomic<int> refused_sound{};
+    std::string path{"/chat/c"};
 
 private:
     std::atomic<int> sent_{};
@@ -150,6 +150,23 @@
     expect_sound_calls_served();
 }
 
+// Guards against the same where endpoints end after the first event of the answer, which callers resume elsewhere.
+TEST_F(gateway_part_crash, calls_that_end_endpoints_after_an_event_are_not_sent_again_and_again) {
+    const std::vector<std::string> parts{"a1:100,fade1:50"};
+    start_sound_callers();
+    crash_endpoints(parts, crashes_to_know);
+    EXPECT_LE(later_crashes(parts), allowed_later);
+    expect_sound_calls_served();
+}
+
+// Guards against the same where such a stream is not resumed.
+TEST_F(gateway_part_crash, calls_that_end_endpoints_after_an_event_and_are_not_resumed_are_refused_soon) {
+    path = "/chat/once/c";
+    const std::vector<std::string> parts{"a1:100,fade1:50"};
+    crash_endpoints(parts, crashes_to_know);
+    EXPECT_LE(later_crashes(parts), allowed_later);
+}
+
 // Guards against a refusal of sound calls because two endpoints ended while they processed the first calls with a new
 // part.
 TEST_F(gateway_part_crash, a_new_part_stays_served_when_unrelated_endpoints_end_under_its_first_calls) {
