Order what the registry says by its epoch before its version

Cause: lists, operator states and rows are ordered by the registry's version alone. A restored registry counts on from its backup's version, so that each reading was taken for an older one until the versions had passed the last one seen.

--- a/src/dandelionbay/gateway/endpoint_entry.hpp
+++ b/src/dandelionbay/gateway/endpoint_entry.hpp
@@ -8,6 +8,7 @@
 #include "dandelionbay/base/clock.hpp"
 #include "dandelionbay/base/ids.hpp"
 #include "dandelionbay/base/socket_address.hpp"
+#include "dandelionbay/gateway/registry_version.hpp"
 
 namespace dandelionbay {
 
@@ -17,11 +18,11 @@
     service_id service{};
     zone_id zone{};
     socket_address address{};
-    std::uint32_t slots{};       //!< Maximum number of concurrent calls.
-    bool leaving{};              //!< The endpoint is shutting down and accepts no new work.
-    duration cold_for{};         //!< Remaining time that the endpoint is cold, as of the writing of the entry.
-    std::uint64_t started{};     //!< Start time of the process in Unix milliseconds; 0 if unknown.
-    std::uint64_t row_version{}; //!< Version of the entry; increases with every write of any entry.
+    std::uint32_t slots{};          //!< Maximum number of concurrent calls.
+    bool leaving{};                 //!< The endpoint is shutting down and accepts no new work.
+    duration cold_for{};            //!< Remaining time that the endpoint is cold, as of the writing of the entry.
+    std::uint64_t started{};        //!< Start time of the process in Unix milliseconds; 0 if unknown.
+    registry_version row_version{}; //!< Version of the entry; increases with every write of any entry.
 
     friend bool operator==(const endpoint_entry&, const endpoint_entry&) = default;
 };
@@ -38,7 +39,7 @@
 
 /*! @brief All registered endpoints at one version of the registry. */
 struct endpoint_list {
-    std::uint64_t as_of{}; //!< Version of the registry that the list was read from.
+    registry_version as_of{}; //!< Version of the registry that the list was read from.
     std::vector<endpoint_entry> entries{};
 
     friend bool operator==(const endpoint_list&, const endpoint_list&) = default;
--- a/src/dandelionbay/gateway/fwd.hpp
+++ b/src/dandelionbay/gateway/fwd.hpp
@@ -8,6 +8,7 @@
 struct route;
 struct route_config;
 struct router_entry;
+struct registry_version;
 class registry_view;
 
 } // namespace dandelionbay
--- a/src/dandelionbay/gateway/registry.hpp
+++ b/src/dandelionbay/gateway/registry.hpp
@@ -49,11 +49,12 @@
     /*! @brief Called with the announcements of all routers. */
     virtual void on_routers(const std::vector<router_entry>& routers) = 0;
 
-    /*! @brief Called once with the retained losses of refused calls, some of which may be old. */
+    /*! @brief Called with the retained losses of refused calls, some of which may be old: at the start, and after the
+     *  registry was restored from a backup. */
     virtual void on_losses(const std::vector<call_losses>& losses) = 0;
 
-    /*! @brief Called once with the retained blocked prompt parts, some of which may be old; all have a time of
-     * blocking.
+    /*! @brief Called at the same times with the retained blocked prompt parts, some of which may be old; all have a
+     * time of blocking.
      */
     virtual void on_blocked_parts(const std::vector<part_status>& parts) = 0;
 
--- a/src/dandelionbay/gateway/registry_view.cpp
+++ b/src/dandelionbay/gateway/registry_view.cpp
@@ -1,7 +1,6 @@
 #include "dandelionbay/gateway/registry_view.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace dandelionbay {
@@ -30,17 +29,32 @@
     return true;
 }
 
-void registry_view::note_restored_zones(const operator_state& next) {
+void registry_view::note_epoch(const registry_version& as_of, time_point now) {
+    if (as_of.epoch <= epoch_) {
+        return;
+    }
+    const bool is_first = operators_.as_of == registry_version{} && list_.as_of == registry_version{};
+    epoch_ = as_of.epoch;
+    if (is_first) {
+        return;
+    }
+    restored_at_ = now;
+    zones_out_before_restore_ = zones_out_;
+    outage_ended_at_ = now; // Entries of the backup may be missing or have expired.
+}
+
+bool registry_view::is_being_rewritten(time_point now) const {
+    return restored_at_ && now - *restored_at_ < limits_.rewrite_time;
+}
+
+void registry_view::note_restored_zones(const std::set<zone_id>& next, const registry_version& as_of) {
     if (zones_out_.empty()) {
         return;
     }
-    const auto still_out = [&](const zone_id& zone) {
-        return std::ranges::any_of(next.zones_out, [&](const zone_out& it) { return it.zone == zone; });
-    };
     for (auto& [id, it] : endpoints_) {
-        if (zones_out_.contains(it.entry.zone) && !still_out(it.entry.zone)) {
+        if (zones_out_.contains(it.entry.zone) && !next.contains(it.entry.zone)) {
             // The endpoints of the zone may have become cold; only an entry written later shows their state.
-            it.min_verified_version = next.as_of;
+            it.min_verified_version = as_of;
             it.unverified_since = time_point::max();
         }
     }
@@ -57,17 +71,19 @@
     has_store_failed_ = false;
 }
 
-bool registry_view::update_operator_state(const operator_state& next, time_point read_at) {
-    if (next.as_of < operators_.as_of) {
+bool registry_view::update_operator_state(const operator_state& next, time_point read_at, time_point now) {
+    if (next.as_of < operators_.as_of || next.as_of.epoch < epoch_) {
         return false;
     }
     note_store_answer(read_at);
-    note_restored_zones(next);
-    if (next.zones_out != operators_.zones_out) {
-        zones_out_.clear();
-        for (const auto& it : next.zones_out) {
-            zones_out_.insert(it.zone);
-        }
+    note_epoch(next.as_of, now);
+    auto zones = is_being_rewritten(now) ? zones_out_before_restore_ : std::set<zone_id>{};
+    for (const auto& it : next.zones_out) {
+        zones.insert(it.zone);
+    }
+    note_restored_zones(zones, next.as_of);
+    if (zones != zones_out_) {
+        zones_out_ = std::move(zones);
         ++revision_;
     }
     operators_ = next;
@@ -78,17 +94,49 @@
     return true;
 }
 
+bool registry_view::was_removed(const endpoint_entry& entry) const {
+    const auto found = removed_.find(entry.id);
+    return found != removed_.end() && entry.started <= found->second.started && !endpoints_.contains(entry.id);
+}
+
+void registry_view::merge_restored_entry(known_endpoint& known, const endpoint_entry& entry,
+                                         const registry_version& as_of, time_point now) {
+    if (entry.started < known.entry.started) {
+        return; // The backup has an earlier process.
+    }
+    if (known.entry.row_version < known.min_verified_version) {
+        known.min_verified_version = as_of.next();
+    }
+    const bool was_leaving = known.entry.leaving;
+    known.entry = entry;
+    known.entry.leaving |= was_leaving;
+    known.reported_leaving = reported_leaving(entry);
+    known.cold_until = std::max(known.cold_until, now + entry.cold_for);
+}
+
 void registry_view::merge_entries(const endpoint_list& next, time_point now) {
     std::set<endpoint_id> seen;
+    const bool rewriting = is_being_rewritten(now);
     for (const auto& entry : next.entries) {
+        if (rewriting && was_removed(entry)) {
+            continue;
+        }
         seen.insert(entry.id);
-        auto& known = endpoints_[entry.id];
+        const auto [found, added] = endpoints_.try_emplace(entry.id);
+        auto& known = found->second;
+        if (rewriting && !added && entry.started <= known.entry.started &&
+            known.entry.row_version.epoch < entry.row_version.epoch) {
+            known.present = true;
+            known.is_awaiting_read = false;
+            merge_restored_entry(known, entry, next.as_of, now);
+            continue;
+        }
         const bool changed = known.entry.row_version != entry.row_version;
         const bool restarted = known.entry.started != entry.started && known.entry.started != 0;
         known.present = true;
         if (known.is_awaiting_read) {
             known.is_awaiting_read = false;
-            known.min_verified_version = next.as_of + 1;
+            known.min_verified_version = next.as_of.next();
         }
         if (!changed) {
             continue;
@@ -110,10 +158,11 @@
 }
 
 bool registry_view::merge_endpoints(const endpoint_list& next, time_point read_at, time_point now) {
-    if (next.as_of < list_.as_of) {
+    if (next.as_of < list_.as_of || next.as_of.epoch < epoch_) {
         return false;
     }
     note_store_answer(read_at);
+    note_epoch(next.as_of, now);
     merge_entries(next, now);
     list_ = next;
     ++revision_;
@@ -139,9 +188,15 @@
 }
 
 void registry_view::expire(time_point now) {
-    const auto gone = std::erase_if(
-        endpoints_, [&](const auto& item) { return !item.second.present && !may_return(item.second, now); });
+    const auto gone = std::erase_if(endpoints_, [&](const auto& item) {
+        const bool removes = !item.second.present && !may_return(item.second, now);
+        if (removes) {
+            removed_[item.first] = removed_endpoint{item.second.entry.started, now};
+        }
+        return removes;
+    });
     revision_ += gone > 0 ? 1 : 0;
+    std::erase_if(removed_, [&](const auto& item) { return now - item.second.removed_at >= removed_retention; });
     std::erase_if(leaving_reports_, [&](const auto& item) {
         return !endpoints_.contains(item.first) && now - item.second.reported_at >= leaving_retention;
     });
@@ -183,7 +238,7 @@
 void registry_view::note_refused(const endpoint_id& id, time_point now) {
     if (const auto it = endpoints_.find(id); it != endpoints_.end()) {
         it->second.is_awaiting_read = true;
-        it->second.min_verified_version = std::numeric_limits<std::uint64_t>::max();
+        it->second.min_verified_version = registry_version::max();
         it->second.unverified_since = now;
     }
 }
--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -158,7 +158,8 @@
         event_log::fields values{
             {"config", std::to_string(view_.config() == nullptr ? 0 : view_.config()->version)},
             {"config_age_ms", age_text(view_.operator_state_age(now))},
-            {"list_as_of", std::to_string(view_.list().as_of)},
+            {"registry_epoch", std::to_string(view_.epoch())},
+            {"list_as_of", std::to_string(view_.list().as_of.number)},
             {"list_age_ms", age_text(view_.endpoints_age(now))},
             {"loop_late_us", std::to_string(proxy_.mean_lateness().count())},
             {"peers_live", std::to_string(synchronizer_.live_peer_count(now))},
@@ -371,9 +372,12 @@
         for (const auto& it : state.zones_out) {
             zones += concat(zones.empty() ? "" : ",", it.zone.value);
         }
-        log_.write(log_level::info, "zones_out", {{"zones", zones}, {"as_of", std::to_string(state.as_of)}});
+        log_.write(log_level::info, "zones_out",
+                   {{"zones", zones},
+                    {"epoch", std::to_string(state.as_of.epoch)},
+                    {"as_of", std::to_string(state.as_of.number)}});
     }
-    view_.update_operator_state(state, read_at);
+    view_.update_operator_state(state, read_at, clock_.now());
     proxy_.pump();
 }
 
@@ -401,7 +405,7 @@
             log_.write(log_level::info, "endpoint_leaving",
                        {{"endpoint", it.id.value},
                         {"from", std::string{from}},
-                        {"as_of", std::to_string(view_.list().as_of)},
+                        {"as_of", std::to_string(view_.list().as_of.number)},
                         {"list_age_ms", age_text(view_.endpoints_age(clock_.now()))}});
         }
     }
--- a/src/dandelionbay/peer/peer_message.cpp
+++ b/src/dandelionbay/peer/peer_message.cpp
@@ -23,8 +23,9 @@
 using endpoint_row = std::tuple<std::string, std::string, std::string, address_row, std::uint32_t, bool, std::int64_t,
                                 std::uint64_t, std::uint64_t>;
 using clock_row = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
-using operators_row = std::tuple<std::uint64_t, std::uint64_t, std::vector<zone_row>, std::int64_t>;
-using list_row = std::tuple<std::uint64_t, std::int64_t, bool, std::vector<endpoint_row>>;
+/*! Versions are numbers of the epoch that comes last. */
+using operators_row = std::tuple<std::uint64_t, std::uint64_t, std::vector<zone_row>, std::int64_t, std::uint64_t>;
+using list_row = std::tuple<std::uint64_t, std::int64_t, bool, std::vector<endpoint_row>, std::uint64_t>;
 using uses_row = std::tuple<std::vector<std::string>, std::vector<use_row>>;
 using request_row = std::tuple<bool, bool, bool>;
 using part_row = std::tuple<std::uint64_t, std::uint64_t>;
@@ -52,11 +53,11 @@
 }
 
 [[nodiscard]] endpoint_row row_of(const endpoint_entry& it) {
-    return {it.id.value, it.service.value,    it.zone.value, row_of(it.address), it.slots,
-            it.leaving,  it.cold_for.count(), it.started,    it.row_version};
+    return {it.id.value, it.service.value,    it.zone.value, row_of(it.address),   it.slots,
+            it.leaving,  it.cold_for.count(), it.started,    it.row_version.number};
 }
 
-[[nodiscard]] endpoint_entry entry_of(const endpoint_row& row) {
+[[nodiscard]] endpoint_entry entry_of(const endpoint_row& row, std::uint64_t epoch) {
     const auto& [id, service, zone, address, slots, leaving, cold_us, started, version] = row;
     return {endpoint_id{id},
             service_id{service},
@@ -66,7 +67,7 @@
             leaving,
             duration{cold_us},
             started,
-            version};
+            registry_version{epoch, version}};
 }
 
 [[nodiscard]] uses_row rows_of(const std::vector<part_use>& uses) {
@@ -97,13 +98,13 @@
 [[nodiscard]] operators_row row_of(const operator_state& it, std::int64_t age_us) {
     std::vector<zone_row> zones;
     for (const auto& zone : it.zones_out) {
-        zones.emplace_back(zone.zone.value, zone.row_version);
+        zones.emplace_back(zone.zone.value, zone.row_version.number);
     }
-    return {it.as_of, it.config_version, zones, age_us};
+    return {it.as_of.number, it.config_version, zones, age_us, it.as_of.epoch};
 }
 
 [[nodiscard]] list_row list_of(const peer_message& it) {
-    list_row out{it.list_as_of, it.list_age_us, it.list.has_value(), {}};
+    list_row out{it.list_as_of.number, it.list_age_us, it.list.has_value(), {}, it.list_as_of.epoch};
     if (it.list) {
         for (const auto& entry : it.list->entries) {
             std::get<3>(out).push_back(row_of(entry));
@@ -199,19 +200,21 @@
     out.address = address_of(address);
     out.is_leaving = leaving;
     std::tie(out.sent_us, out.echo_us, out.echo_delay_us) = clocks;
-    out.operators.as_of = std::get<0>(operators);
+    const auto operators_epoch = std::get<4>(operators);
+    out.operators.as_of = registry_version{operators_epoch, std::get<0>(operators)};
     out.operators.config_version = std::get<1>(operators);
     for (const auto& [zone, row_version] : std::get<2>(operators)) {
-        out.operators.zones_out.push_back(zone_out{zone_id{zone}, row_version});
+        out.operators.zones_out.push_back(zone_out{zone_id{zone}, registry_version{operators_epoch, row_version}});
     }
     out.operators_age_us = std::get<3>(operators);
-    out.list_as_of = std::get<0>(list);
+    const auto list_epoch = std::get<4>(list);
+    out.list_as_of = registry_version{list_epoch, std::get<0>(list)};
     out.list_age_us = std::get<1>(list);
     if (std::get<2>(list)) {
         out.list.emplace();
         out.list->as_of = out.list_as_of;
         for (const auto& entry : std::get<3>(list)) {
-            out.list->entries.push_back(entry_of(entry));
+            out.list->entries.push_back(entry_of(entry, list_epoch));
         }
     }
     for (const auto& [endpoint, unread, calls, memory] : loads) {
--- a/src/dandelionbay/peer/peer_message.hpp
+++ b/src/dandelionbay/peer/peer_message.hpp
@@ -48,7 +48,7 @@
     std::int64_t echo_delay_us{}; //!< Time between the arrival of that message and sent_us.
     operator_state operators{};
     std::int64_t operators_age_us{-1}; //!< Age of the operator state's confirmation at sent_us; -1 for none.
-    std::uint64_t list_as_of{};
+    registry_version list_as_of{};
     std::int64_t list_age_us{-1};
     std::vector<endpoint_work_entry> loads{};
     std::vector<part_use> part_uses{};
--- a/src/dandelionbay/peer/peer_synchronizer.cpp
+++ b/src/dandelionbay/peer/peer_synchronizer.cpp
@@ -189,7 +189,7 @@
     }
     if (in.operators_age_us >= 0) {
         out.operators_refreshed =
-            view_->update_operator_state(in.operators, earliest_sent - duration{in.operators_age_us});
+            view_->update_operator_state(in.operators, earliest_sent - duration{in.operators_age_us}, now);
     }
     if (in.list && in.list_age_us >= 0) {
         out.list_refreshed = view_->merge_endpoints(*in.list, earliest_sent - duration{in.list_age_us}, now);
--- a/test/dandelionbay/dispatch/dispatch_fixture.hpp
+++ b/test/dandelionbay/dispatch/dispatch_fixture.hpp
@@ -61,7 +61,7 @@
     }
 
     void publish() {
-        ++list.as_of;
+        list.as_of = list.as_of.next();
         view.merge_endpoints(list, now, now);
         router.refresh(now);
     }
--- a/test/dandelionbay/gateway/registry_view_test.cpp
+++ b/test/dandelionbay/gateway/registry_view_test.cpp
@@ -330,5 +330,140 @@
     EXPECT_EQ(config.find_route("c", "/x/"), nullptr);
 }
 
+/*! A view that knew two endpoints at a high version when the registry was restored from a backup. */
+class restored_registry : public testing::Test {
+protected:
+    void SetUp() override {
+        view.adopt(config(1));
+        view.update_operator_state(operator_state{{1, 900}, 1, {zone_out{zone_id{"zone-2"}, {1, 890}}}}, start);
+        view.merge_endpoints(endpoint_list{{1, 900}, {started("a", {1, 899}, 1'000), started("b", {1, 898}, 1'000)}},
+                             start, start);
+    }
+
+    [[nodiscard]] static endpoint_entry started(const std::string& id, const registry_version& version,
+                                                std::uint64_t at) {
+        auto out = entry(id, 0);
+        out.row_version = version;
+        out.started = at;
+        return out;
+    }
+
+    [[nodiscard]] const registry_view::known_endpoint& known(const std::string& id) const {
+        return view.endpoints().at(endpoint_id{id});
+    }
+
+    /*! Merges a list of the new epoch some time after its begin. */
+    [[nodiscard]] bool merge(std::uint64_t number, const std::vector<endpoint_entry>& entries, duration after) {
+        return view.merge_endpoints(endpoint_list{{2, number}, entries}, restored + after, restored + after);
+    }
+
+    static constexpr time_point restored = start + seconds{2};
+    registry_view view{{}};
+};
+
+// Guards against data that is thrown away because the registry counts from the version of a backup, and against data of
+// the time before that comes late.
+TEST_F(restored_registry, a_later_epoch_goes_before_any_version_of_an_earlier_one) {
+    EXPECT_TRUE(merge(500, {started("a", {2, 499}, 1'000), started("b", {2, 400}, 1'000)}, {}));
+    EXPECT_FALSE(view.merge_endpoints(endpoint_list{{1, 1'000}, {}}, restored, restored));
+    EXPECT_FALSE(view.update_operator_state(operator_state{{1, 1'000}, 1, {}}, restored));
+    EXPECT_TRUE(view.update_operator_state(operator_state{{2, 500}, 1, {}}, restored));
+    EXPECT_EQ(view.epoch(), 2);
+}
+
+// Guards against an endpoint that is taken for warm after the return because its entry has a lower version.
+TEST_F(restored_registry, a_cold_endpoint_is_known_at_once) {
+    auto cold = started("a", {2, 499}, 1'000);
+    cold.cold_for = seconds{3};
+    EXPECT_TRUE(merge(500, {cold, started("b", {2, 400}, 1'000)}, {}));
+    EXPECT_TRUE(view.is_cold(known("a"), restored + seconds{1}));
+    {
+        SCOPED_TRACE("its next entry says that it is warm");
+        EXPECT_TRUE(merge(510, {started("a", {2, 509}, 1'000), started("b", {2, 400}, 1'000)}, milliseconds{600}));
+        EXPECT_FALSE(view.is_cold(known("a"), restored + seconds{1}));
+    }
+}
+
+// Guards against a cold endpoint that is taken for warm because the backup says so.
+TEST_F(restored_registry, an_endpoint_stays_cold_until_its_entry_is_written_again) {
+    view.note_cold(endpoint_id{"a"}, seconds{3}, restored);
+    EXPECT_TRUE(merge(500, {started("a", {2, 400}, 1'000), started("b", {2, 400}, 1'000)}, {}));
+    EXPECT_TRUE(view.is_cold(known("a"), restored + seconds{1}));
+}
+
+// Guards against new calls to an endpoint that leaves, which the backup doesn't know.
+TEST_F(restored_registry, an_endpoint_that_leaves_gets_no_work_until_its_entry_is_written_again) {
+    auto leaving = started("a", {1, 910}, 1'000);
+    leaving.leaving = true;
+    view.merge_endpoints(endpoint_list{{1, 911}, {leaving, started("b", {1, 898}, 1'000)}}, start, start);
+    EXPECT_TRUE(merge(500, {started("a", {2, 400}, 1'000), started("b", {2, 400}, 1'000)}, {}));
+    EXPECT_FALSE(view.accepts_work(known("a")));
+    EXPECT_TRUE(view.accepts_work(known("b")));
+    {
+        SCOPED_TRACE("it has changed its mind");
+        EXPECT_TRUE(merge(510, {started("a", {2, 509}, 1'000), started("b", {2, 400}, 1'000)}, milliseconds{600}));
+        EXPECT_TRUE(view.accepts_work(known("a")));
+    }
+}
+
+// Guards against calls to endpoints that had ended before the return, and whose entries the backup still has.
+TEST_F(restored_registry, an_endpoint_that_was_removed_does_not_return) {
+    view.merge_endpoints(endpoint_list{{1, 911}, {started("b", {1, 898}, 1'000)}}, start, start);
+    EXPECT_TRUE(merge(500, {started("a", {2, 400}, 1'000), started("b", {2, 400}, 1'000)}, {}));
+    EXPECT_FALSE(view.endpoints().contains(endpoint_id{"a"}));
+    {
+        SCOPED_TRACE("a new process of the same name does");
+        EXPECT_TRUE(merge(510, {started("a", {2, 509}, 2'000), started("b", {2, 400}, 1'000)}, milliseconds{600}));
+        EXPECT_TRUE(view.endpoints().contains(endpoint_id{"a"}));
+    }
+}
+
+// Guards against the entry of an earlier process that replaces the one of the process that runs.
+TEST_F(restored_registry, an_entry_of_an_earlier_process_is_ignored) {
+    EXPECT_TRUE(merge(500, {started("a", {2, 400}, 500), started("b", {2, 400}, 1'000)}, {}));
+    EXPECT_EQ(known("a").entry.started, 1'000);
+}
+
+// Guards against the loss of endpoints that registered after the backup was made and register again within seconds.
+TEST_F(restored_registry, a_missing_endpoint_stays_known_while_it_may_register_again) {
+    EXPECT_TRUE(merge(500, {started("b", {2, 400}, 1'000)}, {}));
+    EXPECT_TRUE(view.endpoints().contains(endpoint_id{"a"}));
+    view.expire(restored + seconds{3});
+    EXPECT_FALSE(view.endpoints().contains(endpoint_id{"a"}));
+}
+
+// Guards against a zone that returns to service because the backup lacks its row, and against one that stays out.
+TEST_F(restored_registry, a_zone_stays_out_of_service_until_its_row_could_be_written_again) {
+    const auto is_out = [&] {
+        auto elsewhere = known("a");
+        elsewhere.entry.zone = zone_id{"zone-2"};
+        return !view.accepts_work(elsewhere);
+    };
+    EXPECT_TRUE(view.update_operator_state(operator_state{{2, 500}, 1, {}}, restored));
+    EXPECT_TRUE(is_out());
+    EXPECT_TRUE(view.update_operator_state(operator_state{{2, 510}, 1, {}}, restored + milliseconds{1'900}));
+    EXPECT_TRUE(is_out());
+    EXPECT_TRUE(view.update_operator_state(operator_state{{2, 520}, 1, {}}, restored + milliseconds{2'100}));
+    EXPECT_FALSE(is_out());
+    {
+        SCOPED_TRACE("a zone that is taken out in the new epoch is out at once");
+        EXPECT_TRUE(view.update_operator_state(operator_state{{3, 1}, 1, {zone_out{zone_id{"zone-2"}, {3, 1}}}},
+                                               restored + seconds{5}));
+        EXPECT_TRUE(is_out());
+    }
+}
+
+// Guards against peers that can't agree after the return: one of them has read the restored registry, the other has
+// not.
+TEST_F(restored_registry, peers_of_both_epochs_agree_on_the_later_one) {
+    registry_view peer{{}};
+    peer.adopt(config(1));
+    EXPECT_TRUE(merge(500, {started("a", {2, 499}, 1'000)}, {}));
+    EXPECT_TRUE(peer.merge_endpoints(endpoint_list{{1, 900}, {started("a", {1, 899}, 1'000)}}, restored, restored));
+    EXPECT_FALSE(view.merge_endpoints(peer.list(), restored, restored));
+    EXPECT_TRUE(peer.merge_endpoints(view.list(), restored, restored));
+    EXPECT_EQ(peer.list(), view.list());
+}
+
 } // namespace
 } // namespace dandelionbay
--- a/test/dandelionbay/peer/peer_synchronizer_test.cpp
+++ b/test/dandelionbay/peer/peer_synchronizer_test.cpp
@@ -328,13 +328,13 @@
     it.incarnation = 7;
     it.address = first_address;
     it.sent_us = 123'456'789;
-    it.operators = operator_state{10, 3, {zone_out{zone_id{"z"}, 9}}};
+    it.operators = operator_state{registry_version{5, 10}, 3, {zone_out{zone_id{"z"}, registry_version{5, 9}}}};
     it.operators_age_us = 5;
-    it.list_as_of = 11;
+    it.list_as_of = registry_version{6, 11};
     it.list_age_us = 6;
-    it.list = endpoint_list{11,
+    it.list = endpoint_list{it.list_as_of,
                             {endpoint_entry{endpoint_id{"e"}, service_id{"s"}, zone_id{"z"}, second_address, 4, true,
-                                            milliseconds{3}, 99, 8}}};
+                                            milliseconds{3}, 99, registry_version{6, 8}}}};
     it.loads = {endpoint_work_entry{endpoint_id{"e"}, endpoint_work{1.5, 2, 3.5}}};
     it.part_uses = {part_use{endpoint_id{"e"}, prompt_part{77, 5}}, part_use{endpoint_id{"e"}, prompt_part{78, 6}}};
     it.teams = {team_usage_entry{team_id{"t"}, 1.0, 2.0, 3}};
--- a/test/dandelionbay/platform/crashing_service.hpp
+++ b/test/dandelionbay/platform/crashing_service.hpp
@@ -34,7 +34,7 @@
     /*! @brief The same for parts that end their endpoint after the first event of the answer. */
     static constexpr std::string_view breaking_part = "fade";
     static constexpr milliseconds time_after_event{20};
-    /*! @brief The same for sound parts that take long to process. */
+    /*! @brief Beginning of the ids of sound parts that take long to process. */
     static constexpr std::string_view long_part = "bead";
     static constexpr milliseconds long_prefill_time{900};
     /*! @brief Time until the answer to a prompt begins. */
--- a/test/dandelionbay/platform/standin_store.hpp
+++ b/test/dandelionbay/platform/standin_store.hpp
@@ -6,6 +6,8 @@
 #include <condition_variable>
 #include <map>
 #include <string>
+#include <tuple>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -82,6 +84,27 @@
         return cut_;
     }
 
+    /*! @brief Copies all rows, for restore(). */
+    void keep_copy() {
+        const std::scoped_lock lock{mutex_};
+        copy_ = {rows_, version_};
+    }
+
+    /*! @brief Comes back from the copy: versions count from there, and the era, which all answers name, rises. */
+    void restore() {
+        const std::scoped_lock lock{mutex_};
+        std::tie(rows_, version_) = copy_;
+        history_from_ = version_;
+        ++era_;
+        changed_.notify_all();
+    }
+
+    /*! @brief Names the era in a way that makes no sense, or as usual again. */
+    void garble_era(bool garbled) {
+        const std::scoped_lock lock{mutex_};
+        is_era_garbled_ = garbled;
+    }
+
     /*! @brief Forgets what changed before now. */
     void compact() {
         const std::scoped_lock lock{mutex_};
@@ -122,8 +145,9 @@
 
     void answer(raw_server::connection& to, int status, const std::string& body) {
         const auto bytes =
-            concat("HTTP/1.1 ", status, " X\r\nContent-Type: application/json\r\nContent-Length: ", body.size(),
-                   "\r\n\r\n", body);
+            concat("HTTP/1.1 ", status,
+                   " X\r\nContent-Type: application/json\r\nStore-Era: ", is_era_garbled_ ? "-x" : concat(era_),
+                   "\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
         if (cutting_ == cutting::none) {
             to.write(bytes);
             return;
@@ -171,15 +195,15 @@
         const auto after = std::stoull(parameter(request, "after_rev"));
         const std::chrono::milliseconds wait{std::stoll(parameter(request, "wait_ms"))};
         changed_.wait_for(lock, wait, [&] {
-            return down_ || !text_.empty() || after < history_from_ || std::ranges::any_of(rows_, [&](const auto& it) {
-                       return it.first.first == table && it.second.version > after;
-                   });
+            return down_ || !text_.empty() || after < history_from_ || after > version_ ||
+                   std::ranges::any_of(
+                       rows_, [&](const auto& it) { return it.first.first == table && it.second.version > after; });
         });
         if (down_) {
             answer(to, 503, "{}");
         } else if (!text_.empty()) {
             answer(to, 200, text_);
-        } else if (after < history_from_) {
+        } else if (after < history_from_ || after > version_) {
             answer(to, 410, "{}");
         } else {
             answer(to, 200, rows_since(table, after, true));
@@ -222,6 +246,9 @@
     std::map<std::pair<std::string, std::string>, row> rows_{};
     std::uint64_t version_{};
     std::uint64_t history_from_{};
+    std::uint64_t era_{1};
+    bool is_era_garbled_{};
+    std::pair<std::map<std::pair<std::string, std::string>, row>, std::uint64_t> copy_{};
     bool down_{};
     cutting cutting_{cutting::none};
     std::size_t cut_{};
