--- a/src/dandelionbay/gateway/registry.hpp
+++ b/src/dandelionbay/gateway/registry.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -67,6 +68,12 @@
 
     /*! @brief Called when the registry answers again after a failure. */
     virtual void on_registry_restored() = 0;
+
+    /*! @brief Tells whether losses that the registry has lost are still needed. @param call Fingerprint of the call. */
+    [[nodiscard]] virtual bool needs_losses(std::uint64_t call) const = 0;
+
+    /*! @brief Tells whether a blocked part that the registry has lost is still needed. */
+    [[nodiscard]] virtual bool needs_blocked_part(const service_part& part) const = 0;
 };
 
 /*! @brief Client of the platform's registry, which holds the configuration, the endpoints and the announcements of
--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -468,4 +468,12 @@
     }
 }
 
+bool gateway_node::needs_losses(std::uint64_t call) const {
+    return proxy_.losses().is_refused(call);
+}
+
+bool gateway_node::needs_blocked_part(const service_part& part) const {
+    return proxy_.part_crashes().status_of(part).blocked.has_value();
+}
+
 } // namespace dandelionbay
--- a/src/dandelionbay/node/gateway_node.hpp
+++ b/src/dandelionbay/node/gateway_node.hpp
@@ -102,6 +102,8 @@
     void on_blocked_parts(const std::vector<part_status>& parts) override;
     void on_registry_failed(std::string_view call, std::string_view reason) override;
     void on_registry_restored() override;
+    [[nodiscard]] bool needs_losses(std::uint64_t call) const override;
+    [[nodiscard]] bool needs_blocked_part(const service_part& part) const override;
 
 private:
     gateway_options options_;
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -302,9 +302,11 @@
 
     /*! @brief Returns the calls whose runs ended with their endpoints, here and at peers. */
     [[nodiscard]] lost_run_registry& losses() noexcept { return losses_; }
+    [[nodiscard]] const lost_run_registry& losses() const noexcept { return losses_; }
 
     /*! @brief Returns the prompt parts that crash endpoints, and the evidence. */
     [[nodiscard]] part_crash_registry& part_crashes() noexcept { return part_crashes_; }
+    [[nodiscard]] const part_crash_registry& part_crashes() const noexcept { return part_crashes_; }
     [[nodiscard]] suspect_call_locks& suspect_locks() noexcept { return suspect_locks_; }
     [[nodiscard]] time_point now() const noexcept { return environment_.time->now(); }
     [[nodiscard]] std::size_t connections() const noexcept { return callers_.size() + accepted_.size(); }
