Derive the known epoch and merge the twins of reading an entry

The view kept the epoch beside the two versions that state it; it follows from them. An entry that was read counted as present, and ended the wait for a reading, in two places. The search for a cause counted the faults of each suspect before the cheap test that leaves most of them out. Behaviour is the same.

--- a/src/dandelionbay/gateway/registry_view.cpp
+++ b/src/dandelionbay/gateway/registry_view.cpp
@@ -30,12 +30,8 @@
 }
 
 void registry_view::note_epoch(const registry_version& as_of, time_point now) {
-    if (as_of.epoch <= epoch_) {
-        return;
-    }
     const bool is_first = operators_.as_of == registry_version{} && list_.as_of == registry_version{};
-    epoch_ = as_of.epoch;
-    if (is_first) {
+    if (is_first || as_of.epoch <= epoch()) {
         return;
     }
     restored_at_ = now;
@@ -72,7 +68,7 @@
 }
 
 bool registry_view::update_operator_state(const operator_state& next, time_point read_at, time_point now) {
-    if (next.as_of < operators_.as_of || next.as_of.epoch < epoch_) {
+    if (next.as_of < operators_.as_of || next.as_of.epoch < epoch()) {
         return false;
     }
     note_store_answer(read_at);
@@ -124,20 +120,17 @@
         seen.insert(entry.id);
         const auto [found, added] = endpoints_.try_emplace(entry.id);
         auto& known = found->second;
+        known.present = true;
+        if (std::exchange(known.is_awaiting_read, false)) {
+            known.min_verified_version = next.as_of.next();
+        }
         if (rewriting && !added && entry.started <= known.entry.started &&
             known.entry.row_version.epoch < entry.row_version.epoch) {
-            known.present = true;
-            known.is_awaiting_read = false;
             merge_restored_entry(known, entry, next.as_of, now);
             continue;
         }
         const bool changed = known.entry.row_version != entry.row_version;
         const bool restarted = known.entry.started != entry.started && known.entry.started != 0;
-        known.present = true;
-        if (known.is_awaiting_read) {
-            known.is_awaiting_read = false;
-            known.min_verified_version = next.as_of.next();
-        }
         if (!changed) {
             continue;
         }
@@ -158,7 +151,7 @@
 }
 
 bool registry_view::merge_endpoints(const endpoint_list& next, time_point read_at, time_point now) {
-    if (next.as_of < list_.as_of || next.as_of.epoch < epoch_) {
+    if (next.as_of < list_.as_of || next.as_of.epoch < epoch()) {
         return false;
     }
     note_store_answer(read_at);
--- a/src/dandelionbay/gateway/registry_view.hpp
+++ b/src/dandelionbay/gateway/registry_view.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -184,7 +185,7 @@
     [[nodiscard]] std::optional<duration> endpoints_age(time_point now) const noexcept;
 
     /*! @brief Returns the newest epoch of the registry of which anything is known. */
-    [[nodiscard]] std::uint64_t epoch() const noexcept { return epoch_; }
+    [[nodiscard]] std::uint64_t epoch() const noexcept { return std::max(operators_.as_of, list_.as_of).epoch; }
 
     /*! @brief Returns the newest known state set by operators. */
     [[nodiscard]] const operator_state& known_operator_state() const noexcept { return operators_; }
@@ -220,7 +221,6 @@
     std::optional<time_point> store_answered_at_{}; //!< Last known answer of the store to this router or a peer.
     std::optional<time_point> store_restored_at_{}; //!< First answer to this router after its last failure.
     std::optional<time_point> outage_ended_at_{};   //!< End of the last outage in which entries may have expired.
-    std::uint64_t epoch_{};
     std::optional<time_point> restored_at_{}; //!< When the first data of the newest epoch came; empty for the first.
     std::uint64_t revision_{};
     bool has_store_failed_{}; //!< The store failed since its last known answer.
--- a/src/dandelionbay/limit/part_crash_registry.cpp
+++ b/src/dandelionbay/limit/part_crash_registry.cpp
@@ -363,12 +363,15 @@
         const auto needed =
             (it.was_served ? min_faults_if_served : min_faults) + extra_faults +
             static_cast<size_type>(std::bit_width(losses.count_others(it, now) / other_faults_per_step));
+        if (!it.has_faults(needed)) { // Most suspects; the rest costs more.
+            continue;
+        }
         const auto faults = it.independent_fault_count();
         const bool is_better = best == nullptr || std::tuple{best->was_served, faults, it.position} >
                                                       std::tuple{it.was_served, most_faults, best->position};
         // The peers that lost the runs know which parts were answered since; this router may not know it yet.
         const bool is_left_to_peers = learning && !it.is_local;
-        if (!it.has_faults(needed) || !is_better || is_left_to_peers) {
+        if (!is_better || is_left_to_peers) {
             continue;
         }
         if (faults < needed + extra_faults_at_once) {
