--- a/src/dandelionbay/gateway/fwd.hpp
+++ b/src/dandelionbay/gateway/fwd.hpp
@@ -9,6 +9,8 @@
 struct route_config;
 struct router_entry;
 struct registry_version;
+struct row_write;
 class registry_view;
+class retained_rows;
 
 } // namespace dandelionbay
