Show in a model that many routers overrun their engines

The model has 60 routers, 60 engines and a team that enters through one router.

The model's type had the name of one in wire/message.hpp, so that the linker took one's destructor for the other and the longer test crashed; it has a name of its own now.

--- a/test/dandelionbay/dispatch/fleet_fairness_test.cpp
+++ b/test/dandelionbay/dispatch/fleet_fairness_test.cpp
@@ -1,4 +1,5 @@
 #include <tuple>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -31,6 +32,27 @@
     }
 }
 
+/*! Parameters: number of routers, and tokens requested as a ratio to the prefill capacity of the engines. */
+class overloaded_fleet : public testing::TestWithParam<std::tuple<std::size_t, double>> {};
+
+INSTANTIATE_TEST_SUITE_P(sizes, overloaded_fleet,
+                         testing::Combine(testing::Values<std::size_t>(60), testing::Values(1.5, 2.0, 4.0)));
+
+// Guards against the pattern "each of many routers believes that nothing waits at the engines": together they send more
+// than the engines can prefill, nearly all answers start late, and a team that enters through one router gets less than
+// half of its share (FAIR).
+TEST_P(overloaded_fleet, starts_answers_in_time_and_serves_a_team_at_one_router) {
+    const auto [routers, load] = GetParam();
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        const std::vector<simulated_team> teams{{"wide", 0.6, routers}, {"narrow", 0.1, 1}, {"other", 0.3, routers}};
+        fleet_simulation fleet{routers, routers, teams, load, seed};
+        fleet.run_for(seconds{14});
+        EXPECT_GE(fleet.min_received_ratio(6, 4), 1.0) << "seed " << seed;
+        EXPECT_LT(fleet.late_share(4), 0.2) << "seed " << seed;
+        EXPECT_GT(fleet.utilization(), 0.5) << "seed " << seed << ": engines are idle while calls wait";
+    }
+}
+
 /*! Parameter: tokens requested as a ratio to the prefill capacity of the engines. */
 class slow_host_fairness : public testing::TestWithParam<double> {};
 
--- a/test/dandelionbay/dispatch/fleet_simulation.hpp
+++ b/test/dandelionbay/dispatch/fleet_simulation.hpp
@@ -18,8 +18,8 @@
 
 namespace dandelionbay {
 
-/*! @brief Demand of one team. */
-struct team_demand {
+/*! @brief Demand of one simulated team. */
+struct simulated_team {
     std::string name{};
     double share{};        //!< Fraction of the tokens that all teams request.
     std::size_t routers{}; //!< Number of routers, starting at the first, through which its calls enter.
@@ -44,7 +44,9 @@
     struct service_second {
         double requested{};
         double received{};
-        bool lacked_service{}; //!< A call was refused, cancelled, or started past its target.
+        std::size_t started{};
+        std::size_t started_late{}; //!< Of these, how many started past their target.
+        bool lacked_service{};      //!< A call was refused, cancelled, or started past its target.
     };
 
     /*! Token bucket of a host that starts a limited number of calls per second. */
@@ -100,7 +102,7 @@
     static constexpr double output_tokens = 50.0;
 
     /*! @param load Tokens requested, as a ratio to the prefill capacity of the engines. */
-    fleet_simulation(std::size_t routers, std::size_t engines, std::vector<team_demand> teams, double load,
+    fleet_simulation(std::size_t routers, std::size_t engines, std::vector<simulated_team> teams, double load,
                      std::uint64_t seed)
         : teams_{std::move(teams)}, free_at_(engines, start), random_{seed} {
         endpoint_list list;
@@ -188,6 +190,20 @@
     /*! @brief Returns the number of calls that the dispatchers refused, without those that a host turned away. */
     [[nodiscard]] std::size_t refused() const noexcept { return refused_; }
 
+    /*! @brief Returns the share of the started answers that started past the target. @param first Number of seconds at
+     *  the start that are not evaluated. */
+    [[nodiscard]] double late_share(std::size_t first) const {
+        double started = 0.0;
+        double late = 0.0;
+        for (const auto& team : seconds_) {
+            for (auto it = team.lower_bound(first); it != team.end(); ++it) {
+                started += static_cast<double>(it->second.started);
+                late += static_cast<double>(it->second.started_late);
+            }
+        }
+        return started > 0.0 ? late / started : 0.0;
+    }
+
     /*! @brief Returns how often a host turned a call away; each retry counts. */
     [[nodiscard]] std::size_t turned_away() const noexcept { return turned_away_; }
 
@@ -308,7 +324,10 @@
         call.is_started = true;
         auto& now = this_second(call.team);
         now.received += call.cost;
-        now.lacked_service = now.lacked_service || events_.now() - call.first_requested > target;
+        const bool is_late = events_.now() - call.first_requested > target;
+        ++now.started;
+        now.started_late += is_late ? 1 : 0;
+        now.lacked_service = now.lacked_service || is_late;
         at_router.router.data_received(id, events_.now());
         at_router.router.started(ticket, events_.now());
         events_.after(generation_time, [this, &at_router, ticket] {
@@ -370,7 +389,7 @@
         events_.after(interval, [this, &from, interval] { report_to_peers(from, interval); });
     }
 
-    std::vector<team_demand> teams_;
+    std::vector<simulated_team> teams_;
     std::vector<time_point> free_at_; //!< When each engine has prefilled its prompts.
     std::mt19937_64 random_;
     std::vector<std::unique_ptr<simulated_router>> routers_{};
