--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -192,18 +192,32 @@
     return out;
 }
 
+bool dispatcher::place_or_refuse_by_share(const work_item& item, time_point now) {
+    const auto admitted = admission_of(item, now);
+    if (admitted.share >= 1.0 || std::uniform_real_distribution<double>{}(random_) < admitted.share) {
+        return false;
+    }
+    const auto team = rank_of(item, now);
+    selector_.update(now);
+    // A few late answers, as after failures of endpoints, are no overload. Teams that have to leave room get no more.
+    const auto idle = selector_.select(item, team).best_ready;
+    const bool may_use_idle = !team.contended || team.has_priority();
+    if (may_use_idle && idle.endpoint != nullptr && idle.endpoint->calls == 0) {
+        listener_->placed(item.ticket, place(item, idle, team, now));
+        return true;
+    }
+    refusal why;
+    why.code = result_code::share_exceeded;
+    why.team = team;
+    why.admitted = admitted;
+    why.ahead_ms = admitted.queueing_delay_ms;
+    refuse(item, why, now);
+    return true;
+}
+
 void dispatcher::submit(work_item item, time_point now) {
     const auto ticket = item.ticket;
-    // Each router admits the same share of a team's calls, so the team's service does not depend on how many routers
-    // its calls enter through.
-    if (const auto admitted = admission_of(item, now);
-        admitted.share < 1.0 && std::uniform_real_distribution<double>{}(random_) >= admitted.share) {
-        refusal why;
-        why.code = result_code::share_exceeded;
-        why.team = rank_of(item, now);
-        why.admitted = admitted;
-        why.ahead_ms = admitted.queueing_delay_ms;
-        refuse(item, why, now);
+    if (view_->config() != nullptr && place_or_refuse_by_share(item, now)) {
         return;
     }
     if (view_->config() == nullptr || (waiting_.size() >= max_waiting_ && !make_room(item, now))) {
--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -92,6 +92,10 @@
     [[nodiscard]] endpoint_choice place(const work_item& item, const endpoint_selector::candidate& to,
                                         const team_rank& team, time_point now);
     [[nodiscard]] admission admission_of(const work_item& item, time_point now);
+    /*! Decides about a call that is beyond its team's share: places it at an idle endpoint or refuses it. Each router
+     *  admits the same share of a team's calls, so that it does not matter how many routers they enter through.
+     *  @return False if the call is admitted. */
+    [[nodiscard]] bool place_or_refuse_by_share(const work_item& item, time_point now);
     void refuse(const work_item& item, refusal why, time_point now);
     void refuse_waiting(ticket_id ticket, const refusal& why, time_point now);
 
--- a/src/dandelionbay/dispatch/overload_estimator.hpp
+++ b/src/dandelionbay/dispatch/overload_estimator.hpp
@@ -26,6 +26,9 @@
     static constexpr duration hold_time = std::chrono::milliseconds{300};
     /*! @brief Time in which the delay then falls to 1/e. */
     static constexpr duration decay_time = std::chrono::milliseconds{900};
+    /*! @brief Samples, of the last decay_time or so, that an overload takes: a few late answers may come from endpoints
+     *  that ended or went silent. */
+    static constexpr double min_samples = 5.0;
     /*! @brief A sample counts up to this many times the delay at which least work is admitted, so that a few slow
      *  engines do not stand for all. */
     static constexpr double max_sample_factor = 1.5;
@@ -42,6 +45,7 @@
 
 private:
     double delay_ms_{};
+    double samples_{}; //!< Number of recent samples, as of sampled_at_.
     time_point sampled_at_{};
 };
 
--- a/test/dandelionbay/dispatch/dispatcher_test.cpp
+++ b/test/dandelionbay/dispatch/dispatcher_test.cpp
@@ -272,6 +272,28 @@
     }
 }
 
+// Guards against the pattern "answers that started late because endpoints failed": calls of a team that asks for most
+// are refused while an endpoint has nothing to do.
+TEST(dispatcher, an_idle_endpoint_takes_calls_beyond_the_share_of_their_team) {
+    dispatch_fixture fleet{1};
+    std::vector<ticket_id> late;
+    for (int n = 0; n < 8; ++n) {
+        late.push_back(fleet.send(fleet.call("team", 0, 0, 500)));
+        ASSERT_TRUE(fleet.log.placements.contains(late.back())) << "call " << n;
+    }
+    fleet.advance(seconds{1});
+    for (const auto it : late) {
+        fleet.router.started(it, fleet.now);
+        fleet.router.ended(it, call_outcome::answered, fleet.now);
+    }
+    for (int n = 0; n < 30; ++n) {
+        const auto call = fleet.send(fleet.call("team", 0, 0, 500));
+        ASSERT_TRUE(fleet.log.placements.contains(call)) << "call " << n;
+        fleet.router.ended(call, call_outcome::answered, fleet.now);
+    }
+    EXPECT_TRUE(fleet.log.refusals.empty());
+}
+
 // Guards against the pattern "a burst of calls while other routers have work waiting": calls that are refused in
 // their first round, because their prefill time is not counted before it and nearly all of the work seems to wait at
 // other routers.
--- a/test/dandelionbay/dispatch/overload_estimator_test.cpp
+++ b/test/dandelionbay/dispatch/overload_estimator_test.cpp
@@ -40,6 +40,17 @@
     EXPECT_EQ(*it.capacity(limits, now), limits.least_admission);
 }
 
+// Guards against the pattern "some endpoints end": the few answers that they delay are taken for an overload.
+TEST(overload_estimator, takes_a_few_late_answers_for_no_overload) {
+    overload_estimator it;
+    for (int n = 0; n < 4; ++n) {
+        it.record_wait(2'000.0, {}, start);
+    }
+    EXPECT_FALSE(it.capacity({}, start).has_value());
+    it.record_wait(2'000.0, {}, start);
+    EXPECT_TRUE(it.capacity({}, start).has_value());
+}
+
 // Guards against a collapse that lasts, and against idle engines: an overload that nothing confirms is forgotten.
 TEST(overload_estimator, forgets_an_overload_within_two_seconds) {
     overload_estimator it;
