Admit more of a team that lags behind the best served one

Cause: what is admitted is not yet served. Where a team's calls find no place after their admission, by the engines near them or at its hosts, it gets less than the common level, and its admission did not answer to that.

Change: the admitted share is multiplied by the ratio of the best served team's usage to the team's own, up to 2.

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -21,6 +21,9 @@
 constexpr double max_excess_for_detour = 0.5;
 /*! Minimum share of an engine's memory that is assumed to cache prompt parts, whatever the number of running calls. */
 constexpr double min_cache_share = 0.1;
+/*! Upper bound of the factor by which more is admitted of a team that lags behind the best served one, because its
+ * calls find no place after their admission. */
+constexpr double max_catch_up = 2.0;
 
 /*! Estimates the prefill time of a call before endpoints are selected for it. The parts that it shares with other calls
  *  are usually cached at some endpoint, so only its last part counts. */
@@ -187,7 +190,9 @@
     }
     out.queueing_delay_ms = found->second.queueing_delay_ms(now);
     if (const auto capacity = found->second.capacity(limits_, now)) {
-        out.share = usage_.admitted_share(item.team, *capacity, now);
+        const double lag = usage_.max_usage(now) / std::max(1.0, usage_.used(item.team, now));
+        out.share =
+            std::min(1.0, usage_.admitted_share(item.team, *capacity, now) * std::clamp(lag, 1.0, max_catch_up));
     }
     return out;
 }
