Score no endpoints for a call whose team has to leave room

A call beyond its team's share may only go to an idle endpoint if its team does not have to leave room for another. The dispatcher updated and scored all endpoints before it looked at that, for each such call; in an overload, on hosts of 0.09 of a core, most refused calls are of teams that have to leave room. It now asks first.

No decision changes: the 14 figures that the model overloaded_fleet prints for its failing checks are the same before and after, and the tests of the dispatcher, of usage and of fairness pass.

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -203,13 +203,13 @@
         return false;
     }
     const auto team = rank_of(item, now);
-    selector_.update(now);
-    // A few late answers, as after failures of endpoints, are no overload. Teams that have to leave room get no more.
-    const auto idle = selector_.select(item, team).best_ready;
-    const bool may_use_idle = !team.contended || team.has_priority();
-    if (may_use_idle && idle.endpoint != nullptr && idle.endpoint->calls == 0) {
-        listener_->placed(item.ticket, place(item, idle, team, now));
-        return true;
+    if (!team.contended || team.has_priority()) { // Otherwise the team has to leave room; nothing is scored for it.
+        selector_.update(now);
+        const auto idle = selector_.select(item, team).best_ready;
+        if (idle.endpoint != nullptr && idle.endpoint->calls == 0) { // The late answers were no overload.
+            listener_->placed(item.ticket, place(item, idle, team, now));
+            return true;
+        }
     }
     refusal why;
     why.code = result_code::share_exceeded;
--- a/src/dandelionbay/dispatch/overload_estimator.hpp
+++ b/src/dandelionbay/dispatch/overload_estimator.hpp
@@ -32,6 +32,7 @@
     /*! @brief A sample counts up to this many times the delay at which least work is admitted, so that a few slow
      *  engines do not stand for all. */
     static constexpr double max_sample_factor = 1.5;
+
     /*! @brief Reports that a call's answer started. @param waited_ms Time that the call waited at the engine before its
      *  prompt was prefilled, in ms. */
     void record_wait(double waited_ms, const dispatch_limits& limits, time_point now) noexcept;
