Share the delay that calls meet at the engines among all gateways

Cause: overload_estimator hears the calls of its own gateway only. A gateway that began few of late has no samples, takes overloaded engines for idle ones and admits all; refusing ends the samples too. A burst that moves through the rotation is let in at each gateway, while the gateways of a team that stays refuse by share.

Ruled out as a reproduction: a moving burst in fleet_simulation, which kept the rule on the old code.

Change: gateways tell each other mean, number and age of what they observed, with what they tell anyway; admission uses the mean over all, weighted by number and age.

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -143,6 +143,23 @@
     peer_queues_[peer] = peer_queues{std::move(queues), now};
 }
 
+std::vector<service_delay> dispatcher::observed_delays(time_point now) const {
+    std::vector<service_delay> out;
+    for (const auto& [service, it] : overloads_) {
+        if (auto observed = it.own(now); observed.samples > 0.0 && observed.age < team_usage::window) {
+            observed.service = service;
+            out.push_back(std::move(observed));
+        }
+    }
+    return out;
+}
+
+void dispatcher::update_peer_delays(const host_id& peer, const std::vector<service_delay>& delays, time_point now) {
+    for (const auto& it : delays) {
+        overloads_[it.service].update_peer(peer, it, now);
+    }
+}
+
 void dispatcher::refuse(const work_item& item, refusal why, time_point now) {
     const auto base = std::clamp(from_ms(limits_.reading_ahead_ms + why.ahead_ms), min_retry_after, max_retry_after);
     std::uniform_real_distribution<double> spread{min_retry_jitter, max_retry_jitter};
--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -201,6 +201,12 @@
     /*! @brief Replaces the queues that a peer reported. */
     void update_peer_queues(const host_id& peer, std::vector<service_queue> queues, time_point now);
 
+    /*! @brief Returns how long calls of this router waited at the engines of each service, to be sent to the peers. */
+    [[nodiscard]] std::vector<service_delay> observed_delays(time_point now) const;
+
+    /*! @brief Replaces how long a peer's calls waited at the engines. */
+    void update_peer_delays(const host_id& peer, const std::vector<service_delay>& delays, time_point now);
+
     /*! @brief Sets how many calls may wait, up to dispatch_limits::max_waiting_calls; further ones are refused. */
     void set_max_waiting(std::size_t max) noexcept { max_waiting_ = std::min(max, limits_.max_waiting_calls); }
 
--- a/src/dandelionbay/dispatch/fwd.hpp
+++ b/src/dandelionbay/dispatch/fwd.hpp
@@ -17,6 +17,7 @@
 struct part_use;
 struct refusal;
 struct router_location;
+struct service_delay;
 struct service_queue;
 struct team_rank;
 struct team_usage_entry;
--- a/src/dandelionbay/dispatch/overload_estimator.cpp
+++ b/src/dandelionbay/dispatch/overload_estimator.cpp
@@ -7,22 +7,61 @@
 
 namespace dandelionbay {
 
+namespace {
+
+/*! A peer's samples are dropped when they weigh less than this. */
+constexpr double min_peer_weight = 0.01;
+
+[[nodiscard]] double decay(duration age) noexcept {
+    return std::exp(-to_ms(std::max(duration{}, age)) / to_ms(overload_estimator::decay_time));
+}
+
+} // namespace
+
+double overload_estimator::observation::weight(time_point now) const noexcept {
+    return samples * decay(now - newest);
+}
+
+overload_estimator::observation overload_estimator::fleet(time_point now) const noexcept {
+    observation out;
+    double sum_ms = 0.0;
+    const auto add = [&](const observation& it) {
+        const double weight = it.weight(now);
+        out.samples += weight;
+        sum_ms += weight * it.delay_ms;
+        out.newest = std::max(out.newest, it.newest);
+    };
+    add(own_);
+    for (const auto& [peer, it] : peers_) {
+        add(it);
+    }
+    out.delay_ms = out.samples > 0.0 ? sum_ms / out.samples : 0.0;
+    return out;
+}
+
 void overload_estimator::record_wait(double waited_ms, const dispatch_limits& limits, time_point now) noexcept {
-    const double before_ms = queueing_delay_ms(now);
     const double sample_ms = std::min(waited_ms, limits.max_queueing_delay_ms * max_sample_factor);
-    samples_ = samples_ * std::exp(-to_ms(now - sampled_at_) / to_ms(decay_time)) + 1.0;
-    delay_ms_ = before_ms + sample_weight * (sample_ms - before_ms);
-    sampled_at_ = now;
+    const double before = own_.weight(now);
+    own_ = {(before * own_.delay_ms + sample_ms) / (before + 1.0), before + 1.0, now};
+}
+
+void overload_estimator::update_peer(const host_id& peer, const service_delay& observed, time_point now) {
+    peers_[peer] = observation{observed.delay_ms, observed.samples, now - std::max(duration{}, observed.age)};
+    std::erase_if(peers_, [&](const auto& it) { return it.second.weight(now) < min_peer_weight; });
+}
+
+service_delay overload_estimator::own(time_point now) const {
+    return {{}, own_.delay_ms, own_.samples, now - own_.newest};
 }
 
 double overload_estimator::queueing_delay_ms(time_point now) const noexcept {
-    const auto idle = std::max(duration{}, now - sampled_at_ - hold_time);
-    return delay_ms_ * std::exp(-to_ms(idle) / to_ms(decay_time));
+    const auto it = fleet(now);
+    return it.delay_ms * decay(now - it.newest - hold_time);
 }
 
 std::optional<double> overload_estimator::capacity(const dispatch_limits& limits, time_point now) const noexcept {
     const double above_ms = queueing_delay_ms(now) - limits.queueing_delay_ms;
-    if (above_ms <= 0.0 || samples_ < min_samples) {
+    if (above_ms <= 0.0 || fleet(now).samples < min_samples) {
         return std::nullopt;
     }
     const double range_ms = std::max(1.0, limits.max_queueing_delay_ms - limits.queueing_delay_ms);
--- a/src/dandelionbay/dispatch/work.hpp
+++ b/src/dandelionbay/dispatch/work.hpp
@@ -79,6 +79,16 @@
     friend bool operator==(const service_queue&, const service_queue&) = default;
 };
 
+/*! @brief Time for which calls waited at a service's engines, as one router observed it of late. */
+struct service_delay {
+    service_id service{};
+    double delay_ms{}; //!< Weighted mean of the samples.
+    double samples{};  //!< Number of samples, of which recent ones count more; as of the newest one.
+    duration age{};    //!< Age of the newest sample.
+
+    friend bool operator==(const service_delay&, const service_delay&) = default;
+};
+
 /*! @brief Share of a team's calls that was admitted when a call was submitted, and why. */
 struct admission {
     double share{1.0};          //!< From 0 to 1; 1 while the engines are not overloaded.
--- a/src/dandelionbay/peer/peer_message.cpp
+++ b/src/dandelionbay/peer/peer_message.cpp
@@ -34,11 +34,12 @@
 using process_loss_row = std::tuple<std::string, std::uint64_t, std::int64_t, std::vector<unproven_run_row>>;
 using part_status_row = std::tuple<part_row, optional_time_row, optional_time_row>;
 using part_evidence_row = std::tuple<std::vector<process_loss_row>, std::vector<part_status_row>>;
+using delay_row = std::tuple<std::string, double, double, std::int64_t>;
 /*! New fields are added at the end: routers of an earlier version neither write nor read them. */
 using message_row = std::tuple<std::uint32_t, std::string, std::uint64_t, address_row, bool, clock_row, operators_row,
                                list_row, std::vector<load_row>, uses_row, std::vector<team_row>, std::vector<queue_row>,
                                std::vector<address_row>, std::string, std::vector<leaving_row>, std::vector<losses_row>,
-                               std::string, request_row, part_evidence_row>;
+                               std::string, request_row, part_evidence_row, std::vector<delay_row>>;
 
 /*! Must match between sender and receiver; appended fields keep it, so that routers of a fleet can be upgraded one by
  *  one. */
@@ -193,7 +194,7 @@
 
 [[nodiscard]] peer_message state_of(const message_row& row) {
     const auto& [version, host, incarnation, address, leaving, clocks, operators, list, loads, uses, teams, queues,
-                 peers, text, endpoints_leaving, losses, region, request, part_crashes] = row;
+                 peers, text, endpoints_leaving, losses, region, request, part_crashes, delays] = row;
     peer_message out;
     out.host = host_id{host};
     out.incarnation = incarnation;
@@ -240,6 +241,9 @@
     out.region = region_id{region};
     std::tie(out.request.operators, out.request.config, out.request.list) = request;
     out.part_crashes = evidence_of(part_crashes);
+    for (const auto& [service, ms, samples, age_us] : delays) {
+        out.delays.push_back(service_delay{service_id{service}, ms, samples, duration{age_us}});
+    }
     return out;
 }
 
@@ -270,6 +274,15 @@
     return out;
 }
 
+[[nodiscard]] std::vector<delay_row> rows_of(const std::vector<service_delay>& delays) {
+    std::vector<delay_row> out;
+    out.reserve(delays.size());
+    for (const auto& it : delays) {
+        out.emplace_back(it.service.value, it.delay_ms, it.samples, it.age.count());
+    }
+    return out;
+}
+
 [[nodiscard]] std::vector<leaving_row> rows_of(const std::vector<endpoint_process>& endpoints) {
     std::vector<leaving_row> out;
     out.reserve(endpoints.size());
@@ -328,6 +341,7 @@
     out.pack(it.region.value);
     out.pack(request_row{it.request.operators, it.request.config, it.request.list});
     out.pack(row_of(it.part_crashes));
+    out.pack(rows_of(it.delays));
     return {buf.data(), buf.size()};
 }
 
--- a/src/dandelionbay/peer/peer_message.hpp
+++ b/src/dandelionbay/peer/peer_message.hpp
@@ -61,7 +61,8 @@
     std::vector<call_losses> losses{}; //!< Losses that the receiver may not have; times by the sender's clock.
     region_id region{};                //!< The sender's region.
     refresh_request request{};
-    part_evidence part_crashes{}; //!< Evidence that the receiver may not have; times by the sender's clock.
+    part_evidence part_crashes{};        //!< Evidence that the receiver may not have; times by the sender's clock.
+    std::vector<service_delay> delays{}; //!< How long the sender's calls waited at engines; ages at sent_us.
 
     friend bool operator==(const peer_message&, const peer_message&) = default;
 };
--- a/src/dandelionbay/peer/peer_synchronizer.cpp
+++ b/src/dandelionbay/peer/peer_synchronizer.cpp
@@ -56,6 +56,7 @@
     }
     out.teams = dispatch_->usage().own(now);
     out.queues = dispatch_->queues();
+    out.delays = dispatch_->observed_delays(now);
     out.endpoints_leaving = view_->leaving_processes();
     out.peers = round_addresses_;
     const auto it = std::ranges::find_if(peers_, [&](const auto& item) { return item.second.address == to; });
@@ -220,6 +221,7 @@
     }
     dispatch_->usage().update_peer(in.host, in.teams, now);
     dispatch_->update_peer_queues(in.host, in.queues, now);
+    dispatch_->update_peer_delays(in.host, in.delays, now);
 }
 
 peer_synchronizer::clock_offset peer_synchronizer::offset_of(const peer_message& in, time_point now) {
--- a/test/dandelionbay/dispatch/fleet_simulation.hpp
+++ b/test/dandelionbay/dispatch/fleet_simulation.hpp
@@ -373,11 +373,12 @@
     void report_to_peers(simulated_router& from, duration interval) {
         const auto teams = from.router.usage().own(events_.now());
         const auto queues = from.router.queues();
+        const auto delays = from.router.observed_delays(events_.now());
         std::vector<std::pair<endpoint_id, endpoint_work>> work;
         for (const auto& [id, load] : from.router.loads()) {
             work.emplace_back(id, load.own(events_.now()));
         }
-        events_.after(network_delay, [this, host = from.host(), teams, queues, work] {
+        events_.after(network_delay, [this, host = from.host(), teams, queues, delays, work] {
             for (auto& to : routers_) {
                 if (to->host() == host) {
                     continue;
@@ -387,6 +388,7 @@
                 }
                 to->router.usage().update_peer(host, teams, events_.now());
                 to->router.update_peer_queues(host, queues, events_.now());
+                to->router.update_peer_delays(host, delays, events_.now());
             }
         });
         events_.after(interval, [this, &from, interval] { report_to_peers(from, interval); });
--- /dev/null
+++ b/test/dandelionbay/peer/shared_overload_test.cpp
@@ -0,0 +1,124 @@
+#include <gtest/gtest.h>
+
+#include "simulated_router.hpp"
+
+namespace dandelionbay {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr time_point start{std::chrono::hours{1}};
+const team_id narrow{"narrow"};
+const team_id wide{"wide"};
+
+/*! Two routers before overloaded engines: one of them begins calls of a team all the time, the other one has none. */
+class shared_overload : public testing::Test {
+protected:
+    void SetUp() override {
+        route_config config;
+        config.version = 1;
+        endpoint_service model;
+        model.id = service_id{"model"};
+        model.engine = engine_profile{64, 300'000, 4};
+        config.services = {model};
+        const auto shared = std::make_shared<const route_config>(make_route_config(std::move(config)));
+        endpoint_list list;
+        list.as_of = 1;
+        for (int n = 0; n < engines; ++n) {
+            endpoint_entry it;
+            it.id = endpoint_id{"e" + std::to_string(n)};
+            it.service = model.id;
+            it.slots = 64;
+            it.row_version = 1;
+            list.entries.push_back(std::move(it));
+        }
+        for (auto* const it : {&busy, &quiet}) {
+            it->view.adopt(shared);
+            it->view.merge_endpoints(list, now, now);
+            it->dispatch.refresh(now);
+        }
+    }
+
+    void submit(simulated_router& to, const team_id& team, ticket_id ticket) {
+        work_item it;
+        it.ticket = ticket;
+        it.team = team;
+        it.service = service_id{"model"};
+        it.parts = {{ticket, 3'000}};
+        it.prompt_tokens = 3'000;
+        it.output_tokens = 50;
+        it.target = milliseconds{600};
+        it.arrived = now;
+        to.dispatch.submit(std::move(it), now);
+    }
+
+    /*! Calls of one team begin late at the busy router, and both routers tell each other what they know. */
+    void run_for(duration time) {
+        for (const auto end = now + time; now < end; now += call_interval) {
+            submit(busy, narrow, ++last_ticket);
+            busy.dispatch.process_waiting(now);
+            quiet.dispatch.process_waiting(now);
+            if (last_ticket > late_calls) {
+                busy.dispatch.started(last_ticket - late_calls, now);
+                busy.dispatch.ended(last_ticket - late_calls, call_outcome::answered, now);
+            }
+            if (last_ticket % calls_per_message == 0) {
+                quiet.synchronizer.receive(busy.synchronizer.make_message(address_of(2), now), now);
+                busy.synchronizer.receive(quiet.synchronizer.make_message(address_of(1), now), now);
+            }
+        }
+    }
+
+    [[nodiscard]] static socket_address address_of(std::uint16_t port) { return {"127.0.0.1", port}; }
+
+    /*! A burst of the team that got most comes to the quiet router. @return Number of its calls that are refused. */
+    [[nodiscard]] std::uint32_t refused_of_burst() {
+        const auto refused = [&] {
+            const auto own = quiet.dispatch.usage().own(now);
+            const auto it = std::ranges::find(own, wide, &team_usage_entry::team);
+            return it == own.end() ? 0U : it->refused_calls;
+        };
+        const auto before = refused();
+        for (int n = 0; n < burst; ++n) {
+            submit(quiet, wide, ++burst_ticket);
+        }
+        return refused() - before;
+    }
+
+    static constexpr int engines = 4;
+    static constexpr int burst = 200;
+    static constexpr duration call_interval = milliseconds{20};
+    static constexpr ticket_id late_calls = 40; // 800 ms.
+    static constexpr ticket_id calls_per_message = 4;
+    time_point now{start};
+    ticket_id last_ticket{};
+    ticket_id burst_ticket{1'000'000};
+    simulated_router busy{"r1", 1};
+    simulated_router quiet{"r2", 2};
+};
+
+// Guards against the pattern "a burst comes to another router each time": a router that began no calls of late sees no
+// overload and takes the whole burst in, while the routers of another team refuse by share (FAIR).
+TEST_F(shared_overload, a_router_without_calls_admits_no_more_than_its_peers) {
+    constexpr double wide_usage = 2e6;
+    run_for(std::chrono::seconds{3});
+    busy.dispatch.usage().add(wide, wide_usage, now);
+    run_for(milliseconds{200});
+    EXPECT_GT(refused_of_burst(), burst / 3) << "at the first burst";
+    run_for(std::chrono::seconds{2});
+    busy.dispatch.usage().add(wide, wide_usage, now);
+    run_for(milliseconds{200});
+    EXPECT_GT(refused_of_burst(), burst / 3) << "after a lull at this router";
+}
+
+// Guards against refusals that go on after the engines have room again.
+TEST_F(shared_overload, is_forgotten_once_the_peer_begins_no_late_calls) {
+    run_for(std::chrono::seconds{3});
+    busy.dispatch.usage().add(wide, 2e6, now);
+    run_for(milliseconds{200});
+    now += std::chrono::seconds{2};
+    EXPECT_EQ(refused_of_burst(), 0);
+}
+
+} // namespace
+} // namespace dandelionbay
