Continue a stream only at the software version that began it

Cause: the version of an endpoint was not read, nor the attempt that a caller names when it resumes a stream. So a second attempt went to any endpoint, and what a gateway might have known ended with its process.

Change: stream_version_registry keeps the versions that served of late and where streams began. While a service has several versions gateways tell each other where streams began, with what they tell anyway. An attempt of which nothing is known is refused at once as not run (3009), unless a single version has served for as long as a stream can last, which a row of the registry tells a gateway that starts; so is one whose version has no endpoint left (3010).

--- a/bench/dispatch_bench.cpp
+++ b/bench/dispatch_bench.cpp
@@ -62,6 +62,7 @@
                        router,
                        losses,
                        part_crashes,
+                       streams,
                        read_config} {
         view.adopt(config());
         endpoint_list list;
@@ -122,6 +123,7 @@
     dispatcher router;
     lost_run_registry losses{};
     part_crash_registry part_crashes{};
+    stream_version_registry streams{view};
     peer_synchronizer synchronizer;
     ticket_id last{};
 };
--- a/src/dandelionbay/base/ids.hpp
+++ b/src/dandelionbay/base/ids.hpp
@@ -41,6 +41,7 @@
 struct endpoint_tag;
 struct pool_tag;
 struct service_tag;
+struct version_tag;
 } // namespace internal
 
 using host_id = named_id<internal::host_tag>;
@@ -50,6 +51,7 @@
 using endpoint_id = named_id<internal::endpoint_tag>;
 using pool_id = named_id<internal::pool_tag>;
 using service_id = named_id<internal::service_tag>;
+using version_id = named_id<internal::version_tag>;
 
 /*! @brief Number of one life of a process; a later life of the same host has a higher number. */
 using incarnation_type = std::uint64_t;
--- a/src/dandelionbay/base/result_code.hpp
+++ b/src/dandelionbay/base/result_code.hpp
@@ -40,6 +40,8 @@
     endpoint_cold = 3006,
     grant_unknown = 3007,
     endpoint_unavailable = 3008,
+    stream_version_unknown = 3009,
+    stream_version_gone = 3010,
     // The request reached an endpoint, or may have.
     endpoint_failed = 4001,
     answer_incomplete = 4002,
--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -78,7 +78,8 @@
                                   time_point now) {
     auto& at = *to.endpoint;
     const auto& entry = at.known->entry;
-    endpoint_choice choice{entry.id, entry.started, entry.address, to.unread_tokens, at.wait_ms, at.is_cold, team};
+    endpoint_choice choice{entry.id,   entry.started, entry.address, to.unread_tokens,
+                           at.wait_ms, at.is_cold,    team,          entry.version};
     at.load->sent(item.ticket, call_load{to.unread_tokens, item.prompt_tokens + item.output_tokens}, now);
     at.load->cache().record_use(item.parts);
     at.load->cold_limiter().record_sent(now);
@@ -202,7 +203,7 @@
 admission dispatcher::admission_of(const work_item& item, time_point now) {
     admission out;
     const auto found = overloads_.find(item.service);
-    if (item.parts.empty() || found == overloads_.end()) {
+    if (item.parts.empty() || item.has_begun || found == overloads_.end()) {
         return out;
     }
     out.queueing_delay_ms = found->second.queueing_delay_ms(now);
--- a/src/dandelionbay/dispatch/endpoint_selector.cpp
+++ b/src/dandelionbay/dispatch/endpoint_selector.cpp
@@ -36,9 +36,13 @@
     return list.empty() || std::ranges::find(list, region) != list.end();
 }
 
-[[nodiscard]] bool is_allowed_in(const work_item& item, const region_id* region) {
+[[nodiscard]] bool is_allowed_at(const work_item& item, const endpoint_selector::endpoint_state& it) {
+    if (item.version && *item.version != it.known->entry.version) {
+        return false;
+    }
     const bool anywhere = item.route_regions.empty() && item.team_regions.empty();
-    return anywhere || (region != nullptr && allows(item.route_regions, *region) && allows(item.team_regions, *region));
+    return anywhere ||
+           (it.region != nullptr && allows(item.route_regions, *it.region) && allows(item.team_regions, *it.region));
 }
 
 } // namespace
@@ -191,7 +195,7 @@
     }
     const auto prefix = shared_prefix_id(item);
     for (auto& it : found->second) {
-        if (!is_allowed_in(item, it.region)) {
+        if (!is_allowed_at(item, it)) {
             continue;
         }
         if (it.is_paused) {
@@ -225,7 +229,7 @@
 bool endpoint_selector::has_endpoint_for(const work_item& item) const {
     const auto found = endpoints_.find(item.service);
     return found != endpoints_.end() && std::ranges::any_of(found->second, [&](const auto& it) {
-               return is_allowed_in(item, it.region) && !item.excluded.contains(it.known->entry.id);
+               return is_allowed_at(item, it) && !item.excluded.contains(it.known->entry.id);
            });
 }
 
--- a/src/dandelionbay/dispatch/work.hpp
+++ b/src/dandelionbay/dispatch/work.hpp
@@ -46,7 +46,9 @@
     std::vector<region_id>
         route_regions{}; //!< Regions that may serve the call; empty for all. Both lists must allow it.
     std::vector<region_id> team_regions{};
-    std::set<endpoint_id> excluded{}; //!< Endpoints that already failed the call.
+    std::set<endpoint_id> excluded{};    //!< Endpoints that already failed the call.
+    bool has_begun{};                    //!< Its stream began earlier, so it is not refused by share.
+    std::optional<version_id> version{}; //!< Set if only endpoints of this version may run the call.
 
     /*! @brief Returns the cost of the call, as cost_of(). */
     [[nodiscard]] double cost() const noexcept;
@@ -60,7 +62,8 @@
     double unread_tokens{}; //!< Prompt tokens that the endpoint has to prefill for the call.
     double backlog_ms{};    //!< Expected wait at the endpoint before the call.
     bool cold{};
-    team_rank team{}; //!< Rank of the call's team when the endpoint was selected.
+    team_rank team{};     //!< Rank of the call's team when the endpoint was selected.
+    version_id version{}; //!< Of the endpoint's software.
 };
 
 /*! @brief A shared prompt part that was sent to an endpoint, which caches it. */
--- a/src/dandelionbay/gateway/call_options.hpp
+++ b/src/dandelionbay/gateway/call_options.hpp
@@ -29,6 +29,7 @@
     std::string key{};                           //!< API key; empty if none was sent.
     std::optional<duration> time_left{};         //!< Time that the caller waits, counted from sending the call.
     std::optional<std::uint64_t> resume_after{}; //!< Last event of a stream that the caller has received.
+    std::string resumed_stream{}; //!< The caller's id of the attempt that brought the first event of that stream.
     std::uint32_t prompt_tokens{};
     std::uint32_t output_tokens{};    //!< Upper bound of the generated tokens.
     std::vector<prompt_part> parts{}; //!< The prompt in order; the last part belongs to this call or its session.
--- a/src/dandelionbay/gateway/endpoint_entry.hpp
+++ b/src/dandelionbay/gateway/endpoint_entry.hpp
@@ -23,6 +23,7 @@
     duration cold_for{};            //!< Remaining time that the endpoint is cold, as of the writing of the entry.
     std::uint64_t started{};        //!< Start time of the process in Unix milliseconds; 0 if unknown.
     registry_version row_version{}; //!< Version of the entry; increases with every write of any entry.
+    version_id version{};           //!< Version of its software, which alone can continue its streams.
 
     friend bool operator==(const endpoint_entry&, const endpoint_entry&) = default;
 };
--- a/src/dandelionbay/gateway/fwd.hpp
+++ b/src/dandelionbay/gateway/fwd.hpp
@@ -12,5 +12,8 @@
 struct row_write;
 class registry_view;
 class retained_rows;
+struct service_version;
+class stream_version_registry;
+struct version_report;
 
 } // namespace dandelionbay
--- a/src/dandelionbay/gateway/registry.hpp
+++ b/src/dandelionbay/gateway/registry.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -59,6 +61,9 @@
      */
     virtual void on_blocked_parts(const std::vector<part_status>& parts) = 0;
 
+    /*! @brief Called at the same times with the versions of each service that may have served of late. */
+    virtual void on_versions(const std::map<service_id, std::set<version_id>>& versions) = 0;
+
     /**
      * @brief Called when the registry sent no answer or an invalid one.
      * @param call The operation that failed.
@@ -102,6 +107,9 @@
     /*! @brief Removes a retained prompt part. */
     virtual void remove_blocked_part(const service_part& part) = 0;
 
+    /*! @brief Writes the versions of a service that serve or did of late, for routers that start later. */
+    virtual void retain_versions(const service_id& service, const std::set<version_id>& versions) = 0;
+
     /*! @brief Withdraws the announcement and stops; waits a short time for the last write. */
     virtual void stop() = 0;
 };
--- /dev/null
+++ b/src/dandelionbay/gateway/stream_version_registry.hpp
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "dandelionbay/base/clock.hpp"
+#include "dandelionbay/base/ids.hpp"
+#include "dandelionbay/gateway/registry_view.hpp"
+
+namespace dandelionbay {
+
+/*! @brief A version of the software of a service's endpoints. */
+struct service_version {
+    service_id service{};
+    version_id version{};
+
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads a defaulted <=>.
+    friend auto operator<=>(const service_version&, const service_version&) = default;
+    friend bool operator==(const service_version&, const service_version&) = default;
+};
+
+/*! @brief A version that serves, or did of late. */
+struct recent_version {
+    service_version origin{};
+    duration age{}; //!< Time since the version was last registered.
+
+    friend bool operator==(const recent_version&, const recent_version&) = default;
+};
+
+/*! @brief The version that wrote the first event of a stream. */
+struct stream_origin {
+    std::uint64_t stream{}; //!< Hash of the caller's id of the attempt.
+    service_version origin{};
+
+    friend bool operator==(const stream_origin&, const stream_origin&) = default;
+};
+
+/*! @brief What a router tells its peers about versions and streams. */
+struct version_report {
+    std::vector<recent_version> recent{};
+    bool is_complete{};                   //!< No other version served within the retention time.
+    std::vector<stream_origin> streams{}; //!< Streams that began at the sender, unless the receiver has them.
+
+    friend bool operator==(const version_report&, const version_report&) = default;
+};
+
+/**
+ * @brief Versions that served of late, and the version at which each recent stream began.
+ *
+ * Versions of an endpoint's software do not continue each other's streams. A caller that resumes a stream names the
+ * attempt that brought its first event. Routers tell each other where streams began while a service has several
+ * versions. A stream of which nothing is known may be resumed only if a single version has served for as long as a
+ * stream can last; after a restart that follows from a row of the registry, or from a peer.
+ */
+class stream_version_registry {
+    struct known_stream {
+        service_version origin{};
+        time_point at{};
+    };
+    struct own_stream {
+        std::uint64_t stream{};
+        time_point at{};
+    };
+
+    void expire(time_point now);
+    /*! Tells whether a version can't have come into service unnoticed. */
+    [[nodiscard]] bool is_up_to_date(time_point now) const;
+
+public:
+    using sequence_type = std::uint64_t;
+
+    /*! @brief Added to the longest time limit of a stream: clocks, and the time until a list is read. */
+    static constexpr duration retention_margin = std::chrono::seconds{3};
+    /*! @brief Without a list or a report of a peer for this time, other routers may use versions that are not known. */
+    static constexpr duration max_evidence_age = std::chrono::seconds{4};
+    /*! @brief Most streams that are kept, about 80 bytes each; the oldest are dropped. */
+    static constexpr std::size_t max_streams = 100'000;
+
+    /*! @brief Creates an empty registry. @param view View of the fleet; must outlive the registry. */
+    explicit stream_version_registry(const registry_view& view) : view_{&view} {}
+
+    /*! @brief Takes note of the versions of the registered endpoints; to be called after each change of the list. */
+    void update_versions(time_point now);
+
+    /*! @brief Records that a version was registered. @param at When; later than now counts as now. */
+    void note_version(const service_version& it, time_point at, time_point now);
+
+    /*! @brief Records that all versions that served within the retention time are known. */
+    void set_complete() noexcept { is_complete_ = true; }
+
+    /*! @brief Tells whether all versions that served within the retention time are known. */
+    [[nodiscard]] bool is_complete() const noexcept { return is_complete_; }
+
+    /*! @brief Returns the versions of a service that serve or did within the retention time. */
+    [[nodiscard]] std::set<version_id> recent_versions(const service_id& service, time_point now) const;
+
+    /*! @brief Tells whether several versions of a service served within the retention time. */
+    [[nodiscard]] bool is_mixed(const service_id& service, time_point now) const {
+        return recent_versions(service, now).size() > 1;
+    }
+
+    /*! @brief Records the version that wrote the first event of a stream, for which this router was the sender.
+     *  @param stream The caller's id of the attempt that brought the event. */
+    void record_stream(std::string_view stream, const service_version& origin, time_point now);
+
+    /*! @brief Returns the service at which a stream began. @param stream The caller's id of the attempt that brought
+     *  the first event. @return The service, or nothing if it is not known. */
+    [[nodiscard]] std::optional<service_id> find_service(std::string_view stream, time_point now);
+
+    /*! @brief Returns the version that may continue a stream. @param stream The caller's id of the attempt that brought
+     *  the first event; empty if it is not known. @return The version, or nothing if it can't be known. */
+    [[nodiscard]] std::optional<version_id> find_version(std::string_view stream, const service_id& service,
+                                                         time_point now);
+
+    /*! @brief Returns what a peer is to be told. @param told Sequence number up to which it has the streams, which is
+     *  advanced. */
+    [[nodiscard]] version_report make_report(sequence_type& told, time_point now);
+
+    /*! @brief Merges a peer's report. @param sent_at A time not later than its sending. */
+    void merge(const version_report& report, time_point sent_at, time_point now);
+
+    /*! @brief Returns the time for which versions and streams are kept. */
+    [[nodiscard]] duration retention() const;
+
+private:
+    const registry_view* view_;
+    std::set<service_version> registered_{};            //!< As of the last update.
+    std::map<service_version, time_point> last_seen_{}; //!< Of versions that are no longer registered, too.
+    std::unordered_map<std::uint64_t, known_stream> streams_{};
+    std::deque<own_stream> all_{};                         //!< Streams in order of their records.
+    std::deque<own_stream> own_{};                         //!< Those that began at this router.
+    sequence_type first_own_{};                            //!< Sequence number of the first one.
+    mutable std::shared_ptr<const route_config> config_{}; //!< Configuration that longest_stream_ belongs to.
+    mutable duration longest_stream_{};
+    time_point heard_at_{}; //!< When a peer's report was last merged.
+    bool is_complete_{};
+};
+
+} // namespace dandelionbay
--- a/src/dandelionbay/node/gateway_node.cpp
+++ b/src/dandelionbay/node/gateway_node.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <utility>
 
+#include "dandelionbay/base/name_hash.hpp"
 #include "dandelionbay/base/text.hpp"
 #include "dandelionbay/proxy/call_record.hpp"
 
@@ -23,6 +24,8 @@
 constexpr duration stop_margin = std::chrono::milliseconds{900};
 /*! Time that the last writes get, and the longest time if callers have not taken all. */
 constexpr std::chrono::milliseconds least_last_writes{150};
+/*! Routers that write a change of a service's versions: one may be about to end. */
+constexpr std::size_t version_writers = 2;
 constexpr duration most_last_writes = std::chrono::milliseconds{600};
 
 [[nodiscard]] freshness_limits freshness_of(const gateway_bounds& bounds) {
@@ -66,6 +69,7 @@
                     proxy_.dispatch(),
                     proxy_.losses(),
                     proxy_.part_crashes(),
+                    proxy_.stream_versions(),
                     platform_.read_config},
       transport_{peer_environment{&loop_, &clock_, &log_, &metrics_, &synchronizer_}, options_.peer_listen,
                  [this](const peer_change& change) { peers_changed(change); }},
@@ -353,6 +357,7 @@
         }
     }
     if (change.list_refreshed) {
+        update_versions(clock_.now());
         metrics_.add("lists_from_peers_total");
         log_leaving("list_of_peer");
     }
@@ -385,6 +390,7 @@
     const auto now = clock_.now();
     const auto known = view_.endpoints().size();
     view_.merge_endpoints(list, read_at, now);
+    update_versions(now);
     proxy_.dispatch().refresh(now);
     log_leaving("registry");
     if (view_.endpoints().size() != known) {
@@ -448,6 +454,44 @@
     }
 }
 
+void gateway_node::on_versions(const std::map<service_id, std::set<version_id>>& retained) {
+    const auto now = clock_.now();
+    for (const auto& [service, versions] : retained) {
+        for (const auto& it : versions) { // Those that are not registered may have left just now.
+            proxy_.stream_versions().note_version({service, it}, now, now);
+        }
+    }
+    retained_versions_ = retained;
+    proxy_.stream_versions().set_complete();
+    update_versions(now);
+}
+
+void gateway_node::update_versions(time_point now) {
+    auto& versions = proxy_.stream_versions();
+    versions.update_versions(now);
+    if (!versions.is_complete() || view_.config() == nullptr) {
+        return;
+    }
+    for (const auto& service : view_.config()->services) {
+        auto recent = versions.recent_versions(service.id, now);
+        auto& retained = retained_versions_[service.id];
+        if (recent == retained) {
+            continue;
+        }
+        std::string names;
+        for (const auto& it : recent) {
+            names += concat(names.empty() ? "" : ",", it.value);
+        }
+        const bool writes = proxy_.dispatch().rank_for(name_hash(service.id.value)) < version_writers;
+        log_.write(log_level::info, "versions_changed",
+                   {{"service", service.id.value}, {"versions", names}, {"written", writes ? "yes" : "no"}});
+        retained = std::move(recent);
+        if (writes) {
+            registry_->retain_versions(service.id, retained);
+        }
+    }
+}
+
 void gateway_node::on_registry_failed(std::string_view call, std::string_view reason) {
     const auto now = clock_.now();
     view_.on_store_failed();
--- a/src/dandelionbay/node/gateway_node.hpp
+++ b/src/dandelionbay/node/gateway_node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -58,6 +59,9 @@
     void keep_blocked_part(const service_part& part);
     void remove_blocked_part(const service_part& part);
 
+    /*! Takes note of the versions of the registered endpoints; writes them if they changed. */
+    void update_versions(time_point now);
+
 public:
     /*! @brief Time after the start of a stop for which idle connections stay open: the balancer needs it to notice. */
     static constexpr duration balancer_delay = std::chrono::milliseconds{3'200};
@@ -100,6 +104,7 @@
     void on_routers(const std::vector<router_entry>& routers) override;
     void on_losses(const std::vector<call_losses>& losses) override;
     void on_blocked_parts(const std::vector<part_status>& parts) override;
+    void on_versions(const std::map<service_id, std::set<version_id>>& versions) override;
     void on_registry_failed(std::string_view call, std::string_view reason) override;
     void on_registry_restored() override;
     [[nodiscard]] bool needs_losses(std::uint64_t call) const override;
@@ -125,7 +130,8 @@
     boost::asio::steady_timer settings_timer_;
     boost::asio::steady_timer facts_timer_;
     settings_reader reader_;
-    std::set<endpoint_id> leaving_{};         //!< By the newest list.
+    std::set<endpoint_id> leaving_{};                                //!< By the newest list.
+    std::map<service_id, std::set<version_id>> retained_versions_{}; //!< As last written by some router.
     std::set<service_part> retained_parts_{}; //!< Blocked parts whose rows this router wrote or read.
     bool registry_failed_{};
 };
--- a/src/dandelionbay/peer/peer_message.cpp
+++ b/src/dandelionbay/peer/peer_message.cpp
@@ -21,7 +21,7 @@
 using losses_row = std::tuple<std::uint64_t, std::vector<lost_run_row>, std::vector<std::int64_t>>;
 using team_row = std::tuple<std::string, double, double, std::uint32_t>;
 using endpoint_row = std::tuple<std::string, std::string, std::string, address_row, std::uint32_t, bool, std::int64_t,
-                                std::uint64_t, std::uint64_t>;
+                                std::uint64_t, std::uint64_t, std::string>;
 using clock_row = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
 /*! Versions are numbers of the epoch that comes last. */
 using operators_row = std::tuple<std::uint64_t, std::uint64_t, std::vector<zone_row>, std::int64_t, std::uint64_t>;
@@ -35,11 +35,14 @@
 using part_status_row = std::tuple<part_row, optional_time_row, optional_time_row>;
 using part_evidence_row = std::tuple<std::vector<process_loss_row>, std::vector<part_status_row>>;
 using delay_row = std::tuple<std::string, double, double, std::int64_t>;
+using version_row = std::tuple<std::string, std::string, std::int64_t>;
+using stream_row = std::tuple<std::uint32_t, std::uint64_t>; // Index among the versions, stream.
+using versions_row = std::tuple<std::vector<version_row>, bool, std::vector<stream_row>>;
 /*! New fields are added at the end: routers of an earlier version neither write nor read them. */
 using message_row = std::tuple<std::uint32_t, std::string, std::uint64_t, address_row, bool, clock_row, operators_row,
                                list_row, std::vector<load_row>, uses_row, std::vector<team_row>, std::vector<queue_row>,
                                std::vector<address_row>, std::string, std::vector<leaving_row>, std::vector<losses_row>,
-                               std::string, request_row, part_evidence_row, std::vector<delay_row>>;
+                               std::string, request_row, part_evidence_row, std::vector<delay_row>, versions_row>;
 
 /*! Must match between sender and receiver; appended fields keep it, so that routers of a fleet can be upgraded one by
  *  one. */
@@ -54,12 +57,12 @@
 }
 
 [[nodiscard]] endpoint_row row_of(const endpoint_entry& it) {
-    return {it.id.value, it.service.value,    it.zone.value, row_of(it.address),   it.slots,
-            it.leaving,  it.cold_for.count(), it.started,    it.row_version.number};
+    return {it.id.value, it.service.value,    it.zone.value, row_of(it.address),    it.slots,
+            it.leaving,  it.cold_for.count(), it.started,    it.row_version.number, it.version.value};
 }
 
 [[nodiscard]] endpoint_entry entry_of(const endpoint_row& row, std::uint64_t epoch) {
-    const auto& [id, service, zone, address, slots, leaving, cold_us, started, version] = row;
+    const auto& [id, service, zone, address, slots, leaving, cold_us, started, row_version, version] = row;
     return {endpoint_id{id},
             service_id{service},
             zone_id{zone},
@@ -68,7 +71,8 @@
             leaving,
             duration{cold_us},
             started,
-            registry_version{epoch, version}};
+            registry_version{epoch, row_version},
+            version_id{version}};
 }
 
 [[nodiscard]] uses_row rows_of(const std::vector<part_use>& uses) {
@@ -192,9 +196,41 @@
     return out;
 }
 
+[[nodiscard]] versions_row row_of(const version_report& it) {
+    versions_row out{std::vector<version_row>{}, it.is_complete, std::vector<stream_row>{}};
+    auto& [versions, is_complete, streams] = out;
+    std::map<service_version, std::uint32_t> positions;
+    for (const auto& [origin, age] : it.recent) {
+        positions.try_emplace(origin, static_cast<std::uint32_t>(versions.size()));
+        versions.emplace_back(origin.service.value, origin.version.value, age.count());
+    }
+    for (const auto& [stream, origin] : it.streams) {
+        if (const auto position = positions.find(origin); position != positions.end()) {
+            streams.emplace_back(position->second, stream);
+        }
+    }
+    return out;
+}
+
+[[nodiscard]] version_report report_of(const versions_row& row) {
+    const auto& [versions, is_complete, streams] = row;
+    version_report out;
+    out.is_complete = is_complete;
+    for (const auto& [service, version, age_us] : versions) {
+        out.recent.push_back(
+            recent_version{service_version{service_id{service}, version_id{version}}, duration{age_us}});
+    }
+    for (const auto& [position, stream] : streams) {
+        if (position < out.recent.size()) {
+            out.streams.push_back(stream_origin{stream, out.recent[position].origin});
+        }
+    }
+    return out;
+}
+
 [[nodiscard]] peer_message state_of(const message_row& row) {
     const auto& [version, host, incarnation, address, leaving, clocks, operators, list, loads, uses, teams, queues,
-                 peers, text, endpoints_leaving, losses, region, request, part_crashes, delays] = row;
+                 peers, text, endpoints_leaving, losses, region, request, part_crashes, delays, versions] = row;
     peer_message out;
     out.host = host_id{host};
     out.incarnation = incarnation;
@@ -244,6 +280,7 @@
     for (const auto& [service, ms, samples, age_us] : delays) {
         out.delays.push_back(service_delay{service_id{service}, ms, samples, duration{age_us}});
     }
+    out.versions = report_of(versions);
     return out;
 }
 
@@ -342,6 +379,7 @@
     out.pack(request_row{it.request.operators, it.request.config, it.request.list});
     out.pack(row_of(it.part_crashes));
     out.pack(rows_of(it.delays));
+    out.pack(row_of(it.versions));
     return {buf.data(), buf.size()};
 }
 
--- a/src/dandelionbay/peer/peer_message.hpp
+++ b/src/dandelionbay/peer/peer_message.hpp
@@ -10,6 +10,7 @@
 #include "dandelionbay/dispatch/dispatcher.hpp"
 #include "dandelionbay/gateway/endpoint_entry.hpp"
 #include "dandelionbay/gateway/registry_view.hpp"
+#include "dandelionbay/gateway/stream_version_registry.hpp"
 #include "dandelionbay/limit/lost_run_registry.hpp"
 #include "dandelionbay/limit/part_crash_registry.hpp"
 #include "dandelionbay/peer/fwd.hpp"
@@ -63,6 +64,7 @@
     refresh_request request{};
     part_evidence part_crashes{};        //!< Evidence that the receiver may not have; times by the sender's clock.
     std::vector<service_delay> delays{}; //!< How long the sender's calls waited at engines; ages at sent_us.
+    version_report versions{};           //!< Ages are as of sent_us. Streams add to those of earlier messages.
 
     friend bool operator==(const peer_message&, const peer_message&) = default;
 };
--- a/src/dandelionbay/peer/peer_synchronizer.cpp
+++ b/src/dandelionbay/peer/peer_synchronizer.cpp
@@ -10,9 +10,9 @@
 
 peer_synchronizer::peer_synchronizer(router_identity self, const refresh_limits& limits, registry_view& view,
                                      dispatcher& dispatch, lost_run_registry& losses, part_crash_registry& part_crashes,
-                                     config_parser parser)
+                                     stream_version_registry& streams, config_parser parser)
     : self_{std::move(self)}, limits_{limits}, view_{&view}, dispatch_{&dispatch}, losses_{&losses},
-      part_crashes_{&part_crashes}, parser_{std::move(parser)} {
+      part_crashes_{&part_crashes}, streams_{&streams}, parser_{std::move(parser)} {
     dispatch_->set_routers({self_.host}, false);
 }
 
@@ -67,6 +67,7 @@
     out.echo_us = known.timestamp_us;
     out.echo_delay_us = (now - known.timestamp_received).count();
     out.part_uses = std::exchange(known.pending_part_uses, {});
+    out.versions = streams_->make_report(known.streams_told, now);
     known.first_losses_sent = known.first_losses_sent.value_or(now);
     out.losses = losses_->changed_since(known.losses_confirmed);
     out.part_crashes = part_crashes_->changed_since(known.losses_confirmed);
@@ -274,6 +275,12 @@
     out.parts = part_crashes_->merge(evidence, now);
 }
 
+void peer_synchronizer::merge_versions(const peer_message& in, time_point now) {
+    // Dated early, or a version that has left would be passed on for ever.
+    const auto sent = in.echo_us == 0 ? now : time_point{duration{in.echo_us + in.echo_delay_us}};
+    streams_->merge(in.versions, std::min(sent, now), now);
+}
+
 void peer_synchronizer::record_peer(const peer_message& in, peer& from, bool is_new, time_point now) {
     from.region = in.region;
     from.config_version = in.operators.config_version;
@@ -317,6 +324,7 @@
         known.newest_confirmed = echoed;
         known.first_losses_sent.reset();
         known.losses_confirmed = {};
+        known.streams_told = {};
     }
     known.newest_confirmed = std::max(known.newest_confirmed, echoed);
     if (known.first_losses_sent && echoed >= *known.first_losses_sent) { // Earlier messages had no losses.
@@ -333,6 +341,7 @@
     merge_loads(in, known, now);
     merge_losses(in, out, now);
     merge_part_crashes(in, out, now);
+    merge_versions(in, now);
     for (const auto& endpoint : in.endpoints_leaving) {
         if (view_->note_leaving(endpoint, now)) {
             out.endpoints_leaving.push_back(endpoint);
--- a/src/dandelionbay/peer/peer_synchronizer.hpp
+++ b/src/dandelionbay/peer/peer_synchronizer.hpp
@@ -93,13 +93,15 @@
         refresh_request request{};                   //!< What the peer requested and was not sent yet.
         bool has_all_addresses{};                    //!< Whether the peer was sent the addresses of all peers.
         std::vector<endpoint_id> loaded_endpoints{}; //!< Endpoints at which the peer has calls, sorted.
-        std::vector<part_use> pending_part_uses{};   //!< Uses of prompt parts not yet sent to the peer.
+        stream_version_registry::sequence_type streams_told{}; //!< Up to which the peer has this router's streams.
+        std::vector<part_use> pending_part_uses{};             //!< Uses of prompt parts not yet sent to the peer.
     };
 
     [[nodiscard]] static std::int64_t age_us(const std::optional<duration>& age) noexcept;
     void merge_registry_state(const peer_message& in, peer_change& out, time_point now);
     void merge_loads(const peer_message& in, peer& from, time_point now);
     void merge_losses(const peer_message& in, peer_change& out, time_point now);
+    void merge_versions(const peer_message& in, time_point now);
     void merge_part_crashes(const peer_message& in, peer_change& out, time_point now);
 
     /*! Bounds of what to add to the sender's times to convert them to the local clock. */
@@ -154,11 +156,12 @@
      *
      * @param self The local router.
      * @param limits Ages beyond which newer state is requested.
-     * @param view,dispatch,losses,part_crashes State of the local router, which must outlive the synchronizer.
+     * @param view,dispatch,losses,part_crashes,streams State of the local router, which must outlive the synchronizer.
      * @param parser Parses configuration texts of peers.
      */
     peer_synchronizer(router_identity self, const refresh_limits& limits, registry_view& view, dispatcher& dispatch,
-                      lost_run_registry& losses, part_crash_registry& part_crashes, config_parser parser);
+                      lost_run_registry& losses, part_crash_registry& part_crashes, stream_version_registry& streams,
+                      config_parser parser);
 
     /*! @brief Replaces the set of routers that are announced in the registry. */
     void set_announced_routers(const std::vector<router_entry>& routers, time_point now);
@@ -219,6 +222,7 @@
     dispatcher* dispatch_;
     lost_run_registry* losses_;
     part_crash_registry* part_crashes_;
+    stream_version_registry* streams_;
     config_parser parser_;
     std::string config_text_{};
     bool is_leaving_{};
--- a/src/dandelionbay/proxy/call_record.cpp
+++ b/src/dandelionbay/proxy/call_record.cpp
@@ -85,6 +85,7 @@
                                  {"team", it.team.value},
                                  {"service", it.service.value},
                                  {"endpoint", it.choice.endpoint.value},
+                                 {"version", it.choice.version.value},
                                  {"sends", std::to_string(it.sends)},
                                  {"may_have_run", std::to_string(it.runs)},
                                  {"waited_ms", to_text(it.waited)},
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -103,7 +103,7 @@
         team_regions_ = team->home_regions;
     }
     deadline_ = arrived_at_ + std::min(terms_.time_left.value_or(default_time_left), route_->time_limit);
-    service_ = owner_->pick_service(*route_);
+    service_ = pick_service(now);
     shared_parts_.clear();
     const auto service = fingerprint_of({service_.value});
     for (const auto& it : shared_parts(terms_.parts)) {
@@ -112,6 +112,20 @@
     return true;
 }
 
+service_id exchange::pick_service(time_point now) {
+    if (is_resuming()) {
+        const auto known = owner_->stream_versions().find_service(terms_.resumed_stream, now);
+        if (known && std::ranges::find(route_->services, *known, &service_share::service) != route_->services.end()) {
+            return *known;
+        }
+    }
+    return owner_->pick_service(*route_);
+}
+
+bool exchange::is_resuming() const noexcept {
+    return terms_.resume_after && route_->kind == call_kind::streaming;
+}
+
 bool exchange::is_access_valid(time_point now) {
     const auto& view = *owner_->environment().view;
     if (!route_->is_public && !view.are_keys_fresh(now)) {
@@ -162,7 +176,40 @@
     }
     caller_->on_call_begun();
     owner_->retries(service_).record_call(now);
-    submit(now);
+    if (!is_resuming() || find_stream_version(now)) {
+        submit(now);
+    }
+}
+
+bool exchange::find_stream_version(time_point now) {
+    const auto& env = owner_->environment();
+    auto& versions = owner_->stream_versions();
+    stream_version_ = versions.find_version(terms_.resumed_stream, service_, now);
+    has_begun_before_ = versions.find_service(terms_.resumed_stream, now) == service_;
+    const bool is_served = stream_version_ && owner_->dispatch().has_endpoint(make_work_item(), now);
+    const std::string_view outcome = !stream_version_ ? "unknown" : is_served ? "resumed" : "gone";
+    env.metrics->add("streams_resumed_total", outcome);
+    env.log->write_call(log_level::info, "stream_resumed", [&] {
+        return event_log::fields{{"request", terms_.id},
+                                 {"stream", terms_.resumed_stream},
+                                 {"service", service_.value},
+                                 {"version", stream_version_.value_or(version_id{}).value},
+                                 {"versions", std::to_string(versions.recent_versions(service_, now).size())},
+                                 {"outcome", std::string{outcome}}};
+    });
+    if (!is_served) {
+        refuse(503, stream_version_ ? result_code::stream_version_gone : result_code::stream_version_unknown,
+               default_retry_after);
+    }
+    return is_served;
+}
+
+void exchange::note_stream_version(const attempt& it, time_point now) {
+    const auto& stream = terms_.resume_after ? terms_.resumed_stream : terms_.id;
+    stream_version_ = it.choice.version;
+    if (!stream.empty()) {
+        owner_->stream_versions().record_stream(stream, {service_, it.choice.version}, now);
+    }
 }
 
 work_item exchange::make_work_item() const {
@@ -179,6 +226,8 @@
     item.team_regions = team_regions_;
     item.excluded = failed_endpoints_;
     item.excluded.insert(refused_by_.begin(), refused_by_.end());
+    item.version = stream_version_;
+    item.has_begun = has_begun_before_;
     return item;
 }
 
@@ -190,13 +239,17 @@
     }
     auto item = make_work_item();
     cost_ = item.cost();
-    if (runs_ == 0 && !response_started_) {
+    const bool is_new = runs_ == 0 && !response_started_;
+    if (is_new && !has_begun_before_) {
         owner_->dispatch().submit(std::move(item), now);
         return;
     }
-    // Queueing behind new calls would end in a cut stream or an unclear result.
+    // Queueing behind new calls would end in a cut stream or an unclear result, and streams that callers resume have
+    // fewer endpoints to choose from.
     if (const auto choice = owner_->dispatch().try_place(item, now)) {
         placed(*choice);
+    } else if (is_new) {
+        owner_->dispatch().submit(std::move(item), now);
     } else {
         wait_for_endpoint(now);
     }
@@ -209,8 +262,9 @@
         failed_endpoints_.clear(); // Retrying an endpoint that failed the call is better than cutting the stream.
     }
     const bool is_overdue = now - *without_endpoint_since_ >= endpoint_wait_timeout;
-    if (is_overdue || !can_run_again(now) ||
-        !(response_started_ || owner_->dispatch().has_endpoint(make_work_item(), now))) {
+    // An endpoint that ended may be back soon, but hardly one of a version that is being replaced.
+    const bool may_come = response_started_ && !owner_->stream_versions().is_mixed(service_, now);
+    if (is_overdue || !can_run_again(now) || !(may_come || owner_->dispatch().has_endpoint(make_work_item(), now))) {
         give_up("no_endpoint");
         return;
     }
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -56,6 +56,12 @@
     /*! Looks up the route and team in the current configuration; refuses the call if one is missing. */
     [[nodiscard]] bool find_access(time_point now);
 
+    /*! Picks one of the route's services; for a stream that the caller resumes the one at which it began. */
+    [[nodiscard]] service_id pick_service(time_point now);
+
+    /*! Tells whether the caller resumes a stream. */
+    [[nodiscard]] bool is_resuming() const noexcept;
+
     /*! Tells whether the current configuration gives the call the same route and access as when it was admitted. */
     [[nodiscard]] bool is_access_valid(time_point now);
 
@@ -68,6 +74,12 @@
     /*! The request as it would be sent to an attempt's endpoint now; empty if it must not be sent any more. */
     [[nodiscard]] std::string build_request(const attempt& it);
     [[nodiscard]] work_item make_work_item() const;
+
+    /*! Finds the version that can continue the stream which the caller resumes; refuses the call if there is none. */
+    [[nodiscard]] bool find_stream_version(time_point now);
+
+    /*! Records which version wrote the first event. */
+    void note_stream_version(const attempt& it, time_point now);
     void submit(time_point now);
 
     /*! Tells whether the call may run now: neither it nor a part of its prompt is suspected of crashing endpoints, or
@@ -272,6 +284,8 @@
     bool has_proven_parts_{};                //!< An attempt proved the shared parts sound.
     bool response_started_{};                //!< The caller was sent the head of the response.
     std::optional<std::uint64_t> last_event_id_{};
+    bool has_begun_before_{};                    //!< An earlier attempt of the caller is known to have brought events.
+    std::optional<version_id> stream_version_{}; //!< The version that wrote the caller's events; only it may go on.
     std::optional<time_point> first_event_at_{};
     time_point next_poll_{};                             //!< When to look for another endpoint next.
     std::optional<time_point> without_endpoint_since_{}; //!< Start of the wait for an endpoint without progress.
--- a/src/dandelionbay/proxy/exchange_response.cpp
+++ b/src/dandelionbay/proxy/exchange_response.cpp
@@ -95,6 +95,7 @@
             last_event_id_ = event->id;
         }
         if (!response_started_) {
+            note_stream_version(it, now);
             begin_stream(it);
         } else {
             owner_->note_event_gap(now - it.last_event_at);
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -37,7 +37,8 @@
     : environment_{environment}, options_{std::move(options)},
       dispatcher_{*environment_.view, options_.place, options_.dispatch, *this,
                   static_cast<std::uint64_t>(environment_.time->now().time_since_epoch().count())},
-      random_{static_cast<std::uint64_t>(environment_.time->now().time_since_epoch().count())},
+      stream_versions_{*environment_.view}, random_{static_cast<std::uint64_t>(
+                                                environment_.time->now().time_since_epoch().count())},
       listener_{*environment_.loop, *environment_.log}, timer_{*environment_.loop},
       read_delay_estimator_{environment_.time->now()}, event_loop_probe_{*environment_.loop} {}
 
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -24,6 +24,7 @@
 #include "dandelionbay/dispatch/retry_window.hpp"
 #include "dandelionbay/dispatch/round_pacer.hpp"
 #include "dandelionbay/gateway/registry_view.hpp"
+#include "dandelionbay/gateway/stream_version_registry.hpp"
 #include "dandelionbay/limit/lost_run_registry.hpp"
 #include "dandelionbay/limit/part_crash_registry.hpp"
 #include "dandelionbay/limit/suspect_call_locks.hpp"
@@ -307,6 +308,9 @@
     /*! @brief Returns the prompt parts that crash endpoints, and the evidence. */
     [[nodiscard]] part_crash_registry& part_crashes() noexcept { return part_crashes_; }
     [[nodiscard]] const part_crash_registry& part_crashes() const noexcept { return part_crashes_; }
+
+    /*! @brief Returns the versions at which streams began. */
+    [[nodiscard]] stream_version_registry& stream_versions() noexcept { return stream_versions_; }
     [[nodiscard]] suspect_call_locks& suspect_locks() noexcept { return suspect_locks_; }
     [[nodiscard]] time_point now() const noexcept { return environment_.time->now(); }
     [[nodiscard]] std::size_t connections() const noexcept { return callers_.size() + accepted_.size(); }
@@ -339,6 +343,7 @@
     connection_pool pool_{};
     lost_run_registry losses_{};
     part_crash_registry part_crashes_{};
+    stream_version_registry stream_versions_;
     duration report_delay_{std::chrono::milliseconds{100}};
     suspect_call_locks suspect_locks_{};
     std::map<endpoint_process, std::unique_ptr<listen_probe>> probes_{};
--- a/test/dandelionbay/peer/simulated_router.hpp
+++ b/test/dandelionbay/peer/simulated_router.hpp
@@ -27,6 +27,7 @@
                        dispatch,
                        losses,
                        part_crashes,
+                       streams,
                        read_config} {}
 
     /*! @brief Parses "version N"; ignores what follows. */
@@ -60,6 +61,7 @@
     dispatcher dispatch;
     lost_run_registry losses{};
     part_crash_registry part_crashes{};
+    stream_version_registry streams{view};
     peer_synchronizer synchronizer;
 };
 
--- a/test/dandelionbay/platform/gateway_fleet.hpp
+++ b/test/dandelionbay/platform/gateway_fleet.hpp
@@ -135,11 +135,12 @@
         });
     }
 
-    [[nodiscard]] std::string entry(const std::string& service, const std::string& state = "ready") const {
-        return nlohmann::json{{"service", service},    {"address", to_string(server_.address())},
-                              {"zone", "zone-1"},      {"slots", 8},
-                              {"state", state},        {"seq", 1},
-                              {"cold_remaining_ms", 0}}
+    [[nodiscard]] std::string entry(const std::string& service, const std::string& state = "ready",
+                                    const std::string& version = "v1") const {
+        return nlohmann::json{{"service", service}, {"address", to_string(server_.address())},
+                              {"version", version}, {"zone", "zone-1"},
+                              {"slots", 8},         {"state", state},
+                              {"seq", 1},           {"cold_remaining_ms", 0}}
             .dump();
     }
 
