Fail an answer whose connection is reset during the upload

Cause: channel::flush() met the reset as the error of its write and dropped it. The system reports a reset once, so the read that follows ends like a graceful close, which completes an answer without a length. The channel of callers, the store and peers is the same. A connection of which a write failed now ends as broken, so the answer fails; the call's outcome is unknown.

--- a/src/dandelionbay/proxy/channel.cpp
+++ b/src/dandelionbay/proxy/channel.cpp
@@ -133,7 +133,7 @@
         return;
     }
     if (ec) {
-        fail(ec == asio::error::eof ? channel_close_reason::closed : channel_close_reason::broken);
+        fail(ec == asio::error::eof && !write_failed_ ? channel_close_reason::closed : channel_close_reason::broken);
         return;
     }
     if (!finishing_) {
@@ -170,7 +170,9 @@
     }
     write_buffer_.erase(0, sent);
     if (ec && ec != asio::error::would_block) {
-        // Reading finds the reason: a response may have arrived before the reset.
+        // A response may have arrived before the reset. The system reports a reset once, so reading finds an end that
+        // looks graceful.
+        write_failed_ = true;
         write_buffer_.clear();
         wait_readable();
         return;
--- a/src/dandelionbay/proxy/channel.hpp
+++ b/src/dandelionbay/proxy/channel.hpp
@@ -129,6 +129,7 @@
     bool writing_{};
     bool paused_{};
     bool finishing_{};
+    bool write_failed_{}; //!< The connection broke while bytes were written.
     bool ended_{};
 };
 
--- a/test/dandelionbay/proxy/http_connection_test.cpp
+++ b/test/dandelionbay/proxy/http_connection_test.cpp
@@ -163,6 +163,20 @@
     EXPECT_EQ(events.failed, 1);
 }
 
+// Guards against the pattern "an endpoint answers a long upload early and resets the connection": the reset ended the
+// writing of the request, and the part of the answer that had arrived was taken for all of it (MIXED).
+TEST_F(http_connection_test, a_response_that_is_reset_during_the_upload_fails_the_call) {
+    constexpr std::size_t long_body = 4'000'000; // More than the socket's buffers hold.
+    client->send(write_request("POST", "/a", {}, std::string(long_body, 'x')), false, &events);
+    run();
+    boost::asio::write(endpoint, boost::asio::buffer(std::string{"HTTP/1.1 200 OK\r\n\r\nab"}));
+    endpoint.set_option(boost::asio::socket_base::linger{true, 0});
+    endpoint.close();
+    run();
+    EXPECT_EQ(events.completed, 0);
+    EXPECT_EQ(events.failed, 1);
+}
+
 // Guards against calls that are forwarded after their callers have disconnected while the connection to the endpoint
 // was established (GONE), and against requests whose contents are outdated since their placement.
 TEST_F(http_connection_test, a_request_is_made_when_its_connection_is_established) {
