Take answers of an impossible status for malformed

Callers saw: after a 101 that no call asks for, the next bytes were read as the final answer, so that an answer inside a body reached the caller as 200.

Cause: each status below 200 counted as interim. Now 100 to 199 do, without 101; that and a status below 100 are malformed.

--- a/src/dandelionbay/proxy/http_reader.cpp
+++ b/src/dandelionbay/proxy/http_reader.cpp
@@ -18,6 +18,7 @@
 
 /*! Limit for the header of an answer, in bytes; endpoints send a few hundred. */
 constexpr std::uint32_t max_response_header_bytes = 65'536;
+constexpr unsigned status_switching_protocols = 101;
 
 [[nodiscard]] std::string text_of(boost::beast::string_view it) {
     return {it.data(), it.size()};
@@ -167,8 +168,18 @@
         head_taken = false;
     }
 
+    [[nodiscard]] unsigned status() const { return parser->is_header_done() ? parser->get().result_int() : 0; }
+
     /*! Returns whether the current answer is an interim one (status 1xx), which precedes the final answer. */
-    [[nodiscard]] bool is_interim() const { return parser->is_header_done() && parser->get().result_int() < 200; }
+    [[nodiscard]] bool is_interim() const {
+        return status() >= 100 && status() < 200 && status() != status_switching_protocols;
+    }
+
+    /*! Returns whether no answer can have this status. Nobody asks for another protocol, so what follows a switch is
+     *  not known to be an answer. */
+    [[nodiscard]] bool has_invalid_status() const {
+        return parser->is_header_done() && (status() < 100 || status() == status_switching_protocols);
+    }
 
     std::uint64_t max_body;
     std::optional<parser_type> parser{};
@@ -196,11 +207,11 @@
         state_->reset();
         result = feed(*state_->parser, state_->in, max_response_header_bytes);
     }
-    return result;
+    return state_->has_invalid_status() ? read_result::malformed : result;
 }
 
 bool response_reader::end() {
-    if (!state_->parser->is_header_done() || state_->is_interim()) {
+    if (!state_->parser->is_header_done() || state_->is_interim() || state_->has_invalid_status()) {
         return false;
     }
     error_code ec;
--- a/test/dandelionbay/proxy/http_reader_test.cpp
+++ b/test/dandelionbay/proxy/http_reader_test.cpp
@@ -120,6 +120,21 @@
     }
 }
 
+// Guards against bytes that are passed on as an answer though their status is none (MIXED): after a change of the
+// protocol, for which no call asks, whatever followed was read as the final answer.
+TEST(response_reader, an_impossible_status_is_malformed) {
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+    for (const std::string status : {"000", "001", "099", "101"}) {
+        for (const std::string rest : {"Content-Length: 0\r\n\r\n", "\r\n", "\r\nab"}) {
+            SCOPED_TRACE(status + " " + rest);
+            response_reader reader;
+            reader.append("HTTP/1.1 " + status + " X\r\n" + rest + answer);
+            EXPECT_EQ(reader.read(), read_result::malformed);
+            EXPECT_FALSE(reader.end());
+        }
+    }
+}
+
 // Guards against answers that are truncated in their head, in a chunk's size or extension, in a trailer or after an
 // interim answer, and count as complete when the connection closes in order.
 TEST(response_reader, a_truncated_answer_is_never_complete) {
