Let streams that began earlier leave no room for other teams

Change: a stream that is known to have begun ranks like a call of a team with priority; its team's turn was spent when it began.

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -64,6 +64,9 @@
     if (std::isinf(yield_usage)) {
         return {};
     }
+    if (item.has_begun) {
+        return {true, 0.0}; // Its team's turn was spent when it began, and few endpoints can go on with it.
+    }
     const double used = usage_.used(item.team, now);
     const double most = usage_.max_usage(now);
     if (usage_.is_often_refused(item.team, now) && used < limits_.behind_share * most) {
--- a/test/dandelionbay/dispatch/dispatcher_test.cpp
+++ b/test/dandelionbay/dispatch/dispatcher_test.cpp
@@ -445,5 +445,22 @@
     }
 }
 
+// Guards against the pattern "callers resume streams of a service with two versions": the team that got most has to
+// leave room, so its streams found no place at the few endpoints of their version while new calls of others did (LOST).
+TEST(dispatcher, a_stream_that_began_earlier_is_placed_though_its_team_leaves_room) {
+    dispatch_fixture fleet{1};
+    fleet.router.usage().add(team_id{"large"}, 1e6, fleet.now);
+    fleet.router.usage().add(team_id{"small"}, 1e4, fleet.now);
+    for (int n = 0; n < 3; ++n) {
+        fleet.router.usage().add_refused(team_id{"small"}, 1e4, fleet.now);
+    }
+    fleet.send(fleet.call("small", 1, 1'000, 2'000)); // The engine is busy for some 70 ms.
+    auto new_call = fleet.call("large", 2, 1'000, 1'000);
+    EXPECT_FALSE(fleet.router.try_place(new_call, fleet.now).has_value());
+    auto begun = fleet.call("large", 2, 1'000, 1'000);
+    begun.has_begun = true;
+    EXPECT_TRUE(fleet.router.try_place(begun, fleet.now).has_value());
+}
+
 } // namespace
 } // namespace dandelionbay
