Let a gateway's own samples decide while it has enough of them

Cause, inferred: the mean over all gateways decided everywhere. There it is over a second old, and an average by time forgets more slowly than the one by samples that stood before.

Change: the average by samples is back, and decides while a gateway has five samples of late.

--- a/src/dandelionbay/dispatch/overload_estimator.cpp
+++ b/src/dandelionbay/dispatch/overload_estimator.cpp
@@ -22,7 +22,14 @@
     return samples * decay(now - newest);
 }
 
-overload_estimator::observation overload_estimator::fleet(time_point now) const noexcept {
+bool overload_estimator::has_own_samples(time_point now) const noexcept {
+    return own_.samples >= min_samples && now - own_.newest <= hold_time;
+}
+
+overload_estimator::observation overload_estimator::deciding(time_point now) const noexcept {
+    if (has_own_samples(now)) {
+        return own_;
+    }
     observation out;
     double sum_ms = 0.0;
     const auto add = [&](const observation& it) {
@@ -41,8 +48,8 @@
 
 void overload_estimator::record_wait(double waited_ms, const dispatch_limits& limits, time_point now) noexcept {
     const double sample_ms = std::min(waited_ms, limits.max_queueing_delay_ms * max_sample_factor);
-    const double before = own_.weight(now);
-    own_ = {(before * own_.delay_ms + sample_ms) / (before + 1.0), before + 1.0, now};
+    const double before_ms = own_.delay_ms * decay(now - own_.newest - hold_time);
+    own_ = {before_ms + sample_weight * (sample_ms - before_ms), own_.weight(now) + 1.0, now};
 }
 
 void overload_estimator::update_peer(const host_id& peer, const service_delay& observed, time_point now) {
@@ -55,13 +62,13 @@
 }
 
 double overload_estimator::queueing_delay_ms(time_point now) const noexcept {
-    const auto it = fleet(now);
+    const auto it = deciding(now);
     return it.delay_ms * decay(now - it.newest - hold_time);
 }
 
 std::optional<double> overload_estimator::capacity(const dispatch_limits& limits, time_point now) const noexcept {
     const double above_ms = queueing_delay_ms(now) - limits.queueing_delay_ms;
-    if (above_ms <= 0.0 || fleet(now).samples < min_samples) {
+    if (above_ms <= 0.0 || deciding(now).samples < min_samples) {
         return std::nullopt;
     }
     const double range_ms = std::max(1.0, limits.max_queueing_delay_ms - limits.queueing_delay_ms);
--- a/src/dandelionbay/dispatch/overload_estimator.hpp
+++ b/src/dandelionbay/dispatch/overload_estimator.hpp
@@ -18,23 +18,29 @@
  * take.
  *
  * Unlike a backlog computed from what the routers sent, the delay is observed: it includes whatever other routers sent
- * and prompt parts that were no longer cached. Routers tell each other what they observed. A router that refuses most
- * of its calls, or got none of late, has few samples of its own, and would take overloaded engines for idle ones.
+ * and prompt parts that were no longer cached. A router's own samples are the newest, so they decide while it has
+ * enough. One that refuses most of its calls, or got none of late, would take overloaded engines for idle ones; it uses
+ * what its peers told it.
  */
 class overload_estimator {
     /*! Samples of one router. */
     struct observation {
-        double delay_ms{}; //!< Weighted mean.
+        double delay_ms{}; //!< Moving average.
         double samples{};  //!< Weighted number, as of the newest sample.
         time_point newest{};
 
         [[nodiscard]] double weight(time_point now) const noexcept;
     };
 
-    /*! Mean over all routers. */
-    [[nodiscard]] observation fleet(time_point now) const noexcept;
+    /*! Tells whether this router has enough recent samples of its own. */
+    [[nodiscard]] bool has_own_samples(time_point now) const noexcept;
+    /*! The samples that decide: this router's own, or the mean over all routers. */
+    [[nodiscard]] observation deciding(time_point now) const noexcept;
 
 public:
+    /*! @brief Weight of the newest sample of the delay: a gateway of a large fleet begins some tens of calls per
+     * second. */
+    static constexpr double sample_weight = 0.08;
     /*! @brief Time without samples after which the delay decays, because nothing is sent that would correct it. */
     static constexpr duration hold_time = std::chrono::milliseconds{300};
     /*! @brief Time in which the delay then falls to 1/e, and in which the weight of a sample does. */
