--- a/src/dandelionbay/dispatch/overload_estimator.cpp
+++ b/src/dandelionbay/dispatch/overload_estimator.cpp
@@ -22,6 +22,10 @@
     return samples * decay(now - newest);
 }
 
+double overload_estimator::observation::decayed_delay_ms(time_point now) const noexcept {
+    return delay_ms * decay(now - newest - hold_time);
+}
+
 bool overload_estimator::has_own_samples(time_point now) const noexcept {
     return own_.samples >= min_samples && now - own_.newest <= hold_time;
 }
@@ -48,7 +52,7 @@
 
 void overload_estimator::record_wait(double waited_ms, const dispatch_limits& limits, time_point now) noexcept {
     const double sample_ms = std::min(waited_ms, limits.max_queueing_delay_ms * max_sample_factor);
-    const double before_ms = own_.delay_ms * decay(now - own_.newest - hold_time);
+    const double before_ms = own_.decayed_delay_ms(now);
     own_ = {before_ms + sample_weight * (sample_ms - before_ms), own_.weight(now) + 1.0, now};
 }
 
@@ -62,13 +66,13 @@
 }
 
 double overload_estimator::queueing_delay_ms(time_point now) const noexcept {
-    const auto it = deciding(now);
-    return it.delay_ms * decay(now - it.newest - hold_time);
+    return deciding(now).decayed_delay_ms(now);
 }
 
 std::optional<double> overload_estimator::capacity(const dispatch_limits& limits, time_point now) const noexcept {
-    const double above_ms = queueing_delay_ms(now) - limits.queueing_delay_ms;
-    if (above_ms <= 0.0 || deciding(now).samples < min_samples) {
+    const auto observed = deciding(now);
+    const double above_ms = observed.decayed_delay_ms(now) - limits.queueing_delay_ms;
+    if (above_ms <= 0.0 || observed.samples < min_samples) {
         return std::nullopt;
     }
     const double range_ms = std::max(1.0, limits.max_queueing_delay_ms - limits.queueing_delay_ms);
--- a/src/dandelionbay/dispatch/overload_estimator.hpp
+++ b/src/dandelionbay/dispatch/overload_estimator.hpp
@@ -11,7 +11,6 @@
 namespace dandelionbay {
 
 struct dispatch_limits;
-struct service_delay;
 
 /**
  * @brief Estimates from the calls of all routers whether a service's engines are overloaded, and how much work they can
@@ -30,6 +29,8 @@
         time_point newest{};
 
         [[nodiscard]] double weight(time_point now) const noexcept;
+        /*! The average, which decays once there are no samples. */
+        [[nodiscard]] double decayed_delay_ms(time_point now) const noexcept;
     };
 
     /*! Tells whether this router has enough recent samples of its own. */
--- a/src/dandelionbay/gateway/stream_version_registry.hpp
+++ b/src/dandelionbay/gateway/stream_version_registry.hpp
@@ -64,7 +64,7 @@
         service_version origin{};
         time_point at{};
     };
-    struct own_stream {
+    struct recorded_stream {
         std::uint64_t stream{};
         time_point at{};
     };
@@ -134,8 +134,8 @@
     std::set<service_version> registered_{};            //!< As of the last update.
     std::map<service_version, time_point> last_seen_{}; //!< Of versions that are no longer registered, too.
     std::unordered_map<std::uint64_t, known_stream> streams_{};
-    std::deque<own_stream> all_{};                         //!< Streams in order of their records.
-    std::deque<own_stream> own_{};                         //!< Those that began at this router.
+    std::deque<recorded_stream> all_{};                    //!< Streams in order of their records.
+    std::deque<recorded_stream> own_{};                    //!< Those that began at this router.
     sequence_type first_own_{};                            //!< Sequence number of the first one.
     mutable std::shared_ptr<const route_config> config_{}; //!< Configuration that longest_stream_ belongs to.
     mutable duration longest_stream_{};
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -75,7 +75,8 @@
     [[nodiscard]] std::string build_request(const attempt& it);
     [[nodiscard]] work_item make_work_item() const;
 
-    /*! Finds the version that can continue the stream which the caller resumes; refuses the call if there is none. */
+    /*! Finds the version that can continue the stream which the caller resumes, if it does; refuses the call if there
+     * is none. */
     [[nodiscard]] bool find_stream_version(time_point now);
 
     /*! Records which version wrote the first event. */
@@ -175,6 +176,8 @@
     /*! @brief Retry-After of calls that this process can't finish before it stops, and the least one of calls refused
      * for overload, whose callers the balancer soon sends to other hosts. */
     static constexpr duration short_retry_after = std::chrono::milliseconds{50};
+    /*! @brief Retry-After of other calls that no endpoint has run. */
+    static constexpr duration default_retry_after = std::chrono::milliseconds{500};
     /*! @brief How often a call looks for another endpoint. */
     static constexpr duration endpoint_poll_interval = std::chrono::milliseconds{100};
     /*! @brief Maximum size of an endpoint's error response that is saved while another endpoint is tried. */
--- a/src/dandelionbay/proxy/exchange_attempts.cpp
+++ b/src/dandelionbay/proxy/exchange_attempts.cpp
@@ -159,7 +159,7 @@
         refuse(503, result_code::stopping, short_retry_after);
         return;
     case send_obstacle::access_changed:
-        if (find_access(now) && (!is_resuming() || find_stream_version(now))) {
+        if (find_access(now) && find_stream_version(now)) {
             submit(now);
         }
         return;
