Bound what the system holds of the registry's answer while a gateway runs late

Callers saw nothing yet; a gateway on a small host could run out of memory while the registry sends an answer without end.

Cause: the gateway gives up after 8 MiB, so the rest was in the system's buffers. The system sizes the receive buffer of a connection by how fast its reader takes what comes (up to 33 MB on that kernel), and no size was set.

Evidence: two sockets alone, without the gateway. A reader that takes 2 to 4 MB at a time with pauses of 2 to 10 ms leaves 4.4 MB unread in the median of 54 connections and up to 10.6 MB; with a receive buffer of 1 MiB at most 6.2 MB. A clamp of the window (TCP_WINDOW_CLAMP) does not help: 12.7 MB in one of 20 connections, as the system raises it with the buffer.

The test and its bound are as they were.

--- a/src/dandelionbay/proxy/channel.cpp
+++ b/src/dandelionbay/proxy/channel.cpp
@@ -60,7 +60,7 @@
     set(TCP_USER_TIMEOUT, unacknowledged_timeout_ms);
 }
 
-void channel::connect(const socket_address& to, std::chrono::milliseconds timeout) {
+void channel::connect(const socket_address& to, std::chrono::milliseconds timeout, int receive_buffer_bytes) {
     error_code ec;
     const auto endpoint = to_tcp_endpoint(to);
     socket_.open(endpoint.protocol(), ec);
@@ -71,6 +71,9 @@
     }
     socket_.non_blocking(true, ec);
     set_options();
+    if (receive_buffer_bytes > 0) {
+        socket_.set_option(asio::socket_base::receive_buffer_size{receive_buffer_bytes}, ec);
+    }
     timer_ = std::make_unique<asio::steady_timer>(socket_.get_executor());
     timer_->expires_after(timeout);
     timer_->async_wait([self = shared_from_this()](error_code cancelled) {
--- a/src/dandelionbay/proxy/channel.hpp
+++ b/src/dandelionbay/proxy/channel.hpp
@@ -79,8 +79,9 @@
     /*! @brief Wraps a socket. @param socket Open or not. @param owner Must outlive the channel or close it. */
     channel(tcp::socket socket, channel_handler& owner);
 
-    /*! @brief Connects to a peer. @param to Its address. @param timeout Maximum time to connect. */
-    void connect(const socket_address& to, std::chrono::milliseconds timeout);
+    /*! @brief Connects to a peer. @param to Its address. @param timeout Maximum time to connect.
+     *  @param receive_buffer_bytes Size of the system's receive buffer; 0 lets the system choose and change it. */
+    void connect(const socket_address& to, std::chrono::milliseconds timeout, int receive_buffer_bytes = 0);
 
     /*! @brief Starts to read an accepted connection, beginning with the bytes already received. */
     void open();
--- a/src/dandelionbay/proxy/http_connection.cpp
+++ b/src/dandelionbay/proxy/http_connection.cpp
@@ -13,8 +13,8 @@
     close();
 }
 
-void http_connection::start() {
-    channel_->connect(to_, connect_timeout_);
+void http_connection::start(int receive_buffer_bytes) {
+    channel_->connect(to_, connect_timeout_, receive_buffer_bytes);
 }
 
 void http_connection::send(std::string bytes, bool without_body, response_handler* handler) {
--- a/src/dandelionbay/proxy/http_connection.hpp
+++ b/src/dandelionbay/proxy/http_connection.hpp
@@ -68,8 +68,9 @@
     http_connection& operator=(http_connection&&) = delete;
     ~http_connection() override;
 
-    /*! @brief Starts to connect; to be called once, after construction. */
-    void start();
+    /*! @brief Starts to connect; to be called once, after construction. @param receive_buffer_bytes As for a channel.
+     */
+    void start(int receive_buffer_bytes = 0);
 
     /*! @brief Makes a request when it can be written; returns an empty string if the request is no longer wanted. */
     using request_maker = std::function<std::string()>;
