Log the admission of calls that were let in, too

`call_ended` had admitted_share and queueing_delay_ms of calls that were refused by share, and 1.00 and 0 of all others. So nobody could tell whether a gateway let a call in because it met no overload or by its team's share, which is what the open part of FAIR turns on.

The dispatcher keeps the admission with the call and gives it on with the placement and with each refusal. dispatcher.tells_the_admission_of_placed_and_of_refused_calls shows it; the field did not exist before.

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -81,8 +81,8 @@
                                   time_point now) {
     auto& at = *to.endpoint;
     const auto& entry = at.known->entry;
-    endpoint_choice choice{entry.id,   entry.started, entry.address, to.unread_tokens,
-                           at.wait_ms, at.is_cold,    team,          entry.version};
+    endpoint_choice choice{entry.id,   entry.started, entry.address, to.unread_tokens, at.wait_ms,
+                           at.is_cold, team,          entry.version, item.admitted};
     at.load->sent(item.ticket, call_load{to.unread_tokens, item.prompt_tokens + item.output_tokens}, now);
     at.load->cache().record_use(item.parts);
     at.load->cold_limiter().record_sent(now);
@@ -171,6 +171,7 @@
     if (why.not_before) { // No endpoint accepts the call earlier, however short the queue is.
         why.retry_after += std::max(duration{}, *why.not_before - now);
     }
+    why.admitted = item.admitted;
     usage_.add_refused(item.team, item.cost(), now);
     listener_->refused(item.ticket, why);
 }
@@ -219,7 +220,7 @@
 }
 
 bool dispatcher::place_or_refuse_by_share(const work_item& item, time_point now) {
-    const auto admitted = admission_of(item, now);
+    const auto& admitted = item.admitted;
     if (admitted.share >= 1.0 || std::uniform_real_distribution<double>{}(random_) < admitted.share) {
         return false;
     }
@@ -235,7 +236,6 @@
     refusal why;
     why.code = result_code::share_exceeded;
     why.team = team;
-    why.admitted = admitted;
     why.ahead_ms = admitted.queueing_delay_ms;
     refuse(item, why, now);
     return true;
@@ -243,6 +243,7 @@
 
 void dispatcher::submit(work_item item, time_point now) {
     const auto ticket = item.ticket;
+    item.admitted = admission_of(item, now);
     if (view_->config() != nullptr && place_or_refuse_by_share(item, now)) {
         return;
     }
--- a/src/dandelionbay/dispatch/work.hpp
+++ b/src/dandelionbay/dispatch/work.hpp
@@ -33,6 +33,14 @@
 [[nodiscard]] double cost_of(const std::vector<prompt_part>& parts, double prompt_tokens,
                              double output_tokens) noexcept;
 
+/*! @brief Share of a team's calls that was admitted when a call was submitted, and why. */
+struct admission {
+    double share{1.0};          //!< From 0 to 1; 1 while the engines are not overloaded.
+    double queueing_delay_ms{}; //!< Time for which calls wait at the service's engines.
+
+    friend bool operator==(const admission&, const admission&) = default;
+};
+
 /*! @brief A call that needs an endpoint. */
 struct work_item {
     ticket_id ticket{};
@@ -49,6 +57,7 @@
     std::set<endpoint_id> excluded{};    //!< Endpoints that already failed the call.
     bool has_begun{};                    //!< Its stream began earlier, so it is not refused by share.
     std::optional<version_id> version{}; //!< Set if only endpoints of this version may run the call.
+    admission admitted{};                //!< Admission of the team; set by the dispatcher.
 
     /*! @brief Returns the cost of the call, as cost_of(). */
     [[nodiscard]] double cost() const noexcept;
@@ -64,6 +73,7 @@
     bool cold{};
     team_rank team{};     //!< Rank of the call's team when the endpoint was selected.
     version_id version{}; //!< Of the endpoint's software.
+    admission admitted{}; //!< Admission of the team when the call was submitted.
 };
 
 /*! @brief A shared prompt part that was sent to an endpoint, which caches it. */
@@ -92,14 +102,6 @@
     friend bool operator==(const service_delay&, const service_delay&) = default;
 };
 
-/*! @brief Share of a team's calls that was admitted when a call was submitted, and why. */
-struct admission {
-    double share{1.0};          //!< From 0 to 1; 1 while the engines are not overloaded.
-    double queueing_delay_ms{}; //!< Time for which calls wait at the service's engines.
-
-    friend bool operator==(const admission&, const admission&) = default;
-};
-
 /*! @brief Why a call was refused, and when it may be retried. */
 struct refusal {
     result_code code{result_code::no_endpoint_in_service};
--- a/src/dandelionbay/proxy/call_record.hpp
+++ b/src/dandelionbay/proxy/call_record.hpp
@@ -38,7 +38,7 @@
     duration read_delay{};                //!< How late the event loop was when the request was read.
     std::optional<team_rank> rank{};      //!< The team's rank at the latest placement or the refusal.
     double ahead_ms{};                    //!< Expected wait behind other calls, if the call was refused.
-    admission admitted{};                 //!< Admission of the team, if the call was refused.
+    admission admitted{};                 //!< Admission of the team when the call was submitted last.
     std::optional<duration> first{};      //!< From arrival to the first event.
     duration total{};                     //!< From arrival until this record was made.
     std::size_t waiting_calls{};          //!< Calls waiting at this router when this record was made.
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -295,7 +295,7 @@
     std::optional<team_rank> team_rank_{};               //!< At the latest placement or the refusal.
     double cost_{};                                      //!< Cost units, once the call was submitted.
     duration read_delay_{};                              //!< How long the request may have waited to be read.
-    admission admitted_{};                               //!< Admission of the team, if the call was refused.
+    admission admitted_{};                               //!< Admission of the team when the call was submitted last.
     double ahead_ms_{};                                  //!< Expected wait behind other calls, if the call was refused.
     duration waited_{};                                  //!< From arrival to the latest placement.
     duration list_age_{};                                //!< Age of the endpoint list at that placement.
--- a/src/dandelionbay/proxy/exchange_attempts.cpp
+++ b/src/dandelionbay/proxy/exchange_attempts.cpp
@@ -99,6 +99,7 @@
 void exchange::placed(const endpoint_choice& choice) {
     const auto now = owner_->now();
     choice_ = choice;
+    admitted_ = choice.admitted;
     team_rank_ = choice.team;
     waited_ = now - arrived_at_;
     list_age_ = owner_->environment().view->endpoints_age(now).value_or(duration{});
--- a/test/dandelionbay/dispatch/dispatch_fixture.hpp
+++ b/test/dandelionbay/dispatch/dispatch_fixture.hpp
@@ -14,10 +14,12 @@
 public:
     void placed(ticket_id ticket, const endpoint_choice& choice) override {
         placements[ticket] = choice.endpoint.value;
+        admissions[ticket] = choice.admitted;
     }
     void refused(ticket_id ticket, const refusal& why) override { refusals[ticket] = why; }
 
     std::map<ticket_id, std::string> placements{};
+    std::map<ticket_id, admission> admissions{}; //!< Of the placed calls.
     std::map<ticket_id, refusal> refusals{};
 };
 
--- a/test/dandelionbay/dispatch/dispatcher_test.cpp
+++ b/test/dandelionbay/dispatch/dispatcher_test.cpp
@@ -196,6 +196,31 @@
     }
 }
 
+// Guards against logs that do not tell why a call was let in: whether its router met no overload, or by its team's
+// share.
+TEST(dispatcher, tells_the_admission_of_placed_and_of_refused_calls) {
+    const team_id team{"often_refused"};
+    dispatch_fixture fleet{2};
+    EXPECT_EQ(fleet.log.admissions[fleet.send(fleet.call(team.value, 1, 0, 1'000))], admission{});
+    for (int n = 0; n < 10; ++n) {
+        fleet.send(fleet.call(team.value, 1, 0, 1'000));
+    }
+    fleet.now += seconds{1};
+    fleet.answer_all(); // Their wait is an overload.
+    fleet.router.usage().add_refused(team, 2e4, fleet.now);
+    const auto placed = fleet.log.placements.size();
+    for (int n = 0; n < 200; ++n) {
+        fleet.send(fleet.call(team.value, 1, 0, 1'000));
+    }
+    ASSERT_FALSE(fleet.log.refusals.empty());
+    ASSERT_GT(fleet.log.placements.size(), placed);
+    for (const auto& it : {fleet.log.refusals.begin()->second.admitted, fleet.log.admissions.rbegin()->second}) {
+        EXPECT_GT(it.queueing_delay_ms, dispatch_limits{}.queueing_delay_ms);
+        EXPECT_LT(it.share, 1.0);
+        EXPECT_GT(it.share, 0.0);
+    }
+}
+
 // Guards against the pattern "all are served, late": a team whose calls start past their target does not count as
 // refused as long as few of its calls are refused, and teams with a higher usage do not yield (FAIR).
 TEST(dispatcher, calls_that_start_late_count_as_refused_for_their_team) {
