Keep the ports of a development fleet bound until its end

Cause, read in the code: dev_fleet chose the port of each host by binding and closing it, and the host listened on it seconds later. Between the two, another test program that starts a fleet at the same time can choose the same port, as each begins at a random one of 12,000. Class: a resource that is looked at and not taken, as in docs/incidents/gateway-start-on-taken-ports.md. Looked for elsewhere: restart_router() stops a router and listens again on ports that the system had chosen; these are kept now, too.

--- a/src/dandelionbay/app/dev_fleet.cpp
+++ b/src/dandelionbay/app/dev_fleet.cpp
@@ -1,13 +1,7 @@
 #include "dandelionbay/app/dev_fleet.hpp"
 
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <array>
-#include <atomic>
-#include <random>
 #include <string_view>
 #include <thread>
 #include <utility>
@@ -61,43 +55,9 @@
     "endpoints_leaving": "state=leaving"
 })json";
 
-// Below the range from which the system takes the ports of outgoing connections, one of which could take a port between
-// its choice and the start of the host.
-constexpr std::uint32_t first_port = 20'000;
-constexpr std::uint32_t last_port = 31'999;
-
-[[nodiscard]] bool can_listen(std::uint16_t port) {
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(port);
-    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): the socket interface takes sockaddr.
-    const bool bound = ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
-    ::close(fd);
-    return bound;
-}
-
-/*! A port that was free a moment ago; zero if there is none. */
-[[nodiscard]] std::uint16_t free_port() {
-    constexpr std::uint32_t count = last_port - first_port + 1;
-    static std::atomic<std::uint32_t> next{std::random_device{}()};
-    for (std::uint32_t n = 0; n < count; ++n) {
-        const auto port = static_cast<std::uint16_t>(first_port + next++ % count);
-        if (can_listen(port)) {
-            return port;
-        }
-    }
-    return 0;
-}
-
-[[nodiscard]] host_entry entry_of(const place& at, std::string host, host_role role) {
-    return host_entry{host_id{std::move(host)},
-                      role,
-                      region_id{std::string{at.region}},
-                      zone_id{std::string{at.zone}},
-                      socket_address{loopback, free_port()},
-                      false};
+[[nodiscard]] host_entry entry_of(const place& at, std::string host, host_role role, socket_address peer) {
+    return host_entry{host_id{std::move(host)}, role, region_id{std::string{at.region}}, zone_id{std::string{at.zone}},
+                      std::move(peer),          false};
 }
 
 /*! Stops all nodes at the same time, because each stop waits for its running requests. */
@@ -118,13 +78,13 @@
 
 dev_fleet::dev_fleet(dev_options options) : options_{std::move(options)} {
     for (const auto& it : router_places) {
-        hosts_.push_back(entry_of(it, std::string{it.name}, host_role::router));
+        hosts_.push_back(entry_of(it, std::string{it.name}, host_role::router, reserve_address()));
     }
     for (const auto& it : engine_places) {
-        hosts_.push_back(entry_of(it, concat("agent-", it.name), host_role::agent));
+        hosts_.push_back(entry_of(it, concat("agent-", it.name), host_role::agent, reserve_address()));
     }
     for (const auto& it : order_services) {
-        hosts_.push_back(entry_of(it, concat("agent-", it.name), host_role::agent));
+        hosts_.push_back(entry_of(it, concat("agent-", it.name), host_role::agent, reserve_address()));
     }
     for (const auto& it : hosts_) {
         peer_listen_.push_back(it.peer);
@@ -135,12 +95,16 @@
     stop();
 }
 
+socket_address dev_fleet::reserve_address() {
+    return reserved_.emplace_back().get();
+}
+
 absl::Status dev_fleet::start_relays() {
     if (!options_.relays) {
         return absl::OkStatus();
     }
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-        hosts_[i].peer.port = free_port();
+        hosts_[i].peer = reserve_address();
         relays_.push_back(std::make_unique<tcp_relay>(loopback, hosts_[i].peer.port, peer_listen_[i].port));
     }
     return std::ranges::all_of(relays_, [](const auto& it) { return it->listening(); })
@@ -159,7 +123,7 @@
     if (auto status = platform_->start(); !status.ok() || !options_.relays) {
         return status;
     }
-    east_store_port_ = free_port();
+    east_store_port_ = reserve_address().port;
     east_store_ = std::make_unique<tcp_relay>(loopback, east_store_port_, platform_->port());
     return east_store_->listening() ? absl::OkStatus() : absl::UnavailableError("the store's relay can't listen");
 }
@@ -236,8 +200,10 @@
 }
 
 absl::Status dev_fleet::start_routers() {
+    const auto port_or_reserved = [&](std::uint16_t port) { return port != 0 ? port : reserve_address().port; };
     for (std::size_t i = 0; i < router_places.size(); ++i) {
-        routers_.push_back(make_router(i, i == 0 ? options_.port : 0, i == 0 ? options_.admin_port : 0));
+        routers_.push_back(make_router(i, port_or_reserved(i == 0 ? options_.port : 0),
+                                       port_or_reserved(i == 0 ? options_.admin_port : 0)));
         if (auto status = routers_.back()->start(); !status.ok()) {
             return status;
         }
--- a/src/dandelionbay/app/dev_fleet.hpp
+++ b/src/dandelionbay/app/dev_fleet.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <list>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -9,6 +10,7 @@
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
+#include "dandelionbay/net/reserved_address.hpp"
 #include "dandelionbay/node/agent_node.hpp"
 #include "dandelionbay/node/router_node.hpp"
 #include "dandelionbay/standin/standin_engine.hpp"
@@ -35,6 +37,8 @@
  * stand-ins, and a platform stand-in.
  */
 class dev_fleet {
+    /*! Takes an address for the life of the fleet. */
+    [[nodiscard]] socket_address reserve_address();
     [[nodiscard]] absl::Status start_platform();
     [[nodiscard]] absl::Status start_relays();
     [[nodiscard]] node_options common_options(std::size_t host) const;
@@ -62,6 +66,9 @@
     /*! @brief Graceful stop of all routers, then of all agents, then of the stand-ins. */
     void stop() noexcept;
 
+    /*! @brief Where each host listens for its peers, also while it does not run. */
+    [[nodiscard]] const std::vector<socket_address>& peer_addresses() const noexcept { return peer_listen_; }
+
     /*! @brief The routers; empty unless the fleet runs. */
     [[nodiscard]] const std::vector<std::unique_ptr<router_node>>& routers() const noexcept { return routers_; }
 
@@ -106,6 +113,7 @@
 
 private:
     dev_options options_;
+    std::list<reserved_address> reserved_;           //!< Else another program could take a port while a host is down.
     std::vector<host_entry> hosts_;                  //!< With the addresses to dial: of the relays, if there are any.
     std::vector<socket_address> peer_listen_;        //!< Where each of the hosts listens.
     std::vector<std::unique_ptr<tcp_relay>> relays_; //!< One before each of the hosts.
--- a/src/dandelionbay/net/fwd.hpp
+++ b/src/dandelionbay/net/fwd.hpp
@@ -5,6 +5,7 @@
 class link_events;
 struct link_options;
 class link_server;
+class reserved_address;
 
 namespace internal {
 class link;
--- a/test/dandelionbay/app/dev_fleet_test.cpp
+++ b/test/dandelionbay/app/dev_fleet_test.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <thread>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 #include <httplib.h>
 
@@ -29,6 +31,27 @@
     return false;
 }
 
+/*! Tells whether a program that asks for this address would get it. */
+bool is_free(const socket_address& address) {
+    using boost::asio::ip::tcp;
+    boost::asio::io_context loop;
+    tcp::acceptor it{loop};
+    boost::system::error_code ec;
+    it.open(tcp::v4());
+    it.bind(tcp::endpoint{boost::asio::ip::make_address(address.ip), address.port}, ec);
+    return !ec;
+}
+
+// Guards against a port that another program takes between its choice and the start of the host ("can't listen on
+// 127.0.0.1 port 27006: Address already in use").
+TEST(dev_fleet, addresses_belong_to_the_fleet_before_its_hosts_run) {
+    const dev_fleet fleet{dev_options{}};
+    ASSERT_FALSE(fleet.peer_addresses().empty());
+    for (const auto& it : fleet.peer_addresses()) {
+        EXPECT_FALSE(is_free(it)) << it.port;
+    }
+}
+
 // Guards against parts that work alone and not together: a chat call, a streamed call, an order that is sent twice, a
 // zone out of service and back, and the graceful stop.
 TEST(dev_fleet, serves_callers_and_operators) {
