--- a/test/dandelionbay/dispatch/fleet_simulation.hpp
+++ b/test/dandelionbay/dispatch/fleet_simulation.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "dandelionbay/dispatch/dispatcher.hpp"
+#include "dandelionbay/dispatch/model_service.hpp"
 #include "dandelionbay/peer/peer_synchronizer.hpp"
 #include "dandelionbay/soak/event_queue.hpp"
 
@@ -107,24 +108,8 @@
     fleet_simulation(std::size_t routers, std::size_t engines, std::vector<simulated_team> teams, double load,
                      std::uint64_t seed)
         : teams_{std::move(teams)}, free_at_(engines, start), random_{seed} {
-        endpoint_list list;
-        list.as_of = 1;
-        for (std::size_t n = 0; n < engines; ++n) {
-            endpoint_entry it;
-            it.id = endpoint_id{"e" + std::to_string(n)};
-            it.service = service_id{"model"};
-            it.zone = zone_id{"z"};
-            it.slots = 64;
-            it.row_version = 1;
-            list.entries.push_back(std::move(it));
-        }
-        route_config config;
-        config.version = 1;
-        endpoint_service model;
-        model.id = service_id{"model"};
-        model.engine = engine_profile{64, 300'000, 4};
-        config.services = {model};
-        const auto shared = std::make_shared<const route_config>(make_route_config(std::move(config)));
+        const auto list = model_endpoints(engines, zone_id{"z"});
+        const auto shared = model_config();
         std::set<host_id> hosts;
         for (std::size_t n = 0; n < routers; ++n) {
             auto& it = *routers_.emplace_back(std::make_unique<simulated_router>(*this, n));
--- a/test/dandelionbay/peer/shared_overload_test.cpp
+++ b/test/dandelionbay/peer/shared_overload_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "dandelionbay/dispatch/model_service.hpp"
 #include "simulated_router.hpp"
 
 namespace dandelionbay {
@@ -15,23 +16,8 @@
 class shared_overload : public testing::Test {
 protected:
     void SetUp() override {
-        route_config config;
-        config.version = 1;
-        endpoint_service model;
-        model.id = service_id{"model"};
-        model.engine = engine_profile{64, 300'000, 4};
-        config.services = {model};
-        const auto shared = std::make_shared<const route_config>(make_route_config(std::move(config)));
-        endpoint_list list;
-        list.as_of = 1;
-        for (int n = 0; n < engines; ++n) {
-            endpoint_entry it;
-            it.id = endpoint_id{"e" + std::to_string(n)};
-            it.service = model.id;
-            it.slots = 64;
-            it.row_version = 1;
-            list.entries.push_back(std::move(it));
-        }
+        const auto shared = model_config();
+        const auto list = model_endpoints(engines);
         for (auto* const it : {&busy, &quiet}) {
             it->view.adopt(shared);
             it->view.merge_endpoints(list, now, now);
