Show that a router sees no overload by calls that wait for idle engines

Calls of a team that has to leave room wait at the gateway until an engine is idle, so what they observe there is low, and the gateway lets all in.

The test fails on this code: 0 of 200 calls refused, 67 asked for.

--- a/test/dandelionbay/peer/shared_overload_test.cpp
+++ b/test/dandelionbay/peer/shared_overload_test.cpp
@@ -97,6 +97,24 @@
     EXPECT_GT(refused_of_burst(), burst / 3) << "after a lull at this router";
 }
 
+// Guards against the pattern "a team that has to leave room waits for idle engines": at a router that has nothing but
+// its calls, these observe no overload, so that the router takes them all in while the routers of other teams refuse
+// (FAIR).
+TEST_F(shared_overload, a_router_whose_calls_wait_for_idle_engines_admits_no_more_than_its_peers) {
+    constexpr int calls_at_idle_engines = 10;
+    run_for(std::chrono::seconds{3});
+    busy.dispatch.usage().add(wide, 2e6, now);
+    run_for(milliseconds{200});
+    for (int n = 0; n < calls_at_idle_engines; ++n) {
+        submit(quiet, team_id{"new"}, ++burst_ticket);
+        quiet.dispatch.started(burst_ticket, now);
+        quiet.dispatch.ended(burst_ticket, call_outcome::answered, now);
+    }
+    ASSERT_TRUE(quiet.dispatch.observed_delays(now).size() == 1 &&
+                quiet.dispatch.observed_delays(now).front().delay_ms < dispatch_limits{}.queueing_delay_ms);
+    EXPECT_GT(refused_of_burst(), burst / 3);
+}
+
 // Guards against refusals that go on after the engines have room again.
 TEST_F(shared_overload, is_forgotten_once_the_peer_begins_no_late_calls) {
     run_for(std::chrono::seconds{3});
