--- a/test/dandelionbay/peer/shared_overload_test.cpp
+++ b/test/dandelionbay/peer/shared_overload_test.cpp
@@ -73,6 +73,7 @@
 
     static constexpr int engines = 4;
     static constexpr int burst = 200;
+    static constexpr double wide_usage = 2e6; //!< Far above that of the narrow team.
     static constexpr duration call_interval = milliseconds{20};
     static constexpr ticket_id late_calls = 40; // 800 ms.
     static constexpr ticket_id calls_per_message = 4;
@@ -86,7 +87,6 @@
 // Guards against the pattern "a burst comes to another router each time": a router that began no calls of late sees no
 // overload and takes the whole burst in, while the routers of another team refuse by share (FAIR).
 TEST_F(shared_overload, a_router_without_calls_admits_no_more_than_its_peers) {
-    constexpr double wide_usage = 2e6;
     run_for(std::chrono::seconds{3});
     busy.dispatch.usage().add(wide, wide_usage, now);
     run_for(milliseconds{200});
@@ -103,22 +103,23 @@
 TEST_F(shared_overload, a_router_whose_calls_wait_for_idle_engines_admits_no_more_than_its_peers) {
     constexpr int calls_at_idle_engines = 10;
     run_for(std::chrono::seconds{3});
-    busy.dispatch.usage().add(wide, 2e6, now);
+    busy.dispatch.usage().add(wide, wide_usage, now);
     run_for(milliseconds{200});
     for (int n = 0; n < calls_at_idle_engines; ++n) {
         submit(quiet, team_id{"new"}, ++burst_ticket);
         quiet.dispatch.started(burst_ticket, now);
         quiet.dispatch.ended(burst_ticket, call_outcome::answered, now);
     }
-    ASSERT_TRUE(quiet.dispatch.observed_delays(now).size() == 1 &&
-                quiet.dispatch.observed_delays(now).front().delay_ms < dispatch_limits{}.queueing_delay_ms);
+    const auto observed = quiet.dispatch.observed_delays(now);
+    ASSERT_EQ(observed.size(), 1);
+    ASSERT_LT(observed.front().delay_ms, dispatch_limits{}.queueing_delay_ms);
     EXPECT_GT(refused_of_burst(), burst / 3);
 }
 
 // Guards against refusals that go on after the engines have room again.
 TEST_F(shared_overload, is_forgotten_once_the_peer_begins_no_late_calls) {
     run_for(std::chrono::seconds{3});
-    busy.dispatch.usage().add(wide, 2e6, now);
+    busy.dispatch.usage().add(wide, wide_usage, now);
     run_for(milliseconds{200});
     now += std::chrono::seconds{2};
     EXPECT_EQ(refused_of_burst(), 0);
