--- a/src/dandelionbay/base/bounded_log.cpp
+++ b/src/dandelionbay/base/bounded_log.cpp
@@ -54,10 +54,12 @@
     log_->write(level, event, values);
 }
 
-void bounded_log::write(log_level level, std::string_view event, const event_log::fields& values) {
-    if (takes(log_subject::facts, level)) {
+bool bounded_log::write(log_level level, std::string_view event, const event_log::fields& values) {
+    const bool is_written = takes(log_subject::facts, level);
+    if (is_written) {
         emit(log_subject::facts, level, event, values);
     }
+    return is_written;
 }
 
 std::uint64_t bounded_log::left_out() const noexcept {
--- a/src/dandelionbay/base/bounded_log.hpp
+++ b/src/dandelionbay/base/bounded_log.hpp
@@ -47,15 +47,18 @@
     bounded_log(std::shared_ptr<event_log> log, const clock& time);
 
     /*! @brief Writes a line on a fact if the rate allows it. Warnings and errors may use the last fifth of the burst
-     *  alone. */
-    void write(log_level level, std::string_view event, const event_log::fields& values = {});
+     *  alone. @return False if the line was left out. */
+    bool write(log_level level, std::string_view event, const event_log::fields& values = {});
 
-    /*! @brief Writes a line on a call if the rate allows it. @param make_values Called for its fields only then. */
+    /*! @brief Writes a line on a call if the rate allows it. @param make_values Called for its fields only then.
+     *  @return False if the line was left out. */
     template<typename Maker>
-    void write_call(log_level level, std::string_view event, const Maker& make_values) {
-        if (takes(log_subject::calls, level)) {
+    bool write_call(log_level level, std::string_view event, const Maker& make_values) {
+        const bool is_written = takes(log_subject::calls, level);
+        if (is_written) {
             emit(log_subject::calls, level, event, make_values());
         }
+        return is_written;
     }
 
     /*! @brief Tells whether a line would be written now; counts it as left out if not. */
--- a/src/dandelionbay/proxy/call_record.cpp
+++ b/src/dandelionbay/proxy/call_record.cpp
@@ -73,8 +73,8 @@
     });
 }
 
-void log_call_ended(bounded_log& log, record_maker make, std::string_view outcome, int status) {
-    log.write_call(log_level::info, "call_ended", [&] {
+bool log_call_ended(bounded_log& log, record_maker make, std::string_view outcome, int status) {
+    return log.write_call(log_level::info, "call_ended", [&] {
         const auto it = make();
         return event_log::fields{{"request", it.request},
                                  {"call", fingerprint_text(it.call)},
--- a/src/dandelionbay/proxy/call_record.hpp
+++ b/src/dandelionbay/proxy/call_record.hpp
@@ -68,8 +68,9 @@
 /*! @brief Makes the record of a call; not called if the line is not written. */
 using record_maker = absl::FunctionRef<call_record()>;
 
-/*! @brief Logs that a call ended. @param outcome Its outcome. @param status Status sent to the caller; 0 for none. */
-void log_call_ended(bounded_log& log, record_maker make, std::string_view outcome, int status);
+/*! @brief Logs that a call ended. @param outcome Its outcome. @param status Status sent to the caller; 0 for none.
+ *  @return False if the line was left out. */
+bool log_call_ended(bounded_log& log, record_maker make, std::string_view outcome, int status);
 
 /*! @brief Logs that a copy of a call waits until another copy ends. @param call Fingerprint. */
 void log_copy_waits(bounded_log& log, std::string_view request, std::uint64_t call, const lost_run_registry& losses);
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -134,22 +134,24 @@
 
 void exchange::reject_overloaded(duration retry_after, time_point now) {
     static const auto body = error_body(result_code::router_overloaded, executed::no);
-    owner_->dispatch().usage().add_refused(team_, cost_of(terms_.parts, terms_.prompt_tokens, terms_.output_tokens),
-                                           now);
+    owner_->dispatch().usage().add_refused(team_, cost_, now);
     caller_->close_after_response();
     std::exchange(caller_, nullptr)->respond(refusal_head(503, retry_after), body);
     const auto name = describe(result_code::router_overloaded).name;
     owner_->environment().metrics->add("refused_total", name);
     owner_->environment().metrics->add("calls_total", name);
     stage_ = stage::done;
-    owner_->close_exchange(ticket_); // Refusals for overload are logged as one line for all of them.
+    note_end(false, false); // Refusals for overload are logged as one line for all of them.
+    owner_->close_exchange(ticket_);
 }
 
 void exchange::start() {
     const auto now = owner_->now();
     if (admit(now)) {
-        owner_->enqueue_call({ticket_, team_, cost_of(terms_.parts, terms_.prompt_tokens, terms_.output_tokens),
-                              received_at_, route_->target_latency});
+        cost_ = cost_of(terms_.parts, terms_.prompt_tokens, terms_.output_tokens);
+        is_counted_ = true;
+        note_activity({.arrived = 1, .arrived_cost = cost_, .largest_cost = cost_});
+        owner_->enqueue_call({ticket_, team_, cost_, received_at_, route_->target_latency});
     }
 }
 
@@ -467,9 +469,31 @@
         owner_->whole_answer().add(now - arrived_at_);
     }
     env.metrics->add("calls_total", outcome);
-    log_call_ended(
+    const bool is_logged = log_call_ended(
         *env.log, [this] { return record(); }, outcome, status);
+    note_end(outcome == "served", is_logged);
     owner_->close_exchange(ticket_);
 }
 
+void exchange::note_activity(const team_activity_entry& amount) {
+    if (is_counted_) {
+        owner_->activity().add({team_, service_}, amount);
+    }
+}
+
+void exchange::note_begun(time_point now) {
+    note_activity({.begun = 1, .begun_cost = cost_, .late = now - arrived_at_ > route_->target_latency ? 1U : 0U});
+}
+
+void exchange::note_end(bool is_served, bool is_logged) {
+    if (is_served && !first_event_at_) {
+        note_begun(owner_->now());
+    }
+    team_activity_entry ended;
+    ended.unserved = !is_served && !first_event_at_ ? 1 : 0;
+    ended.unlogged = is_logged ? 0 : 1;
+    ended.unlogged_arrived_cost = is_logged ? 0.0 : cost_;
+    note_activity(ended);
+}
+
 } // namespace dandelionbay
--- a/src/dandelionbay/proxy/exchange.hpp
+++ b/src/dandelionbay/proxy/exchange.hpp
@@ -156,6 +156,11 @@
     [[nodiscard]] call_record record() const;
     [[nodiscard]] call_record record(const attempt& it) const;
     void finish(std::string_view outcome, int status);
+
+    /*! Adds to the sums of this call's team, if its arrival was counted. */
+    void note_activity(const team_activity_entry& amount);
+    void note_begun(time_point now);
+    void note_end(bool is_served, bool is_logged);
     [[nodiscard]] duration time_left(time_point now) const noexcept;
 
     /*! Tells whether the call may be sent again: no endpoint can have run it, or it may be repeated. */
@@ -293,7 +298,8 @@
     time_point next_poll_{};                             //!< When to look for another endpoint next.
     std::optional<time_point> without_endpoint_since_{}; //!< Start of the wait for an endpoint without progress.
     std::optional<team_rank> team_rank_{};               //!< At the latest placement or the refusal.
-    double cost_{};                                      //!< Cost units, once the call was submitted.
+    double cost_{};                                      //!< Cost units, once the call was admitted.
+    bool is_counted_{};                                  //!< Counted among the arrivals of its team.
     duration read_delay_{};                              //!< How long the request may have waited to be read.
     admission admitted_{};                               //!< Admission of the team when the call was submitted last.
     double ahead_ms_{};                                  //!< Expected wait behind other calls, if the call was refused.
--- a/src/dandelionbay/proxy/exchange_response.cpp
+++ b/src/dandelionbay/proxy/exchange_response.cpp
@@ -70,6 +70,7 @@
     failure_.reset();
     first_event_at_ = owner_->now();
     owner_->first_answer().add(*first_event_at_ - arrived_at_);
+    note_begun(*first_event_at_);
     if (caller_ != nullptr) {
         auto head = *it.head;
         remove_hop_by_hop_fields(head.fields);
--- a/src/dandelionbay/proxy/fwd.hpp
+++ b/src/dandelionbay/proxy/fwd.hpp
@@ -22,6 +22,7 @@
 class read_delay_estimator;
 class response_handler;
 class status_server;
+class team_activity;
 class refusal_time_meter;
 struct attempt;
 struct call_record;
@@ -29,5 +30,6 @@
 struct pending_call;
 struct request_times;
 struct response_head;
+struct team_activity_entry;
 
 } // namespace dandelionbay
--- a/src/dandelionbay/proxy/proxy.cpp
+++ b/src/dandelionbay/proxy/proxy.cpp
@@ -74,6 +74,7 @@
         note_reading();
         start_pending_calls(); // Calls that exceeded the rate before may begin now.
         log_refusals(now());
+        activity_.log_if_due(*environment_.log, at);
         check_exchanges(at);
     });
 }
--- a/src/dandelionbay/proxy/proxy.hpp
+++ b/src/dandelionbay/proxy/proxy.hpp
@@ -40,6 +40,7 @@
 #include "dandelionbay/proxy/overload_detector.hpp"
 #include "dandelionbay/proxy/read_delay_estimator.hpp"
 #include "dandelionbay/proxy/refusal_time_meter.hpp"
+#include "dandelionbay/proxy/team_activity.hpp"
 
 namespace dandelionbay {
 
@@ -329,6 +330,9 @@
      * callers have left untaken for the longest time, then the largest incomplete one. */
     void limit_held_answers();
 
+    /*! @brief Returns the sums of what each team asked for and got since they were last logged. */
+    [[nodiscard]] team_activity& activity() noexcept { return activity_; }
+
     /*! @brief Histograms of answered calls: time to the first event or the whole answer, and time to the end. */
     [[nodiscard]] latency_histogram& first_answer() noexcept { return first_answer_; }
     [[nodiscard]] latency_histogram& whole_answer() noexcept { return whole_answer_; }
@@ -359,6 +363,7 @@
     std::vector<finishing_channel> finishing_{};
     std::unordered_map<ticket_id, std::shared_ptr<exchange>> exchanges_{};
     std::map<service_id, retry_window> retries_{};
+    team_activity activity_{};
     latency_histogram first_answer_{};
     latency_histogram whole_answer_{};
     ticket_id last_ticket_{};
