--- a/test/dandelionbay/dispatch/fleet_fairness_test.cpp
+++ b/test/dandelionbay/dispatch/fleet_fairness_test.cpp
@@ -1,4 +1,5 @@
 #include <tuple>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -67,6 +68,64 @@
     }
 }
 
+/*! Parameter: number of routers. */
+class long_overload : public testing::TestWithParam<std::size_t> {
+protected:
+    /*! Seconds until the burst that comes before any router knows of the overload has been served. */
+    static constexpr std::size_t first = 4;
+
+    /*! A fleet that is asked for four times what its engines read, by two teams that both get less than they ask for;
+     *  one of them enters through a tenth of the routers. */
+    [[nodiscard]] static fleet_simulation run(std::size_t routers, std::uint64_t seed) {
+        fleet_simulation out{routers, routers, {{"wide", 0.5, routers}, {"narrow", 0.5, routers / 10}},
+                             4.0,     seed,    fleet_simulation::abandoned_calls::dropped};
+        out.run_for(seconds{14});
+        return out;
+    }
+};
+
+INSTANTIATE_TEST_SUITE_P(sizes, long_overload, testing::Values<std::size_t>(24, 100));
+
+/*! A run of a hundred routers takes as long as ten of 24. */
+[[nodiscard]] std::vector<std::uint64_t> seeds_for(std::size_t routers) {
+    return routers < 50 ? std::vector<std::uint64_t>{1, 2, 3} : std::vector<std::uint64_t>{1};
+}
+
+// Guards against the pattern "what may be admitted is a multiple of what was": each refusal lowers the limit, so that
+// half of all calls are refused while the engines have room (FAIR).
+TEST_P(long_overload, engines_begin_what_they_can_read) {
+    for (const std::uint64_t seed : seeds_for(GetParam())) {
+        EXPECT_GE(run(GetParam(), seed).min_begun_ratio(first), 0.9) << "seed " << seed;
+    }
+}
+
+// Guards against the same pattern: while the limit swings, the shares are decided by whose routers believe what.
+TEST_P(long_overload, teams_that_ask_for_more_get_the_same) {
+    for (const std::uint64_t seed : seeds_for(GetParam())) {
+        EXPECT_LE(run(GetParam(), seed).max_team_ratio(0, 1, 6, first), 1.3) << "seed " << seed;
+    }
+}
+
+/*! Parameter: calls that each host starts per second; its engine prefills 12. */
+class overloaded_hosts : public testing::TestWithParam<double> {};
+
+INSTANTIATE_TEST_SUITE_P(limits, overloaded_hosts, testing::Values(14.0, 20.0));
+
+// Guards against the pattern "hosts are overloaded while engines have room": what the hosts turned away counted as
+// asked for, so that the routers refused most of the few calls that the hosts could take (FAIR).
+TEST_P(overloaded_hosts, engines_begin_what_they_can_read) {
+    constexpr std::size_t routers = 24;
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        fleet_simulation fleet{routers, routers, {{"wide", 0.5, routers}, {"narrow", 0.5, routers / 10}},
+                               4.0,     seed,    fleet_simulation::abandoned_calls::dropped};
+        for (std::size_t n = 0; n < routers; ++n) {
+            fleet.limit_host(n, GetParam());
+        }
+        fleet.run_for(seconds{14});
+        EXPECT_GE(fleet.min_begun_ratio(4), 0.9) << "seed " << seed;
+    }
+}
+
 /*! Parameter: tokens requested as a ratio to the prefill capacity of the engines. */
 class slow_host_fairness : public testing::TestWithParam<double> {};
 
--- a/test/dandelionbay/dispatch/fleet_simulation.hpp
+++ b/test/dandelionbay/dispatch/fleet_simulation.hpp
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <random>
@@ -59,6 +61,21 @@
         time_point filled_at{};
     };
 
+    class simulated_router;
+
+    struct queued_call {
+        simulated_router* from{};
+        ticket_id ticket{};
+        endpoint_id id{};
+        double prompt{};
+    };
+
+    /*! An engine and the calls that wait for their prefill. */
+    struct simulated_engine {
+        std::deque<queued_call> queue{};
+        bool is_busy{};
+    };
+
     /*! A router and its calls. */
     class simulated_router final : public dispatch_listener {
     public:
@@ -104,10 +121,13 @@
     static constexpr double max_prompt_tokens = 6'000.0;
     static constexpr double output_tokens = 50.0;
 
+    /*! @brief What engines do with calls whose callers left before the prefill. */
+    enum class abandoned_calls : std::uint8_t { prefilled, dropped };
+
     /*! @param load Tokens requested, as a ratio to the prefill capacity of the engines. */
     fleet_simulation(std::size_t routers, std::size_t engines, std::vector<simulated_team> teams, double load,
-                     std::uint64_t seed)
-        : teams_{std::move(teams)}, free_at_(engines, start), random_{seed} {
+                     std::uint64_t seed, abandoned_calls abandoned = abandoned_calls::prefilled)
+        : teams_{std::move(teams)}, engines_(engines), abandoned_{abandoned}, random_{seed} {
         const auto list = model_endpoints(engines, zone_id{"z"});
         const auto shared = model_config();
         std::set<host_id> hosts;
@@ -204,7 +224,41 @@
             }
         }
         return received / (to_ms(events_.now() - start) * endpoint_load::initial_prefill_tokens_per_ms *
-                           static_cast<double>(free_at_.size()));
+                           static_cast<double>(engines_.size()));
+    }
+
+    /*! @brief Returns the lowest cost that began in a second, as a ratio to the prefill capacity of the engines.
+     *  @param first Number of seconds at the start that are not evaluated. */
+    [[nodiscard]] double min_begun_ratio(std::size_t first) const {
+        const auto seconds = static_cast<std::size_t>((events_.now() - start) / std::chrono::seconds{1});
+        const double capacity =
+            endpoint_load::initial_prefill_tokens_per_ms * 1e3 * static_cast<double>(engines_.size());
+        double out = std::numeric_limits<double>::max();
+        for (auto n = first; n < seconds; ++n) {
+            double begun = 0.0;
+            for (std::size_t team = 0; team < seconds_.size(); ++team) {
+                begun += at_second(team, n).received;
+            }
+            out = std::min(out, begun / capacity);
+        }
+        return out;
+    }
+
+    /*! @brief Returns the highest ratio between what two teams received in an interval.
+     *  @param length Length of the interval, in seconds. @param first As above. */
+    [[nodiscard]] double max_team_ratio(std::size_t a, std::size_t b, std::size_t length, std::size_t first) const {
+        const auto seconds = static_cast<std::size_t>((events_.now() - start) / std::chrono::seconds{1});
+        double out = 1.0;
+        for (auto from = first; from + length <= seconds; ++from) {
+            double of_a = 0.0;
+            double of_b = 0.0;
+            for (auto n = from; n < from + length; ++n) {
+                of_a += at_second(a, n).received;
+                of_b += at_second(b, n).received;
+            }
+            out = std::max({out, of_a / std::max(1.0, of_b), of_b / std::max(1.0, of_a)});
+        }
+        return out;
     }
 
 private:
@@ -296,13 +350,30 @@
             if (call == from.calls.end()) {
                 return; // The caller left while the call was in transit.
             }
-            auto& free = free_at_[engine];
-            free = std::max(free, events_.now()) +
-                   from_ms(call->second.prompt / endpoint_load::initial_prefill_tokens_per_ms);
-            events_.at(free + first_token_delay, [this, &from, ticket, id] { start_answer(from, ticket, id); });
+            auto& to = engines_[engine];
+            to.queue.push_back(queued_call{&from, ticket, id, call->second.prompt});
+            if (!to.is_busy) {
+                prefill_next(to);
+            }
         });
     }
 
+    void prefill_next(simulated_engine& it) {
+        it.is_busy = false;
+        while (!it.queue.empty() && !it.is_busy) {
+            const auto next = it.queue.front();
+            it.queue.pop_front();
+            if (abandoned_ == abandoned_calls::dropped && !next.from->calls.contains(next.ticket)) {
+                continue;
+            }
+            it.is_busy = true;
+            const auto prefill = from_ms(next.prompt / endpoint_load::initial_prefill_tokens_per_ms);
+            events_.after(prefill + first_token_delay,
+                          [this, next] { start_answer(*next.from, next.ticket, next.id); });
+            events_.after(prefill, [this, &it] { prefill_next(it); });
+        }
+    }
+
     void start_answer(simulated_router& at_router, ticket_id ticket, const endpoint_id& id) {
         const auto it = at_router.calls.find(ticket);
         if (it == at_router.calls.end()) {
@@ -380,7 +451,8 @@
     }
 
     std::vector<simulated_team> teams_;
-    std::vector<time_point> free_at_; //!< When each engine has prefilled its prompts.
+    std::vector<simulated_engine> engines_;
+    abandoned_calls abandoned_;
     std::mt19937_64 random_;
     std::vector<std::unique_ptr<simulated_router>> routers_{};
     std::vector<std::map<std::size_t, service_second>> seconds_{}; //!< Indexed by team and second.
