Divide the engines among the calls that reach the decision

Cause: the share that is admitted of a team is what it may use as a ratio to what it asked for, and calls that an overloaded host turned away counted as asked for, each time that they came again. The calls that did reach the decision were refused by that ratio once more; what was admitted fell, and with it the usage that the next limit is a multiple of. Whether a team is often refused still counts what was turned away.

--- a/src/dandelionbay/dispatch/team_usage.cpp
+++ b/src/dandelionbay/dispatch/team_usage.cpp
@@ -17,11 +17,12 @@
     used += other.used;
     refused_cost += other.refused_cost;
     refused_calls += other.refused_calls;
+    turned_away_cost += other.turned_away_cost;
     return *this;
 }
 
 team_usage::account team_usage::account::operator-() const noexcept {
-    return {-used, -refused_cost, -refused_calls};
+    return {-used, -refused_cost, -refused_calls, -turned_away_cost};
 }
 
 bool team_usage::account::is_empty() const noexcept {
@@ -30,7 +31,8 @@
 
 team_usage::account team_usage::account_of(const team_usage_entry& entry) noexcept {
     const bool is_counted = entry.refused_calls > 0 || entry.refused_cost <= 0.0;
-    return {entry.cost, entry.refused_cost, is_counted ? std::int64_t{entry.refused_calls} : min_refused_calls};
+    return {entry.cost, entry.refused_cost, is_counted ? std::int64_t{entry.refused_calls} : min_refused_calls,
+            entry.turned_away_cost};
 }
 
 bool team_usage::is_often_refused(const account& it) noexcept {
@@ -105,6 +107,10 @@
     charge_team(team, account{0.0, cost, 1}, now);
 }
 
+void team_usage::add_turned_away(const team_id& team, double cost, time_point now) {
+    charge_team(team, account{0.0, cost, 1, cost}, now);
+}
+
 void team_usage::update_peer(const host_id& peer, const std::vector<team_usage_entry>& teams, time_point now) {
     auto& it = peers_[peer];
     subtract(it);
@@ -152,7 +158,9 @@
     if (found == totals_.end()) {
         return 1.0;
     }
-    const auto requested = [](const account& it) { return std::max(0.0, it.used) + std::max(0.0, it.refused_cost); };
+    const auto requested = [](const account& it) {
+        return std::max(0.0, it.used) + std::max(0.0, it.refused_cost - it.turned_away_cost);
+    };
     std::vector<double> requests;
     requests.reserve(totals_.size());
     double left = 0.0;
@@ -184,7 +192,8 @@
     std::vector<team_usage_entry> out;
     out.reserve(own_.size());
     for (const auto& [team, it] : own_) {
-        out.push_back(team_usage_entry{team, it.used, it.refused_cost, static_cast<std::uint32_t>(it.refused_calls)});
+        out.push_back(team_usage_entry{team, it.used, it.refused_cost, static_cast<std::uint32_t>(it.refused_calls),
+                                       it.turned_away_cost});
     }
     return out;
 }
--- a/src/dandelionbay/dispatch/team_usage.hpp
+++ b/src/dandelionbay/dispatch/team_usage.hpp
@@ -17,6 +17,7 @@
     double cost{};                 //!< Cost of the dispatched calls.
     double refused_cost{};         //!< Cost of the refused calls.
     std::uint32_t refused_calls{}; //!< Number of the refused calls; 0 beside a cost if the sender does not count them.
+    double turned_away_cost{};     //!< Part of refused_cost that an overloaded host refused before any admission.
 
     friend bool operator==(const team_usage_entry&, const team_usage_entry&) = default;
 };
@@ -32,6 +33,7 @@
         double used{};
         double refused_cost{};
         std::int64_t refused_calls{};
+        double turned_away_cost{};
 
         account& operator+=(const account& other) noexcept;
         [[nodiscard]] account operator-() const noexcept;
@@ -77,6 +79,10 @@
     /*! @brief Adds refused work. @param cost As in add(). */
     void add_refused(const team_id& team, double cost, time_point now);
 
+    /*! @brief Adds work that this router's host refused because it is overloaded, before its admission was decided. It
+     *  counts as refused, but not as work to divide the engines among. @param cost As in add(). */
+    void add_turned_away(const team_id& team, double cost, time_point now);
+
     /*! @brief Replaces the usage that a peer reported. @param teams Work that the peer itself dispatched or refused. */
     void update_peer(const host_id& peer, const std::vector<team_usage_entry>& teams, time_point now);
 
--- a/src/dandelionbay/peer/peer_message.cpp
+++ b/src/dandelionbay/peer/peer_message.cpp
@@ -19,7 +19,7 @@
 using leaving_row = std::tuple<std::string, std::uint64_t>;
 using lost_run_row = std::tuple<std::string, std::uint64_t, std::int64_t, std::int64_t>;
 using losses_row = std::tuple<std::uint64_t, std::vector<lost_run_row>, std::vector<std::int64_t>>;
-using team_row = std::tuple<std::string, double, double, std::uint32_t>;
+using team_row = std::tuple<std::string, double, double, std::uint32_t, double>;
 using endpoint_row = std::tuple<std::string, std::string, std::string, address_row, std::uint32_t, bool, std::int64_t,
                                 std::uint64_t, std::uint64_t, std::string>;
 using clock_row = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
@@ -258,8 +258,8 @@
         out.loads.push_back(endpoint_work_entry{endpoint_id{endpoint}, endpoint_work{unread, calls, memory}});
     }
     out.part_uses = uses_of(uses);
-    for (const auto& [team, cost, denied, denied_calls] : teams) {
-        out.teams.push_back(team_usage_entry{team_id{team}, cost, denied, denied_calls});
+    for (const auto& [team, cost, denied, denied_calls, turned_away] : teams) {
+        out.teams.push_back(team_usage_entry{team_id{team}, cost, denied, denied_calls, turned_away});
     }
     for (const auto& [service, ms] : queues) {
         out.queues.push_back(service_queue{service_id{service}, ms});
@@ -297,7 +297,7 @@
     std::vector<team_row> out;
     out.reserve(teams.size());
     for (const auto& it : teams) {
-        out.emplace_back(it.team.value, it.cost, it.refused_cost, it.refused_calls);
+        out.emplace_back(it.team.value, it.cost, it.refused_cost, it.refused_calls, it.turned_away_cost);
     }
     return out;
 }
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -134,7 +134,7 @@
 
 void exchange::reject_overloaded(duration retry_after, time_point now) {
     static const auto body = error_body(result_code::router_overloaded, executed::no);
-    owner_->dispatch().usage().add_refused(team_, cost_, now);
+    owner_->dispatch().usage().add_turned_away(team_, cost_, now);
     caller_->close_after_response();
     std::exchange(caller_, nullptr)->respond(refusal_head(503, retry_after), body);
     const auto name = describe(result_code::router_overloaded).name;
--- a/test/dandelionbay/dispatch/fleet_simulation.hpp
+++ b/test/dandelionbay/dispatch/fleet_simulation.hpp
@@ -312,7 +312,7 @@
     void turn_away(simulated_router& from, const simulated_call& call) {
         ++turned_away_;
         this_second(call.team).lacked_service = true;
-        from.router.usage().add_refused(team_id{teams_[call.team].name}, call.cost, events_.now());
+        from.router.usage().add_turned_away(team_id{teams_[call.team].name}, call.cost, events_.now());
         if (events_.now() + turned_away_retry_delay < call.first_requested + caller_timeout) {
             events_.after(turned_away_retry_delay, [this, &from, call] { submit_to(from, call); });
         }
--- a/test/dandelionbay/dispatch/overload_estimator_test.cpp
+++ b/test/dandelionbay/dispatch/overload_estimator_test.cpp
@@ -77,6 +77,21 @@
     EXPECT_EQ(usage.admitted_share(team_id{"new"}, 0.5, start), 1.0);
 }
 
+// Guards against the pattern "hosts are overloaded while engines have room": what hosts turned away counted as asked
+// for, so that routers refused most of the few calls that hosts could take (FAIR).
+TEST(team_usage_admission, is_not_lowered_by_calls_that_hosts_turned_away) {
+    team_usage usage;
+    usage.add(medium, 400.0, start);
+    usage.add(large, 500.0, start);
+    usage.add_refused(large, 500.0, start);
+    const double before = usage.admitted_share(large, 1.0, start);
+    usage.add_turned_away(large, 9'000.0, start);
+    usage.update_peer(host_id{"r2"}, {{large, 0.0, 9'000.0, 9, 9'000.0}}, start);
+    EXPECT_EQ(usage.admitted_share(large, 1.0, start), before);
+    EXPECT_EQ(usage.admitted_share(medium, 1.0, start), 1.0);
+    EXPECT_TRUE(usage.is_often_refused(large, start)) << "it still lacks service";
+}
+
 // Guards against a team that gets less because its calls enter through one router, while others enter through many.
 TEST(team_usage_admission, is_the_same_wherever_the_calls_enter) {
     team_usage first;
