Begin no stream at a new version before every gateway has heard of it or stopped trusting its list

Nobody waited with the first stream at the new version. Cause: the two times did not belong together, and the age of a peer's report counted from its reading. Change: streams begin at a version 4.25 s after a gateway learned of it, while another one serves, decided when a call is sent. What a gateway knows counts from the reading of the list, its own or the one behind a peer's report, and is trusted for 4 s, as before. The registry's row names the versions in use, written 0.25 s before the first stream. Not done: a test of processes with relays between them.

--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -21,6 +21,7 @@
 #include "dandelionbay/dispatch/team_usage.hpp"
 #include "dandelionbay/dispatch/work.hpp"
 #include "dandelionbay/gateway/registry_view.hpp"
+#include "dandelionbay/gateway/stream_version_registry.hpp"
 
 namespace dandelionbay {
 
@@ -172,6 +173,11 @@
         selector_.set_routers(std::move(routers), complete);
     }
 
+    /*! @brief Sets the versions at which no stream may begin before a time. */
+    void set_version_holds(std::map<service_version, time_point> holds) {
+        selector_.set_version_holds(std::move(holds));
+    }
+
     /*! @brief Adds a router that may send. */
     void add_router(const host_id& router) { selector_.add_router(router); }
 
--- a/src/dandelionbay/dispatch/endpoint_selector.cpp
+++ b/src/dandelionbay/dispatch/endpoint_selector.cpp
@@ -203,6 +203,9 @@
             continue;
         }
         all_paused = false;
+        if (is_held(item, it)) {
+            continue;
+        }
         if (it.is_ejected || (!item.excluded.empty() && item.excluded.contains(it.known->entry.id))) {
             continue;
         }
@@ -226,6 +229,14 @@
     return out;
 }
 
+bool endpoint_selector::is_held(const work_item& item, const endpoint_state& it) const {
+    if (version_holds_.empty() || !item.is_stream || item.version) {
+        return false;
+    }
+    const auto held = version_holds_.find({item.service, it.known->entry.version});
+    return held != version_holds_.end() && now_ < held->second;
+}
+
 bool endpoint_selector::has_endpoint_for(const work_item& item) const {
     const auto found = endpoints_.find(item.service);
     return found != endpoints_.end() && std::ranges::any_of(found->second, [&](const auto& it) {
--- a/src/dandelionbay/dispatch/endpoint_selector.hpp
+++ b/src/dandelionbay/dispatch/endpoint_selector.hpp
@@ -13,6 +13,7 @@
 #include "dandelionbay/dispatch/endpoint_load.hpp"
 #include "dandelionbay/dispatch/work.hpp"
 #include "dandelionbay/gateway/registry_view.hpp"
+#include "dandelionbay/gateway/stream_version_registry.hpp"
 
 namespace dandelionbay {
 
@@ -68,6 +69,8 @@
     [[nodiscard]] std::size_t cold_share(const endpoint_state& it) const;
     [[nodiscard]] double distance_ms(const zone_id& zone) const;
     void update_state(endpoint_state& it) const;
+    /*! Tells whether a call would begin a stream at a version at which none may begin yet. */
+    [[nodiscard]] bool is_held(const work_item& item, const endpoint_state& it) const;
     [[nodiscard]] candidate score(const work_item& item, endpoint_state& it, const team_rank& team,
                                   std::uint64_t prefix) const;
     [[nodiscard]] double reading_ahead_ms(const team_rank& team) const noexcept;
@@ -94,6 +97,9 @@
      *  others: this router sends nothing to cold endpoints until the list is complete. */
     void set_routers(std::set<host_id> routers, bool complete);
 
+    /*! @brief Sets the versions at which no stream may begin before a time. */
+    void set_version_holds(std::map<service_version, time_point> holds) { version_holds_ = std::move(holds); }
+
     /*! @brief Adds a router. */
     void add_router(const host_id& router);
 
@@ -123,6 +129,7 @@
     std::map<endpoint_id, endpoint_load>* loads_;
     std::set<host_id> routers_{};
     bool has_all_routers_{true};
+    std::map<service_version, time_point> version_holds_{};
     time_point now_{};
     std::shared_ptr<const route_config> config_{};      //!< Configuration that endpoints_ was built from.
     std::optional<std::uint64_t> endpoints_revision_{}; //!< View revision of endpoints_; empty if it must be rebuilt.
--- a/src/dandelionbay/gateway/stream_version_registry.cpp
+++ b/src/dandelionbay/gateway/stream_version_registry.cpp
@@ -25,14 +25,42 @@
         last_seen_[it] = now;
     }
     for (const auto& [id, it] : view_->endpoints()) {
-        registered_.insert(service_version{it.entry.service, it.entry.version});
+        const service_version version{it.entry.service, it.entry.version};
+        registered_.insert(version);
+        first_seen_.try_emplace(version, now);
     }
     std::erase_if(last_seen_, [&](const auto& it) { return now - it.second >= retention(); });
+    std::erase_if(first_seen_,
+                  [&](const auto& it) { return !registered_.contains(it.first) && !last_seen_.contains(it.first); });
 }
 
 void stream_version_registry::note_version(const service_version& it, time_point at, time_point now) {
     auto& seen = last_seen_[it];
     seen = std::max(seen, std::min(at, now));
+    first_seen_.try_emplace(it, now);
+}
+
+std::map<service_version, time_point> stream_version_registry::holds(time_point now) const {
+    std::map<service_version, time_point> out;
+    for (const auto& it : registered_) {
+        const auto known = first_seen_.find(it);
+        const bool is_new = known != first_seen_.end() && known->second + use_delay > now;
+        if (is_new && is_mixed(it.service, now)) {
+            out.emplace(it, known->second + use_delay);
+        }
+    }
+    return out;
+}
+
+std::set<version_id> stream_version_registry::versions_in_use(const service_id& service, time_point now) const {
+    auto out = recent_versions(service, now);
+    if (out.size() > 1) {
+        std::erase_if(out, [&](const auto& it) {
+            const auto known = first_seen_.find({service, it});
+            return known != first_seen_.end() && known->second + max_evidence_age > now;
+        });
+    }
+    return out;
 }
 
 std::set<version_id> stream_version_registry::recent_versions(const service_id& service, time_point now) const {
@@ -91,7 +119,8 @@
 
 bool stream_version_registry::is_up_to_date(time_point now) const {
     const auto list_age = view_->endpoints_age(now);
-    return is_complete_ && ((list_age && *list_age <= max_evidence_age) || now - heard_at_ <= max_evidence_age);
+    return is_complete_ &&
+           ((list_age && *list_age <= max_evidence_age) || (peers_as_of_ && now - *peers_as_of_ <= max_evidence_age));
 }
 
 version_report stream_version_registry::make_report(sequence_type& told, time_point now) {
@@ -125,13 +154,16 @@
     return out;
 }
 
-void stream_version_registry::merge(const version_report& report, time_point sent_at, time_point now) {
+void stream_version_registry::merge(const version_report& report, time_point sent_at,
+                                    const std::optional<time_point>& as_of, time_point now) {
     expire(now);
     for (const auto& it : report.recent) {
         note_version(it.origin, sent_at - it.age, now);
     }
     is_complete_ = is_complete_ || report.is_complete;
-    heard_at_ = report.is_complete ? now : heard_at_; // A peer of an earlier release reports nothing.
+    if (report.is_complete && as_of) { // A peer of an earlier release reports nothing.
+        peers_as_of_ = std::max(peers_as_of_.value_or(*as_of), std::min(*as_of, now));
+    }
     for (const auto& it : report.streams) {
         streams_.insert_or_assign(it.stream, known_stream{it.origin, now});
         all_.push_back({it.stream, now});
--- a/src/dandelionbay/gateway/stream_version_registry.hpp
+++ b/src/dandelionbay/gateway/stream_version_registry.hpp
@@ -58,6 +58,10 @@
  * attempt that brought its first event. Routers tell each other where streams began while a service has several
  * versions. A stream of which nothing is known may be resumed only if a single version has served for as long as a
  * stream can last; after a restart that follows from a row of the registry, or from a peer.
+ *
+ * A router that is cut off, or stands still, does not learn of a new version. It trusts what it knows for
+ * max_evidence_age, counted from the moment as of which it knows it, and no router begins a stream at a new version
+ * earlier than that after the version was registered.
  */
 class stream_version_registry {
     struct known_stream {
@@ -78,8 +82,12 @@
 
     /*! @brief Added to the longest time limit of a stream: clocks, and the time until a list is read. */
     static constexpr duration retention_margin = std::chrono::seconds{3};
-    /*! @brief Without a list or a report of a peer for this time, other routers may use versions that are not known. */
+    /*! @brief Without a newer list, read by this router or by a peer, other routers may use versions that are not known
+     *  after this time. */
     static constexpr duration max_evidence_age = std::chrono::seconds{4};
+    /*! @brief Time from the registration of a new version until streams begin at it. Exceeds max_evidence_age, so that
+     *  the version is written to the registry before its first stream. */
+    static constexpr duration use_delay = max_evidence_age + std::chrono::milliseconds{250};
     /*! @brief Most streams that are kept, about 80 bytes each; the oldest are dropped. */
     static constexpr std::size_t max_streams = 100'000;
 
@@ -92,6 +100,16 @@
     /*! @brief Records that a version was registered. @param at When; later than now counts as now. */
     void note_version(const service_version& it, time_point at, time_point now);
 
+    /*! @brief Records that routers may have begun streams at a version. */
+    void note_in_use(const service_version& it) { first_seen_[it] = time_point::min(); }
+
+    /*! @brief Returns the versions at which no stream may begin yet, with the end of that time. */
+    [[nodiscard]] std::map<service_version, time_point> holds(time_point now) const;
+
+    /*! @brief Returns the recent versions of a service without those that have been known for less than
+     *  max_evidence_age beside another. */
+    [[nodiscard]] std::set<version_id> versions_in_use(const service_id& service, time_point now) const;
+
     /*! @brief Records that all versions that served within the retention time are known. */
     void set_complete() noexcept { is_complete_ = true; }
 
@@ -123,23 +141,27 @@
      *  advanced. */
     [[nodiscard]] version_report make_report(sequence_type& told, time_point now);
 
-    /*! @brief Merges a peer's report. @param sent_at A time not later than its sending. */
-    void merge(const version_report& report, time_point sent_at, time_point now);
+    /*! @brief Merges a peer's report.
+     *  @param sent_at A time not later than its sending.
+     *  @param as_of A time not later than the reading of the list that the peer knows; empty if that is not known. */
+    void merge(const version_report& report, time_point sent_at, const std::optional<time_point>& as_of,
+               time_point now);
 
     /*! @brief Returns the time for which versions and streams are kept. */
     [[nodiscard]] duration retention() const;
 
 private:
     const registry_view* view_;
-    std::set<service_version> registered_{};            //!< As of the last update.
-    std::map<service_version, time_point> last_seen_{}; //!< Of versions that are no longer registered, too.
+    std::set<service_version> registered_{};             //!< As of the last update.
+    std::map<service_version, time_point> last_seen_{};  //!< Of versions that are no longer registered, too.
+    std::map<service_version, time_point> first_seen_{}; //!< Of the same versions.
     std::unordered_map<std::uint64_t, known_stream> streams_{};
     std::deque<recorded_stream> all_{};                    //!< Streams in order of their records.
     std::deque<recorded_stream> own_{};                    //!< Those that began at this router.
     sequence_type first_own_{};                            //!< Sequence number of the first one.
     mutable std::shared_ptr<const route_config> config_{}; //!< Configuration that longest_stream_ belongs to.
     mutable duration longest_stream_{};
-    time_point heard_at_{}; //!< When a peer's report was last merged.
+    std::optional<time_point> peers_as_of_{}; //!< Newest time as of which a peer knew all versions.
     bool is_complete_{};
 };
 
--- a/src/dandelionbay/node/gateway_node.hpp
+++ b/src/dandelionbay/node/gateway_node.hpp
@@ -61,6 +61,8 @@
 
     /*! Takes note of the versions of the registered endpoints; writes them if they changed. */
     void update_versions(time_point now);
+    /*! Updates the versions again at a time, when one comes into use. */
+    void update_versions_at(time_point at);
 
 public:
     /*! @brief Time after the start of a stop for which idle connections stay open: the balancer needs it to notice. */
@@ -129,6 +131,7 @@
     boost::asio::steady_timer stop_timer_;
     boost::asio::steady_timer settings_timer_;
     boost::asio::steady_timer facts_timer_;
+    boost::asio::steady_timer versions_timer_; //!< Runs while a version is held back.
     settings_reader reader_;
     std::set<endpoint_id> leaving_{};                                //!< By the newest list.
     std::map<service_id, std::set<version_id>> retained_versions_{}; //!< As last written by some router.
--- a/src/dandelionbay/peer/peer_synchronizer.cpp
+++ b/src/dandelionbay/peer/peer_synchronizer.cpp
@@ -278,7 +278,10 @@
 void peer_synchronizer::merge_versions(const peer_message& in, time_point now) {
     // Dated early, or a version that has left would be passed on for ever.
     const auto sent = in.echo_us == 0 ? now : time_point{duration{in.echo_us + in.echo_delay_us}};
-    streams_->merge(in.versions, std::min(sent, now), now);
+    // The message may have waited unread, and the peer may itself be cut off from the registry.
+    const bool is_dated = in.echo_us != 0 && in.list_age_us >= 0;
+    streams_->merge(in.versions, std::min(sent, now),
+                    is_dated ? std::optional{sent - duration{in.list_age_us}} : std::nullopt, now);
 }
 
 void peer_synchronizer::record_peer(const peer_message& in, peer& from, bool is_new, time_point now) {
--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -182,6 +182,7 @@
     item.excluded = failed_endpoints_;
     item.excluded.insert(refused_by_.begin(), refused_by_.end());
     item.version = stream_version_;
+    item.is_stream = route_->kind == call_kind::streaming;
     item.has_begun = has_begun_before_;
     return item;
 }
--- a/test/dandelionbay/platform/gateway_version_test.cpp
+++ b/test/dandelionbay/platform/gateway_version_test.cpp
@@ -19,6 +19,7 @@
     void add_second_version() {
         store.put("servers", engine_2.id(), engine_2.entry("m", "ready", "v2"));
         std::this_thread::sleep_for(milliseconds{1'200}); // Two readings of the list.
+        std::this_thread::sleep_for(stream_version_registry::use_delay);
     }
 
     /*! Streams until an engine has begun a stream at a gateway. */
