--- a/src/dandelionbay/dispatch/dispatcher.hpp
+++ b/src/dandelionbay/dispatch/dispatcher.hpp
@@ -173,7 +173,7 @@
         selector_.set_routers(std::move(routers), complete);
     }
 
-    /*! @brief Sets the versions at which no stream may begin before a time. */
+    /*! @brief Sets the versions at which no stream may begin before a time. @param holds That time for each. */
     void set_version_holds(std::map<service_version, time_point> holds) {
         selector_.set_version_holds(std::move(holds));
     }
--- a/src/dandelionbay/dispatch/work.hpp
+++ b/src/dandelionbay/dispatch/work.hpp
@@ -55,7 +55,7 @@
         route_regions{}; //!< Regions that may serve the call; empty for all. Both lists must allow it.
     std::vector<region_id> team_regions{};
     std::set<endpoint_id> excluded{};    //!< Endpoints that already failed the call.
-    bool is_stream{};                    //!< Not begun at versions that are held.
+    bool is_stream{};                    //!< A stream does not begin at a version that is held back.
     bool has_begun{};                    //!< Its stream began earlier, so it is not refused by share.
     std::optional<version_id> version{}; //!< Set if only endpoints of this version may run the call.
     admission admitted{};                //!< Admission of the team; set by the dispatcher.
--- a/src/dandelionbay/gateway/stream_version_registry.hpp
+++ b/src/dandelionbay/gateway/stream_version_registry.hpp
@@ -100,10 +100,10 @@
     /*! @brief Records that a version was registered. @param at When; later than now counts as now. */
     void note_version(const service_version& it, time_point at, time_point now);
 
-    /*! @brief Records that routers may have begun streams at a version. */
+    /*! @brief Records that routers may have begun streams at a version, so that it is not held back. */
     void note_in_use(const service_version& it) { first_seen_[it] = time_point::min(); }
 
-    /*! @brief Returns the versions at which no stream may begin yet, with the end of that time. */
+    /*! @brief Returns the versions that are held back: no stream may begin there until the returned time. */
     [[nodiscard]] std::map<service_version, time_point> holds(time_point now) const;
 
     /*! @brief Returns the recent versions of a service without those that have been known for less than
@@ -154,7 +154,7 @@
     const registry_view* view_;
     std::set<service_version> registered_{};             //!< As of the last update.
     std::map<service_version, time_point> last_seen_{};  //!< Of versions that are no longer registered, too.
-    std::map<service_version, time_point> first_seen_{}; //!< Of the same versions.
+    std::map<service_version, time_point> first_seen_{}; //!< The minimum for those that were in use before.
     std::unordered_map<std::uint64_t, known_stream> streams_{};
     std::deque<recorded_stream> all_{};                    //!< Streams in order of their records.
     std::deque<recorded_stream> own_{};                    //!< Those that began at this router.
