Look up whether a version is held once for each endpoint and update

A round of decisions looked it up for each call and endpoint, with copies of both names, while endpoints are scarce. It joins the values that the selector keeps as of its last update; what is selected stays the same.

--- a/src/dandelionbay/dispatch/endpoint_selector.cpp
+++ b/src/dandelionbay/dispatch/endpoint_selector.cpp
@@ -128,6 +128,7 @@
     it.is_ejected = it.load->is_ejected(now_);
     it.is_paused = it.load->is_paused(now_);
     it.is_stalled = it.load->is_stalled(now_);
+    it.is_held = is_held(it.known->entry);
     it.is_open = !it.is_ejected && !it.is_paused && !it.is_stalled;
     if (it.is_engine) {
         it.wait_ms = it.load->backlog_ms(now_);
@@ -203,7 +204,7 @@
             continue;
         }
         all_paused = false;
-        if (is_held(item, it)) {
+        if (it.is_held && item.is_stream && !item.version) {
             continue;
         }
         if (it.is_ejected || (!item.excluded.empty() && item.excluded.contains(it.known->entry.id))) {
@@ -229,11 +230,11 @@
     return out;
 }
 
-bool endpoint_selector::is_held(const work_item& item, const endpoint_state& it) const {
-    if (version_holds_.empty() || !item.is_stream || item.version) {
+bool endpoint_selector::is_held(const endpoint_entry& it) const {
+    if (version_holds_.empty()) {
         return false;
     }
-    const auto held = version_holds_.find({item.service, it.known->entry.version});
+    const auto held = version_holds_.find({it.service, it.version});
     return held != version_holds_.end() && now_ < held->second;
 }
 
--- a/src/dandelionbay/dispatch/endpoint_selector.hpp
+++ b/src/dandelionbay/dispatch/endpoint_selector.hpp
@@ -47,6 +47,7 @@
         bool is_ejected{};
         bool is_paused{};
         bool is_stalled{};
+        bool is_held{}; //!< No stream may begin yet at its version.
     };
 
     /*! @brief A scored endpoint. */
@@ -69,8 +70,8 @@
     [[nodiscard]] std::size_t cold_share(const endpoint_state& it) const;
     [[nodiscard]] double distance_ms(const zone_id& zone) const;
     void update_state(endpoint_state& it) const;
-    /*! Tells whether a call would begin a stream at a version at which none may begin yet. */
-    [[nodiscard]] bool is_held(const work_item& item, const endpoint_state& it) const;
+    /*! Tells whether no stream may begin yet at an endpoint's version. */
+    [[nodiscard]] bool is_held(const endpoint_entry& it) const;
     [[nodiscard]] candidate score(const work_item& item, endpoint_state& it, const team_rank& team,
                                   std::uint64_t prefix) const;
     [[nodiscard]] double reading_ahead_ms(const team_rank& team) const noexcept;
