--- a/src/dandelionbay/peer/peer_synchronizer.cpp
+++ b/src/dandelionbay/peer/peer_synchronizer.cpp
@@ -1,6 +1,7 @@
 #include "dandelionbay/peer/peer_synchronizer.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <tuple>
 #include <utility>
 
@@ -8,6 +9,15 @@
 
 namespace dandelionbay {
 
+namespace {
+
+/*! Returns a lower bound of the send time, by this router's clock: the sender had read its echo by then. */
+[[nodiscard]] std::optional<time_point> earliest_send_time(const peer_message& it) {
+    return it.echo_us == 0 ? std::nullopt : std::optional{time_point{duration{it.echo_us + it.echo_delay_us}}};
+}
+
+} // namespace
+
 peer_synchronizer::peer_synchronizer(router_identity self, const refresh_limits& limits, registry_view& view,
                                      dispatcher& dispatch, lost_run_registry& losses, part_crash_registry& part_crashes,
                                      stream_version_registry& streams, config_parser parser)
@@ -181,20 +191,16 @@
             }
         }
     }
-    if (in.echo_us == 0) {
-        return;
-    }
-    // A lower bound of the send time, by this router's clock.
-    const auto earliest_sent = time_point{duration{in.echo_us + in.echo_delay_us}};
-    if (earliest_sent > now) {
+    const auto sent = earliest_send_time(in);
+    if (!sent || *sent > now) {
         return;
     }
     if (in.operators_age_us >= 0) {
         out.operators_refreshed =
-            view_->update_operator_state(in.operators, earliest_sent - duration{in.operators_age_us}, now);
+            view_->update_operator_state(in.operators, *sent - duration{in.operators_age_us}, now);
     }
     if (in.list && in.list_age_us >= 0) {
-        out.list_refreshed = view_->merge_endpoints(*in.list, earliest_sent - duration{in.list_age_us}, now);
+        out.list_refreshed = view_->merge_endpoints(*in.list, *sent - duration{in.list_age_us}, now);
     }
 }
 
@@ -227,8 +233,7 @@
 
 peer_synchronizer::clock_offset peer_synchronizer::offset_of(const peer_message& in, time_point now) {
     const time_point sent{duration{in.sent_us}}; // By the sender's clock.
-    const auto max = now - sent;
-    return {in.echo_us == 0 ? max : std::min(max, time_point{duration{in.echo_us + in.echo_delay_us}} - sent), max};
+    return {std::min(now, earliest_send_time(in).value_or(now)) - sent, now - sent};
 }
 
 void peer_synchronizer::merge_losses(const peer_message& in, peer_change& out, time_point now) {
@@ -277,11 +282,10 @@
 
 void peer_synchronizer::merge_versions(const peer_message& in, time_point now) {
     // Dated early, or a version that has left would be passed on for ever.
-    const auto sent = in.echo_us == 0 ? now : time_point{duration{in.echo_us + in.echo_delay_us}};
+    const auto sent = earliest_send_time(in);
     // The message may have waited unread, and the peer may itself be cut off from the registry.
-    const bool is_dated = in.echo_us != 0 && in.list_age_us >= 0;
-    streams_->merge(in.versions, std::min(sent, now),
-                    is_dated ? std::optional{sent - duration{in.list_age_us}} : std::nullopt, now);
+    const auto as_of = sent && in.list_age_us >= 0 ? std::optional{*sent - duration{in.list_age_us}} : std::nullopt;
+    streams_->merge(in.versions, std::min(sent.value_or(now), now), as_of, now);
 }
 
 void peer_synchronizer::record_peer(const peer_message& in, peer& from, bool is_new, time_point now) {
