--- a/src/dandelionbay/gateway/stream_version_registry.cpp
+++ b/src/dandelionbay/gateway/stream_version_registry.cpp
@@ -43,10 +43,9 @@
 std::map<service_version, time_point> stream_version_registry::holds(time_point now) const {
     std::map<service_version, time_point> out;
     for (const auto& it : registered_) {
-        const auto known = first_seen_.find(it);
-        const bool is_new = known != first_seen_.end() && known->second + use_delay > now;
-        if (is_new && is_mixed(it.service, now)) {
-            out.emplace(it, known->second + use_delay);
+        const auto end = first_seen_.at(it) + use_delay;
+        if (now < end && is_mixed(it.service, now)) {
+            out.emplace(it, end);
         }
     }
     return out;
@@ -55,10 +54,7 @@
 std::set<version_id> stream_version_registry::versions_in_use(const service_id& service, time_point now) const {
     auto out = recent_versions(service, now);
     if (out.size() > 1) {
-        std::erase_if(out, [&](const auto& it) {
-            const auto known = first_seen_.find({service, it});
-            return known != first_seen_.end() && known->second + max_evidence_age > now;
-        });
+        std::erase_if(out, [&](const auto& it) { return now < first_seen_.at({service, it}) + max_evidence_age; });
     }
     return out;
 }
