Add nothing to a team's sums where there is nothing to add

A served call with a line of its own added an entry of zeros at its end, which made a line team_second longer. The cost of a call is computed when it is admitted, no longer again at each submission.

--- a/src/dandelionbay/proxy/exchange.cpp
+++ b/src/dandelionbay/proxy/exchange.cpp
@@ -194,7 +194,6 @@
         return;
     }
     auto item = make_work_item();
-    cost_ = item.cost();
     const bool is_new = runs_ == 0 && !response_started_;
     if (is_new && !has_begun_before_) {
         owner_->dispatch().submit(std::move(item), now);
@@ -477,7 +476,7 @@
 }
 
 void exchange::note_activity(const team_activity_entry& amount) {
-    if (is_counted_) {
+    if (is_counted_ && amount != team_activity_entry{}) {
         owner_->activity().add({team_, service_}, amount);
     }
 }
