Share the fleet of two overload tests, and forbid to move a simulated fleet

The fleet of long_overload and overloaded_hosts was written twice, and long_overload returned it from a named variable, which only worked while the compiler did not move it: routers and events point to the fleet. Whole seconds and the engines' capacity are computed at one place. The version tests use the model's configuration. All assertions stay, and all figures are the same.

--- a/test/dandelionbay/dispatch/fleet_fairness_test.cpp
+++ b/test/dandelionbay/dispatch/fleet_fairness_test.cpp
@@ -68,22 +68,28 @@
     }
 }
 
-/*! Parameter: number of routers. */
-class long_overload : public testing::TestWithParam<std::size_t> {
-protected:
+/*! Returns a fleet that is asked for four times what its engines read, by two teams that both get less than they ask
+ *  for; one of them enters through a tenth of the routers. */
+[[nodiscard]] fleet_simulation fleet_beyond_capacity(std::size_t routers, std::uint64_t seed) {
+    return {routers, routers, {{"wide", 0.5, routers}, {"narrow", 0.5, routers / 10}},
+            4.0,     seed,    fleet_simulation::abandoned_calls::dropped};
+}
+
+/*! Such a fleet after some seconds. */
+struct long_overload_run {
     /*! Seconds until the burst that comes before any router knows of the overload has been served. */
     static constexpr std::size_t first = 4;
 
-    /*! A fleet that is asked for four times what its engines read, by two teams that both get less than they ask for;
-     *  one of them enters through a tenth of the routers. */
-    [[nodiscard]] static fleet_simulation run(std::size_t routers, std::uint64_t seed) {
-        fleet_simulation out{routers, routers, {{"wide", 0.5, routers}, {"narrow", 0.5, routers / 10}},
-                             4.0,     seed,    fleet_simulation::abandoned_calls::dropped};
-        out.run_for(seconds{14});
-        return out;
+    long_overload_run(std::size_t routers, std::uint64_t seed) : fleet{fleet_beyond_capacity(routers, seed)} {
+        fleet.run_for(seconds{14});
     }
+
+    fleet_simulation fleet;
 };
 
+/*! Parameter: number of routers. */
+class long_overload : public testing::TestWithParam<std::size_t> {};
+
 INSTANTIATE_TEST_SUITE_P(sizes, long_overload, testing::Values<std::size_t>(24, 100));
 
 /*! A run of a hundred routers takes as long as ten of 24. */
@@ -95,14 +101,16 @@
 // half of all calls are refused while the engines have room (FAIR).
 TEST_P(long_overload, engines_begin_what_they_can_read) {
     for (const std::uint64_t seed : seeds_for(GetParam())) {
-        EXPECT_GE(run(GetParam(), seed).min_begun_ratio(first), 0.9) << "seed " << seed;
+        const long_overload_run run{GetParam(), seed};
+        EXPECT_GE(run.fleet.min_begun_ratio(long_overload_run::first), 0.9) << "seed " << seed;
     }
 }
 
 // Guards against the same pattern: while the limit swings, the shares are decided by whose routers believe what.
 TEST_P(long_overload, teams_that_ask_for_more_get_the_same) {
     for (const std::uint64_t seed : seeds_for(GetParam())) {
-        EXPECT_LE(run(GetParam(), seed).max_team_ratio(0, 1, 6, first), 1.3) << "seed " << seed;
+        const long_overload_run run{GetParam(), seed};
+        EXPECT_LE(run.fleet.max_team_ratio(0, 1, 6, long_overload_run::first), 1.3) << "seed " << seed;
     }
 }
 
@@ -116,8 +124,7 @@
 TEST_P(overloaded_hosts, engines_begin_what_they_can_read) {
     constexpr std::size_t routers = 24;
     for (const std::uint64_t seed : {1, 2, 3}) {
-        fleet_simulation fleet{routers, routers, {{"wide", 0.5, routers}, {"narrow", 0.5, routers / 10}},
-                               4.0,     seed,    fleet_simulation::abandoned_calls::dropped};
+        auto fleet = fleet_beyond_capacity(routers, seed);
         for (std::size_t n = 0; n < routers; ++n) {
             fleet.limit_host(n, GetParam());
         }
--- a/test/dandelionbay/dispatch/fleet_simulation.hpp
+++ b/test/dandelionbay/dispatch/fleet_simulation.hpp
@@ -161,6 +161,12 @@
      *  @param per_s Calls per second. */
     void limit_host(std::size_t router, double per_s) { host_limits_[router] = host_limit{per_s, 1.0, start}; }
 
+    fleet_simulation(const fleet_simulation&) = delete; // Its routers and events point to it.
+    fleet_simulation(fleet_simulation&&) = delete;
+    fleet_simulation& operator=(const fleet_simulation&) = delete;
+    fleet_simulation& operator=(fleet_simulation&&) = delete;
+    ~fleet_simulation() = default;
+
     void run_for(duration time) { events_.run_until(events_.now() + time); }
 
     /**
@@ -173,7 +179,7 @@
      * from the sum.
      */
     [[nodiscard]] double min_received_ratio(std::size_t length, std::size_t first) const {
-        const auto seconds = static_cast<std::size_t>((events_.now() - start) / std::chrono::seconds{1});
+        const auto seconds = whole_seconds();
         double out = 1.0;
         for (std::size_t team = 0; team < seconds_.size(); ++team) {
             for (auto from = first; from + length <= seconds; ++from) {
@@ -223,23 +229,20 @@
                 received += it.received;
             }
         }
-        return received / (to_ms(events_.now() - start) * endpoint_load::initial_prefill_tokens_per_ms *
-                           static_cast<double>(engines_.size()));
+        return received / (to_ms(events_.now() - start) * capacity_per_ms());
     }
 
     /*! @brief Returns the lowest cost that began in a second, as a ratio to the prefill capacity of the engines.
      *  @param first Number of seconds at the start that are not evaluated. */
     [[nodiscard]] double min_begun_ratio(std::size_t first) const {
-        const auto seconds = static_cast<std::size_t>((events_.now() - start) / std::chrono::seconds{1});
-        const double capacity =
-            endpoint_load::initial_prefill_tokens_per_ms * 1e3 * static_cast<double>(engines_.size());
+        const auto seconds = whole_seconds();
         double out = std::numeric_limits<double>::max();
         for (auto n = first; n < seconds; ++n) {
             double begun = 0.0;
             for (std::size_t team = 0; team < seconds_.size(); ++team) {
                 begun += at_second(team, n).received;
             }
-            out = std::min(out, begun / capacity);
+            out = std::min(out, begun / (1e3 * capacity_per_ms()));
         }
         return out;
     }
@@ -247,7 +250,7 @@
     /*! @brief Returns the highest ratio between what two teams received in an interval.
      *  @param length Length of the interval, in seconds. @param first As above. */
     [[nodiscard]] double max_team_ratio(std::size_t a, std::size_t b, std::size_t length, std::size_t first) const {
-        const auto seconds = static_cast<std::size_t>((events_.now() - start) / std::chrono::seconds{1});
+        const auto seconds = whole_seconds();
         double out = 1.0;
         for (auto from = first; from + length <= seconds; ++from) {
             double of_a = 0.0;
@@ -262,10 +265,18 @@
     }
 
 private:
-    [[nodiscard]] service_second& this_second(std::size_t team) {
-        return seconds_[team][static_cast<std::size_t>((events_.now() - start) / std::chrono::seconds{1})];
+    /*! Returns the number of whole seconds since the start. */
+    [[nodiscard]] std::size_t whole_seconds() const {
+        return static_cast<std::size_t>((events_.now() - start) / std::chrono::seconds{1});
+    }
+
+    /*! Returns the prompt tokens that all engines prefill per ms. */
+    [[nodiscard]] double capacity_per_ms() const {
+        return endpoint_load::initial_prefill_tokens_per_ms * static_cast<double>(engines_.size());
     }
 
+    [[nodiscard]] service_second& this_second(std::size_t team) { return seconds_[team][whole_seconds()]; }
+
     [[nodiscard]] service_second at_second(std::size_t team, std::size_t n) const {
         const auto it = seconds_[team].find(n);
         return it == seconds_[team].end() ? service_second{} : it->second;
--- a/test/dandelionbay/gateway/stream_version_registry_test.cpp
+++ b/test/dandelionbay/gateway/stream_version_registry_test.cpp
@@ -1,14 +1,13 @@
 #include "dandelionbay/gateway/stream_version_registry.hpp"
 
 #include <deque>
-#include <functional>
-#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
 
 #include <gtest/gtest.h>
 
+#include "dandelionbay/dispatch/model_service.hpp"
 #include "dandelionbay/peer/simulated_router.hpp"
 
 namespace dandelionbay {
@@ -37,7 +36,6 @@
     void read_list(const endpoint_list& list, time_point now) {
         view.merge_endpoints(list, now, now);
         streams.update_versions(now);
-        dispatch.set_version_holds(streams.holds(now));
         calls.set_version_holds(streams.holds(now));
         calls.refresh(now);
     }
@@ -55,8 +53,7 @@
         listener_of_calls.at.reset();
         calls.submit(std::move(it), now);
         calls.process_waiting(now);
-        const auto out = std::exchange(listener_of_calls.at, std::nullopt);
-        return out;
+        return std::exchange(listener_of_calls.at, std::nullopt);
     }
 
     placement listener_of_calls{};
@@ -75,13 +72,7 @@
 
     void SetUp() override {
         for (auto* const it : {&first, &second}) {
-            route_config config;
-            config.version = 1;
-            endpoint_service model;
-            model.id = service;
-            model.engine = engine_profile{64, 300'000, 4};
-            config.services = {model};
-            it->view.adopt(std::make_shared<const route_config>(make_route_config(std::move(config))));
+            it->view.adopt(model_config());
             it->streams.set_complete();
         }
         add_endpoint("e1", old_version);
