--- a/test/dandelionbay/dispatch/fleet_fairness_test.cpp
+++ b/test/dandelionbay/dispatch/fleet_fairness_test.cpp
@@ -1,4 +1,8 @@
+#include <cstddef>
+#include <cstdint>
+#include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -114,6 +118,58 @@
     }
 }
 
+/*! Teams that each ask for four times what the engines read, but not at all times. Parameter: number of routers. */
+class newly_busy_teams : public testing::TestWithParam<std::size_t> {
+protected:
+    /*! Most that one of two teams receives in six seconds, as a ratio to the other. */
+    static constexpr double max_ratio = 1.3;
+    static constexpr std::size_t length = 6; // Seconds.
+
+    /*! Returns a fleet whose teams enter through all routers. @param pauses Pause of each team. */
+    [[nodiscard]] static fleet_simulation make_fleet(const std::vector<simulated_pause>& pauses, std::uint64_t seed) {
+        const auto routers = GetParam();
+        std::vector<simulated_team> teams;
+        for (const auto& it : pauses) {
+            const auto name = "team" + std::to_string(teams.size());
+            teams.push_back({name, 1.0 / static_cast<double>(pauses.size()), routers, it});
+        }
+        const double load = 4.0 * static_cast<double>(pauses.size());
+        return {routers, routers, std::move(teams), load, seed, fleet_simulation::abandoned_calls::dropped};
+    }
+};
+
+INSTANTIATE_TEST_SUITE_P(sizes, newly_busy_teams, testing::Values<std::size_t>(24, 100));
+
+// Guards against the pattern "a team comes while another has the engines": the newcomer gets the shares of the seconds
+// before it came, and the other one less than half of its share for six seconds (FAIR).
+TEST_P(newly_busy_teams, get_no_more_than_a_team_that_was_busy_before) {
+    for (const std::uint64_t seed : seeds_for(GetParam())) {
+        auto fleet = make_fleet({{}, {{}, seconds{4}}}, seed);
+        fleet.run_for(seconds{14});
+        EXPECT_LE(fleet.max_team_ratio(0, 1, length, 4), max_ratio) << "seed " << seed;
+    }
+}
+
+// Guards against the same pattern where a team pauses and comes back.
+TEST_P(newly_busy_teams, get_no_credit_for_a_pause) {
+    for (const std::uint64_t seed : seeds_for(GetParam())) {
+        auto fleet = make_fleet({{}, {seconds{6}, seconds{9}}}, seed);
+        fleet.run_for(seconds{17});
+        EXPECT_LE(fleet.max_team_ratio(0, 1, length, 9), max_ratio) << "seed " << seed;
+    }
+}
+
+// Guards against the same pattern where teams come one after the other.
+TEST_P(newly_busy_teams, share_with_those_that_come_later) {
+    for (const std::uint64_t seed : seeds_for(GetParam())) {
+        auto fleet = make_fleet({{}, {{}, seconds{4}}, {{}, seconds{8}}}, seed);
+        fleet.run_for(seconds{18});
+        EXPECT_LE(fleet.max_team_ratio(0, 1, length, 4), max_ratio) << "seed " << seed;
+        EXPECT_LE(fleet.max_team_ratio(0, 2, length, 8), max_ratio) << "seed " << seed;
+        EXPECT_LE(fleet.max_team_ratio(1, 2, length, 8), max_ratio) << "seed " << seed;
+    }
+}
+
 /*! Parameter: calls that each host starts per second; its engine prefills 12. */
 class overloaded_hosts : public testing::TestWithParam<double> {};
 
--- a/test/dandelionbay/dispatch/fleet_simulation.hpp
+++ b/test/dandelionbay/dispatch/fleet_simulation.hpp
@@ -21,11 +21,18 @@
 
 namespace dandelionbay {
 
+/*! @brief Time in which a simulated team sends no calls. */
+struct simulated_pause {
+    duration from{}; //!< Since the start of the simulation.
+    duration until{};
+};
+
 /*! @brief Demand of one simulated team. */
 struct simulated_team {
     std::string name{};
-    double share{};        //!< Fraction of the tokens that all teams request.
+    double share{};        //!< Fraction of the tokens that all teams request while none pauses.
     std::size_t routers{}; //!< Number of routers, starting at the first, through which its calls enter.
+    simulated_pause pause{};
 };
 
 /**
@@ -290,9 +297,19 @@
         return out;
     }
 
+    [[nodiscard]] bool is_paused(std::size_t team) const {
+        const auto& pause = teams_[team].pause;
+        const auto passed = events_.now() - start;
+        return passed >= pause.from && passed < pause.until;
+    }
+
     void schedule_next(std::size_t team, double per_s) {
         const double pause_s = std::exponential_distribution<double>{per_s}(random_);
         events_.after(from_ms(1e3 * pause_s), [this, team, per_s] {
+            if (is_paused(team)) {
+                schedule_next(team, per_s);
+                return;
+            }
             simulated_call it;
             it.team = team;
             it.prompt = std::uniform_real_distribution<double>{min_prompt_tokens, max_prompt_tokens}(random_);
