Compare the usage of teams that asked for different parts of the window

Cause: the order of calls, the room at engines and the admitted share rest on usage and demand of the last 4 s. A team that used capacity before others asked for it counted as far above its share, and the newcomer as having had nothing.

Gateways now tell each other what each team used and asked for in eight slices of the window. Usage is multiplied by the ratio of what a team's max-min shares would be, had it always asked as in the last second, to what they were; shares are of what is asked for now. So what was used before others asked is no debt, and a pause gives no credit.

Three tests had reports or sums in one moment of the window; they now say when the work was done and demand the same figures.

--- a/src/dandelionbay/dispatch/dispatcher.cpp
+++ b/src/dandelionbay/dispatch/dispatcher.cpp
@@ -67,7 +67,7 @@
     if (item.has_begun) {
         return {true, 0.0}; // Its team's turn was spent when it began, and few endpoints can go on with it.
     }
-    const double used = usage_.used(item.team, now);
+    const double used = usage_.comparable_usage(item.team, now);
     const double most = usage_.max_usage(now);
     if (usage_.is_often_refused(item.team, now) && used < limits_.behind_share * most) {
         return {true, 0.0}; // Otherwise a small team that is rarely refused would hold this one back.
@@ -186,11 +186,12 @@
     if (!rank_of(item, now).has_priority()) {
         return false;
     }
-    const double used = usage_.used(item.team, now);
+    const double used = usage_.comparable_usage(item.team, now);
     auto most = used / limits_.behind_share;
     std::optional<ticket_id> last; // The newest call of the team with the highest usage.
     for (const auto& [ticket, it] : waiting_) {
-        if (const double other = usage_.used(it.item.team, now); it.item.team != item.team && other >= most) {
+        if (const double other = usage_.comparable_usage(it.item.team, now);
+            it.item.team != item.team && other >= most) {
             most = other;
             last = ticket;
         }
@@ -212,7 +213,7 @@
     }
     out.queueing_delay_ms = found->second.queueing_delay_ms(now);
     if (const auto capacity = found->second.capacity(limits_, now)) {
-        const double lag = usage_.max_usage(now) / std::max(1.0, usage_.used(item.team, now));
+        const double lag = usage_.max_usage(now) / std::max(1.0, usage_.comparable_usage(item.team, now));
         out.share =
             std::min(1.0, usage_.admitted_share(item.team, *capacity, now) * std::clamp(lag, 1.0, max_catch_up));
     }
@@ -362,7 +363,7 @@
     for (const auto& [ticket, it] : waiting_) {
         const auto [team, is_new] = usage_by_team.try_emplace(it.item.team, 0.0);
         if (is_new) {
-            team->second = usage_.used(it.item.team, now);
+            team->second = usage_.comparable_usage(it.item.team, now);
         }
         keys.emplace_back(team->second, ticket);
         team->second += it.item.cost();
--- a/src/dandelionbay/dispatch/fwd.hpp
+++ b/src/dandelionbay/dispatch/fwd.hpp
@@ -21,6 +21,8 @@
 struct service_queue;
 struct team_rank;
 struct team_usage_entry;
+struct usage_slice;
+struct window_scale;
 struct work_item;
 
 } // namespace dandelionbay
--- a/src/dandelionbay/dispatch/team_usage.cpp
+++ b/src/dandelionbay/dispatch/team_usage.cpp
@@ -10,6 +10,8 @@
 
 /*! Interval at which expired reports of peers are removed: several times per window. */
 constexpr duration expiry_interval = std::chrono::milliseconds{100};
+/*! Interval at which the slices and the scales are computed: several times per slice. */
+constexpr duration scale_interval = team_usage::slice / 5;
 
 } // namespace
 
@@ -42,8 +44,8 @@
 
 void team_usage::change_total(const team_id& team, const account& delta) {
     const auto it = totals_.try_emplace(team).first;
-    it->second += delta;
-    if (it->second.is_empty()) {
+    it->second.sums += delta;
+    if (it->second.sums.is_empty()) {
         totals_.erase(it);
     }
     has_extremes_ = false;
@@ -52,6 +54,14 @@
 void team_usage::subtract(const peer_report& it) {
     for (const auto& entry : it.teams) {
         change_total(entry.team, -account_of(entry));
+        auto& sums = peer_slices_[entry.team];
+        const auto slices = slices_of(entry);
+        for (std::size_t n = 0; n < slice_count; ++n) {
+            sums[n] -= slices[n];
+        }
+        if (!totals_.contains(entry.team)) {
+            peer_slices_.erase(entry.team);
+        }
     }
 }
 
@@ -117,28 +127,89 @@
     it = peer_report{now, teams};
     for (const auto& entry : teams) {
         change_total(entry.team, account_of(entry));
+        auto& sums = peer_slices_[entry.team];
+        const auto slices = slices_of(entry);
+        for (std::size_t n = 0; n < slice_count; ++n) {
+            sums[n] += slices[n];
+        }
     }
 }
 
 void team_usage::find_extremes(time_point now) {
     expire(now);
+    update_scales(now);
     if (std::exchange(has_extremes_, true)) {
         return;
     }
     min_refused_usage_ = std::numeric_limits<double>::infinity();
     max_usage_ = 0.0;
     for (const auto& [team, it] : totals_) {
-        if (is_often_refused(it)) {
-            min_refused_usage_ = std::min(min_refused_usage_, it.used);
+        const auto& [sums, scale] = it;
+        if (is_often_refused(sums)) { // Nobody leaves more room for a team because it asks for less than before.
+            min_refused_usage_ = std::min(min_refused_usage_, sums.used * std::max(1.0, scale.usage));
         }
-        max_usage_ = std::max(max_usage_, it.used);
+        max_usage_ = std::max(max_usage_, sums.used * scale.usage);
     }
 }
 
+double team_usage::requested(const account& it) noexcept {
+    return std::max(0.0, it.used) + std::max(0.0, it.refused_cost - it.turned_away_cost);
+}
+
+usage_slices team_usage::slices_of(const team_usage_entry& entry) noexcept {
+    usage_slices out;
+    if (entry.slices.empty()) {
+        const auto sums = account_of(entry);
+        out.fill({sums.used / static_cast<double>(slice_count), requested(sums) / static_cast<double>(slice_count)});
+    } else {
+        std::copy_n(entry.slices.begin(), std::min(entry.slices.size(), slice_count), out.begin());
+    }
+    return out;
+}
+
+void team_usage::slice_own(time_point now) {
+    own_slices_.clear();
+    for (const auto& it : charges_) {
+        const auto n = static_cast<std::size_t>(std::max(duration{}, now - it.at) / slice);
+        own_slices_[it.team][std::min(n, slice_count - 1)] += {it.amount.used, requested(it.amount)};
+    }
+}
+
+void team_usage::update_scales(time_point now) {
+    if (now - scaled_at_ < scale_interval) {
+        return;
+    }
+    scaled_at_ = now;
+    slice_own(now);
+    std::vector<usage_slices> slices;
+    slices.reserve(totals_.size());
+    for (const auto& [team, it] : totals_) {
+        auto& sum = slices.emplace_back();
+        for (const auto* const part : {&own_slices_, &peer_slices_}) {
+            if (const auto found = part->find(team); found != part->end()) {
+                std::ranges::transform(sum, found->second, sum.begin(), [](auto a, const auto& b) { return a += b; });
+            }
+        }
+    }
+    const auto scales = window_scales(slices);
+    auto next = scales.begin();
+    for (auto& [team, it] : totals_) {
+        it.scale = *next++;
+    }
+    has_extremes_ = false;
+}
+
+double team_usage::comparable_usage(const team_id& team, time_point now) {
+    expire(now);
+    update_scales(now);
+    const auto it = totals_.find(team);
+    return it == totals_.end() ? 0.0 : it->second.sums.used * it->second.scale.usage;
+}
+
 double team_usage::used(const team_id& team, time_point now) {
     expire(now);
     const auto it = totals_.find(team);
-    return it == totals_.end() ? 0.0 : it->second.used;
+    return it == totals_.end() ? 0.0 : it->second.sums.used;
 }
 
 double team_usage::min_refused_usage(time_point now) {
@@ -149,37 +220,26 @@
 bool team_usage::is_often_refused(const team_id& team, time_point now) {
     expire(now);
     const auto it = totals_.find(team);
-    return it != totals_.end() && is_often_refused(it->second);
+    return it != totals_.end() && is_often_refused(it->second.sums);
 }
 
 double team_usage::admitted_share(const team_id& team, double capacity, time_point now) {
     expire(now);
+    update_scales(now);
     const auto found = totals_.find(team);
     if (found == totals_.end()) {
         return 1.0;
     }
-    const auto requested = [](const account& it) {
-        return std::max(0.0, it.used) + std::max(0.0, it.refused_cost - it.turned_away_cost);
-    };
     std::vector<double> requests;
     requests.reserve(totals_.size());
-    double left = 0.0;
+    double total = 0.0;
     for (const auto& [id, it] : totals_) {
-        requests.push_back(requested(it));
-        left += std::max(0.0, it.used) * capacity;
-    }
-    std::ranges::sort(requests);
-    const double own = requested(found->second);
-    auto teams_left = static_cast<double>(requests.size());
-    for (const double it : requests) {
-        const double even_share = left / teams_left;
-        if (it > even_share) { // This team and all that asked for more get the same.
-            return own <= even_share ? 1.0 : even_share / own;
-        }
-        left -= it;
-        teams_left -= 1.0;
+        requests.push_back(requested(it.sums) * it.scale.demand);
+        total += std::max(0.0, it.sums.used) * capacity;
     }
-    return 1.0;
+    const double own = requested(found->second.sums) * found->second.scale.demand;
+    const double most = max_min_share(std::move(requests), total);
+    return own <= most ? 1.0 : most / own;
 }
 
 double team_usage::max_usage(time_point now) {
@@ -189,11 +249,21 @@
 
 std::vector<team_usage_entry> team_usage::own(time_point now) {
     expire(now);
+    update_scales(now);
     std::vector<team_usage_entry> out;
     out.reserve(own_.size());
     for (const auto& [team, it] : own_) {
-        out.push_back(team_usage_entry{team, it.used, it.refused_cost, static_cast<std::uint32_t>(it.refused_calls),
-                                       it.turned_away_cost});
+        team_usage_entry entry{team, it.used, it.refused_cost, static_cast<std::uint32_t>(it.refused_calls),
+                               it.turned_away_cost};
+        if (const auto found = own_slices_.find(team); found != own_slices_.end()) {
+            entry.slices.assign(found->second.begin(), found->second.end());
+            while (!entry.slices.empty() && entry.slices.back() == usage_slice{}) {
+                entry.slices.pop_back();
+            }
+        } else { // Its first call came after the slices were computed.
+            entry.slices.push_back({it.used, requested(it)});
+        }
+        out.push_back(std::move(entry));
     }
     return out;
 }
--- a/src/dandelionbay/peer/peer_message.cpp
+++ b/src/dandelionbay/peer/peer_message.cpp
@@ -1,7 +1,12 @@
 #include "dandelionbay/peer/peer_message.hpp"
 
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <limits>
 #include <map>
 #include <tuple>
+#include <utility>
 
 #include <msgpack.hpp>
 
@@ -19,7 +24,8 @@
 using leaving_row = std::tuple<std::string, std::uint64_t>;
 using lost_run_row = std::tuple<std::string, std::uint64_t, std::int64_t, std::int64_t>;
 using losses_row = std::tuple<std::uint64_t, std::vector<lost_run_row>, std::vector<std::int64_t>>;
-using team_row = std::tuple<std::string, double, double, std::uint32_t, double>;
+using slice_row = std::tuple<std::uint32_t, std::uint32_t>; // Rounded costs, which take a third of the bytes.
+using team_row = std::tuple<std::string, double, double, std::uint32_t, double, std::vector<slice_row>>;
 using endpoint_row = std::tuple<std::string, std::string, std::string, address_row, std::uint32_t, bool, std::int64_t,
                                 std::uint64_t, std::uint64_t, std::string>;
 using clock_row = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
@@ -258,8 +264,11 @@
         out.loads.push_back(endpoint_work_entry{endpoint_id{endpoint}, endpoint_work{unread, calls, memory}});
     }
     out.part_uses = uses_of(uses);
-    for (const auto& [team, cost, denied, denied_calls, turned_away] : teams) {
-        out.teams.push_back(team_usage_entry{team_id{team}, cost, denied, denied_calls, turned_away});
+    for (const auto& [team, cost, denied, denied_calls, turned_away, slices] : teams) {
+        auto& entry = out.teams.emplace_back(team_usage_entry{team_id{team}, cost, denied, denied_calls, turned_away});
+        for (const auto& [used, requested] : slices) {
+            entry.slices.push_back(usage_slice{static_cast<double>(used), static_cast<double>(requested)});
+        }
     }
     for (const auto& [service, ms] : queues) {
         out.queues.push_back(service_queue{service_id{service}, ms});
@@ -293,11 +302,22 @@
     return out;
 }
 
+[[nodiscard]] std::uint32_t rounded(double cost) {
+    constexpr double most = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp(std::round(cost), 0.0, most));
+}
+
 [[nodiscard]] std::vector<team_row> rows_of(const std::vector<team_usage_entry>& teams) {
     std::vector<team_row> out;
     out.reserve(teams.size());
     for (const auto& it : teams) {
-        out.emplace_back(it.team.value, it.cost, it.refused_cost, it.refused_calls, it.turned_away_cost);
+        std::vector<slice_row> slices;
+        slices.reserve(it.slices.size());
+        for (const auto& slice : it.slices) {
+            slices.emplace_back(rounded(slice.used), rounded(slice.requested));
+        }
+        out.emplace_back(it.team.value, it.cost, it.refused_cost, it.refused_calls, it.turned_away_cost,
+                         std::move(slices));
     }
     return out;
 }
--- a/src/dandelionbay/proxy/proxy_admission.cpp
+++ b/src/dandelionbay/proxy/proxy_admission.cpp
@@ -208,7 +208,8 @@
         refuse_call(ticket);
     }
     const auto starts_began_at = now();
-    admission_queue_.order([&](const team_id& team) { return dispatcher_.usage().used(team, starts_began_at); });
+    admission_queue_.order(
+        [&](const team_id& team) { return dispatcher_.usage().comparable_usage(team, starts_began_at); });
     while (!admission_queue_.empty() && now() - starts_began_at < max_decision_time &&
            admission_rate_limiter_.available_calls(now()) >= 1.0) {
         const auto next = admission_queue_.take_next();
--- a/test/dandelionbay/dispatch/dispatcher_test.cpp
+++ b/test/dandelionbay/dispatch/dispatcher_test.cpp
@@ -239,7 +239,10 @@
     }
     EXPECT_FALSE(fleet.router.usage().is_often_refused(team, fleet.now)) << "all calls started in time";
     serve(milliseconds{900});
-    EXPECT_EQ(fleet.router.usage().own(fleet.now).front(), (team_usage_entry{team, 5.0 * 1'100.0, 1'100.0, 1}))
+    const double cost = 1'100.0;
+    const std::vector<usage_slice> slices{
+        {0.0, cost}, {cost, cost}, {cost, cost}, {2.0 * cost, 2.0 * cost}, {cost, cost}};
+    EXPECT_EQ(fleet.router.usage().own(fleet.now).front(), (team_usage_entry{team, 5.0 * cost, cost, 1, 0.0, slices}))
         << "the late call counts as usage too";
     EXPECT_FALSE(fleet.router.usage().is_often_refused(team, fleet.now)) << "a single call";
     serve(milliseconds{900});
--- a/test/dandelionbay/dispatch/limits_test.cpp
+++ b/test/dandelionbay/dispatch/limits_test.cpp
@@ -228,14 +228,17 @@
 // Guards against teams that pay forever for a past burst, and against teams that accumulate credit while idle.
 TEST(team_usage, only_recent_usage_at_all_routers_counts) {
     team_usage usage;
-    usage.add(team_id{"a"}, 1'000.0, start);
+    for (auto at = start - team_usage::window + team_usage::slice; at <= start; at += team_usage::slice) {
+        usage.add(team_id{"a"}, 125.0, at);
+    }
     usage.update_peer(host_id{"r2"},
                       {team_usage_entry{team_id{"a"}, 500.0, 0.0}, team_usage_entry{team_id{"b"}, 100.0, 20.0},
                        team_usage_entry{team_id{"c"}, 300.0, 200.0}},
                       start);
-    EXPECT_NEAR(usage.used(team_id{"a"}, start + seconds{1}), 1'500.0, 1.0);
-    EXPECT_NEAR(usage.min_refused_usage(start + seconds{1}), 100.0, 1.0);
-    EXPECT_NEAR(usage.max_usage(start + seconds{1}), 1'500.0, 1.0);
+    EXPECT_NEAR(usage.used(team_id{"a"}, start), 1'500.0, 1.0);
+    EXPECT_NEAR(usage.min_refused_usage(start), 100.0, 1.0);
+    EXPECT_NEAR(usage.max_usage(start), 1'500.0, 1.0);
+    EXPECT_NEAR(usage.used(team_id{"a"}, start + seconds{1}), 1'250.0, 1.0);
     EXPECT_NEAR(usage.used(team_id{"a"}, start + seconds{5}), 0.0, 1.0);
     EXPECT_TRUE(std::isinf(usage.min_refused_usage(start + seconds{5}))) << "no team is refused any more";
 }
@@ -252,7 +255,7 @@
     usage.add_refused(team, 200.0, start);
     EXPECT_FALSE(usage.is_often_refused(team, start)) << "one refused call";
     EXPECT_TRUE(std::isinf(usage.min_refused_usage(start)));
-    EXPECT_EQ(usage.own(start).front(), (team_usage_entry{team, 1'000.0, 200.0, 1}));
+    EXPECT_EQ(usage.own(start).front(), (team_usage_entry{team, 1'000.0, 200.0, 1, 0.0, {{1'000.0, 1'200.0}}}));
     report("r2", 1);
     EXPECT_TRUE(usage.is_often_refused(team, start)) << "another one at a peer";
     EXPECT_NEAR(usage.min_refused_usage(start), 2'000.0, 1.0);
--- a/test/dandelionbay/dispatch/overload_estimator_test.cpp
+++ b/test/dandelionbay/dispatch/overload_estimator_test.cpp
@@ -96,14 +96,70 @@
 TEST(team_usage_admission, is_the_same_wherever_the_calls_enter) {
     team_usage first;
     first.add(large, 300.0, start);
-    first.update_peer(host_id{"r2"}, {{medium, 100.0, 500.0, 5}}, start);
+    first.update_peer(host_id{"r2"}, {{medium, 100.0, 500.0, 5, 0.0, {{100.0, 600.0}}}}, start);
     team_usage second;
     second.add(medium, 100.0, start);
-    second.update_peer(host_id{"r1"}, {{large, 300.0, 0.0, 0}}, start);
+    second.update_peer(host_id{"r1"}, {{large, 300.0, 0.0, 0, 0.0, {{300.0, 300.0}}}}, start);
     second.add_refused(medium, 500.0, start);
     EXPECT_EQ(first.admitted_share(medium, 1.0, start), second.admitted_share(medium, 1.0, start));
     EXPECT_NEAR(first.admitted_share(medium, 1.0, start), 200.0 / 600.0, 1e-9);
 }
 
+/*! Adds the same work every 100 ms in a part of the window before the start. */
+void add_work(team_usage& to, const team_id& team, duration from, duration until, double used, double refused) {
+    for (auto age = from - milliseconds{50}; age > until; age -= milliseconds{100}) {
+        to.add(team, used, start - age);
+        if (refused > 0.0) {
+            to.add_refused(team, refused, start - age);
+        }
+    }
+}
+
+// Guards against the pattern "a team comes while another has the engines": what the one used before the other came
+// counts as a debt, and the newcomer gets several times as much (FAIR).
+TEST(comparable_usage, does_not_count_what_was_used_before_others_asked) {
+    team_usage usage;
+    add_work(usage, large, seconds{4}, seconds{1}, 100.0, 300.0);
+    add_work(usage, large, seconds{1}, {}, 50.0, 350.0);
+    add_work(usage, medium, seconds{1}, {}, 50.0, 350.0);
+    const double of_large = usage.comparable_usage(large, start);
+    EXPECT_GT(usage.used(large, start), 6.0 * usage.used(medium, start));
+    EXPECT_NEAR(usage.comparable_usage(medium, start), of_large, 0.05 * of_large);
+    EXPECT_NEAR(usage.admitted_share(medium, 1.0, start), usage.admitted_share(large, 1.0, start), 0.01);
+    {
+        SCOPED_TRACE("what it takes from the newcomer does count");
+        usage.add(large, 1'000.0, start);
+        EXPECT_GT(usage.comparable_usage(large, start), 1.1 * usage.comparable_usage(medium, start));
+    }
+}
+
+// Guards against a team that is starved now, and counts as served because it was served well before others came.
+TEST(comparable_usage, follows_what_a_team_gets_of_its_share) {
+    team_usage usage;
+    add_work(usage, large, seconds{4}, {}, 100.0, 300.0);
+    add_work(usage, medium, seconds{2}, {}, 20.0, 380.0);
+    add_work(usage, small, seconds{4}, {}, 10.0, 0.0);
+    EXPECT_LT(usage.comparable_usage(medium, start), 0.5 * usage.comparable_usage(large, start));
+    EXPECT_NEAR(usage.comparable_usage(small, start), usage.used(small, start), 1.0)
+        << "it asks for less than its share";
+}
+
+// Guards against a team that is served first because it pauses between bursts, and against one that gets credit for a
+// pause.
+TEST(comparable_usage, gives_no_credit_for_a_pause) {
+    const auto add_before = [](team_usage& to) {
+        add_work(to, medium, seconds{4}, seconds{2}, 100.0, 300.0);
+        add_work(to, large, seconds{4}, {}, 100.0, 300.0);
+    };
+    team_usage in_pause;
+    add_before(in_pause);
+    EXPECT_GE(in_pause.comparable_usage(medium, start), 0.5 * in_pause.used(medium, start));
+    team_usage after_pause;
+    add_before(after_pause);
+    add_work(after_pause, medium, milliseconds{500}, {}, 100.0, 300.0);
+    const double of_large = after_pause.comparable_usage(large, start);
+    EXPECT_NEAR(after_pause.comparable_usage(medium, start), of_large, 0.15 * of_large);
+}
+
 } // namespace
 } // namespace dandelionbay
--- a/test/dandelionbay/peer/peer_synchronizer_test.cpp
+++ b/test/dandelionbay/peer/peer_synchronizer_test.cpp
@@ -337,7 +337,7 @@
                                             milliseconds{3}, 99, registry_version{6, 8}}}};
     it.loads = {endpoint_work_entry{endpoint_id{"e"}, endpoint_work{1.5, 2, 3.5}}};
     it.part_uses = {part_use{endpoint_id{"e"}, prompt_part{77, 5}}, part_use{endpoint_id{"e"}, prompt_part{78, 6}}};
-    it.teams = {team_usage_entry{team_id{"t"}, 1.0, 2.0, 3}};
+    it.teams = {team_usage_entry{team_id{"t"}, 1.0, 2.0, 3, 0.5, {{1.0, 3.0}, {0.0, 1.0}}}};
     it.queues = {service_queue{service_id{"s"}, 12.0}};
     it.peers = {second_address};
     it.config_text = "version 3";
@@ -391,7 +391,7 @@
     expect_same("empty message");
     it.loads = {endpoint_work_entry{endpoint_id{"e"}, endpoint_work{1.5, 2, 3.5}}};
     it.part_uses = {part_use{endpoint_id{"e"}, prompt_part{77, 5}}};
-    it.teams = {team_usage_entry{team_id{"t"}, 1.0, 2.0, 3}};
+    it.teams = {team_usage_entry{team_id{"t"}, 1.0, 2.0, 3, 0.5, {{1.0, 3.0}, {0.0, 1.0}}}};
     it.queues = {service_queue{service_id{"s"}, 12.0}};
     it.endpoints_leaving = {endpoint_process{endpoint_id{"e"}, 99}};
     expect_same("all lists");
