--- a/src/dandelionbay/dispatch/team_usage.cpp
+++ b/src/dandelionbay/dispatch/team_usage.cpp
@@ -54,11 +54,7 @@
 void team_usage::subtract(const peer_report& it) {
     for (const auto& entry : it.teams) {
         change_total(entry.team, -account_of(entry));
-        auto& sums = peer_slices_[entry.team];
-        const auto slices = slices_of(entry);
-        for (std::size_t n = 0; n < slice_count; ++n) {
-            sums[n] -= slices[n];
-        }
+        add_slices(peer_slices_[entry.team], slices_of(entry), -1.0);
         if (!totals_.contains(entry.team)) {
             peer_slices_.erase(entry.team);
         }
@@ -127,11 +123,7 @@
     it = peer_report{now, teams};
     for (const auto& entry : teams) {
         change_total(entry.team, account_of(entry));
-        auto& sums = peer_slices_[entry.team];
-        const auto slices = slices_of(entry);
-        for (std::size_t n = 0; n < slice_count; ++n) {
-            sums[n] += slices[n];
-        }
+        add_slices(peer_slices_[entry.team], slices_of(entry));
     }
 }
 
@@ -187,7 +179,7 @@
         auto& sum = slices.emplace_back();
         for (const auto* const part : {&own_slices_, &peer_slices_}) {
             if (const auto found = part->find(team); found != part->end()) {
-                std::ranges::transform(sum, found->second, sum.begin(), [](auto a, const auto& b) { return a += b; });
+                add_slices(sum, found->second);
             }
         }
     }
--- a/src/dandelionbay/dispatch/usage_slices.cpp
+++ b/src/dandelionbay/dispatch/usage_slices.cpp
@@ -60,10 +60,10 @@
     return *this;
 }
 
-usage_slice& usage_slice::operator-=(const usage_slice& other) noexcept {
-    used -= other.used;
-    requested -= other.requested;
-    return *this;
+void add_slices(usage_slices& to, const usage_slices& it, double factor) noexcept {
+    for (std::size_t n = 0; n < slice_count; ++n) {
+        to[n] += {factor * it[n].used, factor * it[n].requested};
+    }
 }
 
 double max_min_share(std::vector<double> requests, double total) {
--- a/src/dandelionbay/dispatch/usage_slices.hpp
+++ b/src/dandelionbay/dispatch/usage_slices.hpp
@@ -12,7 +12,6 @@
     double requested{}; //!< Cost of the dispatched and of the refused calls, except those turned away.
 
     usage_slice& operator+=(const usage_slice& other) noexcept;
-    usage_slice& operator-=(const usage_slice& other) noexcept;
 
     friend bool operator==(const usage_slice&, const usage_slice&) = default;
 };
@@ -26,6 +25,9 @@
 /*! @brief The window of a team, newest slice first. */
 using usage_slices = std::array<usage_slice, slice_count>;
 
+/*! @brief Adds a multiple of slices to others. @param factor -1 subtracts them. */
+void add_slices(usage_slices& to, const usage_slices& it, double factor = 1.0) noexcept;
+
 /*! @brief Factors that extend what a team asked for of late to the whole window. */
 struct window_scale {
     double usage{1.0};  //!< Ratio of its shares, if it had always asked as it does now, to its shares in the window.
