Keep the slices that peers report beside the totals of each team

A second map kept entries of zeros for teams that left while this gateway still had charges of them, and took a look-up for each team and computation. Behaviour stays as it is: usual build, 596 of 596 tests, format and lint; no sanitizer build was run.

--- a/src/dandelionbay/dispatch/team_usage.cpp
+++ b/src/dandelionbay/dispatch/team_usage.cpp
@@ -51,13 +51,11 @@
     has_extremes_ = false;
 }
 
-void team_usage::subtract(const peer_report& it) {
+void team_usage::change_totals(const peer_report& it, double factor) {
     for (const auto& entry : it.teams) {
-        change_total(entry.team, -account_of(entry));
-        add_slices(peer_slices_[entry.team], slices_of(entry), -1.0);
-        if (!totals_.contains(entry.team)) {
-            peer_slices_.erase(entry.team);
-        }
+        add_slices(totals_[entry.team].peer_slices, slices_of(entry), factor);
+        const auto amount = account_of(entry);
+        change_total(entry.team, factor > 0.0 ? amount : -amount);
     }
 }
 
@@ -80,7 +78,7 @@
     std::erase_if(peers_, [&](const auto& it) {
         const bool is_expired = now - it.second.at >= window;
         if (is_expired) {
-            subtract(it.second);
+            change_totals(it.second, -1.0);
         }
         return is_expired;
     });
@@ -119,12 +117,9 @@
 
 void team_usage::update_peer(const host_id& peer, const std::vector<team_usage_entry>& teams, time_point now) {
     auto& it = peers_[peer];
-    subtract(it);
+    change_totals(it, -1.0);
     it = peer_report{now, teams};
-    for (const auto& entry : teams) {
-        change_total(entry.team, account_of(entry));
-        add_slices(peer_slices_[entry.team], slices_of(entry));
-    }
+    change_totals(it, 1.0);
 }
 
 void team_usage::find_extremes(time_point now) {
@@ -136,11 +131,10 @@
     min_refused_usage_ = std::numeric_limits<double>::infinity();
     max_usage_ = 0.0;
     for (const auto& [team, it] : totals_) {
-        const auto& [sums, scale] = it;
-        if (is_often_refused(sums)) { // Nobody leaves more room for a team because it asks for less than before.
-            min_refused_usage_ = std::min(min_refused_usage_, sums.used * std::max(1.0, scale.usage));
+        if (is_often_refused(it.sums)) { // Nobody leaves more room for a team because it asks for less than before.
+            min_refused_usage_ = std::min(min_refused_usage_, it.sums.used * std::max(1.0, it.scale.usage));
         }
-        max_usage_ = std::max(max_usage_, sums.used * scale.usage);
+        max_usage_ = std::max(max_usage_, it.sums.used * it.scale.usage);
     }
 }
 
@@ -176,11 +170,9 @@
     std::vector<usage_slices> slices;
     slices.reserve(totals_.size());
     for (const auto& [team, it] : totals_) {
-        auto& sum = slices.emplace_back();
-        for (const auto* const part : {&own_slices_, &peer_slices_}) {
-            if (const auto found = part->find(team); found != part->end()) {
-                add_slices(sum, found->second);
-            }
+        auto& sum = slices.emplace_back(it.peer_slices);
+        if (const auto own = own_slices_.find(team); own != own_slices_.end()) {
+            add_slices(sum, own->second);
         }
     }
     const auto scales = window_scales(slices);
--- a/src/dandelionbay/dispatch/team_usage.hpp
+++ b/src/dandelionbay/dispatch/team_usage.hpp
@@ -44,6 +44,7 @@
     };
     struct team_total {
         account sums{};
+        usage_slices peer_slices{}; //!< Sums of the peers' reports.
         window_scale scale{};
     };
     struct charge {
@@ -66,7 +67,8 @@
     void update_scales(time_point now);
     /*! Changes a team's total; removes the team if nothing is left. */
     void change_total(const team_id& team, const account& delta);
-    void subtract(const peer_report& it);
+    /*! The same for a peer's report. @param factor 1 adds it, -1 subtracts it. */
+    void change_totals(const peer_report& it, double factor);
     void expire(time_point now);
     void charge_team(const team_id& team, const account& amount, time_point now);
     void find_extremes(time_point now);
@@ -145,8 +147,7 @@
     std::map<host_id, peer_report> peers_{};
     std::map<team_id, team_total> totals_{}; //!< Over all routers.
     std::map<team_id, usage_slices> own_slices_{};
-    std::map<team_id, usage_slices> peer_slices_{}; //!< Sums of the reports.
-    time_point scaled_at_{};                        //!< When the own slices and the scales were computed.
+    time_point scaled_at_{}; //!< When the own slices and the scales were computed.
     double min_refused_usage_{};
     double max_usage_{};
     bool has_extremes_{};           //!< Whether the two values above are current.
